--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decisions."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration of a whole session."""
--- /dev/null
+++ b/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Fault runs against real processes and the history checker."""
--- /dev/null
+++ b/marjoramusher/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduler for accelerator gangs and short requests."""
--- /dev/null
+++ b/marjoramusher/callers/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interface for callers."""
--- /dev/null
+++ b/marjoramusher/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Idempotency claims and recorded answers as a pure state machine."""
--- /dev/null
+++ b/marjoramusher/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line for operators."""
--- /dev/null
+++ b/marjoramusher/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Raft as a pure state machine: events in, effects out."""
--- /dev/null
+++ b/marjoramusher/core/__init__.py
@@ -0,0 +1,1 @@
+"""Immutable records and small protocols that every other package shares."""
--- /dev/null
+++ b/marjoramusher/core/codec_test.py
@@ -0,0 +1,45 @@
+"""Guards the decoders against hostile bodies reaching the decision packages."""
+
+import pytest
+
+from marjoramusher.core import announcement, codec, errors, job
+
+CASES = {
+    "truncated": b'{"id": "r1"',
+    "wrong type": b'{"id": 1}',
+    "unknown field": b'{"id":"r","url":"u","failure_domain":"d","service":"s",'
+    b'"incarnation":1,"extra":1}',
+    "not utf-8": b'{"id": "\xff\xfe"}',
+    "deep": b"[" * 40 + b"]" * 40,
+    "deep behind an escaped quote": b'{"a\\"": ' + b"[" * 40,
+    "empty": b"",
+}
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_malformed_body_gives_coded_error(name):
+    with pytest.raises(errors.BadRequestError) as caught:
+        codec.from_json(CASES[name], announcement.TargetAnnouncement)
+    assert caught.value.http_status == 400
+    assert caught.value.outcome is errors.Outcome.NOT_RUN
+
+
+def test_brackets_in_strings_do_not_count_as_nesting():
+    assert codec.from_json(b'["' + b"[" * 100 + b'"]', list[str])
+
+
+def test_truncated_peer_message_gives_coded_error():
+    data = codec.pack(job.TaskPlacement("t", "w"))
+    with pytest.raises(errors.BadRequestError):
+        codec.unpack(data[:-1], job.TaskPlacement)
+
+
+@pytest.mark.parametrize("code", errors.ErrorCode)
+def test_every_code_survives_the_wire(code):
+    error = errors.MarjoramusherError(
+        code, "m", errors.Outcome.UNKNOWN, {"leader": "a"}
+    )
+    data = codec.to_json(error.body())
+    back = errors.from_body(codec.from_json(data, errors.ErrorBody))
+    assert back.code is code
+    assert isinstance(back, errors.MarjoramusherError)
--- /dev/null
+++ b/marjoramusher/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Settings and wiring of the daemon."""
--- /dev/null
+++ b/marjoramusher/groups/__init__.py
@@ -0,0 +1,1 @@
+"""Run consensus groups on storage and transport."""
--- /dev/null
+++ b/marjoramusher/instances/__init__.py
@@ -0,0 +1,1 @@
+"""Transport between instances: grpclib with a msgspec codec."""
--- /dev/null
+++ b/marjoramusher/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs and allocations as a pure state machine."""
--- /dev/null
+++ b/marjoramusher/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Table of instances, kept by heartbeats."""
--- /dev/null
+++ b/marjoramusher/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placement decisions for gangs of accelerators."""
--- /dev/null
+++ b/marjoramusher/records/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' versioned records as a pure state machine."""
--- /dev/null
+++ b/marjoramusher/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing decisions for short requests."""
--- /dev/null
+++ b/marjoramusher/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Durable state in one data folder."""
--- /dev/null
+++ b/marjoramusher/targets/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interface and client for runners."""
--- /dev/null
+++ b/marjoramusher/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Counters, histograms and logs."""
