--- /dev/null
+++ b/marjoramusher/consensus/message.py
@@ -0,0 +1,356 @@
+"""Messages between voters, and the events and effects of a node."""
+
+import enum
+from typing import TypeAlias
+
+import msgspec
+
+from ..core import errors
+
+
+class VoterId(msgspec.Struct, frozen=True, order=True):
+    """One store of one instance.
+
+    Parameters
+    ----------
+    instance : str
+        Instance id from the settings.
+    store : str
+        Random id made with the data folder, or for each process start of a
+        diskless instance.
+    """
+
+    instance: str
+    store: str
+
+
+class Role(enum.Enum):
+    """Role of a node in its group."""
+
+    LEARNER = "learner"
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class GroupConfig(msgspec.Struct, frozen=True):
+    """Members of a group.
+
+    Parameters
+    ----------
+    epoch : int
+        Raised only when an operator restarts the group after a lost majority.
+    """
+
+    voters: tuple[VoterId, ...]
+    learners: tuple[VoterId, ...] = ()
+    epoch: int = 0
+
+
+class EntryKind(enum.Enum):
+    """What an entry holds."""
+
+    COMMAND = "command"
+    CONFIG = "config"
+    NOOP = "noop"
+
+
+class Entry(msgspec.Struct, frozen=True):
+    """One entry of the replicated log; `payload` of a CONFIG is a `GroupConfig`."""
+
+    index: int
+    term: int
+    kind: EntryKind
+    payload: bytes = b""
+
+
+class HardState(msgspec.Struct, frozen=True):
+    """What must be synced before a vote or an acknowledgement is sent."""
+
+    term: int = 0
+    voted_for: VoterId | None = None
+
+
+# Messages between voters. `sender` is filled in by the node.
+
+
+class Message(msgspec.Struct, frozen=True, tag=True):
+    """Base of all messages of one group."""
+
+    group: str
+    sender: VoterId
+    receiver: VoterId
+    epoch: int
+    term: int
+
+
+class VoteRequest(Message, frozen=True, tag=True):
+    """Ask for a vote; with `pre_vote`, ask whether one would be given."""
+
+    last_index: int
+    last_term: int
+    pre_vote: bool
+
+
+class VoteReply(Message, frozen=True, tag=True):
+    """Answer to a `VoteRequest`."""
+
+    granted: bool
+    pre_vote: bool
+
+
+class Append(Message, frozen=True, tag=True):
+    """Replicate entries, or renew the leader's authority with none.
+
+    Parameters
+    ----------
+    round : int
+        Number of the heartbeat round, echoed by the reply; it serves check-quorum,
+        read barriers and the leader's lease.
+    """
+
+    prev_index: int
+    prev_term: int
+    entries: tuple[Entry, ...]
+    commit: int
+    round: int
+
+
+class AppendReply(Message, frozen=True, tag=True):
+    """Answer to an `Append` or a finished snapshot.
+
+    Parameters
+    ----------
+    match : int
+        Last index known to be replicated if `success`, else a hint where to go on.
+    """
+
+    success: bool
+    match: int
+    round: int
+
+
+class SnapshotChunk(Message, frozen=True, tag=True):
+    """A part of a snapshot for a member whose next entry is compacted."""
+
+    index: int
+    index_term: int
+    config: GroupConfig
+    offset: int
+    data: bytes
+    last: bool
+    round: int
+
+
+class BootRegister(Message, frozen=True, tag=True):
+    """Announce a process start of a voter's store."""
+
+    boot: int
+
+
+class BootReply(Message, frozen=True, tag=True):
+    """Tell whether a boot is new to the peer; ``stale`` means an old data folder."""
+
+    boot: int
+    stale: bool
+
+
+AnyMessage: TypeAlias = (
+    VoteRequest
+    | VoteReply
+    | Append
+    | AppendReply
+    | SnapshotChunk
+    | BootRegister
+    | BootReply
+)
+
+
+# Events of a node.
+
+
+class Tick(msgspec.Struct, frozen=True):
+    """Time has passed."""
+
+
+class Receive(msgspec.Struct, frozen=True):
+    """A message has arrived."""
+
+    message: AnyMessage
+
+
+class Propose(msgspec.Struct, frozen=True):
+    """A client of the group wants a command committed."""
+
+    proposal_id: int
+    payload: bytes
+
+
+class ReplaceVoter(msgspec.Struct, frozen=True):
+    """Put a caught-up learner in the place of the old store of the same instance."""
+
+    proposal_id: int
+    old: VoterId
+    new: VoterId
+
+
+class AddVoter(msgspec.Struct, frozen=True):
+    """Promote a caught-up learner."""
+
+    proposal_id: int
+    voter: VoterId
+
+
+class RemoveVoter(msgspec.Struct, frozen=True):
+    """Take a voter out of the group."""
+
+    proposal_id: int
+    voter: VoterId
+
+
+class AddLearner(msgspec.Struct, frozen=True):
+    """Replicate to a member that does not vote."""
+
+    proposal_id: int
+    learner: VoterId
+
+
+class RemoveLearner(msgspec.Struct, frozen=True):
+    """Stop replicating to a learner."""
+
+    proposal_id: int
+    learner: VoterId
+
+
+class ReadBarrier(msgspec.Struct, frozen=True):
+    """Ask for an index from which a linearizable read can be served."""
+
+    read_id: int
+
+
+class Compacted(msgspec.Struct, frozen=True):
+    """The store holds a snapshot up to `index`; earlier entries are gone."""
+
+    index: int
+    data: bytes
+
+
+class StoreFailed(msgspec.Struct, frozen=True):
+    """The store can't sync; the node must neither vote, acknowledge nor lead."""
+
+
+Event: TypeAlias = (
+    Tick
+    | Receive
+    | Propose
+    | ReplaceVoter
+    | AddVoter
+    | RemoveVoter
+    | AddLearner
+    | RemoveLearner
+    | ReadBarrier
+    | Compacted
+    | StoreFailed
+)
+
+
+# Effects of a node, to be carried out in order.
+
+
+class Persist(msgspec.Struct, frozen=True):
+    """Sync before any later effect of the same step is carried out.
+
+    Parameters
+    ----------
+    truncate_from : int or None
+        First index to drop before `entries` are appended.
+    """
+
+    hard_state: HardState | None = None
+    truncate_from: int | None = None
+    entries: tuple[Entry, ...] = ()
+    boots: tuple[tuple[VoterId, int], ...] = ()
+
+
+class Send(msgspec.Struct, frozen=True):
+    """Send a message to `message.receiver`."""
+
+    message: AnyMessage
+
+
+class Commit(msgspec.Struct, frozen=True):
+    """Apply these entries in order."""
+
+    entries: tuple[Entry, ...]
+
+
+class ProposalAccepted(msgspec.Struct, frozen=True):
+    """A proposal has its index; it is not committed yet."""
+
+    proposal_id: int
+    index: int
+    term: int
+
+
+class ProposalRefused(msgspec.Struct, frozen=True):
+    """A proposal was not appended."""
+
+    proposal_id: int
+    error: errors.ErrorCode
+    leader: VoterId | None
+
+
+class ReadReady(msgspec.Struct, frozen=True):
+    """A read may be served once `index` is applied."""
+
+    read_id: int
+    index: int
+
+
+class ReadRefused(msgspec.Struct, frozen=True):
+    """A read barrier could not be had."""
+
+    read_id: int
+    leader: VoterId | None
+
+
+class RestoreSnapshot(msgspec.Struct, frozen=True):
+    """Replace store and machine by this snapshot."""
+
+    index: int
+    term: int
+    config: GroupConfig
+    data: bytes
+
+
+class RoleChanged(msgspec.Struct, frozen=True):
+    """The role, the term or the known leader has changed."""
+
+    role: Role
+    term: int
+    leader: VoterId | None
+
+
+class ConfigChanged(msgspec.Struct, frozen=True):
+    """The members in force have changed."""
+
+    config: GroupConfig
+
+
+class StaleStore(msgspec.Struct, frozen=True):
+    """A peer has seen a later boot of this store: discard it and start anew."""
+
+
+Effect: TypeAlias = (
+    Persist
+    | Send
+    | Commit
+    | ProposalAccepted
+    | ProposalRefused
+    | ReadReady
+    | ReadRefused
+    | RestoreSnapshot
+    | RoleChanged
+    | ConfigChanged
+    | StaleStore
+)
--- /dev/null
+++ b/marjoramusher/groups/local.py
@@ -0,0 +1,67 @@
+"""A group of one that keeps nothing: the fake at the `Group` interface."""
+
+import reactivex
+import reactivex.subject
+
+from ..consensus import machine, message
+
+
+class LocalGroup:
+    """Apply each command at once, without log or peers.
+
+    Parameters
+    ----------
+    name : str
+        Name of the group.
+    replicated : Machine
+        Machine that gets the commands.
+    """
+
+    def __init__(self, name: str, replicated: machine.Machine) -> None:
+        self._name = name
+        self._machine = replicated
+        self._index = 0
+        self._applied = reactivex.subject.Subject()
+        self._roles = reactivex.subject.Subject()
+
+    @property
+    def name(self) -> str:
+        """Return the name of the group."""
+        return self._name
+
+    @property
+    def is_leader(self) -> bool:
+        """Return true: there is no other member."""
+        return True
+
+    @property
+    def leader(self) -> str | None:
+        """Return the name of the only member."""
+        return "local"
+
+    @property
+    def applied_index(self) -> int:
+        """Return the number of commands applied."""
+        return self._index
+
+    @property
+    def applied(self) -> reactivex.Observable[int]:
+        """Return the stream of applied indexes."""
+        return self._applied
+
+    @property
+    def roles(self) -> reactivex.Observable[message.RoleChanged]:
+        """Return a stream that stays empty."""
+        return self._roles
+
+    async def propose(self, command: bytes, timeout_s: float) -> bytes:
+        """Apply a command."""
+        del timeout_s
+        self._index += 1
+        result = self._machine.apply(self._index, command)
+        self._applied.on_next(self._index)
+        return result
+
+    async def barrier(self, timeout_s: float) -> None:
+        """Return at once."""
+        del timeout_s
