--- /dev/null
+++ b/marjoramusher/storage/document.py
@@ -0,0 +1,63 @@
+"""Small checked files that are replaced as a whole."""
+
+import os
+import posixpath
+from typing import TypeVar
+
+import msgspec
+
+from ..core import codec, errors
+from . import error, filesystem, frame
+
+TEMPORARY = ".tmp"
+
+T = TypeVar("T")
+
+
+def write(files: filesystem.FileSystem, path: str, value: object) -> None:
+    """Replace a file durably: temporary file, sync, rename, sync of the folder.
+
+    Raises
+    ------
+    StoreFailedError
+        If a file operation fails; the old file is then still in place, or the new.
+    """
+    folder = posixpath.dirname(path)
+    temporary = path + TEMPORARY
+    salt = os.urandom(8)
+    data = frame.header(salt) + frame.encode(
+        salt, frame.HEADER_BYTES, msgspec.msgpack.encode(value)
+    )
+    try:
+        files.make_folder(folder)
+        file = files.open(temporary)
+        try:
+            file.truncate(0)
+            filesystem.write_all(file, data)
+            file.sync()
+        finally:
+            file.close()
+        files.rename(temporary, path)
+        files.sync_folder(folder)
+    except OSError as failure:
+        raise error.StoreFailedError(f"{path}: {failure}") from failure
+
+
+def read(files: filesystem.FileSystem, path: str, kind: type[T]) -> T | None:
+    """Return the value of a file, or ``None`` if there is no such file.
+
+    Raises
+    ------
+    StoreCorruptError
+        If the file holds anything else.
+    """
+    try:
+        data = files.read(path)
+    except FileNotFoundError:
+        return None
+    except OSError as failure:
+        raise error.StoreFailedError(f"{path}: {failure}") from failure
+    try:
+        return codec.unpack(frame.single(path, data), kind)
+    except errors.BadRequestError as failure:
+        raise error.StoreCorruptError(path, failure.message) from failure
--- /dev/null
+++ b/marjoramusher/storage/identity_test.py
@@ -0,0 +1,70 @@
+"""Guards against an old store id being used again and a configuration going back."""
+
+import random
+
+import pytest
+
+from marjoramusher.storage import document, error, identity, memory, revision
+
+
+def test_boot_is_counted_durably():
+    files = memory.MemoryFileSystem()
+    first = identity.boot(files, "i1", random.Random(1))
+    files.lose_unsynced()
+    second = identity.boot(files, "i1", random.Random(2))
+    assert (second.store_id, second.boot) == (first.store_id, 2)
+
+
+@pytest.mark.parametrize("operation", ["write", "rename", "sync_folder", "remove"])
+def test_interrupted_discard_never_leaves_the_old_id_without_its_groups(operation):
+    files = memory.MemoryFileSystem()
+    old = identity.boot(files, "i1", random.Random(1))
+    path = identity.group_folder(old.store_id, "domain:a")
+    document.write(files, f"{path}/log", 1)
+    files.fail(operation)
+    with pytest.raises(error.StoreFailedError):
+        identity.discard(files, "i1", random.Random(2), "c1")
+    files.heal()
+    files.lose_unsynced()
+    now = identity.boot(files, "i1", random.Random(3))
+    kept = identity.group_names(files, now.store_id)
+    assert kept == (["domain:a"] if now.store_id == old.store_id else [])
+    assert files.names(identity.GROUPS) == ([now.store_id] if kept else [])
+
+
+CASES = {
+    "damaged": lambda files: files.flip(identity.PATH, 30),
+    "cut": lambda files: files.cut(identity.PATH, 10),
+    "missing": lambda files: files.remove(identity.PATH),
+}
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_damaged_folder_is_refused(name):
+    files = memory.MemoryFileSystem()
+    first = identity.boot(files, "i1", random.Random(1))
+    document.write(files, identity.group_folder(first.store_id, "records") + "/x", 1)
+    CASES[name](files)
+    with pytest.raises(error.StoreCorruptError):
+        identity.boot(files, "i1", random.Random(2))
+
+
+def test_folder_of_another_instance_is_refused():
+    files = memory.MemoryFileSystem()
+    identity.boot(files, "i1", random.Random(1))
+    with pytest.raises(error.StoreCorruptError):
+        identity.boot(files, "i2", random.Random(2))
+
+
+def test_revision_never_goes_back_and_is_not_in_force_unless_stored():
+    files = memory.MemoryFileSystem()
+    kept = revision.RevisionFile(files)
+    assert kept.advance(5)
+    assert not kept.advance(4)
+    files.fail("sync")
+    with pytest.raises(error.StoreFailedError):
+        kept.advance(6)
+    assert kept.number == 5
+    files.heal()
+    files.lose_unsynced()
+    assert revision.RevisionFile(files).number == 5
