Add the transport between instances

Groups, routing and membership need calls between instances, one-way batches and streamed answers without generated code.

--- /dev/null
+++ b/marjoramusher/instances/server.py
@@ -0,0 +1,311 @@
+"""Server side of the calls between instances."""
+
+import asyncio
+import contextlib
+import hmac
+import weakref
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any, TypeAlias
+
+import grpclib.config
+import grpclib.const
+import grpclib.exceptions
+import grpclib.protocol
+import grpclib.server
+import h2.exceptions
+import xxhash
+
+from ..core import codec, errors
+from ..telemetry import log, metrics
+from . import cuts, frame
+
+ACKNOWLEDGE_S = 1.0  # batches are acknowledged together to save bytes at rest
+SWALLOW_S = 60.0
+WINDOW_BYTES = 1024 * 1024  # bounds what an unread stream holds in memory
+
+CallHandler: TypeAlias = Callable[[str, bytes], Awaitable[bytes]]
+OneWayHandler: TypeAlias = Callable[[str, bytes], None]
+StreamHandler: TypeAlias = Callable[[str, bytes], AsyncIterator[bytes]]
+
+
+class UnauthorizedError(errors.MarjoramusherError):
+    """The instance token is missing or wrong."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            errors.ErrorCode.UNAUTHORIZED, "the instance token is not valid"
+        )
+
+
+class PeerServer:
+    """Answer calls of other instances.
+
+    Parameters
+    ----------
+    token : str
+        Instance token of the cluster; empty on loopback without tokens.
+    values : Metrics
+        Gets bytes and refusals by peer.
+    links : LinkCuts
+        Links to cut in tests.
+    """
+
+    def __init__(
+        self, token: str, values: metrics.Metrics, links: cuts.LinkCuts | None = None
+    ) -> None:
+        self._token = token.encode()
+        self._metrics = values
+        self._links = links or cuts.LinkCuts()
+        self._calls: dict[str, CallHandler] = {}
+        self._one_way: dict[str, OneWayHandler] = {}
+        self._streams: dict[str, StreamHandler] = {}
+        self._server: _Server | None = None
+        self._port = 0
+
+    @property
+    def port(self) -> int:
+        """Return the port that the server listens on."""
+        return self._port
+
+    def register(self, method: str, handler: CallHandler) -> None:
+        """Answer calls of a method; ``handler(sender, body)`` gives the answer."""
+        self._calls[method] = handler
+
+    def register_one_way(self, method: str, handler: OneWayHandler) -> None:
+        """Take one-way messages of a method; the handler must not block."""
+        self._one_way[method] = handler
+
+    def register_stream(self, method: str, handler: StreamHandler) -> None:
+        """Answer calls of a method by a stream of chunks."""
+        self._streams[method] = handler
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen on an address; port 0 takes a free one."""
+        self._server = _Server(
+            [self],
+            codec=frame.RawCodec(),
+            config=grpclib.config.Configuration(
+                http2_connection_window_size=4 * WINDOW_BYTES,
+                http2_stream_window_size=WINDOW_BYTES,
+            ),
+        )
+        await self._server.start(host, port)
+        self._port = self._server._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Stop listening and cancel all calls in progress."""
+        if self._server is not None:
+            self._server.close()
+            self._server.close_connections()
+            await self._server.wait_closed()
+            self._server = None
+
+    def __mapping__(self) -> dict[str, grpclib.const.Handler]:
+        """Return the gRPC methods."""
+        cardinality = grpclib.const.Cardinality
+        return {
+            frame.CALL: grpclib.const.Handler(
+                self._call, cardinality.UNARY_UNARY, bytes, bytes
+            ),
+            frame.BATCHES: grpclib.const.Handler(
+                self._batches, cardinality.STREAM_STREAM, bytes, bytes
+            ),
+            frame.STREAM: grpclib.const.Handler(
+                self._stream, cardinality.UNARY_STREAM, bytes, bytes
+            ),
+        }
+
+    async def _call(self, stream: grpclib.server.Stream) -> None:
+        sender = ""
+        try:
+            envelope = await self._envelope(stream)
+            sender = envelope.sender
+            handler = self._calls.get(envelope.method)
+            if handler is None:
+                raise _unknown_method(envelope.method)
+            reply = frame.Reply(await handler(sender, envelope.body))
+        except _PASSED_ON:
+            raise
+        except Exception as error:
+            reply = frame.Reply(error=_error_body(error))
+            self._metrics.increment("peer_call_errors", code=reply.error.code.value)
+        await self._guard(sender)
+        await self._send(stream, sender, codec.pack(reply))
+
+    async def _stream(self, stream: grpclib.server.Stream) -> None:
+        sender = ""
+        length = 0
+        checksum = xxhash.xxh3_64()
+        try:
+            envelope = await self._envelope(stream)
+            sender = envelope.sender
+            handler = self._streams.get(envelope.method)
+            if handler is None:
+                raise _unknown_method(envelope.method)
+            async for data in handler(sender, envelope.body):
+                for start in range(0, len(data), frame.CHUNK_BYTES):
+                    part = data[start : start + frame.CHUNK_BYTES]
+                    length += len(part)
+                    checksum.update(part)
+                    await self._guard(sender)
+                    await self._send(stream, sender, codec.pack(frame.Chunk(part)))
+            last = frame.Chunk(b"", True, length, checksum.intdigest())
+        except _PASSED_ON:
+            raise
+        except Exception as error:
+            last = frame.Chunk(last=True, error=_error_body(error))
+        await self._guard(sender)
+        await self._send(stream, sender, codec.pack(last))
+
+    async def _batches(self, stream: grpclib.server.Stream) -> None:
+        receipts = _Receipts(stream)
+        sender = ""
+        try:
+            while (data := await frame.receive(stream)) is not None:
+                batch = codec.unpack(data, frame.Batch)
+                if not sender:
+                    self._authenticate(batch.token)
+                    sender = batch.sender
+                mode = self._links.mode(sender)
+                if mode is cuts.CutMode.REFUSE:
+                    raise _refused()
+                if mode is cuts.CutMode.SWALLOW:
+                    continue
+                self._metrics.increment("peer_received_bytes", len(data), peer=sender)
+                receipts.add()
+                for method, body in batch.messages:
+                    self._deliver(sender, method, body)
+        except errors.MarjoramusherError as error:
+            self._metrics.increment("peer_batch_errors", code=error.code.value)
+            status = (
+                grpclib.const.Status.UNAUTHENTICATED
+                if error.code is errors.ErrorCode.UNAUTHORIZED
+                else grpclib.const.Status.INVALID_ARGUMENT
+            )
+            raise grpclib.exceptions.GRPCError(status, error.code.value) from error
+        finally:
+            receipts.close()
+
+    def _deliver(self, sender: str, method: str, body: bytes) -> None:
+        handler = self._one_way.get(method)
+        if handler is None:
+            self._metrics.increment("peer_unknown_messages", method=method)
+            return
+        try:
+            handler(sender, body)
+        except errors.MarjoramusherError as error:
+            self._metrics.increment("peer_message_errors", code=error.code.value)
+        except Exception as error:
+            # One faulty message must not end the stream that carries all others.
+            self._metrics.increment("peer_message_errors", code="internal")
+            log.state_change("peer.message_failed", method=method, error=repr(error))
+
+    async def _envelope(self, stream: grpclib.server.Stream) -> frame.Envelope:
+        data = await frame.receive(stream)
+        envelope = codec.unpack(data or b"", frame.Envelope)
+        self._authenticate(envelope.token)
+        await self._guard(envelope.sender)
+        self._metrics.increment("peer_received_bytes", len(data), peer=envelope.sender)
+        return envelope
+
+    def _authenticate(self, token: str) -> None:
+        if not hmac.compare_digest(self._token, token.encode()):
+            raise UnauthorizedError
+
+    async def _guard(self, sender: str) -> None:
+        """Keep traffic from or to an instance whose link is cut."""
+        mode = self._links.mode(sender)
+        if mode is cuts.CutMode.SWALLOW:
+            await asyncio.sleep(SWALLOW_S)
+        if mode is not None:
+            raise _refused()
+
+    async def _send(
+        self, stream: grpclib.server.Stream, sender: str, data: bytes
+    ) -> None:
+        self._metrics.increment("peer_sent_bytes", len(data), peer=sender)
+        await stream.send_message(data)
+
+
+class _Server(grpclib.server.Server):
+    """A gRPC server that can close its connections; grpclib leaves them open."""
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self._protocols: weakref.WeakSet = weakref.WeakSet()
+
+    def close_connections(self) -> None:
+        """Close all open connections."""
+        for protocol in self._protocols:
+            if hasattr(protocol, "connection"):
+                protocol.connection.close()
+
+    def _protocol_factory(self) -> grpclib.protocol.H2Protocol:
+        protocol = super()._protocol_factory()
+        self._protocols.add(protocol)
+        return protocol
+
+
+class _Receipts:
+    """Acknowledge batches of one stream, at most once in `ACKNOWLEDGE_S`."""
+
+    __slots__ = ("_count", "_stream", "_task", "_timer")
+
+    def __init__(self, stream: grpclib.server.Stream) -> None:
+        self._stream = stream
+        self._count = 0
+        self._timer: asyncio.TimerHandle | None = None
+        self._task: asyncio.Task | None = None
+
+    def add(self) -> None:
+        """Count a batch and have it acknowledged."""
+        self._count += 1
+        if self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(ACKNOWLEDGE_S, self._fire)
+
+    def close(self) -> None:
+        """Stop acknowledging."""
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._task is not None:
+            self._task.cancel()
+
+    def _fire(self) -> None:
+        self._timer = None
+        if self._task is None or self._task.done():
+            self._task = asyncio.get_running_loop().create_task(self._send())
+
+    async def _send(self) -> None:
+        # A connection that breaks here ends the handler by itself.
+        with _suppress_broken_connection():
+            receipt = frame.Acknowledgement(self._count)
+            await self._stream.send_message(codec.pack(receipt))
+
+
+_PASSED_ON = (grpclib.exceptions.GRPCError, grpclib.exceptions.StreamTerminatedError)
+
+
+def _suppress_broken_connection() -> Any:
+    return contextlib.suppress(
+        OSError, h2.exceptions.H2Error, grpclib.exceptions.StreamTerminatedError
+    )
+
+
+def _refused() -> grpclib.exceptions.GRPCError:
+    return grpclib.exceptions.GRPCError(grpclib.const.Status.UNAVAILABLE, "link cut")
+
+
+def _unknown_method(method: str) -> errors.MarjoramusherError:
+    return errors.MarjoramusherError(
+        errors.ErrorCode.NOT_FOUND, f"no peer method {method[:40]!r}"
+    )
+
+
+def _error_body(error: Exception) -> errors.ErrorBody:
+    if isinstance(error, errors.MarjoramusherError):
+        return error.body()
+    log.state_change("peer.call_failed", error=repr(error))
+    return errors.ErrorBody(
+        errors.ErrorCode.INTERNAL, errors.Outcome.UNKNOWN, "the handler failed"
+    )
