Add the Raft node

Groups need consensus among their voters. The node takes one event and returns effects; whatever must be synced is joined into one Persist at the head of the list. Messages gain SnapshotReply (flow control of chunks), the events ProposeBatch (one sync for several proposals) and the alias Change; messages are encoded without field names.

--- /dev/null
+++ b/marjoramusher/consensus/election.py
@@ -0,0 +1,151 @@
+"""Elections: timeouts, pre-vote, votes."""
+
+import enum
+import random
+
+from . import message, replica, state
+
+
+class Step(enum.Enum):
+    """What the node has to do after an election event."""
+
+    NOTHING = "nothing"
+    CANDIDATE = "candidate"
+    WON = "won"
+
+
+class Election:
+    """Votes given and asked for by one node.
+
+    Parameters
+    ----------
+    own : Replica
+        State of the node.
+    rng : random.Random
+        Source of the election timeouts.
+    now : float
+        Start of the node. It counts as contact with a leader, since the node may have
+        promised not to vote for another one just before it stopped.
+    """
+
+    __slots__ = (
+        "_contact_s",
+        "_granted",
+        "_pre_vote",
+        "_replica",
+        "_rng",
+        "_settings",
+        "_term",
+        "due_s",
+    )
+
+    def __init__(
+        self,
+        own: replica.Replica,
+        settings: state.Settings,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        self._replica = own
+        self._settings = settings
+        self._rng = rng
+        self._contact_s = now
+        self._granted: set[message.VoterId] = set()
+        self._pre_vote = False
+        self._term = 0  # Term of the open ballot, 0 if none is open.
+        self.due_s = now
+        if own.members.current is None or own.members.current.voters != (own.own,):
+            self.reset_timeout(now)
+
+    def reset_timeout(self, now: float) -> None:
+        """Draw a new election timeout."""
+        self.due_s = now + self._rng.uniform(
+            self._settings.election_min_s, self._settings.election_max_s
+        )
+
+    def leader_heard(self, now: float) -> None:
+        """Note that the leader of this term is alive."""
+        self._contact_s = now
+        self._term = 0
+        self.reset_timeout(now)
+
+    def in_lease(self, now: float) -> bool:
+        """Tell whether a leader may still rely on this node's vote."""
+        return now - self._contact_s < self._settings.election_min_s
+
+    def cancel(self) -> None:
+        """Close the open ballot."""
+        self._term = 0
+
+    def start(self, now: float) -> Step:
+        """Ask whether the other voters would vote for this node."""
+        self.reset_timeout(now)
+        return self._open(self._replica.term + 1, pre_vote=True)
+
+    def answered(self, reply: message.VoteReply) -> Step:
+        """Count a vote."""
+        if (
+            reply.term != self._term
+            or reply.pre_vote != self._pre_vote
+            or not reply.granted
+        ):
+            return Step.NOTHING
+        self._granted.add(reply.sender)
+        return self._count()
+
+    def asked(self, request: message.VoteRequest, now: float) -> None:
+        """Answer a request whose term is not above that of a real vote's."""
+        own = self._replica
+        up_to_date = (request.last_term, request.last_index) >= (
+            own.log.last_term,
+            own.log.last_index,
+        )
+        if request.pre_vote:
+            granted = up_to_date and request.term > own.term
+        else:
+            granted = (
+                up_to_date
+                and request.term == own.term
+                and own.voted_for in (None, request.sender)
+            )
+            if granted:
+                if own.voted_for is None:
+                    own.set_term(own.term, request.sender)
+                self.reset_timeout(now)
+        own.send_in_term(
+            request.term if granted else own.term,
+            message.VoteReply,
+            request.sender,
+            granted,
+            request.pre_vote,
+        )
+
+    def _open(self, term: int, pre_vote: bool) -> Step:
+        own = self._replica
+        self._term = term
+        self._pre_vote = pre_vote
+        self._granted = {own.own}
+        step = self._count()
+        if step is not Step.NOTHING:
+            return step
+        for voter in sorted(own.members.voters(own.commit)):
+            if voter != own.own:
+                own.send_in_term(
+                    term,
+                    message.VoteRequest,
+                    voter,
+                    own.log.last_index,
+                    own.log.last_term,
+                    pre_vote,
+                )
+        return Step.NOTHING if pre_vote else Step.CANDIDATE
+
+    def _count(self) -> Step:
+        own = self._replica
+        if not own.members.has_quorum(self._granted, own.commit):
+            return Step.NOTHING
+        if self._pre_vote:
+            own.set_term(self._term, own.own)
+            return self._open(self._term, pre_vote=False)
+        self._term = 0
+        return Step.WON
--- a/marjoramusher/consensus/message.py
+++ b/marjoramusher/consensus/message.py
@@ -74,8 +74,8 @@
 # Messages between voters. `sender` is filled in by the node.
 
 
-class Message(msgspec.Struct, frozen=True, tag=True):
-    """Base of all messages of one group."""
+class Message(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Base of all messages of one group; encoded without field names."""
 
     group: str
     sender: VoterId
@@ -142,8 +142,16 @@
     round: int
 
 
+class SnapshotReply(Message, frozen=True, tag=True):
+    """Tell how much of a snapshot has arrived; the next chunk starts at `offset`."""
+
+    index: int
+    offset: int
+    round: int
+
+
 class BootRegister(Message, frozen=True, tag=True):
-    """Announce a process start of a voter's store."""
+    """Announce a process start of a store; `boot` is made by `boot.combine`."""
 
     boot: int
 
@@ -161,6 +169,7 @@
     | Append
     | AppendReply
     | SnapshotChunk
+    | SnapshotReply
     | BootRegister
     | BootReply
 )
@@ -186,6 +195,12 @@
     payload: bytes
 
 
+class ProposeBatch(msgspec.Struct, frozen=True):
+    """Several proposals at once: one `Persist` and one `Append` for each member."""
+
+    proposals: tuple[Propose, ...]
+
+
 class ReplaceVoter(msgspec.Struct, frozen=True):
     """Put a caught-up learner in the place of the old store of the same instance."""
 
@@ -239,15 +254,14 @@
     """The store can't sync; the node must neither vote, acknowledge nor lead."""
 
 
+Change: TypeAlias = ReplaceVoter | AddVoter | RemoveVoter | AddLearner | RemoveLearner
+
 Event: TypeAlias = (
     Tick
     | Receive
     | Propose
-    | ReplaceVoter
-    | AddVoter
-    | RemoveVoter
-    | AddLearner
-    | RemoveLearner
+    | ProposeBatch
+    | Change
     | ReadBarrier
     | Compacted
     | StoreFailed
--- /dev/null
+++ b/marjoramusher/consensus/node.py
@@ -0,0 +1,410 @@
+"""A Raft node: one event in, effects out."""
+
+import random
+
+from ..core import errors
+from . import (
+    boot,
+    election,
+    following,
+    message,
+    replica,
+    replication,
+    state,
+)
+
+_FROM_LEADER = message.Append | message.SnapshotChunk
+
+
+class Node:
+    """One member of one group; does no I/O and reads no clock.
+
+    Parameters
+    ----------
+    own : Replica
+        State of the node.
+    elections : Election
+        Votes and timeouts.
+    boots : Registry
+        Registration of process starts.
+    """
+
+    __slots__ = (
+        "_boots",
+        "_elections",
+        "_follower",
+        "_halted",
+        "_leader",
+        "_leadership",
+        "_reported_config",
+        "_reported_role",
+        "_replica",
+        "_role",
+        "_settings",
+    )
+
+    def __init__(
+        self,
+        own: replica.Replica,
+        settings: state.Settings,
+        elections: election.Election,
+        boots: boot.Registry,
+    ) -> None:
+        self._replica = own
+        self._settings = settings
+        self._elections = elections
+        self._boots = boots
+        self._follower = following.Follower(own)
+        self._leadership: replication.Leadership | None = None
+        self._leader: message.VoterId | None = None
+        self._halted = False
+        self._role = self._resting_role()
+        self._reported_config = own.members.current
+        self._reported_role = (self._role, own.term, self._leader)
+
+    @property
+    def role(self) -> message.Role:
+        """Return the role."""
+        return self._role
+
+    @property
+    def term(self) -> int:
+        """Return the present term."""
+        return self._replica.term
+
+    @property
+    def leader(self) -> message.VoterId | None:
+        """Return the known leader of this term."""
+        return self._leader
+
+    @property
+    def config(self) -> message.GroupConfig | None:
+        """Return the configuration in force, None if the node knows no group."""
+        return self._replica.members.current
+
+    @property
+    def epoch(self) -> int:
+        """Return the group epoch."""
+        return self._replica.epoch
+
+    @property
+    def commit_index(self) -> int:
+        """Return the index of the last entry known to be committed."""
+        return self._replica.commit
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self._replica.log.last_index
+
+    @property
+    def halted(self) -> bool:
+        """Tell whether the node takes no more part: its store failed or is old."""
+        return self._halted
+
+    @property
+    def registered(self) -> bool:
+        """Tell whether the node may vote and acknowledge."""
+        return self._boots.registered
+
+    @property
+    def change_pending(self) -> bool:
+        """Tell whether the newest configuration is uncommitted."""
+        return self._replica.members.index > self._replica.commit
+
+    @property
+    def match(self) -> dict[message.VoterId, int]:
+        """Return, at the leader, the last index known to be held by each member."""
+        return self._leadership.match if self._leadership else {}
+
+    @property
+    def due_s(self) -> float:
+        """Return when the next `Tick` has something to do."""
+        if self._halted:
+            return float("inf")
+        if self._leadership:
+            return min(self._leadership.due_s, self._boots.due_s)
+        timeout_s = self._elections.due_s if self._may_campaign() else float("inf")
+        return min(timeout_s, self._boots.due_s)
+
+    def has_fresh_quorum(self, now: float) -> bool:
+        """Tell whether this node leads and a majority confirmed it recently."""
+        return (
+            self._leadership is not None
+            and now - self._leadership.quorum_heard_s(now) <= self._settings.lease_s
+        )
+
+    def catch_up_done(self, learner: message.VoterId, now: float) -> bool:
+        """Tell, at the leader, whether a learner may become a voter."""
+        return self._leadership is not None and self._leadership.catch_up_done(
+            learner, now
+        )
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, None if it is compacted or missing."""
+        return self._replica.log.term_at(index)
+
+    def config_at(self, index: int) -> message.GroupConfig | None:
+        """Return the configuration in force at an index, for a snapshot's header."""
+        return self._replica.members.at(index)
+
+    def step(self, event: message.Event, now: float) -> list[message.Effect]:
+        """Take one event.
+
+        Parameters
+        ----------
+        now : float
+            Seconds of a monotonic clock.
+
+        Returns
+        -------
+        list of Effect
+            To be carried out in order. At most one `Persist`, which comes first.
+
+        Raises
+        ------
+        MarjoramusherError
+            With code ``internal`` if a message contradicts committed state. The
+            runner must stop the group: its stores no longer agree.
+        """
+        match event:
+            case message.Receive(message=received):
+                if not self._halted:
+                    self._receive(received, now)
+            case message.Tick():
+                if not self._halted:
+                    self._tick(now)
+            case message.Propose():
+                self._propose((event,), now)
+            case message.ProposeBatch(proposals=proposals):
+                self._propose(proposals, now)
+            case message.ReadBarrier(read_id=read_id):
+                if self._leadership:
+                    self._leadership.read(read_id, now)
+                else:
+                    refused = message.ReadRefused(read_id, self._leader)
+                    self._replica.outbox.emit(refused)
+            case message.Compacted(index=index, data=data):
+                self._replica.compact(index, data, self._settings.tail_bytes)
+            case message.StoreFailed():
+                self._halt()
+            case _:
+                self._change(event, now)
+        self._leave_if_removed()
+        self._report()
+        return self._replica.outbox.take()
+
+    def _tick(self, now: float) -> None:
+        self._boots.tick(now)
+        if self._leadership:
+            heard_s = self._leadership.quorum_heard_s(now)
+            if now - heard_s >= self._settings.election_min_s:
+                self._follow(None)
+                self._elections.reset_timeout(now)
+            else:
+                self._leadership.tick(now)
+        elif now >= self._elections.due_s and self._may_campaign():
+            self._follow(None)
+            self._elect(self._elections.start(now), now)
+
+    def _receive(self, received: message.AnyMessage, now: float) -> None:
+        own = self._replica
+        if received.receiver != own.own or received.epoch < own.epoch:
+            return
+        if received.epoch > own.epoch:
+            if own.members.current is None:
+                own.epoch = received.epoch
+            else:
+                # The group was recovered with loss without this store, so its log
+                # may differ from the group's below its commit index.
+                if isinstance(received, _FROM_LEADER):
+                    self._discard()
+                return
+        match received:
+            case message.BootRegister():
+                self._boots.receive(received)
+            case message.BootReply():
+                if not self._boots.answered(received):
+                    self._discard()
+            case message.VoteRequest():
+                self._vote(received, now)
+            case _:
+                self._receive_in_term(received, now)
+
+    def _receive_in_term(self, received: message.AnyMessage, now: float) -> None:
+        own = self._replica
+        promised = isinstance(received, message.VoteReply) and (
+            received.granted and received.pre_vote
+        )
+        if received.term > own.term and not promised:
+            own.set_term(received.term, None)
+            self._follow(None)
+        if received.term < own.term:
+            if isinstance(received, _FROM_LEADER) and self._boots.registered:
+                # The term in the answer makes the old leader step down.
+                own.send(message.AppendReply, received.sender, False, 0, 0)
+            return
+        match received:
+            case message.Append():
+                if self._obey(received, now):
+                    self._follower.append(received)
+            case message.SnapshotChunk():
+                if self._obey(received, now):
+                    self._follower.chunk(received)
+            case message.VoteReply():
+                if not self._leadership:
+                    self._elect(self._elections.answered(received), now)
+            case message.AppendReply():
+                if self._leadership:
+                    self._leadership.append_answered(received, now)
+            case message.SnapshotReply():
+                if self._leadership:
+                    self._leadership.chunk_answered(received, now)
+
+    def _obey(self, received: _FROM_LEADER, now: float) -> bool:
+        """Follow the sender; tell whether its entries may be acknowledged."""
+        if self._leadership:
+            raise errors.MarjoramusherError(
+                errors.ErrorCode.INTERNAL,
+                f"group {self._replica.group}: {received.sender} leads term "
+                f"{received.term} as well",
+            )
+        self._elections.leader_heard(now)
+        self._follow(received.sender)
+        self._boots.heard_from(received.sender)
+        return self._boots.registered
+
+    def _vote(self, request: message.VoteRequest, now: float) -> None:
+        self._boots.heard_from(request.sender)
+        own = self._replica
+        if not self._boots.registered:
+            return
+        if request.term < own.term:
+            self._elections.asked(request, now)
+            return
+        if self._leadership or self._elections.in_lease(now):
+            return
+        if not request.pre_vote and request.term > own.term:
+            own.set_term(request.term, None)
+            self._follow(None)
+        self._elections.asked(request, now)
+
+    def _elect(self, step: election.Step, now: float) -> None:
+        if step is election.Step.CANDIDATE:
+            self._role = message.Role.CANDIDATE
+        elif step is election.Step.WON:
+            self._role = message.Role.LEADER
+            self._leader = self._replica.own
+            self._leadership = replication.Leadership(
+                self._replica, self._settings, now
+            )
+
+    def _propose(self, proposals: tuple[message.Propose, ...], now: float) -> None:
+        if self._leadership:
+            self._leadership.propose(proposals, now)
+            return
+        for proposal in proposals:
+            self._refuse(proposal.proposal_id)
+
+    def _change(self, change: message.Change, now: float) -> None:
+        if self._leadership:
+            self._leadership.change(change, now)
+        else:
+            self._refuse(change.proposal_id)
+
+    def _refuse(self, proposal_id: int) -> None:
+        code = errors.ErrorCode.NOT_LEADER
+        if self._halted:
+            code = errors.ErrorCode.STORE_FAILED
+        refused = message.ProposalRefused(proposal_id, code, self._leader)
+        self._replica.outbox.emit(refused)
+
+    def _follow(self, leader: message.VoterId | None) -> None:
+        if self._leadership:
+            self._leadership.end()
+            self._leadership = None
+        if leader is None:
+            self._elections.cancel()
+        self._leader = leader
+        self._role = self._resting_role()
+
+    def _resting_role(self) -> message.Role:
+        if self._replica.members.is_voter(self._replica.own):
+            return message.Role.FOLLOWER
+        return message.Role.LEARNER
+
+    def _may_campaign(self) -> bool:
+        own = self._replica
+        return self._boots.registered and own.members.is_voter(own.own)
+
+    def _leave_if_removed(self) -> None:
+        own = self._replica
+        if (
+            self._leadership
+            and not self.change_pending
+            and not own.members.is_voter(own.own)
+        ):
+            self._follow(None)
+
+    def _halt(self) -> None:
+        self._halted = True
+        self._follow(None)
+
+    def _discard(self) -> None:
+        self._halt()
+        self._replica.outbox.emit(message.StaleStore())
+
+    def _report(self) -> None:
+        """Emit changes of role, term, leader and members, once each."""
+        own = self._replica
+        if self._role in (message.Role.FOLLOWER, message.Role.LEARNER):
+            self._role = self._resting_role()
+        if own.members.current is not self._reported_config:
+            self._reported_config = own.members.current
+            if self._reported_config is not None:
+                own.outbox.emit(message.ConfigChanged(self._reported_config))
+        role = (self._role, own.term, self._leader)
+        if role != self._reported_role:
+            self._reported_role = role
+            own.outbox.emit(message.RoleChanged(*role))
+
+
+def make_node(
+    group: str,
+    own: message.VoterId,
+    loaded: state.NodeState,
+    initial: message.GroupConfig | None,
+    *,
+    diskless: bool,
+    rng: random.Random,
+    now: float,
+    settings: state.Settings | None = None,
+) -> Node:
+    """Make a node from what its store holds.
+
+    Parameters
+    ----------
+    initial : GroupConfig or None
+        Members of a group that starts now, the same at each of them. A node that
+        finds none here nor in its store stays passive until a leader replicates to it.
+    diskless : bool
+        Whether the store id is new at each process start.
+    rng : random.Random
+        Election timeouts and the boot's nonce; seeded differently at each start.
+    """
+    chosen = settings or state.Settings()
+    own_state = replica.Replica(group, own, loaded, initial)
+    current = own_state.members.current
+    alone = current is not None and current.voters == (own,)
+    needed = chosen.boot_rule and not diskless and not alone
+    boots = boot.Registry(
+        own_state,
+        loaded.boot,
+        loaded.boots,
+        rng,
+        needed,
+        chosen.boot_rule and not diskless,
+        now,
+    )
+    elections = election.Election(own_state, chosen, rng, now)
+    return Node(own_state, chosen, elections, boots)
--- /dev/null
+++ b/marjoramusher/consensus/replication.py
@@ -0,0 +1,413 @@
+"""What a leader does: replication, commit, reads, configuration changes."""
+
+from ..core import codec, errors
+from . import config, message, progress, replica, state
+
+RETRY_S = 0.5  # A snapshot chunk unanswered for this long is sent again.
+
+
+class Leadership:
+    """One term of leadership; it starts with a NOOP entry.
+
+    Parameters
+    ----------
+    own : Replica
+        State of the node.
+    now : float
+        Time of the election, which counts as contact with a majority.
+    """
+
+    __slots__ = (
+        "_flush_due_s",
+        "_heartbeat_due_s",
+        "_members",
+        "_noop_index",
+        "_reading",
+        "_reads",
+        "_replica",
+        "_round",
+        "_round_sent_s",
+        "_settings",
+        "_started_s",
+    )
+
+    def __init__(
+        self, own: replica.Replica, settings: state.Settings, now: float
+    ) -> None:
+        self._replica = own
+        self._settings = settings
+        self._members: dict[message.VoterId, progress.Progress] = {}
+        self._round = 0
+        self._round_sent_s: dict[int, float] = {}
+        self._started_s = now
+        self._heartbeat_due_s = now
+        self._flush_due_s = float("inf")
+        self._reads: list[int] = []  # Not yet part of a heartbeat round.
+        self._reading: tuple[int, int, list[int]] | None = None
+        self._noop_index = own.log.last_index + 1
+        self._update_members(self._noop_index)
+        self._append([(message.EntryKind.NOOP, b"")], now)
+        self._heartbeat(now)
+
+    @property
+    def due_s(self) -> float:
+        """Return when `tick` has something to do."""
+        return min(self._heartbeat_due_s, self._flush_due_s)
+
+    @property
+    def established(self) -> bool:
+        """Tell whether an entry of this term is committed."""
+        return self._replica.commit >= self._noop_index
+
+    @property
+    def change_pending(self) -> bool:
+        """Tell whether a configuration change is uncommitted."""
+        return self._replica.members.index > self._replica.commit
+
+    @property
+    def match(self) -> dict[message.VoterId, int]:
+        """Return the last index that each member is known to hold."""
+        return {member: known.match for member, known in self._members.items()}
+
+    def quorum_heard_s(self, now: float) -> float:
+        """Return until when a majority is known to have followed this leader."""
+        own = self._replica
+
+        def heard(voter: message.VoterId) -> float:
+            if voter == own.own:
+                return now
+            known = self._members.get(voter)
+            return known.heard_s if known else float("-inf")
+
+        return max(self._started_s, own.members.quorum_value(heard, own.commit))
+
+    def catch_up_done(self, member: message.VoterId, now: float) -> bool:
+        """Tell whether a learner may become a voter."""
+        known = self._members.get(member)
+        return (
+            known is not None
+            and known.phase is progress.Phase.REPLICATE
+            and known.match + self._settings.catch_up_entries >= self._replica.commit
+            and now - known.heard_s
+            < self._settings.learner_heartbeat_s + self._settings.election_max_s
+        )
+
+    def tick(self, now: float) -> None:
+        """Send heartbeats and commit indexes that are due."""
+        if now >= self._heartbeat_due_s:
+            self._heartbeat(now)
+        if now >= self._flush_due_s:
+            self._flush(now)
+
+    def propose(self, proposals: tuple[message.Propose, ...], now: float) -> None:
+        """Append commands."""
+        own = self._replica
+        room = own.commit + self._settings.max_uncommitted - own.log.last_index
+        fresh = now - self.quorum_heard_s(now) <= self._settings.lease_s
+        taken = proposals[: max(room, 0)] if fresh else ()
+        code = errors.ErrorCode.OVERLOADED if fresh else errors.ErrorCode.NO_QUORUM
+        for refused in proposals[len(taken) :]:
+            own.outbox.emit(message.ProposalRefused(refused.proposal_id, code, own.own))
+        first = own.log.last_index + 1
+        for index, proposal in enumerate(taken, first):
+            own.outbox.emit(
+                message.ProposalAccepted(proposal.proposal_id, index, own.term)
+            )
+        if taken:
+            kind = message.EntryKind.COMMAND
+            self._append([(kind, proposal.payload) for proposal in taken], now)
+
+    def change(self, wanted: message.Change, now: float) -> None:
+        """Append a new configuration, or refuse the change."""
+        own = self._replica
+        target = config.changed(own.members.current, wanted)
+        code = None
+        if target is None:
+            code = errors.ErrorCode.BAD_REQUEST
+        elif not self._may_change(wanted, now):
+            code = errors.ErrorCode.VERSION_CONFLICT
+        if code is not None:
+            own.outbox.emit(message.ProposalRefused(wanted.proposal_id, code, own.own))
+            return
+        index = own.log.last_index + 1
+        own.outbox.emit(message.ProposalAccepted(wanted.proposal_id, index, own.term))
+        self._append([(message.EntryKind.CONFIG, codec.pack(target))], now)
+
+    def read(self, read_id: int, now: float) -> None:
+        """Confirm leadership for a read."""
+        self._reads.append(read_id)
+        self._start_reads(now)
+
+    def end(self) -> None:
+        """Refuse the open reads."""
+        opened = [*(self._reading[2] if self._reading else ()), *self._reads]
+        for read_id in opened:
+            self._replica.outbox.emit(message.ReadRefused(read_id, None))
+
+    def append_answered(self, reply: message.AppendReply, now: float) -> None:
+        """Take a member's answer to entries, a heartbeat or a finished snapshot."""
+        known = self._members.get(reply.sender)
+        if known is None:
+            return
+        self._heard(known, reply.round)
+        if not reply.success:
+            if known.phase is progress.Phase.SNAPSHOT:
+                return
+            if reply.match + 1 < known.next or not known.probing:
+                known.probe(min(reply.match + 1, known.next))
+        elif known.acknowledged(min(reply.match, self._replica.log.last_index)):
+            self._advance(now)
+        if reply.sender in self._members:
+            self._fill(reply.sender, known, now)
+        self._finish_reads(now)
+
+    def chunk_answered(self, reply: message.SnapshotReply, now: float) -> None:
+        """Take a member's answer to a snapshot chunk."""
+        known = self._members.get(reply.sender)
+        if known is None:
+            return
+        self._heard(known, reply.round)
+        transfer = known.transfer
+        if transfer is not None and transfer.index == reply.index:
+            lost = reply.offset < known.offset and now - known.chunk_s >= RETRY_S
+            if reply.offset >= known.offset or lost:
+                known.offset = reply.offset
+                self._send_chunk(reply.sender, known, now)
+        self._finish_reads(now)
+
+    def _may_change(self, wanted: message.Change, now: float) -> bool:
+        own = self._replica
+        if self.change_pending or not self.established:
+            return False
+        if isinstance(wanted, message.AddLearner | message.RemoveLearner):
+            return True
+        gone = getattr(wanted, "old", None) or getattr(wanted, "voter", None)
+        for voter in own.members.added_voters:
+            # A voter that was just added must hold its own entry before the next
+            # change, unless it is the one that is taken out.
+            known = self._members.get(voter)
+            if voter != gone and known and known.match < own.members.index:
+                return False
+        new = getattr(wanted, "new", None)
+        if isinstance(wanted, message.AddVoter):
+            new = wanted.voter
+        return new is None or self.catch_up_done(new, now)
+
+    def _append(
+        self, contents: list[tuple[message.EntryKind, bytes]], now: float
+    ) -> None:
+        own = self._replica
+        first = own.log.last_index + 1
+        own.append(
+            tuple(
+                message.Entry(index, own.term, kind, payload)
+                for index, (kind, payload) in enumerate(contents, first)
+            )
+        )
+        if contents[0][0] is message.EntryKind.CONFIG:
+            self._update_members(first)
+        for member, known in self._members.items():
+            self._fill(member, known, now)
+        # The own copy counts: the step's Persist precedes any effect of the commit.
+        self._advance(now)
+
+    def _advance(self, now: float) -> None:
+        """Commit what a majority holds, if the last such entry is of this term."""
+        own = self._replica
+        last = own.log.last_index
+
+        def held(voter: message.VoterId) -> int:
+            if voter == own.own:
+                return last
+            known = self._members.get(voter)
+            return known.match if known else 0
+
+        changed = False
+        while True:
+            index = int(own.members.quorum_value(held, own.commit))
+            if index <= own.commit or own.log.term_at(index) != own.term:
+                break
+            pending = self.change_pending
+            own.commit_to(index)
+            changed = True
+            if pending and not self.change_pending:
+                self._drop_members(now)
+        if changed:
+            if self._flush_due_s == float("inf") and self._members:
+                self._flush_due_s = now + self._settings.commit_flush_s
+            self._start_reads(now)
+
+    def _update_members(self, next_index: int) -> None:
+        own = self._replica
+        wanted = own.members.replicated_to(own.commit)
+        wanted.pop(own.own, None)
+        self._members = {
+            member: self._members.get(member) or progress.Progress(next_index)
+            for member in wanted
+        }
+
+    def _drop_members(self, now: float) -> None:
+        """Tell removed members of the commit, then forget them."""
+        before = dict(self._members)
+        self._update_members(self._replica.log.last_index + 1)
+        for member, known in before.items():
+            if member not in self._members:
+                self._send_heartbeat(member, known, 0, now)
+
+    def _heard(self, known: progress.Progress, answered: int) -> None:
+        known.acked_round = max(known.acked_round, min(answered, self._round))
+        known.heard_s = max(
+            known.heard_s, self._round_sent_s.get(answered, float("-inf"))
+        )
+
+    def _heartbeat(self, now: float) -> None:
+        self._next_round(now)
+        self._heartbeat_due_s = now + self._settings.heartbeat_s
+        voters = self._replica.members.voters(self._replica.commit)
+        idle_s = self._settings.learner_heartbeat_s
+        last = self._replica.log.last_index
+        for member, known in self._members.items():
+            catching_up = known.match < last and now - known.heard_s < 2 * idle_s
+            if member in voters or catching_up or now - known.sent_s >= idle_s:
+                self._send_heartbeat(member, known, self._round, now)
+
+    def _next_round(self, now: float) -> None:
+        self._round += 1
+        self._round_sent_s[self._round] = now
+        horizon_s = now - 2 * self._settings.election_max_s
+        for old, sent_s in list(self._round_sent_s.items()):
+            if sent_s >= horizon_s:
+                break
+            del self._round_sent_s[old]
+
+    def _flush(self, now: float) -> None:
+        self._flush_due_s = float("inf")
+        for member, known in self._members.items():
+            behind = known.sent_commit < min(known.match, self._replica.commit)
+            if behind and known.phase is progress.Phase.REPLICATE:
+                self._send_heartbeat(member, known, 0, now)
+
+    def _send_heartbeat(
+        self,
+        member: message.VoterId,
+        known: progress.Progress,
+        round_number: int,
+        now: float,
+    ) -> None:
+        own = self._replica
+        if known.phase is not progress.Phase.SNAPSHOT:
+            if own.log.term_at(known.next - 1) is not None:
+                self._send_append(member, known, (), round_number, now)
+                return
+            known.start_transfer(own.snapshot)
+        # No data: the answer tells how much has arrived.
+        known.sent_s = now
+        sent = known.transfer
+        own.send(
+            message.SnapshotChunk,
+            member,
+            sent.index,
+            sent.term,
+            sent.config,
+            known.offset,
+            b"",
+            False,
+            round_number,
+        )
+
+    def _send_append(
+        self,
+        member: message.VoterId,
+        known: progress.Progress,
+        entries: tuple[message.Entry, ...],
+        round_number: int,
+        now: float,
+    ) -> None:
+        own = self._replica
+        previous = known.next - 1
+        known.sent_s = now
+        known.sent_commit = min(own.commit, previous + len(entries))
+        own.send(
+            message.Append,
+            member,
+            previous,
+            own.log.term_at(previous),
+            entries,
+            own.commit,
+            round_number,
+        )
+
+    def _send_chunk(
+        self, member: message.VoterId, known: progress.Progress, now: float
+    ) -> None:
+        sent = known.transfer
+        start = known.offset
+        end = min(start + self._settings.chunk_bytes, len(sent.data))
+        known.offset = end
+        known.chunk_s = now
+        self._replica.send(
+            message.SnapshotChunk,
+            member,
+            sent.index,
+            sent.term,
+            sent.config,
+            start,
+            sent.data[start:end],
+            end == len(sent.data),
+            self._round,
+        )
+
+    def _fill(
+        self, member: message.VoterId, known: progress.Progress, now: float
+    ) -> None:
+        """Send what a member lacks, as far as its window allows."""
+        own = self._replica
+        last = own.log.last_index
+        if known.phase is progress.Phase.SNAPSHOT:
+            return
+        if own.log.term_at(known.next - 1) is None:
+            known.start_transfer(own.snapshot)
+            self._send_chunk(member, known, now)
+            return
+        if known.phase is progress.Phase.PROBE:
+            if not known.probing and known.next <= last:
+                known.probing = True
+                batch = own.log.batch(known.next, self._settings.batch_bytes)
+                self._send_append(member, known, batch, self._round, now)
+            return
+        while known.next <= last and len(known.in_flight) < self._settings.window:
+            batch = own.log.batch(known.next, self._settings.batch_bytes)
+            self._send_append(member, known, batch, self._round, now)
+            known.next += len(batch)
+            known.in_flight.append(known.next - 1)
+
+    def _start_reads(self, now: float) -> None:
+        if not self._reads or self._reading or not self.established:
+            return
+        self._next_round(now)
+        self._reading = (self._round, self._replica.commit, self._reads)
+        self._reads = []
+        voters = self._replica.members.voters(self._replica.commit)
+        for member, known in self._members.items():
+            if member in voters:
+                self._send_heartbeat(member, known, self._round, now)
+        self._finish_reads(now)
+
+    def _finish_reads(self, now: float) -> None:
+        if self._reading is None:
+            return
+        own = self._replica
+
+        def answered(voter: message.VoterId) -> int:
+            if voter == own.own:
+                return self._round
+            known = self._members.get(voter)
+            return known.acked_round if known else 0
+
+        wanted, index, reads = self._reading
+        if own.members.quorum_value(answered, own.commit) < wanted:
+            return
+        for read_id in reads:
+            own.outbox.emit(message.ReadReady(read_id, index))
+        self._reading = None
+        self._start_reads(now)
