--- /dev/null
+++ b/marjoramusher/daemon/settings_test.py
@@ -0,0 +1,65 @@
+"""Guards that bad settings stop the start, all named at once."""
+
+import pytest
+
+from marjoramusher.daemon import settings
+
+GOOD = {
+    "instance-id": "a-1",
+    "failure-domain": "fd-a",
+    "region": "r1",
+    "listen": "127.0.0.1:8420",
+    "advertise-url": "",
+    "peer-listen": "127.0.0.1:8421",
+    "seeds": "",
+    "data-dir": "data",
+    "diskless": False,
+    "bootstrap-expect": "1",
+    "operator-token-file": "",
+    "instance-token-file": "",
+    "enable-fault-injection": False,
+    "drain-timeout-s": "30",
+}
+BAD = {
+    "upper case id": ({"instance-id": "A_1"}, ["instance-id"]),
+    "no port": ({"listen": "127.0.0.1"}, ["listen"]),
+    "host name": ({"listen": "localhost:1"}, ["listen"]),
+    "port zero": ({"peer-listen": "127.0.0.1:0"}, ["peer-listen"]),
+    "two at once": (
+        {"drain-timeout-s": "-1", "seeds": "x"},
+        ["seeds", "drain-timeout-s"],
+    ),
+    "open address without tokens": (
+        {"listen": "0.0.0.0:8420"},
+        ["listen", "listen"],
+    ),
+    "same address twice": ({"peer-listen": "127.0.0.1:8420"}, ["peer-listen"]),
+    "cluster without seeds": ({"bootstrap-expect": "3"}, ["seeds"]),
+    "missing token file": (
+        {"operator-token-file": "/does/not/exist"},
+        ["operator-token-file"],
+    ),
+    "diskless single instance": ({"diskless": True}, ["diskless"]),
+    "url with path": ({"advertise-url": "http://h/p"}, ["advertise-url"]),
+}
+
+
+@pytest.mark.parametrize("name", BAD)
+def test_bad_settings_are_all_named(name):
+    changes, expected = BAD[name]
+    with pytest.raises(settings.InvalidSettingsError) as caught:
+        settings.parse({**GOOD, **changes})
+    assert [fault.setting for fault in caught.value.faults] == expected
+
+
+def test_defaults_need_no_other_setting():
+    parsed = settings.parse(GOOD)
+    assert parsed.advertise_url == "http://127.0.0.1:8420"
+
+
+def test_short_token_is_refused_without_showing_it(tmp_path):
+    path = tmp_path / "token"
+    path.write_bytes(b"secret")
+    with pytest.raises(settings.InvalidSettingsError) as caught:
+        settings.parse({**GOOD, "operator-token-file": str(path)})
+    assert "secret" not in str(caught.value)
