--- /dev/null
+++ b/marjoramusher/http/__init__.py
@@ -0,0 +1,1 @@
+"""What all HTTP handlers share: error bodies, bounded input and tokens."""
