--- a/marjoramusher/instances/client.py
+++ b/marjoramusher/instances/client.py
@@ -44,7 +44,7 @@
     ----------
     instance_id : str
         Own id, sent with each call.
-    token : str
+    token : bytes
         Instance token of the cluster.
     time : Clock
         Gives monotonic time.
@@ -57,7 +57,7 @@
     def __init__(
         self,
         instance_id: str,
-        token: str,
+        token: bytes,
         time: clock.Clock,
         values: metrics.Metrics,
         links: cuts.LinkCuts | None = None,
@@ -254,7 +254,7 @@
         self,
         address: str,
         instance_id: str,
-        token: str,
+        token: bytes,
         time: clock.Clock,
         values: metrics.Metrics,
     ) -> None:
@@ -446,7 +446,7 @@
                 batch = frame.Batch(
                     self._take_batch(),
                     "" if count else self._instance_id,
-                    "" if count else self._token,
+                    b"" if count else self._token,
                 )
                 count += 1
                 data = codec.pack(batch)
--- a/marjoramusher/instances/frame.py
+++ b/marjoramusher/instances/frame.py
@@ -22,7 +22,7 @@
     """One call; the token is the instance token of the cluster."""
 
     sender: str
-    token: str
+    token: bytes
     method: str
     body: bytes
 
@@ -42,7 +42,7 @@
 
     messages: list[tuple[str, bytes]]
     sender: str = ""
-    token: str = ""
+    token: bytes = b""
 
 
 class Acknowledgement(msgspec.Struct, frozen=True, array_like=True):
--- a/marjoramusher/instances/peer_test.py
+++ b/marjoramusher/instances/peer_test.py
@@ -11,7 +11,7 @@
 from marjoramusher.instances import client, cuts, frame, server
 from marjoramusher.telemetry import metrics
 
-TOKEN = "t0ken"
+TOKEN = b"t0ken"
 
 
 class Pair:
@@ -144,7 +144,7 @@
     assert caught.value.code is errors.ErrorCode.NOT_FOUND
 
 
-@pytest.mark.parametrize("token", ["", "t0keN", "t0ken1", "ü"])
+@pytest.mark.parametrize("token", [b"", b"t0keN", b"t0ken1", b"\xff"])
 async def test_wrong_token_is_refused_on_all_methods(pair, token):
     port = pair.server.port
     other = client.PeerClient("x", token, pair.clock, pair.values)
--- a/marjoramusher/instances/server.py
+++ b/marjoramusher/instances/server.py
@@ -42,7 +42,7 @@
 
     Parameters
     ----------
-    token : str
+    token : bytes
         Instance token of the cluster; empty on loopback without tokens.
     values : Metrics
         Gets bytes and refusals by peer.
@@ -51,9 +51,9 @@
     """
 
     def __init__(
-        self, token: str, values: metrics.Metrics, links: cuts.LinkCuts | None = None
+        self, token: bytes, values: metrics.Metrics, links: cuts.LinkCuts | None = None
     ) -> None:
-        self._token = token.encode()
+        self._token = token
         self._metrics = values
         self._links = links or cuts.LinkCuts()
         self._calls: dict[str, CallHandler] = {}
@@ -208,8 +208,8 @@
         self._metrics.increment("peer_received_bytes", len(data), peer=envelope.sender)
         return envelope
 
-    def _authenticate(self, token: str) -> None:
-        if not hmac.compare_digest(self._token, token.encode()):
+    def _authenticate(self, token: bytes) -> None:
+        if not hmac.compare_digest(self._token, token):
             raise UnauthorizedError
 
     async def _guard(self, sender: str) -> None:
