--- a/marjoramusher/records/__init__.py
+++ b/marjoramusher/records/__init__.py
@@ -1,1 +1,1 @@
-"""Operators' versioned records as a pure state machine."""
+"""Operators' versioned records: schemas, state machine, history and rollback."""
