Add the gang placer and the baseline placer

Cause: the leader of a failure domain has no placement policy. Change: ledger, cell indexes, plan of guarantees, queue, estimates, reservations, reclaim, quarantine and overuse behind placer.Placer; a first in first out, first fit baseline behind the same Protocol. The Protocol gains worker_quarantined.

--- a/marjoramusher/placement/placer.py
+++ b/marjoramusher/placement/placer.py
@@ -34,6 +34,9 @@
     def worker_down(self, worker: str, now: float) -> None:
         """Remove a worker; its gangs are stopped by `plan`."""
 
+    def worker_quarantined(self, worker: str, now: float) -> None:
+        """Take over an automatic quarantine that an earlier leader committed."""
+
     def job_changed(self, job: job.Job, now: float) -> None:
         """Take over a job's committed state, for any of its states."""
 
--- /dev/null
+++ b/marjoramusher/placement/queue.py
@@ -0,0 +1,192 @@
+"""Jobs that wait, and the order in which they are tried."""
+
+from collections.abc import Iterable, Iterator
+from typing import Protocol
+
+import msgspec
+
+from ..core import job, resource
+
+Demand = tuple[resource.GangShape, bool]
+
+
+class Share(msgspec.Struct):
+    """What a client account uses, as the order sees it.
+
+    Parameters
+    ----------
+    dominant : float
+        Largest share of accelerators, cores or memory in use, divided by weight.
+    served : float
+        Accelerator seconds received, decayed over time, divided by weight.
+    """
+
+    dominant: float = 0.0
+    served: float = 0.0
+
+
+class Waiting(msgspec.Struct):
+    """A queued job.
+
+    Parameters
+    ----------
+    expires_in_s : float
+        Time until the contract expires; infinite without one.
+    estimate_s : float
+        Expected rest of the run time.
+    """
+
+    job: job.Job
+    shape: resource.GangShape
+    since: float
+    estimate_s: float
+    expires_at_s: float
+    served_s: float = 0.0
+    serial: int = 0
+    cancelled: bool = False
+
+
+class Order(Protocol):
+    """Rank queued jobs; the lowest key is tried first."""
+
+    def key(self, waiting: Waiting, share: Share, now: float) -> tuple[float, ...]:
+        """Return the rank of a job of a client account."""
+
+
+class FirstInFirstOut:
+    """Rank by time of submission."""
+
+    def key(self, waiting: Waiting, share: Share, now: float) -> tuple[float, ...]:
+        """Return the rank of a job of a client account."""
+        return (waiting.since,)
+
+
+class LeastAttainedService:
+    """Rank by the service that the job, then its client account, has received."""
+
+    def key(self, waiting: Waiting, share: Share, now: float) -> tuple[float, ...]:
+        """Return the rank of a job of a client account."""
+        return (waiting.served_s, share.served, waiting.since)
+
+
+class EarliestDeadline:
+    """Rank by the expiry of the contract."""
+
+    def key(self, waiting: Waiting, share: Share, now: float) -> tuple[float, ...]:
+        """Return the rank of a job of a client account."""
+        return (waiting.expires_at_s, waiting.since)
+
+
+class DominantShare:
+    """Rank by the dominant share of the client account."""
+
+    def key(self, waiting: Waiting, share: Share, now: float) -> tuple[float, ...]:
+        """Return the rank of a job of a client account."""
+        return (share.dominant, waiting.since)
+
+
+class Combined:
+    """Rank contracts about to expire first, then by response ratio and share.
+
+    The response ratio weighs waiting against the estimated size of the job: small
+    jobs pass large ones, and a large one gains rank while it waits. A client account
+    with a large share counts as larger.
+    """
+
+    # A job is due when its contract leaves it less than this many estimated runs.
+    DUE_RUNS = 2.0
+    # Expected work below this is treated alike, so that waiting decides.
+    FLOOR_S = 5.0
+
+    def key(self, waiting: Waiting, share: Share, now: float) -> tuple[float, ...]:
+        """Return the rank of a job of a client account."""
+        slack_s = waiting.expires_at_s - now
+        due = slack_s < self.DUE_RUNS * waiting.estimate_s
+        size = (waiting.estimate_s + self.FLOOR_S) * (1.0 + share.dominant)
+        ratio = (now - waiting.since + size) / size
+        return (0.0 if due else 1.0, slack_s if due else 0.0, -ratio)
+
+
+class Lane:
+    """Queued jobs of one client account, class and contract with equal demand."""
+
+    __slots__ = ("account", "jobs", "rank")
+
+    def __init__(self, account: str, rank: int) -> None:
+        self.account = account
+        self.rank = rank
+        self.jobs: dict[str, Waiting] = {}
+
+    def head(self) -> Waiting:
+        """Return the job that has waited longest."""
+        return next(iter(self.jobs.values()))
+
+
+LaneKey = tuple[str, str, resource.JobClass, str]
+
+
+class Queue:
+    """Lanes by demand, so that one failed attempt speaks for all equal jobs.
+
+    Removal is a deletion from a dict, also for jobs in the middle of a lane.
+    """
+
+    __slots__ = ("_lanes", "_lane_of")
+
+    def __init__(self) -> None:
+        self._lanes: dict[Demand, dict[LaneKey, Lane]] = {}
+        self._lane_of: dict[str, tuple[Demand, LaneKey]] = {}
+
+    def __len__(self) -> int:
+        return len(self._lane_of)
+
+    def __contains__(self, job_id: str) -> bool:
+        return job_id in self._lane_of
+
+    def get(self, job_id: str) -> Waiting | None:
+        """Return a queued job."""
+        place = self._lane_of.get(job_id)
+        if place is None:
+            return None
+        return self._lanes[place[0]][place[1]].jobs[job_id]
+
+    def add(self, waiting: Waiting, rank: int) -> None:
+        """Add a job behind equal ones.
+
+        A job that has failed gets a lane of its own, since it avoids workers that
+        equal jobs may use. Jobs that were stopped don't queue behind new ones.
+        """
+        spec = waiting.job.spec
+        demand = (waiting.shape, spec.repeatable)
+        again = "stopped" if waiting.job.epoch else ""
+        if waiting.job.failed_on:
+            again = waiting.job.job_id
+        key = (spec.account, spec.contract, spec.job_class, again)
+        lanes = self._lanes.setdefault(demand, {})
+        lane = lanes.get(key)
+        if lane is None:
+            lane = lanes[key] = Lane(spec.account, rank)
+        lane.jobs[waiting.job.job_id] = waiting
+        self._lane_of[waiting.job.job_id] = (demand, key)
+
+    def remove(self, job_id: str) -> Waiting | None:
+        """Remove a job at constant cost."""
+        place = self._lane_of.pop(job_id, None)
+        if place is None:
+            return None
+        demand, key = place
+        lanes = self._lanes[demand]
+        waiting = lanes[key].jobs.pop(job_id)
+        if not lanes[key].jobs:
+            del lanes[key]
+            if not lanes:
+                del self._lanes[demand]
+        return waiting
+
+    def demands(self) -> Iterable[Demand]:
+        """Return the distinct demands that wait."""
+        return self._lanes
+
+    def lanes(self, demand: Demand) -> Iterator[Lane]:
+        """Yield the lanes of a demand."""
+        yield from self._lanes.get(demand, {}).values()
--- /dev/null
+++ b/marjoramusher/placement/reserve.py
@@ -0,0 +1,139 @@
+"""Reservations of large gangs, around which small jobs are backfilled."""
+
+from collections.abc import Iterable
+
+from ..core import resource
+from . import cell, ledger, queue
+
+# A gang that has waited this long gets a reservation.
+RESERVE_AFTER_S = 5.0
+# Racks with the most free cells that are considered for one reservation.
+MAX_RACKS = 16
+# Beyond this, reservations would keep the small jobs out.
+MAX_RESERVATIONS = 2
+
+
+class Reservation:
+    """Workers that a gang is expected to get at a time."""
+
+    __slots__ = ("job_id", "ready_at", "waiting", "workers")
+
+    def __init__(
+        self, waiting: queue.Waiting, workers: frozenset[str], ready_at: float
+    ) -> None:
+        self.job_id = waiting.job.job_id
+        self.waiting = waiting
+        self.workers = workers
+        self.ready_at = ready_at
+
+
+class Reserves:
+    """Keep long jobs off the workers that a waiting gang is to get."""
+
+    def __init__(self, book: ledger.Ledger, cells: cell.Cells) -> None:
+        self._ledger = book
+        self._cells = cells
+        self._made: dict[str, Reservation] = {}
+
+    def want(self, waiting: queue.Waiting, rank: int, now: float) -> None:
+        """Reserve workers for a gang that could not be placed."""
+        job_id = waiting.job.job_id
+        if job_id in self._made or len(self._made) >= MAX_RESERVATIONS:
+            return
+        if now - waiting.since < RESERVE_AFTER_S:
+            return
+        reservation = self._choose(waiting, now)
+        if reservation is not None:
+            self._made[job_id] = reservation
+
+    def drop(self, job_id: str) -> None:
+        """Give up the reservation of a job that is placed or gone."""
+        self._made.pop(job_id, None)
+
+    def refresh(self, now: float) -> None:
+        """Choose again where an estimate was wrong."""
+        for job_id, made in list(self._made.items()):
+            del self._made[job_id]
+            reservation = self._choose(made.waiting, now)
+            if reservation is not None:
+                self._made[job_id] = reservation
+
+    def avoided(self, job_id: str, ends_at: float, avoid: set[str]) -> set[str]:
+        """Add the workers that a job ending at a time must leave to others."""
+        for made in self._made.values():
+            if made.job_id != job_id and ends_at > made.ready_at:
+                avoid = avoid | made.workers
+        return avoid
+
+    def _choose(self, waiting: queue.Waiting, now: float) -> Reservation | None:
+        cells, each = cell.unit_of(waiting.shape)
+        index = self._cells.index(each, ledger.free)
+        racks = [rack for rack, _ in index.racks()]
+        racks = racks[-MAX_RACKS:]
+        workers = self._ledger.workers.values()
+        members: dict[str, list[ledger.Worker]] = {}
+        for worker in workers:
+            if worker.is_open:
+                members.setdefault(worker.rack, []).append(worker)
+        if waiting.shape.adjacency is resource.Adjacency.NONE:
+            groups = [[w for rack in members for w in members[rack]]]
+        else:
+            groups = [members[rack] for rack in members]
+        best = None
+        for group in groups:
+            found = self._ready(group, cells, each, now)
+            if found is not None and (best is None or found[0] < best[0]):
+                best = found
+        if best is None:
+            return None
+        return Reservation(waiting, frozenset(best[1]), best[0])
+
+    def _ready(
+        self,
+        group: Iterable[ledger.Worker],
+        cells: int,
+        each: ledger.Amounts,
+        now: float,
+    ) -> tuple[float, list[str]] | None:
+        """Return when enough cells of some workers are free, and which."""
+        available = {worker.id: list(ledger.free(worker)) for worker in group}
+        slots = {w: ledger.count_slots(tuple(a), each) for w, a in available.items()}
+        total = sum(slots.values())
+        ready_at = now
+        ends = sorted(
+            (self._end(holding, now), holding.job_id)
+            for holding in {
+                job_id: self._ledger.holdings[job_id]
+                for worker_id in available
+                for job_id in self._ledger.worker(worker_id).jobs
+            }.values()
+        )
+        for end, job_id in ends:
+            if total >= cells:
+                break
+            ready_at = end
+            for worker_id, part in self._ledger.holdings[job_id].amounts.items():
+                have = available.get(worker_id)
+                if have is None:
+                    continue
+                for dimension in range(3):
+                    have[dimension] += part[dimension]
+                after = ledger.count_slots(tuple(have), each)
+                total += after - slots[worker_id]
+                slots[worker_id] = after
+        if total < cells:
+            return None
+        chosen: list[str] = []
+        for worker_id, count in sorted(slots.items(), key=lambda i: (-i[1], i[0])):
+            if cells <= 0 or not count:
+                break
+            chosen.append(worker_id)
+            cells -= count
+        return ready_at, chosen
+
+    def _end(self, holding: ledger.Holding, now: float) -> float:
+        if holding.stop_at is not None:
+            return now
+        ran_s = now - holding.started_at
+        # One that has outrun its estimate is expected to need half as long again.
+        return now + max(holding.estimate_s - ran_s, ran_s / 2)
