--- /dev/null
+++ b/faults/checker_test.py
@@ -0,0 +1,304 @@
+"""Guards against rules that cannot fail: each must catch its bad history."""
+
+import io
+
+import pytest
+
+from faults import checker, history
+
+H = history
+Rule = checker.Rule
+
+
+def request(at, attempt, token, repeatable=False, instance="i1"):
+    return H.RequestSent(at, attempt, token, instance, repeatable)
+
+
+def run(at, token, run_id="x", request_id="q1", runner="r1"):
+    return H.RunStarted(at, runner, run_id, request_id, token)
+
+
+def answer(at, attempt, token, digest="d"):
+    return H.RequestAnswered(at, attempt, "q1", token, digest, "d", 10)
+
+
+def start(at, task, epoch=1, worker="w1", accelerators=4):
+    return H.TaskStarted(at, worker, "j1", task, epoch, accelerators)
+
+
+def end(at, task, epoch=1, worker="w1", reason="stopped"):
+    return H.TaskEnded(at, worker, "j1", task, epoch, reason)
+
+
+def record(at, operation, version, revision):
+    return H.RecordAccepted(at, operation, "svc", version, revision)
+
+
+SETTLED = H.CaseMarked(100.0, "settled")
+LAST = H.CaseMarked(120.0, "end")
+JOB = H.JobAccepted(1.0, "j1", tasks=2)
+KNOWN = H.JobSeen(101.0, "j1", "queued")
+READ = H.RecordSeen(101.0, "svc", 2)
+SENT = request(1.0, "a1", "k1")
+TERMINATED = H.ProcessFault(2.0, "i1", "terminated")
+BROKEN = H.RequestBroken(3.0, "a1", "reset")
+
+BAD = {
+    "job unknown at the end": (
+        Rule.JOB_LOST,
+        [JOB, SETTLED, H.JobMissing(101.0, "j1", "i1")],
+    ),
+    "job not read at the end": (Rule.JOB_LOST, [JOB, KNOWN]),
+    "final state changed": (
+        Rule.JOB_LOST,
+        [JOB, H.JobSeen(5.0, "j1", "done"), SETTLED, H.JobSeen(101.0, "j1", "queued")],
+    ),
+    "two epochs at a time": (
+        Rule.JOB_DOUBLED,
+        [
+            JOB,
+            start(2.0, "t1"),
+            start(5.0, "t1", 2, "w2"),
+            end(6.0, "t1"),
+            end(8.0, "t1", 2, "w2"),
+            SETTLED,
+            KNOWN,
+        ],
+    ),
+    "one task on two workers": (
+        Rule.JOB_DOUBLED,
+        [JOB, start(2.0, "t1"), start(2.1, "t1", 1, "w2"), SETTLED, KNOWN],
+    ),
+    "non-repeatable job in two epochs": (
+        Rule.JOB_DOUBLED,
+        [
+            H.JobAccepted(1.0, "j1", 1, repeatable=False),
+            start(2.0, "t1"),
+            end(3.0, "t1"),
+            start(5.0, "t1", 2),
+            end(6.0, "t1", 2),
+            SETTLED,
+            KNOWN,
+        ],
+    ),
+    "task of a cancelled job started": (
+        Rule.JOB_RESTARTED,
+        [H.JobSeen(2.0, "j1", "cancelled"), start(3.0, "t1"), end(3.5, "t1")],
+    ),
+    "non-repeatable request ran twice": (
+        Rule.REQUEST_DOUBLED,
+        [SENT, run(1.1, "k1"), run(1.2, "k1", "y", "q2", "r2")],
+    ),
+    "refusal names a request that ran": (
+        Rule.REFUSAL_FALSE,
+        [
+            SENT,
+            run(1.1, "k1"),
+            H.RequestRefused(2.0, "a1", "overloaded", "not_run", "q1"),
+        ],
+    ),
+    "all attempts refused but it ran": (
+        Rule.REFUSAL_FALSE,
+        [
+            SENT,
+            run(1.1, "k1", request_id="q9"),
+            H.RequestRefused(2.0, "a1", "home_unreachable", "not_run"),
+            request(3.0, "a2", "k1"),
+            H.RequestBroken(3.1, "a2", "refused", connected=False),
+        ],
+    ),
+    "crossed answer": (Rule.ANSWER_WRONG, [SENT, run(1.1, "k1"), answer(2, "a1", "z")]),
+    "cut answer that ends properly": (
+        Rule.ANSWER_WRONG,
+        [SENT, run(1.1, "k1"), answer(2.0, "a1", "k1", "other")],
+    ),
+    "answer without a run": (Rule.ANSWER_WRONG, [SENT, answer(2.0, "a1", "k1")]),
+    "one task of two never starts": (
+        Rule.GANG_PARTIAL,
+        [JOB, start(2.0, "t1"), end(9.0, "t1"), SETTLED, KNOWN],
+    ),
+    "one task of two stays after the other's worker died": (
+        Rule.GANG_PARTIAL,
+        [
+            JOB,
+            start(2.0, "t1"),
+            start(2.0, "t2", worker="w2"),
+            H.ProcessFault(10.0, "w2", "killed"),
+            end(19.0, "t1"),
+            SETTLED,
+            KNOWN,
+        ],
+    ),
+    "failed task's gang goes on": (
+        Rule.GANG_PARTIAL,
+        [
+            JOB,
+            start(2.0, "t1"),
+            start(2.0, "t2"),
+            end(3.0, "t2", reason="failed"),
+            end(12.0, "t1", reason="done"),
+            SETTLED,
+            KNOWN,
+        ],
+    ),
+    "drained instance broke a connection": (
+        Rule.REQUEST_INTERRUPTED,
+        [SENT, TERMINATED, BROKEN],
+    ),
+    "drained runner gave up a request": (
+        Rule.REQUEST_INTERRUPTED,
+        [
+            run(1.0, "k1"),
+            H.ProcessFault(2.0, "r1", "terminated"),
+            H.RunEnded(2.1, "r1", "x", complete=False),
+        ],
+    ),
+    "drained runner left with a request": (
+        Rule.REQUEST_INTERRUPTED,
+        [run(1.0, "k1"), H.ProcessFault(2.0, "r1", "terminated")],
+    ),
+    "work to a leaving runner": (
+        Rule.WORK_TO_LEAVING,
+        [H.RunnerLeaving(1.0, "r1"), run(4.1, "k1")],
+    ),
+    "configuration late at a reachable instance": (
+        Rule.CONFIGURATION_LATE,
+        [
+            H.InstanceReachable(0.0, "i1"),
+            record(1.0, "o1", 2, 7),
+            H.ConfigurationSeen(4.1, "i1", 6),
+            SETTLED,
+            READ,
+        ],
+    ),
+    "configuration late after a heal": (
+        Rule.CONFIGURATION_LATE,
+        [
+            record(1.0, "o1", 2, 7),
+            H.InstanceUnreachable(2.0, "i1"),
+            H.InstanceReachable(10.0, "i1"),
+            H.ConfigurationSeen(13.1, "i1", 6),
+            SETTLED,
+            READ,
+        ],
+    ),
+    "configuration older than before": (
+        Rule.CONFIGURATION_REVERTED,
+        [H.ConfigurationSeen(1.0, "i1", 7), H.ConfigurationSeen(2.0, "i1", 6)],
+    ),
+    "one version given twice": (
+        Rule.RECORD_RACED,
+        [record(1.0, "o1", 2, 7), record(1.1, "o2", 2, 8), SETTLED, READ],
+    ),
+    "resent operation with another answer": (
+        Rule.RECORD_RACED,
+        [
+            record(1.0, "o1", 2, 7),
+            record(1.1, "o1", 3, 8),
+            SETTLED,
+            H.RecordSeen(101.0, "svc", 3),
+        ],
+    ),
+    "accepted record gone": (
+        Rule.RECORD_LOST,
+        [record(1.0, "o1", 3, 7), SETTLED, READ],
+    ),
+    "accepted record not read at the end": (
+        Rule.RECORD_LOST,
+        [record(1.0, "o1", 3, 7), SETTLED],
+    ),
+    "more requests than slots": (
+        Rule.RUNNER_OVERCOMMITTED,
+        [H.RunnerStarted(0.0, "r1", 1), run(1.0, "k1"), run(1.1, "k2", "y", "q2")],
+    ),
+    "more accelerators than there are": (
+        Rule.WORKER_OVERCOMMITTED,
+        [
+            H.WorkerStarted(0.0, "w1", 8),
+            H.TaskStarted(1.0, "w1", "j1", "t1", 1, 6),
+            H.TaskStarted(1.1, "w1", "j2", "t2", 1, 6),
+            LAST,
+        ],
+    ),
+}
+
+GOOD = [
+    H.RunnerStarted(0.0, "r1", 1),
+    H.WorkerStarted(0.0, "w1", 8),
+    H.WorkerStarted(0.0, "w2", 8),
+    H.WorkerStarted(0.0, "w3", 8),
+    H.InstanceReachable(0.0, "i1"),
+    JOB,
+    SENT,
+    run(1.1, "k1"),
+    start(2.0, "t1"),
+    start(2.5, "t2", worker="w2"),
+    H.RunEnded(2.6, "r1", "x"),
+    answer(2.7, "a1", "k1"),
+    # The answer of a resend is the recorded one.
+    request(3.0, "a2", "k1"),
+    answer(3.1, "a2", "k1"),
+    # A repeatable request may run twice, and a refused attempt may follow one that ran.
+    request(3.0, "a3", "k2", repeatable=True),
+    run(3.0, "k2", "y", "q2"),
+    H.RunEnded(3.1, "r1", "y", complete=False),
+    run(3.2, "k2", "z", "q2"),
+    H.RunEnded(3.3, "r1", "z"),
+    H.RequestBroken(3.4, "a3", "reset"),
+    request(3.5, "a4", "k2", repeatable=True),
+    H.RequestRefused(3.6, "a4", "overloaded", "not_run", "q3"),
+    record(4.0, "o1", 2, 7),
+    record(4.1, "o1", 2, 7),
+    H.ConfigurationSeen(5.0, "i1", 6),
+    H.ConfigurationSeen(7.1, "i1", 7),
+    # A lost worker: its gang stops after the lease and starts again elsewhere.
+    H.ProcessFault(10.0, "w2", "killed"),
+    end(14.9, "t1"),
+    start(15.0, "t1", 2),
+    start(15.1, "t2", 2, "w3"),
+    # A paused worker's task ends when the worker resumes; it ran nothing meanwhile.
+    H.ProcessFault(20.0, "w3", "paused"),
+    end(24.5, "t1", 2),
+    start(25.0, "t1", 3),
+    start(25.0, "t2", 3, "w2"),
+    H.ProcessFault(26.0, "w3", "resumed"),
+    end(26.1, "t2", 2, "w3", "lease"),
+    end(30.0, "t1", 3, reason="done"),
+    end(30.4, "t2", 3, "w2", reason="done"),
+    H.RunnerLeaving(31.0, "r1"),
+    request(32.0, "a5", "k3"),
+    run(33.0, "k3", "u", "q5"),
+    H.ProcessFault(33.5, "r1", "terminated"),
+    H.RunEnded(34.0, "r1", "u"),
+    answer(34.1, "a5", "k3"),
+    request(36.0, "a6", "k4"),
+    H.RequestBroken(36.1, "a6", "refused", connected=False),
+    SETTLED,
+    H.JobSeen(101.0, "j1", "done"),
+    READ,
+    LAST,
+]
+
+
+@pytest.mark.parametrize("name", BAD)
+def test_bad_history_is_caught_by_its_rule_alone(name):
+    rule, events = BAD[name]
+    assert {violation.rule for violation in checker.check(events)} == {rule}
+
+
+def test_every_rule_has_a_bad_history():
+    assert {rule for rule, _ in BAD.values()} == set(Rule)
+
+
+def test_good_history_has_no_violation():
+    assert checker.check(GOOD) == []
+
+
+def test_history_survives_the_file(tmp_path):
+    file = io.StringIO()
+    recorder = H.Recorder(file)
+    for event in GOOD:
+        recorder.record(event)
+    path = tmp_path / "history"
+    path.write_text(file.getvalue())
+    assert list(H.read(path)) == GOOD
