--- /dev/null
+++ b/faults/cases.py
@@ -0,0 +1,253 @@
+"""Table of fault cases.
+
+A case acts on a cluster that is ready and under load. It repairs what it broke; the
+driver then settles the cluster and checks the histories.
+"""
+
+import asyncio
+import random
+import time
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from . import cluster as clusters
+from . import history
+
+ELECTION_S = 3.0  # A new leader takes about 2 s.
+LEASE_S = 4.04
+
+
+class Context(msgspec.Struct, frozen=True):
+    """What a case works on."""
+
+    cluster: clusters.Cluster
+    random: random.Random
+
+    def mark(self, stage: str, note: str) -> None:
+        """Record a stage of the case."""
+        self.cluster.recorder.record(history.CaseMarked(time.time(), stage, note))
+
+
+class Case(msgspec.Struct, frozen=True):
+    """A case of the table."""
+
+    name: str
+    run: Callable[[Context], Awaitable[None]]
+
+
+async def _kill_and_restart(context: Context, name: str, down_s: float) -> None:
+    context.mark("fault", f"kill {name}")
+    await context.cluster.kill(name)
+    await asyncio.sleep(down_s)
+    context.mark("heal", f"restart {name}")
+    await context.cluster.restart(name)
+
+
+async def kill_entry(context: Context) -> None:
+    """Kill an instance that leads no group."""
+    leaders = {
+        await context.cluster.leader(group) for group in _groups(context.cluster)
+    }
+    followers = sorted(context.cluster.instances.keys() - leaders)
+    if not followers:
+        raise clusters.PreconditionError("every instance leads a group")
+    await _kill_and_restart(context, context.random.choice(followers), 5.0)
+
+
+async def kill_domain_leader(context: Context) -> None:
+    """Kill the leader of a domain group."""
+    name = await context.cluster.leader(_domain_group(context))
+    await _kill_and_restart(context, name, 5.0)
+
+
+async def kill_records_leader(context: Context) -> None:
+    """Kill the leader of the records group."""
+    name = await context.cluster.leader(clusters.RECORDS)
+    await _kill_and_restart(context, name, 5.0)
+
+
+async def pause_domain_leader(context: Context) -> None:
+    """Stop the leader of a domain group for 5 s."""
+    name = await context.cluster.leader(_domain_group(context))
+    context.mark("fault", f"pause {name}")
+    await context.cluster.pause(name, 5.0)
+
+
+async def pause_entry(context: Context) -> None:
+    """Stop any instance for 5 s."""
+    name = context.random.choice(context.cluster.reachable)
+    context.mark("fault", f"pause {name}")
+    await context.cluster.pause(name, 5.0)
+
+
+async def stale_folder(context: Context) -> None:
+    """Restart an instance with a copy of its folder from before many changes."""
+    name = await context.cluster.leader(_domain_group(context))
+    context.mark("fault", f"copy the folder of {name}")
+    await context.cluster.kill(name)
+    copy = context.cluster.copy_data(name)
+    await context.cluster.restart(name)
+    await asyncio.sleep(5.0)
+    context.mark("fault", f"start {name} with the copy")
+    await context.cluster.kill(name)
+    context.cluster.restore_data(name, copy)
+    await context.cluster.restart(name)
+
+
+async def empty_folder(context: Context) -> None:
+    """Restart an instance with an empty folder."""
+    name = await context.cluster.leader(_domain_group(context))
+    context.mark("fault", f"kill {name} and remove its folder")
+    await context.cluster.kill(name)
+    context.cluster.erase(name)
+    await asyncio.sleep(1.0)
+    await context.cluster.restart(name)
+
+
+async def second_loss(context: Context) -> None:
+    """Replace an instance, then lose the other one of its domain at once."""
+    domain = context.random.choice(sorted(context.cluster.domains))
+    first, second = context.cluster.of_domain(domain)
+    context.mark("fault", f"kill {first.name} and remove its folder")
+    await context.cluster.kill(first.name)
+    context.cluster.erase(first.name)
+    await asyncio.sleep(1.0)
+    await context.cluster.restart(first.name)
+    context.mark("fault", f"kill {second.name} right after the repair")
+    await context.cluster.kill(second.name)
+    await asyncio.sleep(5.0)
+    context.mark("heal", f"restart {second.name}")
+    await context.cluster.restart(second.name)
+
+
+async def cut_domain(context: Context) -> None:
+    """Cut a failure domain off from the others, and heal the links."""
+    domain = context.random.choice(sorted(context.cluster.domains))
+    names = [instance.name for instance in context.cluster.of_domain(domain)]
+    mode = context.random.choice(["silent", "refuse"])
+    context.mark("fault", f"cut {domain} off, mode {mode}")
+    await context.cluster.cut(names, mode)
+    await asyncio.sleep(8.0)
+    context.mark("heal", f"reconnect {domain}")
+    await context.cluster.heal(names)
+
+
+async def isolate_domain_leader(context: Context) -> None:
+    """Isolate the leader of a domain group silently; its callers still reach it."""
+    name = await context.cluster.leader(_domain_group(context))
+    context.mark("fault", f"isolate {name}")
+    await context.cluster.cut([name])
+    await asyncio.sleep(8.0)
+    context.mark("heal", f"reconnect {name}")
+    await context.cluster.heal([name])
+
+
+async def isolate_records_leader(context: Context) -> None:
+    """Isolate the leader of the records group silently."""
+    name = await context.cluster.leader(clusters.RECORDS)
+    context.mark("fault", f"isolate {name}")
+    await context.cluster.cut([name])
+    await asyncio.sleep(8.0)
+    context.mark("heal", f"reconnect {name}")
+    await context.cluster.heal([name])
+
+
+async def silent_connections(context: Context) -> None:
+    """Silence the open connections to runners and workers; new ones work."""
+    for _ in range(3):
+        count = sum(link.silence() for link in context.cluster.links.values())
+        context.mark("fault", f"silence {count} connections")
+        await asyncio.sleep(3.0)
+
+
+async def runner_faults(context: Context) -> None:
+    """Kill a runner, stop another for 5 s, and restart the first."""
+    killed, paused = context.random.sample(sorted(context.cluster.runners), 2)
+    context.mark("fault", f"kill {killed}, pause {paused}")
+    await context.cluster.runners[killed].kill()
+    context.cluster.runners[paused].pause()
+    await asyncio.sleep(5.0)
+    context.mark("heal", f"resume {paused}, restart {killed}")
+    context.cluster.runners[paused].resume()
+    await context.cluster.runners[killed].start()
+    await asyncio.sleep(2.0)
+
+
+async def worker_faults(context: Context) -> None:
+    """Kill a worker, stop another beyond its lease, and restart the first."""
+    killed, paused = context.random.sample(sorted(context.cluster.workers), 2)
+    context.mark("fault", f"kill {killed}, pause {paused}")
+    await context.cluster.workers[killed].kill()
+    context.cluster.workers[paused].pause()
+    await asyncio.sleep(LEASE_S + 3.0)
+    context.mark("heal", f"resume {paused}, restart {killed}")
+    context.cluster.workers[paused].resume()
+    await context.cluster.workers[killed].start()
+    await asyncio.sleep(2.0)
+
+
+async def drain_instance(context: Context) -> None:
+    """Shut an instance down gracefully under load."""
+    name = context.random.choice(context.cluster.reachable)
+    context.mark("fault", f"drain {name}")
+    context.cluster.mark_unreachable(name)
+    code = await context.cluster.instances[name].terminate(15.0)
+    if code != 0:
+        raise clusters.PreconditionError(f"{name} ended with code {code} on SIGTERM")
+    await asyncio.sleep(1.0)
+    context.mark("heal", f"restart {name}")
+    await context.cluster.restart(name)
+
+
+async def drain_runner(context: Context) -> None:
+    """Shut a runner down gracefully under load."""
+    name = context.random.choice(sorted(context.cluster.runners))
+    context.mark("fault", f"drain {name}")
+    code = await context.cluster.runners[name].terminate(15.0)
+    if code != 0:
+        raise clusters.PreconditionError(f"{name} ended with code {code} on SIGTERM")
+    await asyncio.sleep(3.0)
+
+
+async def rolling_restart(context: Context) -> None:
+    """Kill and restart every instance of two domains, one after another."""
+    for domain in context.random.sample(sorted(context.cluster.domains), 2):
+        for instance in context.cluster.of_domain(domain):
+            await _kill_and_restart(context, instance.name, 0.5)
+            await asyncio.sleep(1.0)
+
+
+async def quiet(context: Context) -> None:
+    """Break nothing: operators race and callers resend all the same."""
+    await asyncio.sleep(8.0)
+
+
+CASES: tuple[Case, ...] = (
+    Case("quiet", quiet),
+    Case("kill-entry", kill_entry),
+    Case("kill-domain-leader", kill_domain_leader),
+    Case("kill-records-leader", kill_records_leader),
+    Case("pause-domain-leader", pause_domain_leader),
+    Case("pause-entry", pause_entry),
+    Case("stale-folder", stale_folder),
+    Case("empty-folder", empty_folder),
+    Case("second-loss", second_loss),
+    Case("cut-domain", cut_domain),
+    Case("isolate-domain-leader", isolate_domain_leader),
+    Case("isolate-records-leader", isolate_records_leader),
+    Case("silent-connections", silent_connections),
+    Case("runner-faults", runner_faults),
+    Case("worker-faults", worker_faults),
+    Case("drain-instance", drain_instance),
+    Case("drain-runner", drain_runner),
+    Case("rolling-restart", rolling_restart),
+)
+
+
+def _groups(cluster: clusters.Cluster) -> list[str]:
+    return [clusters.RECORDS, *(f"domain:{domain}" for domain in cluster.domains)]
+
+
+def _domain_group(context: Context) -> str:
+    return f"domain:{context.random.choice(sorted(context.cluster.domains))}"
--- a/faults/checker.py
+++ b/faults/checker.py
@@ -14,6 +14,8 @@
 
 FINAL_STATES = frozenset({"done", "failed", "cancelled"})
 
+OUTCOMES = frozenset({"not_run", "done", "unknown"})
+
 E = TypeVar("E", bound=history.Base)
 
 
@@ -25,6 +27,7 @@
     JOB_RESTARTED = "job_restarted"
     REQUEST_DOUBLED = "request_doubled"
     REFUSAL_FALSE = "refusal_false"
+    REFUSAL_UNCODED = "refusal_uncoded"
     ANSWER_WRONG = "answer_wrong"
     GANG_PARTIAL = "gang_partial"
     REQUEST_INTERRUPTED = "request_interrupted"
@@ -236,7 +239,7 @@
 def check_refusals(
     events: Sequence[history.Event], limits: Limits
 ) -> Iterator[Violation]:
-    """Find refusals that say "not run" of something that a runner started."""
+    """Find refusals that say "not run" of what ran, or "done" of what did not."""
     sent = {event.attempt: event for event in _of(events, history.RequestSent)}
     by_request: dict[str, history.RunStarted] = {}
     by_token: dict[str, list[history.RunStarted]] = defaultdict(list)
@@ -248,6 +251,20 @@
     for event in sent.values():
         attempts[event.token].append(event.attempt)
     for refusal in _of(events, history.RequestRefused):
+        if refusal.outcome not in OUTCOMES:
+            yield Violation(
+                Rule.REFUSAL_UNCODED,
+                refusal.at,
+                refusal.attempt,
+                f"code {refusal.code!r}, outcome {refusal.outcome!r}",
+            )
+        if refusal.outcome == "done" and not by_token[sent[refusal.attempt].token]:
+            yield Violation(
+                Rule.REFUSAL_FALSE,
+                refusal.at,
+                refusal.attempt,
+                f"{refusal.code} says done, but no runner ran the request",
+            )
         if refusal.outcome != "not_run":
             continue
         refused[refusal.attempt] = refusal
@@ -550,6 +567,51 @@
                 )
 
 
+def check_progress(events: Sequence[history.Event]) -> list[str]:
+    """Name what did not work after the repair; a cluster that does nothing is safe.
+
+    Returns
+    -------
+    list of str
+        One sentence for each kind of work that was not done from ``settled`` on.
+    """
+    settled = _settled_at(events)
+    if settled == float("inf"):
+        return ["the case did not settle"]
+    sent = {event.attempt: event for event in _of(events, history.RequestSent)}
+    answered = {
+        (sent[event.attempt].instance, sent[event.attempt].repeatable)
+        for event in _of(events, history.RequestAnswered)
+        if event.at >= settled
+    }
+    missing = [
+        f"{instance} answered no {kind} request after the repair"
+        for instance in sorted(
+            {event.instance for event in _of(events, history.InstanceReachable)}
+        )
+        for kind, repeatable in (("repeatable", True), ("non-repeatable", False))
+        if (instance, repeatable) not in answered
+    ]
+    done = {
+        event.job_id for event in _of(events, history.JobSeen) if event.state == "done"
+    }
+    late = [
+        event.job_id
+        for event in _of(events, history.JobAccepted)
+        if event.at >= settled
+    ]
+    if not late:
+        missing.append("no job was accepted after the repair")
+    missing += [
+        f"{job_id}, accepted after the repair, is not done"
+        for job_id in late
+        if job_id not in done
+    ]
+    if not any(_of(events, history.RecordAccepted)):
+        missing.append("no write of a record was accepted")
+    return missing
+
+
 RuleFunction = Callable[[Sequence[history.Event], Limits], Iterator[Violation]]
 
 RULES: tuple[RuleFunction, ...] = (
--- a/faults/checker_test.py
+++ b/faults/checker_test.py
@@ -107,6 +107,14 @@
             H.RequestBroken(3.1, "a2", "refused", connected=False),
         ],
     ),
+    "refusal says done of a request that never ran": (
+        Rule.REFUSAL_FALSE,
+        [SENT, H.RequestRefused(2.0, "a1", "answer_expired", "done", "q1")],
+    ),
+    "error without an outcome": (
+        Rule.REFUSAL_UNCODED,
+        [SENT, H.RequestRefused(2.0, "a1", "uncoded", "uncoded")],
+    ),
     "crossed answer": (Rule.ANSWER_WRONG, [SENT, run(1.1, "k1"), answer(2, "a1", "z")]),
     "cut answer that ends properly": (
         Rule.ANSWER_WRONG,
@@ -294,6 +302,24 @@
     assert checker.check(GOOD) == []
 
 
+def test_cluster_that_does_nothing_is_not_a_pass():
+    idle = [H.InstanceReachable(0.0, "i1"), SETTLED]
+    assert len(checker.check_progress(idle)) == 4
+    assert checker.check_progress([]) == ["the case did not settle"]
+    busy = [
+        *idle,
+        record(100.0, "o1", 2, 7),
+        H.JobAccepted(101.0, "j1", 1),
+        H.JobSeen(102.0, "j1", "queued"),
+    ]
+    for attempt, repeatable in (("a1", True), ("a2", False)):
+        busy += [request(101.0, attempt, "k1", repeatable), answer(102, attempt, "k1")]
+    assert checker.check_progress(busy) == [
+        "j1, accepted after the repair, is not done"
+    ]
+    assert checker.check_progress([*busy, H.JobSeen(103.0, "j1", "done")]) == []
+
+
 def test_history_survives_the_file(tmp_path):
     file = io.StringIO()
     recorder = H.Recorder(file)
--- /dev/null
+++ b/faults/forwarder_test.py
@@ -0,0 +1,35 @@
+"""Guards against a forwarder that closes connections or also silences new ones."""
+
+import asyncio
+
+import pytest
+
+from faults import cluster, forwarder
+
+
+async def echo(reader, writer):
+    while data := await reader.read(100):
+        writer.write(data)
+    writer.close()
+
+
+async def exchange(reader, writer, data):
+    writer.write(data)
+    return await asyncio.wait_for(reader.readexactly(len(data)), 0.2)
+
+
+async def test_only_open_connections_go_silent():
+    ports = cluster.Ports(seed=1)
+    server = await asyncio.start_server(echo, "127.0.0.1", 0)
+    link = forwarder.Forwarder(server.sockets[0].getsockname()[1])
+    await link.start(ports.take())
+    old = await asyncio.open_connection("127.0.0.1", link.port)
+    assert await exchange(*old, b"before") == b"before"
+    assert link.silence() == 1
+    with pytest.raises(asyncio.TimeoutError):
+        await exchange(*old, b"after")
+    new = await asyncio.open_connection("127.0.0.1", link.port)
+    assert await exchange(*new, b"new") == b"new"
+    assert not old[0].at_eof()
+    await link.stop()
+    server.close()
