Run groups on the store and the transport

The daemon needs groups that survive process starts and losses. RaftGroup steps all events of one loop turn together, so that proposals share a sync, and answers each proposal with what is known of its outcome.

--- /dev/null
+++ b/marjoramusher/groups/bootstrap.py
@@ -0,0 +1,138 @@
+"""Which instances vote in which groups when a cluster is formed."""
+
+from collections.abc import Iterable, Sequence
+
+import msgspec
+
+from ..consensus import message
+from ..core import errors
+from ..membership import member
+
+RECORDS = "records"
+DOMAIN_PREFIX = "domain:"
+MAX_RECORDS_VOTERS = 5
+DOMAIN_VOTERS = 3
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """A new cluster and the members of its groups."""
+
+    cluster_id: str
+    groups: dict[str, message.GroupConfig]
+
+
+class NoDiskError(errors.MarjoramusherError):
+    """No instance has a disk, so nothing could be kept durably."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            errors.ErrorCode.INVALID_SETTING,
+            "a cluster needs at least one instance with a data folder",
+        )
+
+
+def domain_group(failure_domain: str) -> str:
+    """Return the name of a failure domain's group."""
+    return DOMAIN_PREFIX + failure_domain
+
+
+def is_due(views: Iterable[member.MemberView], own: member.Member, expect: int) -> bool:
+    """Tell whether this instance has to form the cluster now.
+
+    The instance with the lowest id among those with a disk does, once exactly
+    `expect` members are known, all of them alive and without a cluster. It needs a
+    disk so that it goes on with the same plan after a crash half-way.
+    """
+    views = tuple(views)
+    if len(views) != expect:
+        return False
+    if any(v.member.cluster_id or v.status is not member.Status.ALIVE for v in views):
+        return False
+    disks = [v.member.instance_id for v in views if v.member.has_disk]
+    if not disks:
+        raise NoDiskError
+    return min(disks) == own.instance_id
+
+
+def plan(members: Iterable[member.Member], cluster_id: str) -> Plan:
+    """Choose the members of the records group and of each domain group."""
+    members = sorted(members, key=lambda m: m.instance_id)
+    chosen = records_voters(members)
+    learners = [m for m in members if m not in chosen]
+    groups = {RECORDS: message.GroupConfig(_ids(chosen), _ids(learners))}
+    load: dict[str, int] = {}
+    for domain in sorted({m.failure_domain for m in members}):
+        voters = domain_voters(domain, members, load)
+        for voter in voters:
+            if voter.failure_domain != domain:
+                load[voter.instance_id] = load.get(voter.instance_id, 0) + 1
+        groups[domain_group(domain)] = message.GroupConfig(_ids(voters))
+    return Plan(cluster_id, groups)
+
+
+def records_voters(members: Iterable[member.Member]) -> list[member.Member]:
+    """Choose one voter in each failure domain, at most five and an odd number."""
+    best: dict[str, member.Member] = {}
+    for candidate in sorted(members, key=_disk_first):
+        best.setdefault(candidate.failure_domain, candidate)
+    order = sorted(best.values(), key=lambda m: (not m.has_disk, m.failure_domain))
+    return _largest(order, MAX_RECORDS_VOTERS)
+
+
+def domain_voters(
+    domain: str, members: Iterable[member.Member], load: dict[str, int]
+) -> list[member.Member]:
+    """Choose two instances of the domain and one disk instance of another.
+
+    Parameters
+    ----------
+    load : dict of str to int
+        Number of other domains that each instance already votes for.
+    """
+    members = tuple(members)
+    local = sorted((m for m in members if m.failure_domain == domain), key=_disk_first)
+    regions = {m.region for m in local}
+    remote = sorted(
+        (m for m in members if m.failure_domain != domain and m.has_disk),
+        key=lambda m: (
+            m.region not in regions,
+            load.get(m.instance_id, 0),
+            m.instance_id,
+        ),
+    )
+    for split in (2, 1):
+        chosen = local[:split] + remote[: DOMAIN_VOTERS - split]
+        if len(chosen) == DOMAIN_VOTERS and is_durable(chosen):
+            return chosen
+    return _largest(local, DOMAIN_VOTERS) if local[0].has_disk else remote[:1]
+
+
+def is_durable(voters: Sequence[member.Member]) -> bool:
+    """Tell whether every majority holds a synced copy: f diskless of 2f+1 at most."""
+    diskless = sum(not voter.has_disk for voter in voters)
+    return diskless <= (len(voters) - 1) // 2
+
+
+def voter_id(described: member.Member) -> message.VoterId:
+    """Return the id under which an instance votes."""
+    return message.VoterId(described.instance_id, described.store_id)
+
+
+def _largest(order: Sequence[member.Member], limit: int) -> list[member.Member]:
+    """Return the longest durable start of odd length of a list, disks first."""
+    count = min(limit, len(order))
+    count -= 1 - count % 2
+    while count > 1 and not is_durable(order[:count]):
+        count -= 2
+    chosen = list(order[:count])
+    if not is_durable(chosen):
+        raise NoDiskError
+    return chosen
+
+
+def _ids(members: Iterable[member.Member]) -> tuple[message.VoterId, ...]:
+    return tuple(voter_id(m) for m in members)
+
+
+def _disk_first(described: member.Member) -> tuple[bool, str]:
+    return not described.has_disk, described.instance_id
--- /dev/null
+++ b/marjoramusher/groups/manager.py
@@ -0,0 +1,633 @@
+"""Groups, membership and durable state of one instance."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from ..consensus import machine, message
+from ..core import clock, codec, errors
+from ..instances import peers
+from ..membership import member, table
+from ..storage import document, error, filesystem, identity, revision, store
+from ..telemetry import log, metrics
+from . import bootstrap, formation, forward, group, remote, replacement, runner
+
+HEARTBEAT = "heartbeat"
+STATUS = "status"
+DUTY_S = 0.5
+REOPEN_S = 5.0
+INVITE_S = 2.0
+CHANGE_S = 5.0
+TICK_S = 0.25  # finer than the heartbeat, which is sent when it is due
+
+
+class Settings(msgspec.Struct, frozen=True):
+    """What the manager has to know of the instance.
+
+    Parameters
+    ----------
+    peer_address : str
+        Address under which other instances reach this one.
+    data_folder : str or None
+        ``None`` for a diskless instance.
+    bootstrap_expect : int
+        Number of instances that form a new cluster.
+    """
+
+    instance_id: str
+    failure_domain: str
+    region: str
+    http_url: str
+    peer_address: str
+    seeds: tuple[str, ...] = ()
+    data_folder: str | None = None
+    bootstrap_expect: int = 1
+    limits: runner.Limits = runner.Limits()
+
+
+class Status(msgspec.Struct, frozen=True):
+    """State of the instance for operators."""
+
+    own: member.Member
+    boot: int
+    members: tuple[member.MemberView, ...]
+    groups: tuple[runner.GroupStatus, ...]
+    store_failure: str
+
+
+class GroupManager:
+    """Run the groups that this instance is a member of and reach the others.
+
+    Parameters
+    ----------
+    peer : Peers
+        The server must listen before `start`.
+    machines : callable
+        Makes the machine of a group by its name; called once for each group.
+    files : FileSystem or None
+        ``None`` for a diskless instance.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        time: clock.Clock,
+        rng: random.Random,
+        peer: peers.Peers,
+        values: metrics.Metrics,
+        machines: Callable[[str], machine.Machine],
+        files: filesystem.FileSystem | None,
+    ) -> None:
+        self._settings = settings
+        self._clock = time
+        self._rng = rng
+        self._peers = peer
+        self._metrics = values
+        self._machines = machines
+        self._files = files
+        self._identity = identity.Identity(settings.instance_id, "", 0)
+        self._revision = revision.RevisionFile(None)
+        self._table: table.Table | None = None
+        self._groups: dict[str, runner.RaftGroup] = {}
+        self._initial: dict[str, message.GroupConfig] = {}
+        self._memory: dict[str, store.MemoryStore] = {}
+        self._remote: dict[str, remote.RemoteGroup] = {}
+        self._plan: bootstrap.Plan | None = None
+        self._invited: set[message.VoterId] = set()
+        self._tasks: list[asyncio.Task] = []
+        self._changing: dict[str, asyncio.Task] = {}
+        self._reopen_s = 0.0
+        self._store_failure = ""
+        self._duty_failure = ""
+        self._stale = False
+
+    @property
+    def own(self) -> member.Member:
+        """Return the own description."""
+        return self._table.own
+
+    @property
+    def formed(self) -> bool:
+        """Tell whether this instance belongs to a cluster and knows its records."""
+        records = self._groups.get(bootstrap.RECORDS)
+        return bool(self._identity.cluster_id) and (
+            records is not None and records.config is not None
+        )
+
+    @property
+    def revision(self) -> int:
+        """Return the configuration revision stored here."""
+        return self._revision.number
+
+    @property
+    def highest_revision(self) -> int:
+        """Return the highest configuration revision that any instance reported."""
+        return self._table.highest_revision
+
+    @property
+    def status(self) -> Status:
+        """Return the state of the instance."""
+        return Status(
+            self._table.own,
+            self._identity.boot,
+            self._table.views,
+            tuple(running.status for running in self._groups.values()),
+            self._store_failure,
+        )
+
+    def members(self) -> tuple[member.MemberView, ...]:
+        """Return all known instances, this one included."""
+        return self._table.views
+
+    def group(self, name: str) -> group.Group:
+        """Return a group, as a member if this instance is one."""
+        running = self._groups.get(name)
+        if running is not None:
+            return running
+        if name not in self._remote:
+            self._remote[name] = remote.RemoteGroup(name, self._forwarder(name))
+        return self._remote[name]
+
+    def advance_revision(self, number: int) -> bool:
+        """Store a configuration revision before it is put in force, and gossip it.
+
+        Raises
+        ------
+        StoreFailedError
+            If it can't be stored; it must then not be put in force.
+        """
+        advanced = self._revision.advance(number)
+        if advanced:
+            self._describe(records_revision=number)
+        return advanced
+
+    def set_draining(self, draining: bool) -> None:
+        """Tell the others whether this instance is leaving."""
+        self._describe(draining=draining)
+
+    def recover_with_loss(self, name: str) -> message.GroupConfig:
+        """Restart a group from this instance alone after a permanent loss.
+
+        Raises
+        ------
+        NoQuorumError
+            If this instance holds no state of the group.
+        """
+        running = self._groups.get(name)
+        if running is None or running.config is None:
+            raise errors.NoQuorumError(f"{name} has no state at this instance")
+        log.state_change("group.recovered_with_loss", group=name)
+        return running.recover_with_loss()
+
+    async def start(self) -> None:
+        """Open the data folder, take part in the groups and find the others.
+
+        Raises
+        ------
+        StoreFailedError
+            If the data folder can't be used or another process uses it.
+        """
+        self._open()
+        server = self._peers.server
+        server.register_one_way(HEARTBEAT, self._receive_heartbeat)
+        server.register_one_way(runner.RAFT, self._receive_raft)
+        server.register(forward.PROPOSE, self._answer_propose)
+        server.register(forward.BARRIER, self._answer_barrier)
+        server.register(formation.METHOD, self._answer_invitation)
+        server.register(STATUS, self._answer_status)
+        loop = asyncio.get_running_loop()
+        self._tasks = [
+            loop.create_task(self._run_membership()),
+            loop.create_task(self._run_duties()),
+        ]
+
+    async def stop(self) -> None:
+        """Stop all groups; the others elect new leaders after a timeout."""
+        tasks = [*self._tasks, *self._changing.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._tasks = []
+        for running in self._groups.values():
+            running.stop()
+        if self._files is not None:
+            self._files.unlock()
+
+    def _open(self) -> None:
+        """Load the identity and the groups; a damaged folder becomes a new store."""
+        settings, files = self._settings, self._files
+        try:
+            if files is None:
+                self._identity = identity.new(settings.instance_id, self._rng)
+            else:
+                files.lock()
+                self._identity = identity.boot(files, settings.instance_id, self._rng)
+                self._plan = document.read(files, formation.PLAN, bootstrap.Plan)
+                self._revision = revision.RevisionFile(files)
+            self._make_table()
+            self._open_groups()
+        except error.StoreCorruptError as failure:
+            log.state_change("store.corrupt", error=failure.message)
+            self._metrics.increment("store_corrupt")
+            self._discard()
+
+    def _make_table(self) -> None:
+        settings = self._settings
+        own = member.Member(
+            settings.instance_id,
+            settings.failure_domain,
+            settings.region,
+            settings.http_url,
+            settings.peer_address,
+            self._identity.store_id,
+            self._files is not None,
+            self._identity.cluster_id,
+            int(self._clock.utcnow().timestamp() * 1000),
+            0,
+            self._revision.number,
+        )
+        self._table = table.Table(own, settings.seeds, self._clock.monotonic())
+
+    def _open_groups(self) -> None:
+        names = {
+            bootstrap.RECORDS,
+            bootstrap.domain_group(self._settings.failure_domain),
+        }
+        if self._files is not None:
+            stored = identity.group_names(self._files, self._identity.store_id)
+            names.update(stored)
+        for name in sorted(names):
+            self._start_group(name)
+
+    def _start_group(self, name: str) -> runner.RaftGroup:
+        running = self._groups.get(name)
+        if running is None:
+            running = runner.RaftGroup(
+                name,
+                self._machines(name),
+                self._peers.client.send,
+                self._forwarder(name),
+                self._clock,
+                self._rng,
+                self._metrics,
+                self._note_stale,
+                self._settings.limits,
+            )
+            self._groups[name] = running
+        current = self._identity
+        if self._files is None:
+            kept: store.Store = self._memory.setdefault(name, store.MemoryStore())
+            initial = self._initial.get(name)
+        else:
+            folder = identity.group_folder(current.store_id, name)
+            kept = store.DiskStore(self._files, folder)
+            initial = formation.read_initial(
+                self._files, current.store_id, name, current.cluster_id
+            )
+        own = message.VoterId(current.instance_id, current.store_id)
+        running.start(
+            kept,
+            runner.Membership(own, self._files is None, current.boot, initial),
+        )
+        return running
+
+    def _discard(self) -> None:
+        """Become a replacement: a new store without any state."""
+        cluster_id = self._identity.cluster_id
+        for running in self._groups.values():
+            running.reset()
+        self._initial = {}
+        self._memory = {}
+        self._plan = None
+        self._stale = False
+        if self._files is None:
+            self._identity = identity.new(
+                self._settings.instance_id, self._rng, cluster_id
+            )
+        else:
+            self._identity = identity.discard(
+                self._files, self._settings.instance_id, self._rng, cluster_id
+            )
+            document.remove(self._files, formation.PLAN)
+            self._revision = revision.reopen(self._files)
+        log.state_change("store.discarded", store_id=self._identity.store_id)
+        if self._table is None:
+            self._make_table()
+        else:
+            self._describe(store_id=self._identity.store_id)
+        self._open_groups()
+
+    def _describe(self, **fields: object) -> None:
+        own = msgspec.structs.replace(self._table.own, **fields)
+        self._step_table(table.Described(own))
+
+    def _note_stale(self) -> None:
+        self._stale = True
+
+    # Membership.
+
+    async def _run_membership(self) -> None:
+        while True:
+            self._step_table(table.Tick())
+            now = self._clock.monotonic()
+            await asyncio.sleep(max(min(self._table.due_s - now, TICK_S), 0.01))
+
+    def _receive_heartbeat(self, sender: str, body: bytes) -> None:
+        heartbeat = codec.unpack(body, member.Heartbeat)
+        if heartbeat.instance_id == sender:
+            self._step_table(table.Received(heartbeat))
+
+    def _step_table(self, event: table.Event) -> None:
+        for effect in self._table.step(event, self._clock.monotonic()):
+            match effect:
+                case table.Send(address=address, heartbeat=heartbeat):
+                    body = codec.pack(heartbeat)
+                    self._peers.client.send_to(address, HEARTBEAT, body)
+                case table.Changed(view=view, before=before):
+                    self._note_member(view, before)
+                case table.Refused(other=other):
+                    self._metrics.increment("member_refused", peer=other.instance_id)
+
+    def _note_member(
+        self, view: member.MemberView, before: member.MemberView | None
+    ) -> None:
+        described = view.member
+        self._peers.client.set_address(described.instance_id, described.peer_address)
+        if before is None or before.status is not view.status:
+            log.state_change(
+                "member.status",
+                instance=described.instance_id,
+                status=view.status.value,
+            )
+
+    # Duties: forming the cluster, joining one, changing members, failed stores.
+
+    async def _run_duties(self) -> None:
+        while True:
+            try:
+                await self._do_duties()
+            except error.StoreFailedError as failure:
+                self._note_store_failure(failure)
+            except errors.MarjoramusherError as failure:
+                if failure.message != self._duty_failure:
+                    log.state_change("manager.duty_failed", error=failure.message)
+                self._duty_failure = failure.message
+            else:
+                self._duty_failure = ""
+            await asyncio.sleep(DUTY_S)
+
+    async def _do_duties(self) -> None:
+        if self._stale:
+            self._discard()
+        self._join()
+        if bootstrap.is_due(
+            self._table.views, self._table.own, self._settings.bootstrap_expect
+        ):
+            self._form()
+        if self._plan is not None:
+            await self._invite()
+        for running in self._groups.values():
+            self._change_members(running)
+        self._reopen_failed()
+
+    def _form(self) -> None:
+        """Decide on the cluster and store the plan before anyone hears of it."""
+        cluster_id = self._rng.randbytes(8).hex()
+        plan = bootstrap.plan((v.member for v in self._table.views), cluster_id)
+        log.state_change("cluster.formed", cluster_id=cluster_id)
+        document.write(self._files, formation.PLAN, plan)
+        self._plan = plan
+        own = bootstrap.voter_id(self._table.own)
+        self._accept(formation.invitation(plan, own))
+
+    async def _invite(self) -> None:
+        """Invite all members of the plan that have not accepted yet."""
+        own = bootstrap.voter_id(self._table.own)
+        if self._plan.cluster_id != self._identity.cluster_id:
+            if self._identity.cluster_id:  # joined another cluster meanwhile
+                self._drop_plan()
+                return
+            self._accept(formation.invitation(self._plan, own))
+        self._invited.add(own)
+        waiting = [m for m in formation.members(self._plan) if m not in self._invited]
+        answers = await asyncio.gather(
+            *(self._invite_one(invited) for invited in waiting)
+        )
+        self._invited.update(m for m, ok in zip(waiting, answers, strict=True) if ok)
+        if all(answers):
+            self._drop_plan()
+
+    async def _invite_one(self, invited: message.VoterId) -> bool:
+        body = codec.pack(formation.invitation(self._plan, invited))
+        try:
+            await self._peers.client.call(
+                invited.instance, formation.METHOD, body, INVITE_S
+            )
+        except errors.MarjoramusherError as failure:
+            # A store that is gone will never accept; its instance is replaced.
+            return failure.code is errors.ErrorCode.STALE_STORE
+        return True
+
+    def _drop_plan(self) -> None:
+        self._plan = None
+        document.remove(self._files, formation.PLAN)
+
+    async def _answer_invitation(self, sender: str, body: bytes) -> bytes:
+        del sender
+        self._accept(codec.unpack(body, formation.Invitation))
+        return b""
+
+    def _accept(self, invitation: formation.Invitation) -> None:
+        """Store the cluster and the first members of the groups, then start them."""
+        current = self._identity
+        if invitation.store_id != current.store_id:
+            raise errors.MarjoramusherError(
+                errors.ErrorCode.STALE_STORE, "the invited store does not exist here"
+            )
+        if current.cluster_id not in ("", invitation.cluster_id):
+            raise errors.BadRequestError("the instance belongs to another cluster")
+        if self._files is not None:
+            formation.write_initial(self._files, current.store_id, invitation)
+        self._initial.update(invitation.groups)
+        self._set_cluster(invitation.cluster_id)
+        for name in invitation.groups:
+            running = self._groups.get(name)
+            if running is None or running.config is None:
+                self._start_group(name)
+
+    def _set_cluster(self, cluster_id: str) -> None:
+        if self._identity.cluster_id == cluster_id:
+            return
+        current = msgspec.structs.replace(self._identity, cluster_id=cluster_id)
+        if self._files is not None:
+            document.write(self._files, identity.PATH, current)
+        self._identity = current
+        self._describe(cluster_id=cluster_id)
+
+    def _join(self) -> None:
+        """Take over the cluster of the others; the leader of the records adds us."""
+        if self._identity.cluster_id or self._plan is not None:
+            return
+        found = {
+            v.member.cluster_id
+            for v in self._table.views
+            if v.status is member.Status.ALIVE
+        } - {""}
+        if len(found) == 1:
+            self._set_cluster(found.pop())
+
+    def _change_members(self, running: runner.RaftGroup) -> None:
+        config = running.config
+        busy = self._changing.get(running.name)
+        if (
+            not running.is_leader
+            or config is None
+            or running.change_pending
+            or (busy is not None and not busy.done())
+        ):
+            return
+        wanted = replacement.next_change(
+            running.name, config, self._joined(), running.may_promote
+        )
+        if wanted is not None:
+            self._changing[running.name] = asyncio.get_running_loop().create_task(
+                self._change(running, wanted)
+            )
+
+    def _joined(self) -> list[member.MemberView]:
+        cluster_id = self._identity.cluster_id
+        return [v for v in self._table.views if v.member.cluster_id == cluster_id]
+
+    async def _change(self, running: runner.RaftGroup, wanted: message.Change) -> None:
+        try:
+            await running.change(wanted, CHANGE_S)
+        except errors.MarjoramusherError:
+            self._metrics.increment("group_change_errors", group=running.name)
+
+    def _reopen_failed(self) -> None:
+        """Start groups again whose store failed, once the disk takes appends."""
+        failed = [r for r in self._groups.values() if r.failure]
+        now = self._clock.monotonic()
+        if not failed or self._files is None or now < self._reopen_s:
+            return
+        self._reopen_s = now + REOPEN_S
+        # The peers know this boot already, so the store counts as started again.
+        current = msgspec.structs.replace(self._identity, boot=self._identity.boot + 1)
+        document.write(self._files, identity.PATH, current)
+        self._identity = current
+        for running in failed:
+            try:
+                self._start_group(running.name)
+            except error.StoreCorruptError as failure:
+                log.state_change("store.corrupt", error=failure.message)
+                self._stale = True
+                return
+        self._store_failure = ""
+
+    def _note_store_failure(self, failure: error.StoreFailedError) -> None:
+        if failure.message != self._store_failure:
+            log.state_change("store.failed", error=failure.message)
+        self._store_failure = failure.message
+
+    # Calls of peers.
+
+    def _receive_raft(self, sender: str, body: bytes) -> None:
+        received = codec.unpack(body, message.AnyMessage)
+        own = message.VoterId(self._identity.instance_id, self._identity.store_id)
+        if received.sender.instance != sender or received.receiver != own:
+            self._metrics.increment("raft_misdirected", peer=sender)
+            return
+        running = self._groups.get(received.group)
+        if running is None:
+            if not self._identity.cluster_id or not _is_group(received.group):
+                return
+            running = self._start_group(received.group)
+        running.receive(received)
+
+    async def _answer_propose(self, sender: str, body: bytes) -> bytes:
+        del sender
+        call = codec.unpack(body, forward.Forwarded)
+        return await self._propose_here(call.group, call.command, call.timeout_s)
+
+    async def _answer_barrier(self, sender: str, body: bytes) -> bytes:
+        del sender
+        call = codec.unpack(body, forward.Forwarded)
+        return await self._barrier_here(call.group, call.timeout_s)
+
+    async def _answer_status(self, sender: str, body: bytes) -> bytes:
+        del sender, body
+        return codec.pack(self.status)
+
+    async def _propose_here(self, name: str, command: bytes, timeout_s: float) -> bytes:
+        return await self._running(name).propose_here(command, timeout_s)
+
+    async def _barrier_here(self, name: str, timeout_s: float) -> bytes:
+        return await self._running(name).barrier_here(timeout_s)
+
+    def _running(self, name: str) -> runner.RaftGroup:
+        running = self._groups.get(name)
+        if running is None:
+            raise errors.NotLeaderError(None)
+        return running
+
+    def _forwarder(self, name: str) -> forward.Forwarder:
+        async def local(method: str, command: bytes, timeout_s: float) -> bytes:
+            if method == forward.PROPOSE:
+                return await self._propose_here(name, command, timeout_s)
+            return await self._barrier_here(name, timeout_s)
+
+        return forward.Forwarder(
+            name,
+            self._settings.instance_id,
+            self._peers.client,
+            self._clock,
+            lambda: self._candidates(name),
+            local,
+            self._rng,
+        )
+
+    def _candidates(self, name: str) -> list[str]:
+        """Return instances that may know the leader of a group, best first."""
+        domain = name.removeprefix(bootstrap.DOMAIN_PREFIX)
+        own = self._settings.instance_id
+        views = [v for v in self._table.views if v.member.instance_id != own]
+        views.sort(
+            key=lambda v: (
+                v.status is not member.Status.ALIVE,
+                v.member.failure_domain != domain,
+                not v.member.has_disk,
+            )
+        )
+        return [v.member.instance_id for v in views]
+
+
+def make_manager(
+    settings: Settings,
+    time: clock.Clock,
+    rng: random.Random,
+    peer: peers.Peers,
+    values: metrics.Metrics,
+    machines: dict[str, machine.Machine] | Callable[[str], machine.Machine],
+    files: filesystem.FileSystem | None = None,
+) -> GroupManager:
+    """Make the manager of an instance.
+
+    Parameters
+    ----------
+    machines : dict or callable
+        Machines by group name. An instance may become the third voter of any
+        domain, so a callable is needed wherever there is more than one.
+    files : FileSystem or None
+        Overrides the data folder of the settings; for tests.
+    """
+    if isinstance(machines, dict):
+        machines = machines.__getitem__
+    if files is None and settings.data_folder is not None:
+        files = filesystem.DiskFileSystem(settings.data_folder)
+    return GroupManager(settings, time, rng, peer, values, machines, files)
+
+
+def _is_group(name: str) -> bool:
+    return name == bootstrap.RECORDS or name.startswith(bootstrap.DOMAIN_PREFIX)
--- /dev/null
+++ b/marjoramusher/groups/runner.py
@@ -0,0 +1,620 @@
+"""Run one member of a consensus group on a store and the peer transport."""
+
+import asyncio
+import collections
+import random
+from collections.abc import Callable
+
+import msgspec
+import reactivex
+import reactivex.subject
+
+from ..consensus import machine, message, node, state
+from ..core import clock, codec, errors
+from ..storage import error as store_error
+from ..storage import store
+from ..telemetry import log, metrics
+from . import batch, forward, recovery
+
+RAFT = "raft"
+SNAPSHOT_ENTRIES = 4096
+SNAPSHOT_BYTES = 8 * 1024 * 1024
+TIMER_GRID_S = 0.025  # lets heartbeats of several groups share a wake-up
+IDLE_S = 1.0
+
+
+class Limits(msgspec.Struct, frozen=True):
+    """When a snapshot is taken, and the constants of the node."""
+
+    snapshot_entries: int = SNAPSHOT_ENTRIES
+    snapshot_bytes: int = SNAPSHOT_BYTES
+    node: state.Settings = state.Settings()
+
+
+class Membership(msgspec.Struct, frozen=True):
+    """As what an instance takes part in a group.
+
+    Parameters
+    ----------
+    initial : GroupConfig or None
+        Members of a group that starts now.
+    boot : int
+        Boot counter of the store.
+    """
+
+    own: message.VoterId
+    diskless: bool
+    boot: int
+    initial: message.GroupConfig | None = None
+
+
+class GroupStatus(msgspec.Struct, frozen=True):
+    """State of a group at this instance."""
+
+    name: str
+    role: message.Role
+    term: int
+    leader: str | None
+    commit_index: int
+    applied_index: int
+    registered: bool
+    failure: str
+    config: message.GroupConfig | None
+
+
+class _Proposal(msgspec.Struct):
+    proposal_id: int
+    result: asyncio.Future
+    accepted: bool = False
+
+
+class RaftGroup:
+    """A member of a group: voter, learner, or one that waits for its leader.
+
+    Events are collected and stepped together once in each turn of the loop, so that
+    they share one sync. The sync blocks the loop: there is one thread.
+
+    Parameters
+    ----------
+    name : str
+        Name of the group.
+    replicated : Machine
+        Machine that gets the committed commands.
+    send : callable
+        ``send(instance_id, method, body)`` sends a one-way message.
+    forwarder : Forwarder
+        Carries calls to the leader.
+    on_stale : callable
+        Called when a peer shows that the store is an old copy.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        replicated: machine.Machine,
+        send: Callable[[str, str, bytes], None],
+        forwarder: forward.Forwarder,
+        time: clock.Clock,
+        rng: random.Random,
+        values: metrics.Metrics,
+        on_stale: Callable[[], None],
+        limits: Limits | None = None,
+    ) -> None:
+        self._name = name
+        self._machine = replicated
+        self._send = send
+        self._forwarder = forwarder
+        self._clock = time
+        self._rng = rng
+        self._metrics = values
+        self._on_stale = on_stale
+        self._limits = limits or Limits()
+        self._empty = replicated.snapshot()
+        self._node: node.Node | None = None
+        self._store: store.Store | None = None
+        self._membership: Membership | None = None
+        self._failure = ""
+        self._applied_index = 0
+        self._entries_since = 0
+        self._bytes_since = 0
+        self._events: list[message.Event] = []
+        self._proposed: list[message.Propose] = []
+        self._scheduled = False
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_s = float("inf")
+        self._next_id = 1
+        self._pending: dict[int, _Proposal] = {}
+        self._accepted: dict[int, tuple[int, _Proposal]] = {}
+        self._reads: dict[int, asyncio.Future] = {}
+        self._waiting: collections.deque[tuple[int, asyncio.Future]] = (
+            collections.deque()
+        )
+        self._applied: reactivex.Subject[int] = reactivex.subject.Subject()
+        self._roles: reactivex.Subject[message.RoleChanged] = (
+            reactivex.subject.Subject()
+        )
+
+    @property
+    def name(self) -> str:
+        """Return the name of the group."""
+        return self._name
+
+    @property
+    def is_leader(self) -> bool:
+        """Tell whether this instance leads with a fresh quorum."""
+        return self._node is not None and self._node.has_fresh_quorum(
+            self._clock.monotonic()
+        )
+
+    @property
+    def leader(self) -> str | None:
+        """Return the instance id of the known leader."""
+        known = self._node.leader if self._node else None
+        return known.instance if known else None
+
+    @property
+    def applied_index(self) -> int:
+        """Return the index of the last applied entry."""
+        return self._applied_index
+
+    @property
+    def applied(self) -> reactivex.Observable[int]:
+        """Return the stream of applied indexes, one for each batch."""
+        return self._applied
+
+    @property
+    def roles(self) -> reactivex.Observable[message.RoleChanged]:
+        """Return the stream of role changes."""
+        return self._roles
+
+    @property
+    def config(self) -> message.GroupConfig | None:
+        """Return the members in force, ``None`` if the group is not known yet."""
+        return self._node.config if self._node else None
+
+    @property
+    def failure(self) -> str:
+        """Return why the group takes no part, empty if it does."""
+        return self._failure
+
+    @property
+    def status(self) -> GroupStatus:
+        """Return the state of the group at this instance."""
+        current = self._node
+        return GroupStatus(
+            self._name,
+            current.role if current else message.Role.LEARNER,
+            current.term if current else 0,
+            self.leader,
+            current.commit_index if current else 0,
+            self._applied_index,
+            current.registered if current else False,
+            self._failure,
+            self.config,
+        )
+
+    def start(self, kept: store.Store, membership: Membership) -> None:
+        """Take part with what a store holds; call it again after a failure.
+
+        What the machine has applied is kept: a committed entry never changes.
+
+        Raises
+        ------
+        StoreCorruptError
+            If the store is damaged.
+        StoreFailedError
+            If the store can't be read.
+        """
+        self.stop()
+        loaded = kept.load()
+        self._store = kept
+        self._membership = membership
+        self._failure = ""
+        if loaded.snapshot and loaded.snapshot.index > self._applied_index:
+            self._machine.restore(loaded.snapshot.data)
+            self._applied_index = loaded.snapshot.index
+        self._entries_since = 0
+        self._bytes_since = 0
+        self._node = node.make_node(
+            self._name,
+            membership.own,
+            recovery.node_state(loaded, membership.boot),
+            membership.initial,
+            diskless=membership.diskless,
+            rng=self._rng,
+            now=self._clock.monotonic(),
+            settings=self._limits.node,
+        )
+        self._schedule()
+        if self._applied_index:
+            self._applied.on_next(self._applied_index)
+
+    def stop(self) -> None:
+        """Take no more part and release the store."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+            self._timer_s = float("inf")
+        self._events.clear()
+        self._proposed.clear()
+        self._abandon("the group stops at this instance")
+        if self._node is not None:
+            was = self._node.role
+            self._node = None
+            if was is message.Role.LEADER:
+                self._roles.on_next(message.RoleChanged(message.Role.FOLLOWER, 0, None))
+        if self._store is not None:
+            self._store.close()
+            self._store = None
+
+    def reset(self) -> None:
+        """Stop and forget all that was applied, before a start with a new store."""
+        self.stop()
+        self._machine.restore(self._empty)
+        self._applied_index = 0
+
+    def recover_with_loss(self) -> message.GroupConfig:
+        """Go on as the only voter after the permanent loss of the others."""
+        kept, membership = self._store, self._membership
+        if kept is None or membership is None:
+            raise errors.NoQuorumError(f"{self._name} has no state at this instance")
+        self.stop()
+        config = recovery.recover_with_loss(kept, membership.own, membership.initial)
+        self.start(kept, membership)
+        return config
+
+    def receive(self, received: message.AnyMessage) -> None:
+        """Take a message of a peer."""
+        if self._node is not None:
+            self._events.append(message.Receive(received))
+            self._schedule()
+
+    async def propose(self, command: bytes, timeout_s: float) -> bytes:
+        """Commit a command, here or at the leader, and return its result."""
+        return await self._forwarder.call(
+            forward.PROPOSE, command, timeout_s, lambda: self.leader
+        )
+
+    async def barrier(self, timeout_s: float) -> None:
+        """Wait until the local machine holds all that was committed before."""
+        deadline_s = self._clock.monotonic() + timeout_s
+        answer = await self._forwarder.call(
+            forward.BARRIER, b"", timeout_s, lambda: self.leader
+        )
+        index = codec.unpack(answer, int)
+        if index > self._applied_index:
+            future = asyncio.get_running_loop().create_future()
+            self._waiting.append((index, future))
+            await self._await(future, deadline_s - self._clock.monotonic())
+
+    async def propose_here(self, command: bytes, timeout_s: float) -> bytes:
+        """Commit a command as leader.
+
+        Raises
+        ------
+        NotLeaderError
+            If this instance does not lead.
+        NoQuorumError
+            With outcome ``unknown`` if the command may still be committed.
+        """
+        proposal = self._proposal()
+        self._proposed.append(message.Propose(proposal.proposal_id, command))
+        self._schedule()
+        return await self._await_proposal(proposal, timeout_s)
+
+    async def change(self, wanted: message.Change, timeout_s: float) -> None:
+        """Commit a change of members as leader."""
+        proposal = self._proposal()
+        self._events.append(
+            msgspec.structs.replace(wanted, proposal_id=proposal.proposal_id)
+        )
+        self._schedule()
+        await self._await_proposal(proposal, timeout_s)
+
+    async def barrier_here(self, timeout_s: float) -> bytes:
+        """Confirm leadership and return the packed index to wait for."""
+        if self._node is None:
+            raise errors.NotLeaderError(None)
+        read_id = self._next_id
+        self._next_id += 1
+        future = asyncio.get_running_loop().create_future()
+        self._reads[read_id] = future
+        self._events.append(message.ReadBarrier(read_id))
+        self._schedule()
+        try:
+            return codec.pack(await self._await(future, timeout_s))
+        finally:
+            self._reads.pop(read_id, None)
+
+    def may_promote(self, learner: message.VoterId) -> bool:
+        """Tell, at the leader, whether a learner has caught up."""
+        return self._node is not None and self._node.catch_up_done(
+            learner, self._clock.monotonic()
+        )
+
+    @property
+    def change_pending(self) -> bool:
+        """Tell whether a change of members is not committed yet."""
+        return self._node is not None and self._node.change_pending
+
+    def _proposal(self) -> _Proposal:
+        if self._node is None:
+            raise errors.NotLeaderError(None)
+        proposal = _Proposal(self._next_id, asyncio.get_running_loop().create_future())
+        self._next_id += 1
+        self._pending[proposal.proposal_id] = proposal
+        return proposal
+
+    async def _await_proposal(self, proposal: _Proposal, timeout_s: float) -> bytes:
+        try:
+            return await self._await(proposal.result, timeout_s)
+        except errors.NoQuorumError as failure:
+            if proposal.accepted and proposal.result.cancelled():
+                raise errors.NoQuorumError(
+                    failure.message, errors.Outcome.UNKNOWN
+                ) from failure
+            raise
+        finally:
+            self._pending.pop(proposal.proposal_id, None)
+
+    async def _await(self, future: asyncio.Future, timeout_s: float) -> object:
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await future
+        except TimeoutError as failure:
+            raise errors.NoQuorumError(
+                f"{self._name} did not answer in time"
+            ) from failure
+
+    def _schedule(self) -> None:
+        if not self._scheduled:
+            self._scheduled = True
+            asyncio.get_running_loop().call_soon(self._run)
+
+    def _run(self) -> None:
+        """Step all collected events and carry out their effects together."""
+        self._scheduled = False
+        if self._node is None:
+            return
+        events: list[message.Event] = self._events
+        self._events = []
+        if self._proposed:
+            # A proposal whose caller has given up is not made.
+            wanted = tuple(p for p in self._proposed if p.proposal_id in self._pending)
+            self._proposed = []
+            events.append(message.ProposeBatch(wanted))
+        now = self._clock.monotonic()
+        events.append(message.Tick())
+        try:
+            effects = [e for event in events for e in self._node.step(event, now)]
+            for persist, others in batch.split(effects):
+                self._persist(persist)
+                for effect in others:
+                    self._carry_out(effect)
+            self._take_snapshot()
+        except store_error.StoreFailedError as failure:
+            self._fail(failure)
+        except errors.MarjoramusherError as failure:
+            # The stores of the group contradict each other: taking part any longer
+            # could only spread it.
+            self._fail(failure)
+            return
+        self._set_timer()
+
+    def _persist(self, persist: message.Persist | None) -> None:
+        if persist is not None:
+            self._store.append(
+                persist.hard_state,
+                persist.truncate_from,
+                persist.entries,
+                persist.boots,
+            )
+
+    def _carry_out(self, effect: message.Effect) -> None:
+        match effect:
+            case message.Send(message=sent):
+                self._send(sent.receiver.instance, RAFT, codec.pack(sent))
+            case message.Commit(entries=entries):
+                self._apply(entries)
+            case message.ProposalAccepted(proposal_id=proposal_id):
+                proposal = self._pending.get(proposal_id)
+                if proposal is not None:
+                    proposal.accepted = True
+                    self._accepted[effect.index] = (effect.term, proposal)
+            case message.ProposalRefused():
+                self._refuse(effect)
+            case message.ReadReady(read_id=read_id, index=index):
+                _resolve(self._reads.get(read_id), index)
+            case message.ReadRefused(read_id=read_id, leader=leader):
+                _reject(self._reads.get(read_id), _not_leader(leader))
+            case message.RestoreSnapshot():
+                self._restore(effect)
+            case message.RoleChanged():
+                log.state_change(
+                    "group.role",
+                    group=self._name,
+                    role=effect.role.value,
+                    term=effect.term,
+                    leader=effect.leader.instance if effect.leader else "",
+                )
+                self._roles.on_next(effect)
+            case message.ConfigChanged(config=config):
+                log.state_change(
+                    "group.config",
+                    group=self._name,
+                    voters=[v.instance for v in config.voters],
+                    learners=[v.instance for v in config.learners],
+                )
+            case message.StaleStore():
+                log.state_change("group.stale_store", group=self._name)
+                self._failure = "the store is an old copy"
+                self._on_stale()
+
+    def _apply(self, entries: tuple[message.Entry, ...]) -> None:
+        for entry in entries:
+            if entry.index <= self._applied_index:
+                continue
+            result: bytes | errors.MarjoramusherError = b""
+            if entry.kind is message.EntryKind.COMMAND:
+                result = self._apply_command(entry)
+            self._applied_index = entry.index
+            self._entries_since += 1
+            self._bytes_since += len(entry.payload)
+            term, proposal = self._accepted.pop(entry.index, (0, None))
+            if proposal is None:
+                continue
+            if term != entry.term:
+                _reject(
+                    proposal.result,
+                    errors.NoQuorumError("a new leader dropped the command"),
+                )
+            elif isinstance(result, bytes):
+                _resolve(proposal.result, result)
+            else:
+                _reject(proposal.result, result)
+        self._announce()
+
+    def _apply_command(self, entry: message.Entry) -> bytes | errors.MarjoramusherError:
+        """Apply one command; a faulty one must not stop the group."""
+        try:
+            return self._machine.apply(entry.index, entry.payload)
+        except errors.MarjoramusherError as failure:
+            result = failure
+        except Exception as failure:
+            result = errors.MarjoramusherError(
+                errors.ErrorCode.INTERNAL,
+                "the command can't be applied",
+                errors.Outcome.UNKNOWN,
+            )
+            log.state_change(
+                "group.apply_failed",
+                group=self._name,
+                index=entry.index,
+                error=repr(failure),
+            )
+        self._metrics.increment("group_apply_errors", group=self._name)
+        return result
+
+    def _announce(self) -> None:
+        still: collections.deque[tuple[int, asyncio.Future]] = collections.deque()
+        for index, future in self._waiting:
+            if index <= self._applied_index:
+                _resolve(future, None)
+            elif not future.done():
+                still.append((index, future))
+        self._waiting = still
+        self._applied.on_next(self._applied_index)
+
+    def _restore(self, snapshot: message.RestoreSnapshot) -> None:
+        self._store.save_snapshot(
+            snapshot.index, snapshot.term, snapshot.config, snapshot.data
+        )
+        self._store.compact(snapshot.index)
+        for index in [i for i in self._accepted if i <= snapshot.index]:
+            _, proposal = self._accepted.pop(index)
+            _reject(proposal.result, _unknown("the log was replaced by a snapshot"))
+        if snapshot.index > self._applied_index:
+            self._machine.restore(snapshot.data)
+            self._applied_index = snapshot.index
+            self._announce()
+        self._entries_since = 0
+        self._bytes_since = 0
+
+    def _take_snapshot(self) -> None:
+        if (
+            self._entries_since < self._limits.snapshot_entries
+            and self._bytes_since < self._limits.snapshot_bytes
+        ):
+            return
+        index = self._applied_index
+        term = self._node.term_at(index)
+        config = self._node.config_at(index)
+        if term is None or config is None:
+            return
+        data = self._machine.snapshot()
+        self._store.save_snapshot(index, term, config, data)
+        self._store.compact(index)
+        self._entries_since = 0
+        self._bytes_since = 0
+        self._metrics.increment("group_snapshots", group=self._name)
+        self._events.append(message.Compacted(index, data))
+        self._schedule()
+
+    def _refuse(self, refused: message.ProposalRefused) -> None:
+        proposal = self._pending.get(refused.proposal_id)
+        if proposal is None:
+            return
+        match refused.error:
+            case errors.ErrorCode.NOT_LEADER:
+                error = _not_leader(refused.leader)
+            case errors.ErrorCode.NO_QUORUM:
+                error = errors.NoQuorumError(f"{self._name} has no fresh quorum")
+            case _:
+                error = errors.MarjoramusherError(
+                    refused.error, f"{self._name} refused the proposal"
+                )
+        _reject(proposal.result, error)
+
+    def _fail(self, failure: errors.MarjoramusherError) -> None:
+        """Take no more part: no vote, no acknowledgement, no leadership."""
+        self._failure = failure.message
+        self._metrics.increment("group_failures", group=self._name)
+        log.state_change("group.failed", group=self._name, error=failure.message)
+        now = self._clock.monotonic()
+        for effect in self._node.step(message.StoreFailed(), now):
+            if isinstance(effect, message.RoleChanged | message.ProposalRefused):
+                self._carry_out(effect)
+        self._abandon(failure.message)
+
+    def _abandon(self, reason: str) -> None:
+        """Answer all callers that wait."""
+        for proposal in self._pending.values():
+            if proposal.accepted:
+                _reject(proposal.result, _unknown(reason))
+            else:
+                _reject(proposal.result, errors.NotLeaderError(None))
+        self._accepted.clear()
+        for future in self._reads.values():
+            _reject(future, errors.NotLeaderError(None))
+
+    def _set_timer(self) -> None:
+        now = self._clock.monotonic()
+        due_s = min(self._node.due_s, now + IDLE_S)
+        if self._timer is not None:
+            if self._timer_s <= due_s:
+                return  # it fires early and is set again
+            self._timer.cancel()
+        self._timer_s = max(due_s, now)
+        delay_s = self._timer_s - now
+        grid_s = TIMER_GRID_S - (now + delay_s) % TIMER_GRID_S
+        self._timer = asyncio.get_running_loop().call_later(
+            delay_s + grid_s, self._fire
+        )
+
+    def _fire(self) -> None:
+        self._timer = None
+        self._timer_s = float("inf")
+        if self._node is None:
+            return
+        if self._node.due_s <= self._clock.monotonic():
+            self._run()
+        else:
+            self._set_timer()
+
+
+def _resolve(future: asyncio.Future | None, value: object) -> None:
+    if future is not None and not future.done():
+        future.set_result(value)
+
+
+def _reject(future: asyncio.Future | None, error: Exception) -> None:
+    if future is not None and not future.done():
+        future.set_exception(error)
+
+
+def _unknown(reason: str) -> errors.NoQuorumError:
+    return errors.NoQuorumError(reason, errors.Outcome.UNKNOWN)
+
+
+def _not_leader(leader: message.VoterId | None) -> errors.NotLeaderError:
+    return errors.NotLeaderError(leader.instance if leader else None)
--- a/marjoramusher/storage/document.py
+++ b/marjoramusher/storage/document.py
@@ -61,3 +61,14 @@
         return codec.unpack(frame.single(path, data), kind)
     except errors.BadRequestError as failure:
         raise error.StoreCorruptError(path, failure.message) from failure
+
+
+def remove(files: filesystem.FileSystem, path: str) -> None:
+    """Remove a file durably, if it exists."""
+    folder = posixpath.dirname(path)
+    try:
+        if posixpath.basename(path) in files.names(folder):
+            files.remove(path)
+            files.sync_folder(folder)
+    except OSError as failure:
+        raise error.StoreFailedError(f"{path}: {failure}") from failure
--- a/marjoramusher/storage/filesystem.py
+++ b/marjoramusher/storage/filesystem.py
@@ -1,9 +1,14 @@
 """File operations of the store, behind a protocol so that tests inject faults."""
 
+import fcntl
 import os
 import shutil
 from typing import Protocol
 
+from . import error
+
+LOCK = "lock"
+
 
 class File(Protocol):
     """A file that is open for appending."""
@@ -24,6 +29,18 @@
 class FileSystem(Protocol):
     """Operations on files below one data folder; names are relative to it."""
 
+    def lock(self) -> None:
+        """Keep other processes from using the data folder.
+
+        Raises
+        ------
+        StoreFailedError
+            If another process uses it.
+        """
+
+    def unlock(self) -> None:
+        """Let other processes use the data folder."""
+
     def make_folder(self, folder: str) -> None:
         """Make a folder and its parents if missing, durably."""
 
@@ -82,10 +99,31 @@
         The data folder.
     """
 
-    __slots__ = ("_root",)
+    __slots__ = ("_lock", "_root")
 
     def __init__(self, root: str) -> None:
         self._root = root
+        self._lock: int | None = None
+
+    def lock(self) -> None:
+        """Keep other processes from using the data folder."""
+        try:
+            self.make_folder("")
+            self._lock = os.open(
+                self._path(LOCK), os.O_WRONLY | os.O_CREAT | os.O_CLOEXEC, 0o600
+            )
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as failure:
+            self.unlock()
+            raise error.StoreFailedError(
+                f"the data folder can't be locked: {failure}"
+            ) from failure
+
+    def unlock(self) -> None:
+        """Let other processes use the data folder."""
+        if self._lock is not None:
+            os.close(self._lock)
+            self._lock = None
 
     def make_folder(self, folder: str) -> None:
         """Make a folder and its parents if missing, durably."""
--- a/marjoramusher/storage/memory.py
+++ b/marjoramusher/storage/memory.py
@@ -51,6 +51,12 @@
         """Shorten a file."""
         del self._names[path].data[size:]
 
+    def lock(self) -> None:
+        """Do nothing."""
+
+    def unlock(self) -> None:
+        """Do nothing."""
+
     def make_folder(self, folder: str) -> None:
         """Make a folder."""
         self.check("make_folder")
--- a/marjoramusher/storage/revision.py
+++ b/marjoramusher/storage/revision.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from . import document, filesystem
+from . import document, error, filesystem
 
 PATH = "revision"
 
@@ -48,3 +48,12 @@
             document.write(self._files, PATH, Revision(number))
         self._number = number
         return True
+
+
+def reopen(files: filesystem.FileSystem) -> RevisionFile:
+    """Return the stored revision after damage; a damaged file counts as none."""
+    try:
+        return RevisionFile(files)
+    except error.StoreCorruptError:
+        document.remove(files, PATH)
+        return RevisionFile(files)
