Serve the operators' interface

Operators need to write, read, watch and roll back records over HTTP.

A write is answered once it is readable at the instance that took it, or after one second.

--- /dev/null
+++ b/marjoramusher/operators/records.py
@@ -0,0 +1,257 @@
+"""Handlers for operators' records."""
+
+import contextlib
+from collections.abc import Awaitable, Callable, Collection
+from typing import Annotated, Any, TypeAlias
+
+import msgspec
+from aiohttp import web
+
+from ..core import clock, errors
+from ..http import body
+from ..http import errors as http_errors
+from ..records import command, machine, schema, view
+from ..telemetry import log
+from . import watch
+
+PROPOSE_TIMEOUT_S = 5.0  # covers an election of the records group
+LOCAL_TIMEOUT_S = 1.0  # after it, a write is answered before it is readable here
+MAX_WAIT_S = 60.0
+MAX_REVISION = 2**62
+MAX_OPERATOR_CHARS = 128
+
+Propose: TypeAlias = Callable[[bytes, float], Awaitable[bytes]]
+OperationId = Annotated[str, msgspec.Meta(pattern=r"^[!-~]{1,128}\Z")]
+Revision = Annotated[int, msgspec.Meta(ge=0, le=MAX_REVISION)]
+
+
+class ApplyRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of ``POST /v1/records/apply``.
+
+    The records stay undecoded here, so that all their faults are told together.
+    """
+
+    operation_id: OperationId
+    records: list[msgspec.Raw]
+    dry_run: bool = False
+
+
+class RollbackRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of ``POST /v1/records/rollback``."""
+
+    operation_id: OperationId
+    to_revision: Revision
+    replaces_revision: Revision
+    only: list[command.Reference] = []
+    dry_run: bool = False
+
+
+class RecordList(msgspec.Struct, frozen=True):
+    """Answer of ``GET /v1/records``.
+
+    Parameters
+    ----------
+    complete : bool
+        False if only the records written after `since` are given; deleted ones among
+        them have no `spec`.
+    """
+
+    revision: int
+    oldest_revision: int
+    complete: bool
+    records: list[view.Record]
+
+
+class DifferenceList(msgspec.Struct, frozen=True):
+    """Answer of ``GET /v1/records/diff``."""
+
+    from_revision: int
+    to_revision: int
+    differences: list[view.Difference]
+
+
+class RecordHandlers:
+    """Serve reads from this instance and hand writes to the records group.
+
+    Parameters
+    ----------
+    propose : callable
+        Commits a command and returns the machine's result.
+    failure_domains : callable
+        Failure domains that this instance knows now.
+    """
+
+    __slots__ = ("_clock", "_failure_domains", "_propose", "_records", "_watch")
+
+    def __init__(
+        self,
+        propose: Propose,
+        records: machine.RecordsMachine,
+        revisions: watch.Watch,
+        time: clock.Clock,
+        failure_domains: Callable[[], Collection[str]],
+    ) -> None:
+        self._propose = propose
+        self._records = records
+        self._watch = revisions
+        self._clock = time
+        self._failure_domains = failure_domains
+
+    async def apply(self, request: web.Request) -> web.Response:
+        """Write several records as one change, or tell what that would do."""
+        body.check_query(request)
+        asked = await body.read_json(request, ApplyRequest)
+        return await self._write(
+            command.Apply(
+                asked.operation_id,
+                _operator(request),
+                self._clock.utcnow().timestamp(),
+                tuple(sorted(self._failure_domains())),
+                tuple(bytes(raw) for raw in asked.records),
+            ),
+            asked.dry_run,
+        )
+
+    async def roll_back(self, request: web.Request) -> web.Response:
+        """Write the records of an earlier revision as a new one."""
+        body.check_query(request)
+        asked = await body.read_json(request, RollbackRequest)
+        return await self._write(
+            command.Rollback(
+                asked.operation_id,
+                _operator(request),
+                self._clock.utcnow().timestamp(),
+                asked.to_revision,
+                asked.replaces_revision,
+                tuple(asked.only),
+            ),
+            asked.dry_run,
+        )
+
+    async def list_records(self, request: web.Request) -> web.Response:
+        """Return all records, or wait for those written after a revision."""
+        body.check_query(request, "kind", "schema", "revision", "since", "wait_s")
+        number = _schema(request)
+        kind = _kind(request.query["kind"]) if "kind" in request.query else None
+        since = body.query_int(request, "since", -1, MAX_REVISION)
+        if since >= 0:
+            return await self._changes(request, kind, number, since)
+        revision = body.query_int(request, "revision", -1, MAX_REVISION)
+        shown = self._records.revision if revision < 0 else revision
+        if _matches(request, shown):
+            return _not_modified(shown)
+        records = self._records.records(kind, number, None if revision < 0 else shown)
+        return self._list_response(shown, True, records)
+
+    async def get(self, request: web.Request) -> web.Response:
+        """Return one record."""
+        body.check_query(request, "schema")
+        kind = _kind(request.match_info["kind"])
+        found = self._records.record(kind, request.match_info["name"], _schema(request))
+        if _matches(request, found.version):
+            return _not_modified(found.version)
+        return http_errors.json_response(found, ETag=_etag(found.version))
+
+    async def history(self, request: web.Request) -> web.Response:
+        """Return the retained versions of one record, newest first."""
+        body.check_query(request, "schema")
+        kind = _kind(request.match_info["kind"])
+        versions = self._records.versions(
+            kind, request.match_info["name"], _schema(request)
+        )
+        return http_errors.json_response({"versions": versions})
+
+    async def diff(self, request: web.Request) -> web.Response:
+        """Return how two revisions differ; ``to`` is the latest if missing."""
+        body.check_query(request, "from", "to")
+        if "from" not in request.query:
+            raise errors.BadRequestError("query parameter 'from' is required")
+        before = body.query_int(request, "from", 0, MAX_REVISION)
+        after = body.query_int(request, "to", self._records.revision, MAX_REVISION)
+        return http_errors.json_response(
+            DifferenceList(before, after, self._records.differences(before, after))
+        )
+
+    async def _changes(
+        self, request: web.Request, kind: schema.Kind | None, number: int, since: int
+    ) -> web.Response:
+        wait_s = body.query_seconds(request, "wait_s", 0.0, MAX_WAIT_S)
+        await self._watch.reached(since + 1, wait_s)
+        revision = self._records.revision
+        if revision <= since:
+            return self._list_response(revision, False, [])
+        changed = self._records.changed_since(since, number)
+        if changed is None:
+            records = self._records.records(kind, number)
+            return self._list_response(revision, True, records)
+        records = [one for one in changed if kind is None or one.kind is kind]
+        return self._list_response(revision, False, records)
+
+    async def _write(self, asked: command.Command, dry_run: bool) -> web.Response:
+        if dry_run:
+            preview = self._records.preview(asked)
+            if preview.error is not None:
+                raise errors.from_body(preview.error)
+            return http_errors.json_response(preview)
+        data = await self._propose(command.encode(asked), PROPOSE_TIMEOUT_S)
+        applied = command.accepted(data)
+        log.state_change(
+            "records.applied",
+            revision=applied.revision,
+            operation_id=applied.operation_id,
+            operator=asked.operator,
+            records=len(applied.records),
+        )
+        # The leader may be another instance; the operator's next read here should
+        # see the change. The change is accepted in any case.
+        if self._records.revision < applied.revision:
+            with contextlib.suppress(errors.MarjoramusherError):
+                await self._watch.reached(applied.revision, LOCAL_TIMEOUT_S)
+        return http_errors.json_response(applied)
+
+    def _list_response(
+        self, revision: int, complete: bool, records: list[view.Record]
+    ) -> web.Response:
+        answer = RecordList(revision, self._records.oldest_revision, complete, records)
+        headers: dict[str, Any] = {"ETag": _etag(revision)} if complete else {}
+        return http_errors.json_response(answer, **headers)
+
+
+def _operator(request: web.Request) -> str:
+    name = request.headers.get("X-Operator", "operator")
+    if not (0 < len(name) <= MAX_OPERATOR_CHARS and name.isprintable()):
+        raise errors.BadRequestError(
+            f"X-Operator must have 1 to {MAX_OPERATOR_CHARS} printable characters"
+        )
+    # Bytes that are not UTF-8 reach headers as lone surrogates.
+    return name.encode(errors="replace").decode()
+
+
+def _kind(text: str) -> schema.Kind:
+    try:
+        return schema.Kind(text)
+    except ValueError:
+        known = ", ".join(kind.value for kind in schema.Kind)
+        raise errors.MarjoramusherError(
+            errors.ErrorCode.NOT_FOUND,
+            f"there is no kind {text[:32]!r}; kinds are {known}",
+        ) from None
+
+
+def _schema(request: web.Request) -> int:
+    number = body.query_int(request, "schema", schema.LATEST, MAX_REVISION)
+    if number not in schema.SCHEMAS:
+        raise errors.BadRequestError(f"schema {number} is not known; 1 and 2 are")
+    return number
+
+
+def _etag(version: int) -> str:
+    return f'"{version}"'
+
+
+def _matches(request: web.Request, version: int) -> bool:
+    return any(tag.value == str(version) for tag in request.if_none_match or ())
+
+
+def _not_modified(version: int) -> web.Response:
+    return web.Response(status=304, headers={"ETag": _etag(version)})
