--- /dev/null
+++ b/marjoramusher/callers/engine.py
@@ -0,0 +1,309 @@
+"""Carries out the effects of a routing policy on the event loop."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable, Iterable
+
+import msgspec
+
+from ..core import announcement, clock, errors, record
+from ..routing import effect, grants, policy, request, target
+from ..targets import dispatch
+from ..telemetry import metrics
+from . import answer as answers
+from . import forwarding
+
+BUSY_TICK_S = 0.05
+IDLE_TICK_S = 0.5
+WHOLE_BYTES = 64 * 1024  # shorter answers are read whole and may be tried again
+
+
+Forward = Callable[[str, request.Request, dispatch.TargetRequest], AsyncIterator[bytes]]
+"""Forwards to a failure domain and yields the frames of `forwarding.frames`."""
+
+
+class _Pending:
+    __slots__ = ("aborted", "answer", "asked", "sent", "tasks")
+
+    def __init__(
+        self,
+        asked: request.Request,
+        sent: dispatch.TargetRequest,
+        answer: asyncio.Future[answers.Answer],
+    ) -> None:
+        self.asked = asked
+        self.sent = sent
+        self.answer = answer
+        self.tasks: dict[int, asyncio.Task] = {}
+        self.aborted: errors.MarjoramusherError | None = None
+
+
+class Engine:
+    """Run requests through a routing policy and a dispatcher.
+
+    Parameters
+    ----------
+    routing : RoutingPolicy
+        Decides; called on the loop only.
+    dispatcher : Dispatcher
+        Sends requests to targets.
+    time : Clock
+        Source of `now`.
+    values : Metrics
+        Gets counters, and histograms for each client account and class.
+    forward : callable, optional
+        Sends a request to another failure domain, see `Forward`.
+    """
+
+    def __init__(
+        self,
+        routing: policy.RoutingPolicy,
+        dispatcher: dispatch.Dispatcher,
+        time: clock.Clock,
+        values: metrics.Metrics,
+        forward: Forward | None = None,
+    ) -> None:
+        self._routing = routing
+        self._dispatcher = dispatcher
+        self._time = time
+        self._metrics = values
+        self._forward = forward
+        self._pending: dict[str, _Pending] = {}
+        self._background: set[asyncio.Task] = set()
+        self._ticking: asyncio.Task | None = None
+        self._hungry = asyncio.Event()
+
+    @property
+    def in_progress(self) -> int:
+        """Return the number of requests not yet answered completely."""
+        return len(self._pending)
+
+    @property
+    def hungry(self) -> asyncio.Event:
+        """Return the event that is set when requests wait for slots."""
+        return self._hungry
+
+    def start(self) -> None:
+        """Start the periodic tick."""
+        self._ticking = asyncio.get_running_loop().create_task(self._tick())
+
+    async def stop(self) -> None:
+        """Stop the tick and give up what is in progress."""
+        if self._ticking is not None:
+            self._ticking.cancel()
+        for pending in list(self._pending.values()):
+            for task in pending.tasks.values():
+                task.cancel()
+        await self._dispatcher.close()
+
+    def configure(self, configuration: record.Configuration) -> None:
+        """Take over the operators' records of a new revision."""
+        self._apply(self._routing.configure(configuration, self._time.monotonic()))
+
+    def announce(self, announced: announcement.TargetAnnouncement) -> None:
+        """Take over a target's announcement."""
+        self._apply(self._routing.announce(announced, self._time.monotonic()))
+
+    def demand(self) -> grants.Demand:
+        """Return the report for the leader of the domain group."""
+        return self._routing.demand(self._time.monotonic())
+
+    def grant(self, granted: grants.Grants) -> None:
+        """Take over the slots that the leader granted."""
+        self._apply(self._routing.grant(granted, self._time.monotonic()))
+
+    def leader_known(self, known: bool) -> None:
+        """Note whether the domain group has a leader."""
+        self._routing.leader_known(known, self._time.monotonic())
+
+    def capacity(self) -> list[target.Capacity]:
+        """Return the free capacity to tell to other failure domains."""
+        return list(self._routing.capacity(self._time.monotonic()))
+
+    def peer_capacity(self, capacity: target.Capacity) -> None:
+        """Note the free capacity of another failure domain."""
+        self._routing.peer_capacity(capacity, self._time.monotonic())
+
+    async def run(
+        self, asked: request.Request, sent: dispatch.TargetRequest
+    ) -> answers.Answer:
+        """Run a request and return its answer once its head is known.
+
+        Raises
+        ------
+        MarjoramusherError
+            With an outcome that is ``not_run`` only if nothing was sent.
+        """
+        loop = asyncio.get_running_loop()
+        pending = _Pending(asked, sent, loop.create_future())
+        self._pending[asked.request_id] = pending
+        began_at = self._time.monotonic()
+        try:
+            self._apply(self._routing.submit(asked, began_at))
+            answer = await pending.answer
+        except errors.MarjoramusherError as error:
+            self._metrics.increment(
+                "request_refusals", code=error.code.value, account=asked.account
+            )
+            self._forget(asked.request_id)
+            raise
+        except asyncio.CancelledError:
+            self._withdraw(asked.request_id)
+            raise
+        if answer.whole is not None:
+            self._observe_end(asked, began_at)
+            self._forget(asked.request_id)
+            return answer
+        stream = self._watch(pending, answer, began_at)
+        return answers.Answer(answer.status, answer.content_type, stream=stream)
+
+    async def idle(self) -> None:
+        """Wait until no request is in progress."""
+        while self._pending:
+            await asyncio.sleep(0.02)
+
+    async def _watch(
+        self, pending: _Pending, answer: answers.Answer, began_at: float
+    ) -> AsyncIterator[bytes]:
+        """Stream an answer and end the request with it."""
+        request_id = pending.asked.request_id
+        try:
+            async for piece in answer.pieces():
+                if pending.aborted is not None:
+                    raise pending.aborted
+                yield piece
+            self._observe_end(pending.asked, began_at)
+        finally:
+            self._withdraw(request_id)
+
+    async def _tick(self) -> None:
+        while True:
+            busy = self._routing.waiting or self._pending
+            await asyncio.sleep(BUSY_TICK_S if busy else IDLE_TICK_S)
+            self._apply(self._routing.tick(self._time.monotonic()))
+
+    def _apply(self, effects: Iterable[effect.Effect]) -> None:
+        for item in effects:
+            pending = self._pending.get(item.request_id)
+            if pending is None:
+                continue
+            if isinstance(item, effect.Dispatch):
+                self._spawn(pending, item.attempt, self._attempt(pending, item))
+                self._observe_wait(pending.asked, item)
+            elif isinstance(item, effect.Cancel):
+                task = pending.tasks.pop(item.attempt, None)
+                if task is not None:
+                    task.cancel()
+            elif isinstance(item, effect.Refuse):
+                error = errors.from_body(item.error)
+                pending.aborted = error
+                if not pending.answer.done():
+                    pending.answer.set_exception(error)
+            else:
+                self._spawn(pending, 0, self._relay(pending, item))
+        if self._routing.waiting:
+            self._hungry.set()
+
+    def _spawn(self, pending: _Pending, number: int, work) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        pending.tasks[number] = task
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    async def _attempt(self, pending: _Pending, item: effect.Dispatch) -> None:
+        number = item.attempt
+        try:
+            answer = await self._dispatcher.send(
+                item.target, item.url, pending.sent, item.progress_timeout_s
+            )
+            whole = None
+            if answer.length is not None and answer.length <= WHOLE_BYTES:
+                whole = b"".join([piece async for piece in answer.pieces()])
+        except dispatch.AttemptFailedError as error:
+            self._metrics.increment("attempt_failures", kind=error.kind.value)
+            self._apply(
+                self._routing.failed(number, error.kind, self._time.monotonic())
+            )
+            return
+        now = self._time.monotonic()
+        self._apply(self._routing.started(number, now))
+        if pending.answer.done():
+            answer.close()
+            return
+        if whole is not None:
+            self._apply(self._routing.finished(number, now, len(whole)))
+            result = answers.Answer(answer.status, answer.content_type, whole)
+        else:
+            stream = self._stream(number, answer)
+            result = answers.Answer(answer.status, answer.content_type, stream=stream)
+        pending.answer.set_result(result)
+
+    async def _stream(
+        self, number: int, answer: dispatch.TargetAnswer
+    ) -> AsyncIterator[bytes]:
+        size = 0
+        try:
+            async for piece in answer.pieces():
+                size += len(piece)
+                yield piece
+        except dispatch.AttemptFailedError as error:
+            self._metrics.increment("attempt_failures", kind=error.kind.value)
+            self._apply(
+                self._routing.failed(number, error.kind, self._time.monotonic())
+            )
+            raise
+        finally:
+            answer.close()
+        self._apply(self._routing.finished(number, self._time.monotonic(), size))
+
+    async def _relay(self, pending: _Pending, item: effect.Forward) -> None:
+        self._metrics.increment("requests_forwarded", to=item.failure_domain)
+        try:
+            if self._forward is None:
+                raise errors.PeerUnreachableError(
+                    item.failure_domain, errors.Outcome.NOT_RUN
+                )
+            frames = self._forward(item.failure_domain, pending.asked, pending.sent)
+            answer = await forwarding.read(frames)
+        except errors.MarjoramusherError as error:
+            if pending.answer.done():
+                return
+            if error.outcome is errors.Outcome.NOT_RUN or pending.asked.repeatable:
+                # Nothing is lost but time: the local queue gets it after all.
+                again = msgspec.structs.replace(pending.asked, forwarded=True)
+                self._apply(self._routing.submit(again, self._time.monotonic()))
+            else:
+                pending.answer.set_exception(error)
+            return
+        if not pending.answer.done():
+            pending.answer.set_result(answer)
+
+    def _withdraw(self, request_id: str) -> None:
+        if request_id in self._pending:
+            self._apply(self._routing.withdraw(request_id, self._time.monotonic()))
+            self._forget(request_id)
+
+    def _forget(self, request_id: str) -> None:
+        pending = self._pending.pop(request_id, None)
+        if pending is not None:
+            current = asyncio.current_task()
+            for task in pending.tasks.values():
+                if task is not current:
+                    task.cancel()
+
+    def _observe_wait(self, asked: request.Request, item: effect.Dispatch) -> None:
+        run_class = item.run_class.value
+        self._metrics.observe("request_wait", item.waited_s, asked.account, run_class)
+        if item.behind_long:
+            self._metrics.observe(
+                "request_head_of_line", item.waited_s, asked.account, run_class
+            )
+
+    def _observe_end(self, asked: request.Request, began_at: float) -> None:
+        declared = asked.declared.value if asked.declared else ""
+        self._metrics.observe(
+            "request_completion",
+            self._time.monotonic() - began_at,
+            asked.account,
+            declared,
+        )
+        self._metrics.increment("requests_answered", account=asked.account)
--- /dev/null
+++ b/marjoramusher/routing/effect.py
@@ -0,0 +1,53 @@
+"""What a router asks its runner to do."""
+
+from typing import TypeAlias
+
+import msgspec
+
+from ..core import errors
+from . import request
+
+
+class Dispatch(msgspec.Struct, frozen=True, gc=False):
+    """Send a request to a target.
+
+    Parameters
+    ----------
+    waited_s : float
+        Time in the queue.
+    behind_long : bool
+        True if a short request waited while long work held slots.
+    """
+
+    request_id: str
+    attempt: int
+    target: str
+    url: str
+    progress_timeout_s: float
+    run_class: request.RequestClass
+    waited_s: float = 0.0
+    behind_long: bool = False
+
+
+class Refuse(msgspec.Struct, frozen=True):
+    """Answer a request with an error."""
+
+    request_id: str
+    error: errors.ErrorBody
+
+
+class Forward(msgspec.Struct, frozen=True, gc=False):
+    """Hand a request to another failure domain."""
+
+    request_id: str
+    failure_domain: str
+
+
+class Cancel(msgspec.Struct, frozen=True, gc=False):
+    """Give up an attempt; its result is ignored."""
+
+    request_id: str
+    attempt: int
+
+
+Effect: TypeAlias = Dispatch | Refuse | Forward | Cancel
--- /dev/null
+++ b/marjoramusher/routing/grants.py
@@ -0,0 +1,241 @@
+"""Split the slots of targets between the instances of a failure domain."""
+
+import msgspec
+
+from ..core import announcement
+from . import target
+
+GRANT_LEASE_S = 3.0  # slots of a dead instance come back after it
+MAX_PROGRESS_S = 10.0  # an instance's lost requests may occupy the runner so long
+
+
+class Held(msgspec.Struct, frozen=True, array_like=True):
+    """What an instance holds of one target."""
+
+    target: str
+    incarnation: int
+    slots: int
+    in_flight: int
+
+
+class Demand(msgspec.Struct, frozen=True, array_like=True):
+    """Report of an instance to the leader of the domain group.
+
+    Parameters
+    ----------
+    process : str
+        Id of the process; a new one starts without grants.
+    granted_by : str
+        Leader process whose reply was last taken over, with its `sequence`.
+    demand : dict of str to float
+        Slots that the instance could fill, by service.
+    """
+
+    instance: str
+    process: str
+    granted_by: str
+    sequence: int
+    demand: dict[str, float]
+    held: tuple[Held, ...]
+
+
+class Grant(msgspec.Struct, frozen=True, array_like=True):
+    """Slots of one target."""
+
+    target: str
+    incarnation: int
+    slots: int
+
+
+class Grants(msgspec.Struct, frozen=True, array_like=True):
+    """Reply to a `Demand`; it replaces all earlier grants of the instance."""
+
+    granted_by: str
+    sequence: int
+    lease_s: float
+    grants: tuple[Grant, ...]
+
+
+class _Share:
+    """Slots of one target that one instance may be using."""
+
+    __slots__ = ("in_flight", "offered", "slots")
+
+    def __init__(self, slots: int, in_flight: int) -> None:
+        self.slots = slots
+        self.in_flight = in_flight
+        self.offered = slots
+
+    @property
+    def reserved(self) -> int:
+        return max(self.slots, self.offered, self.in_flight)
+
+
+class _Holder:
+    __slots__ = ("demand", "expires_at", "process", "sequence", "shares")
+
+    def __init__(self, process: str) -> None:
+        self.process = process
+        self.demand: dict[str, float] = {}
+        self.expires_at = 0.0
+        self.sequence = 0
+        self.shares: dict[tuple[str, int], _Share] = {}
+
+
+class SlotBroker:
+    """Grant slots by lease and demand; runs on the leader of the domain group.
+
+    The sum of what holders may use never exceeds a target's slots: a share that
+    shrinks counts in full until its holder has confirmed the reply that shrinks it, or
+    its lease is over. A new broker only renews what holders report until one lease
+    has passed, since a holder that it hasn't heard of may hold the rest.
+
+    Parameters
+    ----------
+    process : str
+        Id of this leadership; replies carry it.
+    now : float
+        Start of the leadership.
+    """
+
+    def __init__(self, process: str, now: float) -> None:
+        self._process = process
+        self._opens_at = now + GRANT_LEASE_S
+        self._sequence = 0
+        self._targets = target.TargetTable()
+        self._holders: dict[str, _Holder] = {}
+        self._orphans: list[tuple[float, tuple[str, int], int]] = []
+
+    def announce(self, announced: announcement.TargetAnnouncement, now: float) -> None:
+        """Take over an announcement of a target."""
+        self._targets.announce(announced, now)
+
+    def reserved(self, target_id: str, incarnation: int) -> int:
+        """Return the slots of a target that can't be granted to anyone else."""
+        key = (target_id, incarnation)
+        held = sum(
+            holder.shares[key].reserved
+            for holder in self._holders.values()
+            if key in holder.shares
+        )
+        return held + sum(slots for _, k, slots in self._orphans if k == key)
+
+    def report(self, demand: Demand, now: float) -> Grants:
+        """Take in an instance's report and return its grants."""
+        self.tick(now)
+        holder = self._holders.get(demand.instance)
+        if holder is None or holder.process != demand.process:
+            if holder is not None:
+                self._orphan(holder, now)
+            holder = self._holders[demand.instance] = _Holder(demand.process)
+        self._take_over(holder, demand, now)
+        holder.demand = demand.demand
+        holder.expires_at = now + GRANT_LEASE_S
+        self._sequence += 1
+        holder.sequence = self._sequence
+        grants = []
+        for known in self._targets.values():
+            announced = known.announcement
+            slots = self._offer(holder, announced, now)
+            if slots:
+                grants.append(Grant(announced.id, announced.incarnation, slots))
+        return Grants(self._process, self._sequence, GRANT_LEASE_S, tuple(grants))
+
+    def tick(self, now: float) -> None:
+        """Return the slots of instances whose lease is over."""
+        self._targets.expire(now)
+        self._orphans = [entry for entry in self._orphans if entry[0] > now]
+        for name, holder in list(self._holders.items()):
+            if now >= holder.expires_at:
+                del self._holders[name]
+                self._orphan(holder, now, lease_over=True)
+
+    def _orphan(self, holder: _Holder, now: float, lease_over: bool = False) -> None:
+        for key, share in holder.shares.items():
+            if share.in_flight:
+                until = now + MAX_PROGRESS_S
+                self._orphans.append((until, key, share.in_flight))
+            if not lease_over:
+                # The process ended, but a copy of it that is only cut off may still
+                # dispatch until its lease is over.
+                idle = share.reserved - share.in_flight
+                self._orphans.append((holder.expires_at, key, idle))
+
+    def _take_over(self, holder: _Holder, demand: Demand, now: float) -> None:
+        ours = demand.granted_by == self._process
+        confirmed = ours and demand.sequence == holder.sequence
+        held = {(h.target, h.incarnation): h for h in demand.held}
+        for key, entry in held.items():
+            share = holder.shares.get(key)
+            if share is None:
+                # Granted by an earlier leader; counted as it is, since the sum of its
+                # grants did not exceed the slots either.
+                free = self._slots(key) - self.reserved(*key)
+                slots = entry.slots if not ours and now < self._opens_at else 0
+                share = _Share(min(slots, max(free, 0)), entry.in_flight)
+                holder.shares[key] = share
+            share.in_flight = entry.in_flight
+        if confirmed:
+            for key, share in list(holder.shares.items()):
+                share.slots = share.offered
+                if key not in held:
+                    share.in_flight = 0
+                if not share.reserved:
+                    del holder.shares[key]
+
+    def _slots(self, key: tuple[str, int]) -> int:
+        known = self._targets.get(key[0])
+        if known is None or known.announcement.incarnation != key[1]:
+            return 0
+        return known.announcement.slots
+
+    def _offer(
+        self, holder: _Holder, announced: announcement.TargetAnnouncement, now: float
+    ) -> int:
+        key = (announced.id, announced.incarnation)
+        share = holder.shares.get(key)
+        if announced.state is announcement.TargetState.LEAVING:
+            wanted = 0
+        elif now < self._opens_at:
+            wanted = share.slots if share else 0
+        else:
+            wanted = self._fair_share(holder, announced)
+        if share is None:
+            if not wanted:
+                return 0
+            share = holder.shares[key] = _Share(0, 0)
+        others = self.reserved(*key) - share.reserved
+        share.slots = max(share.slots, share.offered)
+        share.offered = max(0, min(wanted, announced.slots - others))
+        return share.offered
+
+    def _fair_share(
+        self, holder: _Holder, announced: announcement.TargetAnnouncement
+    ) -> int:
+        # Every live instance counts with a little demand, so that a burst that meets
+        # it finds some slots at once.
+        floor = 1.0
+        holders = sorted(self._holders.items())
+        demands = [max(h.demand.get(announced.service, 0.0), floor) for _, h in holders]
+        total = sum(demands)
+        shares = [announced.slots * demand / total for demand in demands]
+        slots = [int(share) for share in shares]
+        if len(holders) <= announced.slots:
+            slots = [max(count, 1) for count in slots]
+        rest = announced.slots - sum(slots)
+        # Ties go to different instances at different targets.
+        turn = sum(announced.id.encode()) % len(holders)
+        order = sorted(
+            range(len(holders)),
+            key=lambda i: (int(shares[i]) - shares[i], (i + turn) % len(holders)),
+        )
+        while rest > 0:
+            for i in order[:rest]:
+                slots[i] += 1
+            rest = announced.slots - sum(slots)
+        while rest < 0:
+            largest = max(range(len(slots)), key=lambda i: slots[i])
+            slots[largest] -= 1
+            rest += 1
+        position = next(i for i, (_, h) in enumerate(holders) if h is holder)
+        return slots[position]
--- /dev/null
+++ b/marjoramusher/routing/target.py
@@ -0,0 +1,165 @@
+"""Targets of one failure domain with their incarnations."""
+
+import msgspec
+
+from ..core import announcement
+
+TOMBSTONE_S = 3600.0  # longer than any announcement can be under way
+MAX_BACKOFF_S = 4.0
+SLOW_RATIO = 1.5  # below this the noise of run times looks like slowness
+SLOWNESS_GAIN = 0.1
+
+
+class Target:
+    """One target as an instance knows it.
+
+    Attributes
+    ----------
+    granted : int
+        Slots that this instance may fill.
+    slowness : float
+        Moving average of run times relative to what the class expects.
+    """
+
+    __slots__ = (
+        "announcement",
+        "backoff_until",
+        "expires_at",
+        "failures",
+        "free_index",
+        "grant_expires_at",
+        "granted",
+        "in_flight",
+        "limit",
+        "slowness",
+    )
+
+    def __init__(self, announced: announcement.TargetAnnouncement, now: float) -> None:
+        self.announcement = announced
+        self.expires_at = now + announced.ttl_s
+        self.granted = 0
+        self.grant_expires_at = 0.0
+        self.in_flight = 0
+        self.limit = 0
+        self.slowness = 1.0
+        self.failures = 0
+        self.backoff_until = 0.0
+        self.free_index = -1
+
+    def refresh_limit(self, now: float) -> None:
+        """Work out how many slots may be filled now."""
+        announced = self.announcement
+        if (
+            announced.state is announcement.TargetState.LEAVING
+            or now >= self.expires_at
+            or now < self.backoff_until
+        ):
+            self.limit = 0
+        elif self.failures:
+            # One probe at a time until an attempt succeeds.
+            self.limit = min(1, self.granted)
+        elif self.slowness > SLOW_RATIO:
+            share = self.granted / (self.slowness * self.slowness)
+            self.limit = max(1, int(share)) if self.granted else 0
+        else:
+            self.limit = self.granted
+
+    def note_run(self, ratio: float) -> None:
+        """Take in the run time of an attempt relative to the expected one."""
+        self.slowness += SLOWNESS_GAIN * (min(ratio, 8.0) - self.slowness)
+        self.failures = 0
+
+    def note_failure(self, now: float) -> None:
+        """Keep work away for a time that doubles with each failure in a row."""
+        self.failures += 1
+        self.backoff_until = now + min(0.25 * 2**self.failures, MAX_BACKOFF_S)
+
+
+class TargetTable:
+    """Keep what targets announce; late announcements never revive a departed one."""
+
+    __slots__ = ("_departed", "_targets")
+
+    def __init__(self) -> None:
+        self._targets: dict[str, Target] = {}
+        self._departed: dict[str, tuple[int, float]] = {}
+
+    def __len__(self) -> int:
+        return len(self._targets)
+
+    def get(self, target_id: str) -> Target | None:
+        """Return a target or ``None``."""
+        return self._targets.get(target_id)
+
+    def values(self) -> list[Target]:
+        """Return all targets."""
+        return list(self._targets.values())
+
+    def announce(
+        self, announced: announcement.TargetAnnouncement, now: float
+    ) -> tuple[Target | None, Target | None]:
+        """Take over an announcement.
+
+        Returns
+        -------
+        tuple
+            The target that is now known, ``None`` if the announcement is out of date,
+            and the earlier incarnation that it replaces, if any.
+        """
+        known = self._targets.get(announced.id)
+        departed = self._departed.get(announced.id)
+        leaving = announced.state is announcement.TargetState.LEAVING
+        if departed and announced.incarnation <= departed[0]:
+            return None, None
+        if known and announced.incarnation < known.announcement.incarnation:
+            return None, None
+        if known and announced.incarnation == known.announcement.incarnation:
+            known.announcement = announced
+            known.expires_at = now + announced.ttl_s
+            if leaving:
+                self._departed[announced.id] = (announced.incarnation, now)
+            return known, None
+        if known:
+            del self._targets[announced.id]
+        if leaving:
+            self._departed[announced.id] = (announced.incarnation, now)
+            return None, known
+        target = Target(announced, now)
+        self._targets[announced.id] = target
+        return target, known
+
+    def expire(self, now: float) -> list[Target]:
+        """Remove and return targets that stayed silent or left."""
+        gone = [
+            target
+            for target in self._targets.values()
+            if now >= target.expires_at
+            or (
+                target.announcement.state is announcement.TargetState.LEAVING
+                and not target.in_flight
+            )
+        ]
+        for target in gone:
+            del self._targets[target.announcement.id]
+        if self._departed:
+            self._departed = {
+                name: mark
+                for name, mark in self._departed.items()
+                if now - mark[1] < TOMBSTONE_S
+            }
+        return gone
+
+
+class Capacity(msgspec.Struct, frozen=True):
+    """Free capacity of a service in one failure domain, told to the others.
+
+    Parameters
+    ----------
+    wait_s : float
+        Expected wait of a new request.
+    """
+
+    failure_domain: str
+    service: str
+    free_slots: int
+    wait_s: float
--- /dev/null
+++ b/marjoramusher/targets/announcing.py
@@ -0,0 +1,73 @@
+"""HTTP handlers for runners."""
+
+from collections.abc import Callable
+
+from aiohttp import web
+
+from ..callers import limits
+from ..core import announcement, codec, errors
+
+
+class TargetHandlers:
+    """Accept announcements of runners.
+
+    Parameters
+    ----------
+    failure_domain : str
+        Failure domain of this instance; runners of others are refused.
+    on_announcement : callable
+        Gets each accepted announcement; the daemon hands it to the engine, to the
+        slot server and to the domain's other instances.
+    instance_token : str
+        Bearer token that runners carry; empty for none.
+    """
+
+    def __init__(
+        self,
+        failure_domain: str,
+        on_announcement: Callable[[announcement.TargetAnnouncement], None],
+        instance_token: str = "",
+    ) -> None:
+        self._failure_domain = failure_domain
+        self._on_announcement = on_announcement
+        self._instance_token = instance_token
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes to add to an application."""
+        return [web.post("/v1/targets/announce", self.announce)]
+
+    async def announce(self, request: web.Request) -> web.Response:
+        """Take an announcement."""
+        limits.check_token(request, self._instance_token)
+        data = await limits.body(request, limits.MAX_ANNOUNCEMENT_BYTES)
+        announced = codec.from_json(data, announcement.TargetAnnouncement)
+        check(announced, self._failure_domain)
+        self._on_announcement(announced)
+        return web.json_response({"accepted": True})
+
+
+def check(announced: announcement.TargetAnnouncement, failure_domain: str) -> None:
+    """Check the values of an announcement.
+
+    Raises
+    ------
+    BadRequestError
+        If a value is out of its range.
+    """
+    limits.name(announced.id, "id")
+    limits.name(announced.service, "service")
+    if announced.failure_domain != failure_domain:
+        raise errors.BadRequestError(
+            f"the runner is in {announced.failure_domain}, the instance in "
+            f"{failure_domain}"
+        )
+    if not announced.url.startswith(("http://", "https://")):
+        raise errors.BadRequestError("url is not an http address")
+    for value, least, most, what in (
+        (announced.slots, 1, 1024, "slots"),
+        (announced.connections, 1, 4096, "connections"),
+        (announced.incarnation, 0, 2**62, "incarnation"),
+        (announced.ttl_s, 0.1, 60.0, "ttl_s"),
+    ):
+        if not least <= value <= most:
+            raise errors.BadRequestError(f"{what} is not from {least} to {most}")
