--- a/marjoramusher/callers/requests.py
+++ b/marjoramusher/callers/requests.py
@@ -8,6 +8,7 @@
 
 from ..claims import command, home
 from ..core import clock, errors, record
+from ..http import body
 from ..routing import request as routed
 from ..targets import dispatch
 from ..telemetry import metrics
@@ -119,7 +120,9 @@
         key = headers.get("Idempotency-Key", "")
         if key:
             limits.name(key, "Idempotency-Key")
-        repeatable = _flag(headers.get("X-Non-Repeatable", "false")) is False
+        repeatable = not limits.flag(
+            headers.get("X-Non-Repeatable", "false"), "X-Non-Repeatable"
+        )
         if not repeatable and not key:
             raise errors.BadRequestError(
                 "a non-repeatable request needs an Idempotency-Key"
@@ -137,21 +140,11 @@
                 )
                 / 1000
             )
-        issued_at = None
-        if "Idempotency-Issued-At" in headers:
-            issued_at = (
-                limits.integer(
-                    headers["Idempotency-Issued-At"],
-                    "Idempotency-Issued-At",
-                    0,
-                    2**50,
-                )
-                / 1000
-            )
+        issued_at = limits.issued_at(headers)
         # The deadline counts from the head of the request, so that a slow body
         # doesn't extend it.
         deadline = self._time.monotonic() + deadline_s
-        payload = await limits.body(request)
+        payload = await body.read(request)
         request_id = f"{self._prefix}-{next(self._serials)}"
         asked = routed.Request(
             request_id,
@@ -328,9 +321,3 @@
         "the request was done; its answer is no longer kept",
     ),
 }
-
-
-def _flag(value: str) -> bool:
-    if value not in ("true", "false"):
-        raise errors.BadRequestError("X-Non-Repeatable is neither true nor false")
-    return value == "true"
--- a/marjoramusher/callers/requests_test.py
+++ b/marjoramusher/callers/requests_test.py
@@ -12,10 +12,11 @@
 import pytest
 from aiohttp import test_utils, web
 
-from marjoramusher.callers import claiming, engine, limits, requests, slots
+from marjoramusher.callers import claiming, engine, requests, slots
 from marjoramusher.claims import machine
 from marjoramusher.core import clock, errors, record
 from marjoramusher.groups import local
+from marjoramusher.http import errors as http_errors
 from marjoramusher.routing import router
 from marjoramusher.targets import announcing, dispatch
 from marjoramusher.telemetry import metrics
@@ -83,9 +84,13 @@
 @contextlib.asynccontextmanager
 async def running(runner_count=2, grants=True):
     stack = Stack()
-    application = web.Application(middlewares=[limits.error_middleware])
+    application = web.Application(
+        middlewares=[http_errors.make_middleware(stack.metrics)]
+    )
     application.add_routes(stack.handlers.routes())
-    handlers = announcing.TargetHandlers("d1", stack.on_announcement, "secret")
+    handlers = announcing.TargetHandlers(
+        "d1", stack.on_announcement, b"secret", stack.metrics
+    )
     application.add_routes(handlers.routes())
     stack.engine.start()
     stack.server.lead("lead1")
--- a/marjoramusher/targets/announcing.py
+++ b/marjoramusher/targets/announcing.py
@@ -4,8 +4,12 @@
 
 from aiohttp import web
 
-from ..callers import limits
-from ..core import announcement, codec, errors
+from ..core import announcement, errors
+from ..http import body, token
+from ..telemetry import metrics
+
+MAX_NAME_CHARS = 200
+MAX_URL_CHARS = 2000
 
 
 class TargetHandlers:
@@ -18,19 +22,23 @@
     on_announcement : callable
         Gets each accepted announcement; the daemon hands it to the engine, to the
         slot server and to the domain's other instances.
-    instance_token : str
-        Bearer token that runners carry; empty for none.
+    instance_token : bytes or None
+        Bearer token that runners carry; ``None`` admits everyone.
+    counters : Metrics
+        Gets refused tokens.
     """
 
     def __init__(
         self,
         failure_domain: str,
         on_announcement: Callable[[announcement.TargetAnnouncement], None],
-        instance_token: str = "",
+        instance_token: bytes | None,
+        counters: metrics.Metrics,
     ) -> None:
         self._failure_domain = failure_domain
         self._on_announcement = on_announcement
         self._instance_token = instance_token
+        self._metrics = counters
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes to add to an application."""
@@ -38,9 +46,10 @@
 
     async def announce(self, request: web.Request) -> web.Response:
         """Take an announcement."""
-        limits.check_token(request, self._instance_token)
-        data = await limits.body(request, limits.MAX_ANNOUNCEMENT_BYTES)
-        announced = codec.from_json(data, announcement.TargetAnnouncement)
+        token.check(request, self._instance_token, self._metrics, "instance")
+        announced = await body.read_json(
+            request, announcement.TargetAnnouncement, body.MAX_ANNOUNCEMENT_BYTES
+        )
         check(announced, self._failure_domain)
         self._on_announcement(announced)
         return web.json_response({"accepted": True})
@@ -54,14 +63,18 @@
     BadRequestError
         If a value is out of its range.
     """
-    limits.name(announced.id, "id")
-    limits.name(announced.service, "service")
+    for name, what in ((announced.id, "id"), (announced.service, "service")):
+        if not 0 < len(name) <= MAX_NAME_CHARS or not name.isprintable():
+            raise errors.BadRequestError(f"{what} is empty, too long or malformed")
     if announced.failure_domain != failure_domain:
         raise errors.BadRequestError(
             f"the runner is in {announced.failure_domain}, the instance in "
             f"{failure_domain}"
         )
-    if not announced.url.startswith(("http://", "https://")):
+    if (
+        not announced.url.startswith(("http://", "https://"))
+        or len(announced.url) > MAX_URL_CHARS
+    ):
         raise errors.BadRequestError("url is not an http address")
     for value, least, most, what in (
         (announced.slots, 1, 1024, "slots"),
