--- a/marjoramusher/placement/baseline.py
+++ b/marjoramusher/placement/baseline.py
@@ -43,6 +43,9 @@
             capacity = ledger.amounts_of(worker.capacity)
             self._ledger.set_worker(worker.id, worker.rack, capacity, True)
 
+    def worker_silent(self, worker: str, now: float) -> None:
+        """Ignore silence; only a lost lease counts."""
+
     def worker_down(self, worker: str, now: float) -> None:
         """Remove a worker; its gangs are stopped by `plan`."""
         known = self._ledger.worker(worker)
--- a/marjoramusher/placement/gang.py
+++ b/marjoramusher/placement/gang.py
@@ -75,6 +75,7 @@
         self._claims: dict[str, reclaim.Claim] = {}
         self._accounts: dict[str, Account] = {}
         self._lost: dict[str, None] = {}
+        self._silent: set[str] = set()
         self._learned: dict[str, resource.Resources] = {}
         self._moved: set[str] = set()
         self._blocked: dict[tuple, int] = {}
@@ -111,6 +112,9 @@
             return
         if self._settled_at is None:
             self._settled_at = now + SETTLE_S
+        if worker.id in self._silent:
+            self._silent.discard(worker.id)
+            self._update_usable(worker.id)
         capacity = ledger.amounts_of(worker.capacity)
         known = self._ledger.worker(worker.id)
         if (
@@ -125,6 +129,12 @@
         self._update_usable(worker.id)
         self._plan.evict([worker.id])
 
+    def worker_silent(self, worker: str, now: float) -> None:
+        """Keep new work off a worker that misses announcements or calls."""
+        if self._ledger.worker(worker).present:
+            self._silent.add(worker)
+            self._update_usable(worker)
+
     def worker_down(self, worker: str, now: float) -> None:
         """Remove a worker; its gangs are stopped by `plan`."""
         known = self._ledger.worker(worker)
@@ -697,6 +707,7 @@
             and entry.failure_domain == self._failure_domain
             for records in (configuration.drains, configuration.quarantines)
         )
+        kept_off = kept_off or worker_id in self._silent
         usable = not kept_off and worker_id not in self._quarantine.active
         worker = self._ledger.worker(worker_id)
         if worker.usable is not usable:
--- a/marjoramusher/placement/placer.py
+++ b/marjoramusher/placement/placer.py
@@ -31,6 +31,12 @@
     def worker_up(self, worker: announcement.WorkerAnnouncement, now: float) -> None:
         """Add a worker or take over its changed capacity."""
 
+    def worker_silent(self, worker: str, now: float) -> None:
+        """Keep new work off a worker that misses announcements or calls.
+
+        Its gangs stay until `worker_down`; the next `worker_up` brings it back.
+        """
+
     def worker_down(self, worker: str, now: float) -> None:
         """Remove a worker; its gangs are stopped by `plan`."""
 
