--- /dev/null
+++ b/marjoramusher/workers/client.py
@@ -0,0 +1,115 @@
+"""Calls to workers."""
+
+import asyncio
+import socket
+import struct
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from ..core import announcement, codec, errors
+from . import gang
+
+CALL_TIMEOUT_S = 1.0
+TRIES = 2
+MAX_CALLS = 64  # of a gang of 256; more only queue in the kernel
+MAX_ANSWER_BYTES = 64 * 1024
+
+TRIES_OF = {gang.Method.STOP: 1, gang.Method.THROTTLE: 1}
+"""A stop is repeated by the core until the lease of the task is over."""
+
+
+class Refusal(errors.MarjoramusherError):
+    """A worker answered that it does not carry out a call."""
+
+
+class TaskClient:
+    """Call workers; every call is idempotent for (task, epoch).
+
+    Parameters
+    ----------
+    token : str
+        Instance token that the calls carry; empty for none.
+    """
+
+    def __init__(self, token: str = "", timeout_s: float = CALL_TIMEOUT_S) -> None:
+        self._headers = {"Authorization": f"Bearer {token}"} if token else {}
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+        self._limit = asyncio.Semaphore(MAX_CALLS)
+        self._session: aiohttp.ClientSession | None = None
+
+    async def call(self, order: gang.Call) -> announcement.TaskReport:
+        """Make one call and return the task as the worker describes it then.
+
+        Raises
+        ------
+        Refusal
+            If the worker answered with an error.
+        PeerUnreachableError
+            If it did not answer; the call may still have arrived.
+        """
+        async with self._limit:
+            last: Exception | None = None
+            for _ in range(TRIES_OF.get(order.method, TRIES)):
+                try:
+                    return await self._once(order)
+                except (aiohttp.ClientError, TimeoutError, OSError) as error:
+                    last = error
+            raise errors.PeerUnreachableError(order.worker) from last
+
+    async def close(self) -> None:
+        """Close the session."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def _once(self, order: gang.Call) -> announcement.TaskReport:
+        if self._session is None:
+            # Calls are rare. A connection for each can't have gone silent before it.
+            connector = aiohttp.TCPConnector(
+                force_close=True, limit=MAX_CALLS, socket_factory=_make_socket
+            )
+            self._session = aiohttp.ClientSession(connector=connector)
+        url = f"{order.url}/tasks/{order.task_id}/{order.method.value}"
+        async with self._session.post(
+            url,
+            data=codec.to_json(order.order),
+            headers={**self._headers, "Content-Type": "application/json"},
+            timeout=self._timeout,
+        ) as response:
+            body = await response.content.read(MAX_ANSWER_BYTES)
+            if response.status != 200:
+                raise _refusal(order, response.status, body)
+        try:
+            return msgspec.json.decode(body, type=announcement.TaskReport)
+        except msgspec.DecodeError as error:
+            raise Refusal(
+                errors.ErrorCode.TARGET_FAILED,
+                f"worker {order.worker} sent a malformed answer",
+                errors.Outcome.UNKNOWN,
+            ) from error
+
+
+def _refusal(order: gang.Call, status: int, body: bytes) -> Refusal:
+    text = body[:200].decode("utf-8", "replace")
+    code = (
+        errors.ErrorCode.STALE_EPOCH
+        if status == 409
+        else errors.ErrorCode.TARGET_FAILED
+    )
+    return Refusal(
+        code,
+        f"worker {order.worker} refused {order.method.value} with {status}: {text}",
+        errors.Outcome.UNKNOWN,
+    )
+
+
+def _make_socket(info: Any) -> socket.socket:
+    family, kind, protocol = info[0], info[1], info[2]
+    made = socket.socket(family, kind, protocol)
+    made.setblocking(False)
+    # Closing discards what was not delivered, so that a call that was given up does
+    # not arrive when a partition heals.
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    return made
--- /dev/null
+++ b/marjoramusher/workers/driver.py
@@ -0,0 +1,221 @@
+"""Drive gangs while this instance leads its failure domain."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from ..core import announcement, clock, errors, record
+from ..core import job as model
+from ..groups import composite
+from ..groups import group as groups
+from ..jobs import command, machine
+from ..placement import placer
+from ..telemetry import log, metrics
+from . import client, gang
+
+TICK_S = 0.1
+BATCH_S = 0.005  # events of a burst share one plan
+BARRIER_TIMEOUT_S = 2.0
+PROPOSE_TIMEOUT_S = 2.0
+
+
+class Caller(Protocol):
+    """Call one worker."""
+
+    async def call(self, order: gang.Call) -> announcement.TaskReport:
+        """Make one call; see `client.TaskClient`."""
+
+
+class GangDriver:
+    """Carry out the effects of a `GangCore` for as long as the group is led from here.
+
+    Parameters
+    ----------
+    group : Group
+        The failure domain's group.
+    jobs : JobsMachine
+        The local machine of that group.
+    make_placer : callable
+        Makes a placer without state, one for each leadership.
+    tasks : Caller
+        Client for the workers.
+    time : Clock
+        Source of time.
+    configuration : callable
+        Returns the operators' records in force.
+    values : Metrics
+        Counters.
+    """
+
+    def __init__(
+        self,
+        group: groups.Group,
+        jobs: machine.JobsMachine,
+        make_placer: Callable[[], placer.Placer],
+        tasks: Caller,
+        time: clock.Clock,
+        configuration: Callable[[], record.Configuration],
+        values: metrics.Metrics,
+    ) -> None:
+        self._group = group
+        self._jobs = jobs
+        self._make_placer = make_placer
+        self._tasks = tasks
+        self._time = time
+        self._configuration = configuration
+        self._metrics = values
+        self._core: gang.GangCore | None = None
+        self._revision = -1
+        self._generation = 0
+        self._running: set[asyncio.Task[None]] = set()
+        self._kick = asyncio.Event()
+
+    @property
+    def core(self) -> gang.GangCore | None:
+        """Return the core, or None while another instance leads."""
+        return self._core
+
+    async def run(self) -> None:
+        """Drive gangs until cancelled."""
+        roles = self._group.roles.subscribe(on_next=self._role_changed)
+        applied = self._group.applied.subscribe(on_next=self._applied)
+        try:
+            while True:
+                if self._group.is_leader:
+                    await self._lead()
+                await self._wait()
+        finally:
+            self._resign()
+            roles.dispose()
+            applied.dispose()
+
+    def announce(
+        self, said: announcement.WorkerAnnouncement
+    ) -> announcement.WorkerReply:
+        """Take a worker's announcement and renew the leases of its tasks.
+
+        Raises
+        ------
+        NotLeaderError
+            If this instance does not lead with a fresh quorum, or has not caught up.
+        """
+        core = self._core
+        if core is None or not self._group.is_leader:
+            raise errors.NotLeaderError(self._group.leader)
+        effects = self._step(gang.Announced(said))
+        for effect in effects:
+            if isinstance(effect, gang.Reply):
+                return announcement.WorkerReply("", effect.renewals, effect.stop)
+        raise AssertionError("an announcement is always answered")
+
+    async def _lead(self) -> None:
+        generation = self._generation
+        elected_at = self._time.monotonic()
+        try:
+            await self._group.barrier(BARRIER_TIMEOUT_S)
+        except errors.MarjoramusherError:
+            return
+        if not self._leads(generation):
+            return
+        configuration = self._configuration()
+        self._revision = configuration.revision
+        self._core = gang.GangCore(
+            self._jobs, self._make_placer(), configuration, elected_at
+        )
+        log.state_change("jobs.leading", failure_domain=self._jobs.failure_domain)
+        try:
+            while self._leads(generation):
+                configuration = self._configuration()
+                if configuration.revision != self._revision:
+                    self._revision = configuration.revision
+                    self._step(gang.Configured(configuration))
+                self._step(gang.Ticked())
+                await self._wait()
+        finally:
+            self._resign()
+            log.state_change("jobs.resigned", failure_domain=self._jobs.failure_domain)
+
+    def _leads(self, generation: int) -> bool:
+        return self._generation == generation and self._group.is_leader
+
+    def _resign(self) -> None:
+        self._core = None
+        for task in self._running:
+            task.cancel()
+        self._running.clear()
+
+    async def _wait(self) -> None:
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._kick.wait(), TICK_S)
+        await asyncio.sleep(BATCH_S)
+        self._kick.clear()
+
+    def _role_changed(self, role: Any) -> None:
+        del role
+        self._generation += 1
+        self._kick.set()
+
+    def _applied(self, index: int) -> None:
+        del index
+        if self._core is not None:
+            self._step(gang.Applied())
+            self._kick.set()
+
+    def _step(self, event: gang.Event) -> list[gang.Effect]:
+        core = self._core
+        if core is None:
+            return []
+        effects = core.step(
+            event, self._time.monotonic(), self._time.utcnow().timestamp()
+        )
+        for effect in effects:
+            if isinstance(effect, gang.Call):
+                self._spawn(self._call(core, effect))
+            elif isinstance(effect, gang.Propose):
+                self._spawn(self._propose(core, effect.command))
+        return effects
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._running.add(task)
+        task.add_done_callback(self._running.discard)
+
+    async def _call(self, core: gang.GangCore, call: gang.Call) -> None:
+        if not self._group.is_leader:
+            return
+        method = call.method.value
+        self._metrics.increment("task_calls", method=method)
+        try:
+            report = await self._tasks.call(call)
+            event = gang.Answered(call, report)
+        except errors.MarjoramusherError as error:
+            self._metrics.increment("task_call_failures", method=method)
+            refused = isinstance(error, client.Refusal)
+            event = gang.Answered(call, None, refused, error.message)
+        if self._core is core:
+            self._step(event)
+            self._kick.set()
+
+    async def _propose(self, core: gang.GangCore, value: command.Command) -> None:
+        error: errors.ErrorBody | None = None
+        try:
+            data = composite.part_command(command.PART, command.encode(value))
+            outcome = command.result(await self._group.propose(data, PROPOSE_TIMEOUT_S))
+            if isinstance(outcome, command.JobResult) and not outcome.repeated:
+                self._note(outcome.job)
+        except errors.MarjoramusherError as failure:
+            error = failure.body()
+            self._metrics.increment("job_proposals_refused", code=error.code.value)
+        if self._core is core:
+            self._step(gang.Proposed(value, error))
+            self._kick.set()
+
+    def _note(self, item: model.Job) -> None:
+        self._metrics.increment("job_changes", state=item.state.value)
+        log.state_change(
+            "job.state",
+            job_id=item.job_id,
+            state=item.state.value,
+            epoch=item.epoch,
+        )
