--- a/marjoramusher/workers/driver.py
+++ b/marjoramusher/workers/driver.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from ..core import announcement, clock, errors, record
+from ..core import announcement, clock, errors, record, resource
 from ..core import job as model
 from ..groups import composite
 from ..groups import group as groups
@@ -76,6 +76,18 @@
         """Return the core, or None while another instance leads."""
         return self._core
 
+    def infeasible(self, failure_domain: str, shape: resource.GangShape) -> str | None:
+        """Return why a shape can never fit, or None if that is not known here."""
+        if self._core is None or failure_domain != self._jobs.failure_domain:
+            return None
+        return self._core.infeasible(shape)
+
+    def shortfalls(self) -> list[placer.Shortfall]:
+        """Return the guarantees that can't be honoured; empty where not leading."""
+        if self._core is None:
+            return []
+        return list(self._core.shortfalls(self._time.monotonic()))
+
     async def run(self) -> None:
         """Drive gangs until cancelled."""
         roles = self._group.roles.subscribe(on_next=self._role_changed)
--- a/marjoramusher/workers/gang.py
+++ b/marjoramusher/workers/gang.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from ..core import announcement, errors, record
+from ..core import announcement, errors, record, resource
 from ..core import job as model
 from ..jobs import command, machine
 from ..placement import decision, placer
@@ -288,6 +288,8 @@
         self._awaited = set(jobs.ledger.workers())
         jobs.drain_changes()
         policy.configure(configuration, now)
+        for worker in jobs.quarantines:
+            policy.worker_quarantined(worker, now)
         for item in jobs.jobs():
             policy.job_changed(item, now)
             if item.allocation is not None:
@@ -312,6 +314,25 @@
         """Return the guarantees that can't be honoured."""
         return self._placer.shortfalls(now) if self._gate_open else ()
 
+    def infeasible(self, shape: resource.GangShape) -> str | None:
+        """Return why a shape can never fit the known workers, or None."""
+        if self._now < self._table.elected_at + REJECT_AFTER_S or not len(self._table):
+            return None  # more workers may still announce themselves
+        together = 1
+        if shape.adjacency is resource.Adjacency.WORKER:
+            together = shape.tasks
+        each = resource.Resources(
+            shape.each.accelerators * together,
+            shape.each.cores * together,
+            shape.each.memory_mb * together,
+        )
+        if any(each.fits(capacity) for capacity in self._table.capacities()):
+            return None
+        return (
+            f"no worker has {each.accelerators} accelerators, {each.cores} cores and "
+            f"{each.memory_mb} MiB of memory"
+        )
+
     def step(self, event: Event, now: float, at: float) -> list[Effect]:
         """Take one event.
 
@@ -795,7 +816,7 @@
     # Time.
 
     def _ticked(self) -> None:
-        for worker in list(self._table.suspects(self._now)):
+        for worker in self._table.suspects(self._now):
             self._strays.pop(worker, None)
             self._placer.worker_down(worker, self._now)
             for holding in list(self._jobs.ledger.holdings(worker)):
--- a/marjoramusher/workers/handlers.py
+++ b/marjoramusher/workers/handlers.py
@@ -6,10 +6,11 @@
 import msgspec
 from aiohttp import web
 
-from ..core import announcement, codec, errors, resource
+from ..core import announcement, errors, resource
+from ..http import body
+from ..http import errors as http_errors
 
 PATH = "/v1/workers/announce"
-MAX_BODY_BYTES = 64 * 1024
 MAX_ID_LENGTH = 128
 MAX_URL_LENGTH = 512
 MAX_AMOUNT = 2**31
@@ -35,8 +36,8 @@
         Returns the address of the leader, empty if it is unknown.
     forward : callable
         Hands an announcement to the leader over the instances' links.
-    check_token : callable
-        Tells whether a bearer token, empty if there is none, is admitted.
+    authorize : callable
+        Raises if a request does not carry the instance token.
     """
 
     def __init__(
@@ -46,39 +47,27 @@
         own_url: str,
         leader_url: Callable[[], str],
         forward: Forward,
-        check_token: Callable[[str], bool],
+        authorize: Callable[[web.Request], None],
     ) -> None:
         self._failure_domain = failure_domain
         self._announce = announce
         self._own_url = own_url
         self._leader_url = leader_url
         self._forward = forward
-        self._check_token = check_token
+        self._authorize = authorize
 
     def add_to(self, router: web.UrlDispatcher) -> None:
-        """Add the route."""
+        """Add the route; errors are answered by the application's middleware."""
         router.add_post(PATH, self.handle)
 
     async def handle(self, request: web.Request) -> web.Response:
         """Answer one announcement."""
-        try:
-            self._authorize(request)
-            said = parse_announcement(await _read(request), self._failure_domain)
-            reply = await self._reply(said)
-        except errors.MarjoramusherError as error:
-            return web.Response(
-                body=codec.to_json({"error": error.body()}),
-                status=error.http_status,
-                content_type="application/json",
-            )
-        return web.Response(body=codec.to_json(reply), content_type="application/json")
-
-    def _authorize(self, request: web.Request) -> None:
-        kind, _, token = request.headers.get("Authorization", "").partition(" ")
-        if not self._check_token(token if kind.lower() == "bearer" else ""):
-            raise errors.MarjoramusherError(
-                errors.ErrorCode.UNAUTHORIZED, "the instance token is missing or wrong"
-            )
+        self._authorize(request)
+        said = await body.read_json(
+            request, announcement.WorkerAnnouncement, body.MAX_ANNOUNCEMENT_BYTES
+        )
+        check_announcement(said, self._failure_domain)
+        return http_errors.json_response(await self._reply(said))
 
     async def _reply(
         self, said: announcement.WorkerAnnouncement
@@ -93,17 +82,16 @@
         return msgspec.structs.replace(reply, leader_url=self._own_url)
 
 
-def parse_announcement(
-    body: bytes, failure_domain: str
-) -> announcement.WorkerAnnouncement:
-    """Decode an announcement and check its values.
+def check_announcement(
+    said: announcement.WorkerAnnouncement, failure_domain: str
+) -> None:
+    """Check the values of an announcement.
 
     Raises
     ------
     BadRequestError
-        If it is malformed, out of range or of another failure domain.
+        If one is out of range or the worker is of another failure domain.
     """
-    said = codec.from_json(body, announcement.WorkerAnnouncement)
     _check_name("id", said.id)
     _check_name("rack", said.rack)
     if said.failure_domain != failure_domain:
@@ -113,19 +101,16 @@
         )
     if not _is_base_url(said.url):
         raise errors.BadRequestError("url must be http://host:port")
-    if said.incarnation < 0:
-        raise errors.BadRequestError("incarnation is negative")
+    if not 0 <= said.incarnation < 2**63:
+        raise errors.BadRequestError("incarnation is out of range")
     _check_amounts("capacity", said.capacity)
-    names = set()
     for task in said.tasks:
         _check_name("task_id", task.task_id)
         _check_amounts("usage", task.usage)
-        if task.epoch < 0 or not 0.0 <= task.progress_s < MAX_AMOUNT:
+        if not 0 <= task.epoch < 2**63 or not 0.0 <= task.progress_s < MAX_AMOUNT:
             raise errors.BadRequestError("epoch or progress_s is out of range")
-        names.add(task.task_id)
-    if len(names) != len(said.tasks):
+    if len({task.task_id for task in said.tasks}) != len(said.tasks):
         raise errors.BadRequestError("a task is reported twice")
-    return said
 
 
 def _is_base_url(text: str) -> bool:
@@ -152,15 +137,3 @@
     for amount in (value.accelerators, value.cores, value.memory_mb):
         if not 0 <= amount < MAX_AMOUNT:
             raise errors.BadRequestError(f"{field} is out of range")
-
-
-async def _read(request: web.Request) -> bytes:
-    body = bytearray()
-    async for chunk in request.content.iter_any():
-        body += chunk
-        if len(body) > MAX_BODY_BYTES:
-            raise errors.MarjoramusherError(
-                errors.ErrorCode.BODY_TOO_LARGE,
-                f"an announcement has at most {MAX_BODY_BYTES} bytes",
-            )
-    return bytes(body)
--- a/marjoramusher/workers/table.py
+++ b/marjoramusher/workers/table.py
@@ -1,14 +1,15 @@
 """Workers that have announced themselves, and the leases of their tasks."""
 
 import enum
-from collections.abc import Iterator
 
-from ..core import announcement, errors
+from ..core import announcement, errors, resource
 
 TASK_LEASE_S = 4.0  # survives a leader change of about 2 s and ends before 5.5 s
 CLOCK_RATE_BOUND = 0.01  # a worker's clock runs at most this much slower than ours
 SUSPECT_S = 3.0  # three missed announcements; before the lease of 4 s is over
 
+FORGET_S = 600.0  # a worker that is away for longer may have been taken away
+
 LEASE_OVER_S = TASK_LEASE_S * (1 + CLOCK_RATE_BOUND)
 
 
@@ -61,6 +62,10 @@
         """Return a worker that has announced itself since the election."""
         return self._workers.get(worker)
 
+    def capacities(self) -> set[resource.Resources]:
+        """Return the distinct capacities of the known workers."""
+        return {worker.announcement.capacity for worker in self._workers.values()}
+
     def announce(
         self, said: announcement.WorkerAnnouncement, now: float
     ) -> tuple[Worker, Arrival]:
@@ -91,14 +96,21 @@
         self._workers[said.id] = known
         return known, arrival
 
-    def suspects(self, now: float) -> Iterator[str]:
-        """Yield the workers that have just been silent for `SUSPECT_S`."""
+    def suspects(self, now: float) -> list[str]:
+        """Return the workers that have just been silent for `SUSPECT_S`."""
+        found = []
+        gone = []
         for name, worker in self._workers.items():
             if now < worker.heard_at + SUSPECT_S:
-                return
+                break
             if not worker.suspected:
                 worker.suspected = True
-                yield name
+                found.append(name)
+            if now >= worker.heard_at + FORGET_S:
+                gone.append(name)
+        for name in gone:
+            del self._workers[name]
+        return found
 
     def is_silent(self, worker: str, now: float) -> bool:
         """Tell whether a worker has been silent for `SUSPECT_S`."""
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -150,20 +150,31 @@
         self._file = None if path is None else path.open("a", encoding="utf-8")
         self._worker = worker
 
+    def up(self, accelerators: int) -> None:
+        """Write the line of a process start."""
+        self._line("up", accelerators=accelerators)
+
     def write(self, event: str, task: Task, **fields: Any) -> None:
-        """Write one line."""
+        """Write one line of a task."""
+        order = task.order
+        self._line(
+            event,
+            job_id=order.job_id,
+            task_id=task.task_id,
+            epoch=order.epoch,
+            gang_size=order.gang_size,
+            index=order.index,
+            accelerators=order.accelerators,
+            **fields,
+        )
+
+    def _line(self, event: str, **fields: Any) -> None:
         if self._file is None:
             return
         line = {
             "at": time.time(),
             "event": event,
             "worker": self._worker,
-            "job_id": task.order.job_id,
-            "task_id": task.task_id,
-            "epoch": task.order.epoch,
-            "gang_size": task.order.gang_size,
-            "index": task.order.index,
-            "accelerators": task.order.accelerators,
             **fields,
         }
         self._file.write(json.dumps(line) + "\n")
@@ -224,6 +235,7 @@
             timeout=aiohttp.ClientTimeout(total=ANNOUNCE_TIMEOUT_S),
             headers={"Authorization": f"Bearer {self._token}"} if self._token else {},
         )
+        self._history.up(self._capacity.accelerators)
         loop = asyncio.get_running_loop()
         self._running = [
             loop.create_task(self._announce_loop()),
