--- a/marjoramusher/groups/batch.py
+++ b/marjoramusher/groups/batch.py
@@ -27,8 +27,8 @@
 ) -> Iterator[tuple[message.Persist | None, list[message.Effect]]]:
     """Give what to persist and then what to carry out, in order.
 
-    Persisting earlier than asked is safe. A snapshot replaces the log, so it starts
-    a part of its own.
+    Persisting earlier than asked is safe. A snapshot replaces the log, so it is a
+    part of its own.
     """
     persist: message.Persist | None = None
     others: list[message.Effect] = []
@@ -38,7 +38,8 @@
                 persist = merge(persist, effect)
             case message.RestoreSnapshot():
                 yield persist, others
-                persist, others = None, [effect]
+                yield None, [effect]
+                persist, others = None, []
             case _:
                 others.append(effect)
     yield persist, others
