Keep a group alive through faulty subscribers and oversized commands

An exception of a subscriber would have dropped the effects that followed it, and a command larger than a peer message would have stalled replication. Subscribers are now called under guard, commands are bounded at 2 MiB, and a group whose stores contradict each other is not started again by itself. Heartbeats of the member table wait up to 0.25 s to share a frame.

--- a/marjoramusher/groups/manager.py
+++ b/marjoramusher/groups/manager.py
@@ -20,7 +20,8 @@
 REOPEN_S = 5.0
 INVITE_S = 2.0
 CHANGE_S = 5.0
-TICK_S = 0.25  # finer than the heartbeat, which is sent when it is due
+TICK_S = 0.5  # how late a silent instance may be noticed
+HEARTBEAT_DELAY_S = 0.25  # a heartbeat waits so long for a message to travel with
 
 
 class Settings(msgspec.Struct, frozen=True):
@@ -301,7 +302,6 @@
         self._initial = {}
         self._memory = {}
         self._plan = None
-        self._stale = False
         if self._files is None:
             self._identity = identity.new(
                 self._settings.instance_id, self._rng, cluster_id
@@ -318,6 +318,7 @@
         else:
             self._describe(store_id=self._identity.store_id)
         self._open_groups()
+        self._stale = False
 
     def _describe(self, **fields: object) -> None:
         own = msgspec.structs.replace(self._table.own, **fields)
@@ -344,7 +345,9 @@
             match effect:
                 case table.Send(address=address, heartbeat=heartbeat):
                     body = codec.pack(heartbeat)
-                    self._peers.client.send_to(address, HEARTBEAT, body)
+                    self._peers.client.send_to(
+                        address, HEARTBEAT, body, HEARTBEAT_DELAY_S
+                    )
                 case table.Changed(view=view, before=before):
                     self._note_member(view, before)
                 case table.Refused(other=other):
@@ -508,7 +511,7 @@
 
     def _reopen_failed(self) -> None:
         """Start groups again whose store failed, once the disk takes appends."""
-        failed = [r for r in self._groups.values() if r.failure]
+        failed = [r for r in self._groups.values() if r.may_reopen]
         now = self._clock.monotonic()
         if not failed or self._files is None or now < self._reopen_s:
             return
--- a/marjoramusher/groups/runner.py
+++ b/marjoramusher/groups/runner.py
@@ -11,6 +11,7 @@
 
 from ..consensus import machine, message, node, state
 from ..core import clock, codec, errors
+from ..instances import frame
 from ..storage import error as store_error
 from ..storage import store
 from ..telemetry import log, metrics
@@ -21,6 +22,7 @@
 SNAPSHOT_BYTES = 8 * 1024 * 1024
 TIMER_GRID_S = 0.025  # lets heartbeats of several groups share a wake-up
 IDLE_S = 1.0
+MAX_COMMAND_BYTES = 2 * 1024 * 1024  # an entry has to fit into one peer message
 
 
 class Limits(msgspec.Struct, frozen=True):
@@ -114,6 +116,7 @@
         self._store: store.Store | None = None
         self._membership: Membership | None = None
         self._failure = ""
+        self._may_reopen = False
         self._applied_index = 0
         self._entries_since = 0
         self._bytes_since = 0
@@ -177,6 +180,11 @@
         """Return why the group takes no part, empty if it does."""
         return self._failure
 
+    @property
+    def may_reopen(self) -> bool:
+        """Tell whether only the store failed, so that a new start may help."""
+        return self._may_reopen
+
     @property
     def status(self) -> GroupStatus:
         """Return the state of the group at this instance."""
@@ -210,6 +218,7 @@
         self._store = kept
         self._membership = membership
         self._failure = ""
+        self._may_reopen = False
         if loaded.snapshot and loaded.snapshot.index > self._applied_index:
             self._machine.restore(loaded.snapshot.data)
             self._applied_index = loaded.snapshot.index
@@ -227,7 +236,7 @@
         )
         self._schedule()
         if self._applied_index:
-            self._applied.on_next(self._applied_index)
+            self._emit(self._applied, self._applied_index)
 
     def stop(self) -> None:
         """Take no more part and release the store."""
@@ -242,7 +251,9 @@
             was = self._node.role
             self._node = None
             if was is message.Role.LEADER:
-                self._roles.on_next(message.RoleChanged(message.Role.FOLLOWER, 0, None))
+                self._emit(
+                    self._roles, message.RoleChanged(message.Role.FOLLOWER, 0, None)
+                )
         if self._store is not None:
             self._store.close()
             self._store = None
@@ -297,6 +308,8 @@
         NoQuorumError
             With outcome ``unknown`` if the command may still be committed.
         """
+        if len(command) > MAX_COMMAND_BYTES:
+            raise frame.BodyTooLargeError(len(command), MAX_COMMAND_BYTES)
         proposal = self._proposal()
         self._proposed.append(message.Propose(proposal.proposal_id, command))
         self._schedule()
@@ -384,7 +397,8 @@
             self._proposed = []
             events.append(message.ProposeBatch(wanted))
         now = self._clock.monotonic()
-        events.append(message.Tick())
+        if self._node.due_s <= now:
+            events.append(message.Tick())
         try:
             effects = [e for event in events for e in self._node.step(event, now)]
             for persist, others in batch.split(effects):
@@ -393,6 +407,7 @@
                     self._carry_out(effect)
             self._take_snapshot()
         except store_error.StoreFailedError as failure:
+            self._may_reopen = True
             self._fail(failure)
         except errors.MarjoramusherError as failure:
             # The stores of the group contradict each other: taking part any longer
@@ -437,7 +452,7 @@
                     term=effect.term,
                     leader=effect.leader.instance if effect.leader else "",
                 )
-                self._roles.on_next(effect)
+                self._emit(self._roles, effect)
             case message.ConfigChanged(config=config):
                 log.state_change(
                     "group.config",
@@ -503,7 +518,17 @@
             elif not future.done():
                 still.append((index, future))
         self._waiting = still
-        self._applied.on_next(self._applied_index)
+        self._emit(self._applied, self._applied_index)
+
+    def _emit(self, stream: reactivex.Subject, value: object) -> None:
+        """Tell the subscribers; a faulty one must not keep effects from others."""
+        try:
+            stream.on_next(value)
+        except Exception as failure:
+            self._metrics.increment("group_subscriber_errors", group=self._name)
+            log.state_change(
+                "group.subscriber_failed", group=self._name, error=repr(failure)
+            )
 
     def _restore(self, snapshot: message.RestoreSnapshot) -> None:
         self._store.save_snapshot(
--- a/marjoramusher/instances/client.py
+++ b/marjoramusher/instances/client.py
@@ -101,10 +101,18 @@
         if address is not None:
             self.send_to(address, method, body)
 
-    def send_to(self, address: str, method: str, body: bytes) -> None:
-        """Send a one-way message to an address whose instance may not be known."""
+    def send_to(
+        self, address: str, method: str, body: bytes, delay_s: float = 0.0
+    ) -> None:
+        """Send a one-way message to an address whose instance may not be known.
+
+        Parameters
+        ----------
+        delay_s : float
+            How long the message may wait for another one to share its frame.
+        """
         if self._links.mode(self._ids.get(address)) is None:
-            self._peer(address).send(method, body)
+            self._peer(address).send(method, body, delay_s)
 
     async def call(
         self, instance_id: str, method: str, body: bytes, timeout_s: float
@@ -268,13 +276,14 @@
         self._queued_bytes = 0
         self._wake: asyncio.Event = asyncio.Event()
         self._sender: asyncio.Task | None = None
+        self._timer: asyncio.TimerHandle | None = None
         self._unacknowledged: collections.deque[tuple[int, float]] = collections.deque()
         self._acknowledged_s = 0.0
         self._failed_s = -RECONNECT_S
         self._carrier: _Connection | None = None  # carries the stream of batches
 
-    def send(self, method: str, body: bytes) -> None:
-        """Queue a message for the next turn of the loop."""
+    def send(self, method: str, body: bytes, delay_s: float = 0.0) -> None:
+        """Queue a message for the next turn of the loop, or for a later one."""
         self._queue.append((method, body))
         self._queued_bytes += len(body)
         while len(self._queue) > QUEUE_MESSAGES or (
@@ -284,6 +293,16 @@
             self._queued_bytes -= len(dropped)
             self._metrics.increment("peer_dropped_messages", peer=self._address)
         self._check_silence()
+        if not delay_s:
+            self._flush()
+        elif self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(delay_s, self._flush)
+
+    def _flush(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
         if self._sender is None or self._sender.done():
             self._sender = asyncio.get_running_loop().create_task(self._run())
         self._wake.set()
@@ -357,6 +376,9 @@
 
     def close(self) -> None:
         """Drop the queue and close the connection."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
         if self._sender is not None:
             self._sender.cancel()
             self._sender = None
