--- a/marjoramusher/groups/manager.py
+++ b/marjoramusher/groups/manager.py
@@ -1,6 +1,7 @@
 """Groups, membership and durable state of one instance."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 
@@ -103,6 +104,7 @@
         self._store_failure = ""
         self._duty_failure = ""
         self._stale = False
+        self._duties_due = asyncio.Event()
 
     @property
     def own(self) -> member.Member:
@@ -194,6 +196,7 @@
         server = self._peers.server
         server.register_one_way(HEARTBEAT, self._receive_heartbeat)
         server.register_one_way(runner.RAFT, self._receive_raft)
+        server.register_batch_end(self._run_groups)
         server.register(forward.PROPOSE, self._answer_propose)
         server.register(forward.BARRIER, self._answer_barrier)
         server.register(formation.METHOD, self._answer_invitation)
@@ -249,7 +252,8 @@
             0,
             self._revision.number,
         )
-        self._table = table.Table(own, settings.seeds, self._clock.monotonic())
+        start_s = runner.next_point(self._clock.monotonic())
+        self._table = table.Table(own, settings.seeds, start_s)
 
     def _open_groups(self) -> None:
         names = {
@@ -324,16 +328,24 @@
         own = msgspec.structs.replace(self._table.own, **fields)
         self._step_table(table.Described(own))
 
+        self._step_table(table.Tick())  # tells the others of a change at once
+
     def _note_stale(self) -> None:
         self._stale = True
+        self._duties_due.set()
 
     # Membership.
 
     async def _run_membership(self) -> None:
         while True:
             self._step_table(table.Tick())
-            now = self._clock.monotonic()
-            await asyncio.sleep(max(min(self._table.due_s - now, TICK_S), 0.01))
+            due_s = self._table.due_s - self._clock.monotonic()
+            await asyncio.sleep(self._to_point(min(due_s, TICK_S)))
+
+    def _to_point(self, seconds: float) -> float:
+        """Return the time to the point of the timer grid that follows."""
+        now = self._clock.monotonic()
+        return runner.next_point(now + max(seconds, 0.01)) - now
 
     def _receive_heartbeat(self, sender: str, body: bytes) -> None:
         heartbeat = codec.unpack(body, member.Heartbeat)
@@ -364,6 +376,8 @@
                 instance=described.instance_id,
                 status=view.status.value,
             )
+        if before is None or before.member.stamp != described.stamp:
+            self._duties_due.set()
 
     # Duties: forming the cluster, joining one, changing members, failed stores.
 
@@ -379,7 +393,10 @@
                 self._duty_failure = failure.message
             else:
                 self._duty_failure = ""
-            await asyncio.sleep(DUTY_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._to_point(DUTY_S)):
+                    await self._duties_due.wait()
+            self._duties_due.clear()
 
     async def _do_duties(self) -> None:
         if self._stale:
@@ -506,6 +523,7 @@
     async def _change(self, running: runner.RaftGroup, wanted: message.Change) -> None:
         try:
             await running.change(wanted, CHANGE_S)
+            self._duties_due.set()
         except errors.MarjoramusherError:
             self._metrics.increment("group_change_errors", group=running.name)
 
@@ -549,6 +567,10 @@
             running = self._start_group(received.group)
         running.receive(received)
 
+    def _run_groups(self) -> None:
+        for running in tuple(self._groups.values()):
+            running.run()
+
     async def _answer_propose(self, sender: str, body: bytes) -> bytes:
         del sender
         call = codec.unpack(body, forward.Forwarded)
--- a/marjoramusher/groups/runner.py
+++ b/marjoramusher/groups/runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import math
 import random
 from collections.abc import Callable
 
@@ -20,7 +21,8 @@
 RAFT = "raft"
 SNAPSHOT_ENTRIES = 4096
 SNAPSHOT_BYTES = 8 * 1024 * 1024
-TIMER_GRID_S = 0.025  # lets heartbeats of several groups share a wake-up
+GRID_S = 0.25  # heartbeats of all groups of an instance leave in one wake-up
+ALIGN_S = 0.1  # what a leader has to do sooner than this is no heartbeat
 IDLE_S = 1.0
 MAX_COMMAND_BYTES = 2 * 1024 * 1024  # an entry has to fit into one peer message
 
@@ -30,7 +32,8 @@
 
     snapshot_entries: int = SNAPSHOT_ENTRIES
     snapshot_bytes: int = SNAPSHOT_BYTES
-    node: state.Settings = state.Settings()
+    # The interval is below the grid, so that each point of the grid has a heartbeat.
+    node: state.Settings = state.Settings(heartbeat_s=GRID_S - 0.02)
 
 
 class Membership(msgspec.Struct, frozen=True):
@@ -275,10 +278,14 @@
         return config
 
     def receive(self, received: message.AnyMessage) -> None:
-        """Take a message of a peer."""
+        """Take a message of a peer, which `run` handles."""
         if self._node is not None:
             self._events.append(message.Receive(received))
-            self._schedule()
+
+    def run(self) -> None:
+        """Handle all received messages now, together with what is scheduled."""
+        if self._events or self._proposed:
+            self._run()
 
     async def propose(self, command: bytes, timeout_s: float) -> bytes:
         """Commit a command, here or at the leader, and return its result."""
@@ -609,11 +616,11 @@
             if self._timer_s <= due_s:
                 return  # it fires early and is set again
             self._timer.cancel()
+        if self._node.role is message.Role.LEADER and due_s - now > ALIGN_S:
+            due_s = next_point(due_s)
         self._timer_s = max(due_s, now)
-        delay_s = self._timer_s - now
-        grid_s = TIMER_GRID_S - (now + delay_s) % TIMER_GRID_S
         self._timer = asyncio.get_running_loop().call_later(
-            delay_s + grid_s, self._fire
+            self._timer_s - now, self._fire
         )
 
     def _fire(self) -> None:
@@ -627,6 +634,11 @@
             self._set_timer()
 
 
+def next_point(at_s: float) -> float:
+    """Return the first point of the timer grid at or after an instant."""
+    return math.ceil(at_s / GRID_S) * GRID_S
+
+
 def _resolve(future: asyncio.Future | None, value: object) -> None:
     if future is not None and not future.done():
         future.set_result(value)
--- a/marjoramusher/instances/server.py
+++ b/marjoramusher/instances/server.py
@@ -20,6 +20,7 @@
 from . import cuts, frame
 
 ACKNOWLEDGE_S = 1.0  # batches are acknowledged together to save bytes at rest
+LAST_ACKNOWLEDGE_S = 1.5  # when no other batch follows; below the peer's patience
 SWALLOW_S = 60.0
 WINDOW_BYTES = 1024 * 1024  # bounds what an unread stream holds in memory
 
@@ -59,6 +60,7 @@
         self._calls: dict[str, CallHandler] = {}
         self._one_way: dict[str, OneWayHandler] = {}
         self._streams: dict[str, StreamHandler] = {}
+        self._batch_end: Callable[[], None] = lambda: None
         self._server: _Server | None = None
         self._port = 0
 
@@ -75,6 +77,10 @@
         """Take one-way messages of a method; the handler must not block."""
         self._one_way[method] = handler
 
+    def register_batch_end(self, handler: Callable[[], None]) -> None:
+        """Have a handler called after the one-way messages of each frame."""
+        self._batch_end = handler
+
     def register_stream(self, method: str, handler: StreamHandler) -> None:
         """Answer calls of a method by a stream of chunks."""
         self._streams[method] = handler
@@ -175,6 +181,7 @@
                 receipts.add()
                 for method, body in batch.messages:
                     self._deliver(sender, method, body)
+                self._run_guarded("end of batch", self._batch_end)
         except errors.MarjoramusherError as error:
             self._metrics.increment("peer_batch_errors", code=error.code.value)
             status = (
@@ -191,8 +198,11 @@
         if handler is None:
             self._metrics.increment("peer_unknown_messages", method=method)
             return
+        self._run_guarded(method, lambda: handler(sender, body))
+
+    def _run_guarded(self, method: str, run: Callable[[], None]) -> None:
         try:
-            handler(sender, body)
+            run()
         except errors.MarjoramusherError as error:
             self._metrics.increment("peer_message_errors", code=error.code.value)
         except Exception as error:
@@ -249,20 +259,23 @@
 class _Receipts:
     """Acknowledge batches of one stream, at most once in `ACKNOWLEDGE_S`."""
 
-    __slots__ = ("_count", "_stream", "_task", "_timer")
+    __slots__ = ("_count", "_sent_s", "_stream", "_task", "_timer")
 
     def __init__(self, stream: grpclib.server.Stream) -> None:
         self._stream = stream
         self._count = 0
+        self._sent_s = float("-inf")
         self._timer: asyncio.TimerHandle | None = None
         self._task: asyncio.Task | None = None
 
     def add(self) -> None:
         """Count a batch and have it acknowledged."""
         self._count += 1
-        if self._timer is None:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(ACKNOWLEDGE_S, self._fire)
+        loop = asyncio.get_running_loop()
+        if loop.time() - self._sent_s >= ACKNOWLEDGE_S:
+            self._fire()
+        elif self._timer is None:
+            self._timer = loop.call_later(LAST_ACKNOWLEDGE_S, self._fire)
 
     def close(self) -> None:
         """Stop acknowledging."""
@@ -272,7 +285,10 @@
             self._task.cancel()
 
     def _fire(self) -> None:
-        self._timer = None
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._sent_s = asyncio.get_running_loop().time()
         if self._task is None or self._task.done():
             self._task = asyncio.get_running_loop().create_task(self._send())
 
--- a/marjoramusher/membership/table.py
+++ b/marjoramusher/membership/table.py
@@ -128,7 +128,7 @@
             case Received(heartbeat=heartbeat):
                 self._receive(heartbeat, now)
             case Described(own=own):
-                self._describe(own)
+                self._describe(own, now)
         effects, self._effects = self._effects, []
         return effects
 
@@ -235,7 +235,7 @@
             described = msgspec.structs.replace(described, records_revision=revision)
         self._set(peer, described)
 
-    def _describe(self, own: member.Member) -> None:
+    def _describe(self, own: member.Member, now: float) -> None:
         version = self._own.version
         same = msgspec.structs.replace(own, records_revision=self._own.records_revision)
         kept = msgspec.structs.replace(
@@ -245,6 +245,7 @@
             msgspec.structs.replace(self._own, incarnation=0, version=0)
         ):
             kept = msgspec.structs.replace(kept, version=version + 1)
+            self._due_s = min(self._due_s, now)
         self._own = kept
 
     def _set(
