Check the Raft node under faults

A seeded in-memory pump carries messages with loss, duplicates and reordering, and crashes, restarts, isolates, compacts and wipes instances. It checks every effect against the whole history: one leader a term, log matching, no committed entry replaced, no stale read, one leader with a fresh quorum, and complete machines after the faults have ended.

BootRegister gains last_index: the boot counter can't reveal a copy made since the last process start, the leader can.

--- a/marjoramusher/consensus/boot.py
+++ b/marjoramusher/consensus/boot.py
@@ -77,7 +77,7 @@
             return
         missing = self._missing()
         for voter in missing:
-            self._replica.send(message.BootRegister, voter, self._boot)
+            self._register(voter)
         if missing:
             self._due_s = now + self._interval_s
             self._interval_s = min(2 * self._interval_s, RETRY_MAX_S)
@@ -89,12 +89,23 @@
         """
         if not self.registered and self._active and peer not in self._heard:
             self._heard.add(peer)
-            self._replica.send(message.BootRegister, peer, self._boot)
+            self._register(peer)
 
-    def receive(self, sent: message.BootRegister) -> None:
-        """Record the boot of a peer, or tell it that its store is old."""
+    def receive(self, sent: message.BootRegister, held: int) -> None:
+        """Record the boot of a peer, or tell it that its store is old.
+
+        Parameters
+        ----------
+        held : int
+            Last index that the peer's store is known to have acknowledged. It
+            reveals a copy that was made since the last process start, which the
+            counter can't.
+        """
         known = self._seen.get(sent.sender, 0)
-        stale = sent.boot != known and (sent.boot >> NONCE_BITS <= known >> NONCE_BITS)
+        counter = sent.boot >> NONCE_BITS
+        # In a later term another leader may have cut acknowledged entries off.
+        shorter = sent.last_index < held and sent.term <= self._replica.term
+        stale = sent.boot != known and (counter <= known >> NONCE_BITS or shorter)
         if not stale and sent.boot != known:
             self._seen[sent.sender] = sent.boot
             self._replica.outbox.persist_boot(sent.sender, sent.boot)
@@ -112,6 +123,10 @@
             self.registered = True
         return True
 
+    def _register(self, peer: message.VoterId) -> None:
+        last_index = self._replica.log.last_index
+        self._replica.send(message.BootRegister, peer, self._boot, last_index)
+
     def _missing(self) -> list[message.VoterId]:
         if not self._active:
             return []
--- a/marjoramusher/consensus/message.py
+++ b/marjoramusher/consensus/message.py
@@ -151,9 +151,19 @@
 
 
 class BootRegister(Message, frozen=True, tag=True):
-    """Announce a process start of a store; `boot` is made by `boot.combine`."""
+    """Announce a process start of a store.
+
+    Parameters
+    ----------
+    boot : int
+        Made by `boot.combine`.
+    last_index : int
+        Last entry of the store; a leader that knows of a later one that the store
+        acknowledged answers ``stale``.
+    """
 
     boot: int
+    last_index: int
 
 
 class BootReply(Message, frozen=True, tag=True):
--- a/marjoramusher/consensus/node.py
+++ b/marjoramusher/consensus/node.py
@@ -222,7 +222,9 @@
                 return
         match received:
             case message.BootRegister():
-                self._boots.receive(received)
+                self._boots.receive(received, self.match.get(received.sender, 0))
+                if self._leadership:
+                    self._leadership.member_started(received.sender, now)
             case message.BootReply():
                 if not self._boots.answered(received):
                     self._discard()
@@ -385,8 +387,9 @@
     Parameters
     ----------
     initial : GroupConfig or None
-        Members of a group that starts now, the same at each of them. A node that
-        finds none here nor in its store stays passive until a leader replicates to it.
+        Voters of a new group, the same at each of them; ignored if the store holds
+        state or `own` is not among them. A node without members stays passive until
+        a leader replicates to it.
     diskless : bool
         Whether the store id is new at each process start.
     rng : random.Random
--- /dev/null
+++ b/marjoramusher/consensus/node_test.py
@@ -0,0 +1,565 @@
+"""Guards the safety of a group under faults, on a seeded in-memory message pump."""
+
+import heapq
+import itertools
+import random
+
+import pytest
+
+from marjoramusher.consensus import message, node, recovery, state
+from marjoramusher.core import codec, errors
+
+NAMES = ("a", "b", "c")
+
+
+class Instance:
+    """Disk and machine of one instance; `node` is None while it is down."""
+
+    def __init__(self, name):
+        self.name, self.stores, self.node = name, itertools.count(), None
+        self.wipe()
+
+    def wipe(self):
+        own = message.VoterId(self.name, f"{self.name}{next(self.stores)}")
+        self.load((own, message.HardState(), (), None, 0, {}))
+
+    def copy(self):
+        log, boots = tuple(self.log), dict(self.boots)
+        return (self.own, self.hard, log, self.snapshot, self.boot, boots)
+
+    def load(self, saved):
+        self.own, self.hard, log, self.snapshot, self.boot, boots = saved
+        self.log, self.boots = list(log), dict(boots)
+
+    @property
+    def first(self):
+        return self.snapshot.index + 1 if self.snapshot else 1
+
+    def persist(self, synced):
+        self.hard = synced.hard_state or self.hard
+        if synced.truncate_from is not None:
+            del self.log[synced.truncate_from - self.first :]
+        self.log.extend(synced.entries)
+        self.boots.update(synced.boots)
+
+    def loaded(self):
+        boots = tuple(self.boots.items())
+        return state.NodeState(
+            self.hard, tuple(self.log), self.snapshot, self.boot, boots
+        )
+
+
+class Pump:
+    """Carry messages with faults, and check every effect against the whole history."""
+
+    def __init__(self, seed, names=NAMES, loss=0.0, duplicate=0.0, **settings):
+        self.rng, self.now, self.queue = random.Random(seed), 0.0, []
+        self.loss, self.duplicate = loss, duplicate
+        self.settings = state.Settings(**settings)
+        self.instances = {name: Instance(name) for name in names}
+        self.cut, self.sequence, self.diskless = set(), itertools.count(), ()
+        self.leaders, self.committed, self.written = {}, {}, {}
+        self.reads, self.refused, self.stale, self.sent = {}, {}, [], []
+        self.machines, self.repair, self.client_s = {}, False, 0.05
+        self.config = message.GroupConfig(tuple(self[name].own for name in names))
+        for name in names:
+            self.start(name, self.config)
+
+    def __getitem__(self, name):
+        return self.instances[name]
+
+    def start(self, name, initial=None):
+        instance = self.instances.setdefault(name, Instance(name))
+        instance.boot += 1
+        saved = instance.snapshot
+        self.machines[name] = codec.unpack(saved.data, list[bytes]) if saved else []
+        instance.node = node.make_node(
+            "g",
+            instance.own,
+            instance.loaded(),
+            initial,
+            diskless=name in self.diskless,
+            rng=random.Random(self.rng.random()),
+            now=self.now,
+            settings=self.settings,
+        )
+
+    def crash(self, name):
+        self[name].node = None
+
+    def up(self):
+        return [each for each in self.instances.values() if each.node]
+
+    def step(self, name, event, crash_after=None):
+        """Carry out the effects of a step; a crash may cut them short."""
+        instance = self[name]
+        effects = instance.node.step(event, self.now)
+        for position, effect in enumerate(effects):
+            assert position == 0 or not isinstance(effect, message.Persist)
+            if position == crash_after:
+                return self.crash(name)
+            getattr(self, f"on_{type(effect).__name__}", lambda *_: None)(
+                instance, effect
+            )
+            if instance.node is None:
+                return None
+        return effects
+
+    def on_Persist(self, instance, synced):
+        instance.persist(synced)
+        for entry in synced.entries:
+            place = entry.index - instance.first
+            before = instance.log[place - 1].term if place else None
+            epoch = instance.node.epoch
+            known = self.written.setdefault((epoch, entry.index, entry.term), {})
+            assert known.setdefault("entry", entry) == entry, "log matching"
+            if before is not None:
+                assert known.setdefault("before", before) == before, "log matching"
+
+    def on_Send(self, instance, effect):
+        sent = effect.message
+        self.sent.append(sent)
+        receiver = sent.receiver.instance
+        if {instance.name, receiver} in self.cut or self.rng.random() < self.loss:
+            return
+        for _ in range(1 + (self.rng.random() < self.duplicate)):
+            at = self.now + self.rng.uniform(0.001, 0.03)
+            heapq.heappush(self.queue, (at, next(self.sequence), receiver, sent))
+
+    def on_Commit(self, instance, effect):
+        for entry in effect.entries:
+            known = self.committed.setdefault(entry.index, entry)
+            assert known == entry, f"committed entry {entry.index} replaced"
+            if entry.kind is message.EntryKind.COMMAND:
+                self.machines[instance.name].append(entry.payload)
+
+    def on_RoleChanged(self, instance, effect):
+        if effect.role is message.Role.LEADER:
+            key = (instance.node.epoch, effect.term)
+            first = self.leaders.setdefault(key, instance.own)
+            assert first == instance.own, f"two leaders in term {effect.term}"
+
+    def on_RestoreSnapshot(self, instance, effect):
+        instance.snapshot = state.Snapshot(
+            effect.index, effect.term, effect.config, effect.data
+        )
+        instance.log = []
+        self.machines[instance.name] = codec.unpack(effect.data, list[bytes])
+
+    def on_ReadReady(self, instance, effect):
+        assert effect.index >= self.reads.pop(effect.read_id), "stale read"
+
+    def on_ProposalRefused(self, instance, effect):
+        self.refused[effect.proposal_id] = effect.error
+
+    def on_StaleStore(self, instance, effect):
+        self.stale.append(instance.own)
+        instance.wipe()
+        self.start(instance.name)
+
+    def compact(self, name):
+        instance = self[name]
+        index = instance.node.commit_index
+        if index >= instance.first:
+            term, config = instance.node.term_at(index), instance.node.config_at(index)
+            data = codec.pack(self.machines[name])
+            del instance.log[: index + 1 - instance.first]
+            instance.snapshot = state.Snapshot(index, term, config, data)
+            self.step(name, message.Compacted(index, data))
+
+    def leader(self):
+        fresh = [each for each in self.up() if each.node.has_fresh_quorum(self.now)]
+        assert len(fresh) <= 1, "two leaders with a fresh quorum"
+        return fresh[0] if fresh else None
+
+    def client(self):
+        """Propose and read at every leader; repair lost stores at the fresh one."""
+        fresh = self.leader()
+        for each in self.up():
+            if each.node.role is message.Role.LEADER:
+                number = next(self.sequence)
+                payload = f"{each.name}{number}".encode()
+                self.step(each.name, message.Propose(number, payload))
+            if each.node and each.node.role is message.Role.LEADER:
+                self.reads[number] = max(self.committed, default=0)
+                self.step(each.name, message.ReadBarrier(number))
+        if self.repair and fresh and fresh.node:
+            config = fresh.node.config
+            for each in self.up():
+                if each.own not in config.voters + config.learners:
+                    self.change(fresh, message.AddLearner, each.own)
+                old = [v for v in config.voters if v.instance == each.name != v.store]
+                if old and old[0] != each.own:
+                    self.change(fresh, message.ReplaceVoter, old[0], each.own)
+
+    def change(self, leader, kind, *members):
+        number = next(self.sequence)
+        self.step(leader.name, kind(number, *members))
+        return self.refused.get(number)
+
+    def run(self, seconds):
+        end, next_client = self.now + seconds, self.now + self.client_s
+        while True:
+            due, name = min(
+                ((each.node.due_s, each.name) for each in self.up()),
+                default=(end + 1, ""),
+            )
+            when = min(due, next_client, self.queue[0][0] if self.queue else due)
+            if when > end:
+                self.now = end
+                return self.leader()
+            self.now = max(self.now, when)
+            if self.queue and self.queue[0][0] <= self.now:
+                _, _, receiver, sent = heapq.heappop(self.queue)
+                if self[receiver].node:
+                    self.step(receiver, message.Receive(sent))
+            elif next_client <= self.now:
+                next_client = self.now + self.client_s
+                self.client()
+            else:
+                self.step(name, message.Tick())
+
+    def heal(self):
+        """End all faults; every instance must then hold all that was committed."""
+        self.loss = self.duplicate = 0.0
+        self.cut = set()
+        for each in self.instances.values():
+            if not each.node:
+                self.start(each.name)
+        self.run(8)
+        self.client_s = float("inf")
+        assert self.run(3), "no leader after the faults have ended"
+        commands = [
+            entry.payload
+            for _, entry in sorted(self.committed.items())
+            if entry.kind is message.EntryKind.COMMAND
+        ]
+        for each in self.up():
+            assert self.machines[each.name] == commands, "lost or doubled command"
+
+
+def isolate(pump, name):
+    pump.cut = {frozenset((name, other)) for other in pump.instances if other != name}
+
+
+def boots_known(pump):
+    """Every running store's boot is recorded by all others."""
+    return all(
+        other.boots.get(each.own, 0) >> 32 == each.boot
+        for each in pump.up()
+        for other in pump.up()
+        if other is not each
+    )
+
+
+def healthy(pump):
+    fresh = pump.leader()
+    return (
+        fresh is not None
+        and len(pump.up()) == len(pump.instances)
+        and set(fresh.node.config.voters) == {each.own for each in pump.up()}
+        and not fresh.node.change_pending
+        and min(fresh.node.match.values()) >= fresh.node.commit_index
+        and boots_known(pump)
+    )
+
+
+@pytest.mark.parametrize("names", [NAMES, ("a", "b", "c", "d", "e")])
+@pytest.mark.parametrize("seed", range(12))
+def test_random_faults_break_no_promise(seed, names):
+    pump = Pump(seed, names, 0.05, 0.05, chunk_bytes=200, tail_bytes=500)
+    pump.repair = True
+    rng, old = random.Random(seed), {}
+    for _ in range(40):
+        pump.run(rng.uniform(0.1, 1.5))
+        fresh = pump.leader()
+        name = fresh.name if fresh and rng.random() < 0.5 else rng.choice(names)
+        instance = pump[name]
+        fault = rng.choice(["crash", "torn", "cut", "heal", "compact", "wipe", "old"])
+        if fault == "crash":
+            old[name] = instance.copy()
+            pump.crash(name)
+        elif fault == "torn" and instance.node:
+            number = next(pump.sequence)
+            proposal = message.Propose(number, b"torn%d" % number)
+            pump.step(name, proposal, crash_after=rng.randrange(3))
+        elif fault == "cut":
+            isolate(pump, name)
+        elif fault == "wipe" and healthy(pump):
+            instance.wipe()
+            pump.start(name)
+        elif fault == "old" and healthy(pump) and name in old:
+            if old[name][0] != instance.own or old[name][4] < instance.boot:
+                instance.load(old[name])
+            pump.start(name)
+        elif fault == "compact" and instance.node:
+            pump.compact(name)
+        else:
+            pump.cut = set()
+            for each in names:
+                if not pump[each].node:
+                    pump.start(each)
+    pump.heal()
+    assert len(pump.committed) > 50
+
+
+def started(seed=1, names=NAMES, **settings):
+    pump = Pump(seed, names, **settings)
+    assert pump.run(4), "no leader"
+    return pump
+
+
+def others(pump, name):
+    return [other for other in pump.instances if other != name]
+
+
+def test_isolated_leader_returns_without_deposing_the_new_one():
+    pump = started()
+    old = pump.leader().name
+    isolate(pump, old)
+    pump.run(1.0)
+    assert not pump[old].node.has_fresh_quorum(pump.now)
+    pump.client_s = 60.0
+    new = pump.run(3600)
+    term = new.node.term
+    assert pump[old].node.role is message.Role.FOLLOWER
+    assert pump[old].node.term < term, "pre-vote must not raise the term"
+    pump.cut = set()
+    assert pump.run(10) is new and new.node.term == term
+    assert pump[old].node.commit_index == new.node.commit_index
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("boot_rule", [True, False])
+def test_old_copy_of_a_store_loses_nothing(seed, boot_rule):
+    """The check itself must fail without the rule, or it guards nothing."""
+    pump = started(seed, boot_rule=boot_rule)
+    keeper = pump.leader().name
+    stale, behind = others(pump, keeper)
+    saved = pump[stale].copy()
+    pump.crash(stale)
+    pump.start(stale)
+    pump.run(2)
+    isolate(pump, behind)
+    pump.run(3)
+    for name in (keeper, stale):
+        pump.crash(name)
+    pump[stale].load(saved)
+    pump.cut = set()
+    pump.start(stale)
+    if not boot_rule:
+        with pytest.raises((AssertionError, errors.MarjoramusherError)):
+            pump.run(4)
+            pump.start(keeper)
+            pump.run(4)
+        return
+    assert pump.run(4) is None, "two of three stores are gone"
+    assert pump.stale == [saved[0]]
+    pump.repair = True
+    pump.heal()
+
+
+def test_copy_made_since_the_last_start_is_revealed_by_the_leader():
+    pump = started()
+    victim = others(pump, pump.leader().name)[0]
+    saved = pump[victim].copy()
+    pump.run(3)
+    pump[victim].load(saved)
+    pump.start(victim)
+    pump.run(1)
+    assert pump.stale == [saved[0]]
+
+
+def test_restart_is_not_stale_when_answers_are_lost_and_sent_twice():
+    pump = Pump(3, loss=0.4, duplicate=0.4)
+    for _ in range(10):
+        pump.run(2)
+        for name in NAMES:
+            pump.crash(name)
+            pump.start(name)
+    pump.heal()
+    assert pump.stale == []
+
+
+def test_second_loss_right_after_a_repair_loses_nothing():
+    pump = started()
+    lost, second = others(pump, pump.leader().name)
+    pump[lost].wipe()
+    pump.start(lost)
+    pump.repair = True
+    while pump[lost].own not in pump.leader().node.config.voters:
+        pump.run(0.1)
+    while pump.leader().node.change_pending:
+        pump.run(0.1)
+    pump.crash(second)
+    before = len(pump.committed)
+    assert pump.run(5) and len(pump.committed) > before + 20
+    pump.heal()
+
+
+def test_second_loss_during_a_repair_stalls_and_loses_nothing():
+    pump = started()
+    lost, second = others(pump, pump.leader().name)
+    pump[lost].wipe()
+    pump.start(lost)
+    leader = pump.leader()
+    assert pump.change(leader, message.AddLearner, pump[lost].own) is None
+    pump.run(1)
+    pump.crash(second)
+    old = next(v for v in leader.node.config.voters if v.instance == lost)
+    pump.change(leader, message.ReplaceVoter, old, pump[lost].own)
+    assert pump.run(4) is None, "the new store does not count before the swap"
+    pump.repair = True
+    pump.heal()
+
+
+def test_membership_changes_are_refused_until_safe_and_then_take_effect():
+    pump = started(names=("a",))
+    leader = pump.leader()
+    for name in ("b", "c"):
+        pump.start(name)
+    b, c = pump["b"].own, pump["c"].own
+    assert pump["b"].node.role is message.Role.LEARNER
+    unknown = errors.ErrorCode.BAD_REQUEST
+    busy = errors.ErrorCode.VERSION_CONFLICT
+    assert pump.change(leader, message.AddVoter, b) is unknown
+    assert pump.change(leader, message.RemoveVoter, leader.own) is unknown
+    assert pump.change(leader, message.AddLearner, b) is None
+    assert pump.change(leader, message.AddVoter, b) is busy, "not caught up"
+    pump.run(1)
+    assert leader.node.catch_up_done(b, pump.now)
+    assert pump.change(leader, message.AddVoter, b) is None
+    assert pump.change(leader, message.AddLearner, c) is busy, "change pending"
+    pump.run(1)
+    assert pump.change(leader, message.AddLearner, c) is None
+    pump.run(1)
+    assert pump.change(leader, message.AddVoter, c) is None
+    pump.run(1)
+    assert pump.change(leader, message.RemoveVoter, leader.own) is None
+    pump.run(4)
+    assert leader.node.role is message.Role.LEARNER
+    assert pump.leader().name in ("b", "c")
+    assert pump.change(pump.leader(), message.AddLearner, leader.own) is None
+    pump.run(1)
+    assert pump.change(pump.leader(), message.RemoveLearner, leader.own) is None
+    pump.run(1)
+    assert pump.leader().node.config.learners == ()
+
+
+def test_far_behind_member_gets_a_snapshot_in_chunks_and_the_entries_after_it():
+    pump = started(loss=0.1, chunk_bytes=64, tail_bytes=0)
+    behind = others(pump, pump.leader().name)[0]
+    pump.crash(behind)
+    pump.run(5)
+    pump.compact(pump.leader().name)
+    pump.start(behind)
+    pump.run(5)
+    assert pump[behind].snapshot is not None
+    chunks = [m for m in pump.sent if isinstance(m, message.SnapshotChunk) and m.data]
+    assert len(chunks) > 3 and max(len(m.data) for m in chunks) <= 64
+    pump.heal()
+
+
+def test_batches_and_window_are_bounded_for_a_member_far_behind():
+    pump = started(batch_bytes=1000, window=2)
+    behind = others(pump, pump.leader().name)[0]
+    pump.crash(behind)
+    leader = pump.leader()
+    batch = tuple(message.Propose(-k, b"x" * 100) for k in range(1, 200))
+    pump.step(leader.name, message.ProposeBatch(batch))
+    pump.client_s = float("inf")
+    pump.run(2)
+    pump.sent.clear()
+    pump.start(behind)
+    pump.run(2)
+    appends = [m for m in pump.sent if isinstance(m, message.Append)]
+    sizes = [sum(len(e.payload) + 48 for e in m.entries) for m in appends]
+    assert 900 < max(sizes) <= 1000 and len(appends) > 30
+    assert pump[behind].node.last_index == leader.node.last_index
+
+
+def test_recovery_with_loss_starts_an_epoch_that_old_members_cannot_join():
+    pump = started()
+    survivor, *gone = NAMES
+    for name in NAMES:
+        pump.crash(name)
+    given = recovery.recover_with_loss(pump[survivor].loaded(), pump[survivor].own)
+    assert given.config == message.GroupConfig((pump[survivor].own,), (), 1)
+    pump[survivor].persist(given.persist)
+    before = dict(pump.committed)
+    pump.start(survivor)
+    pump.run(3)
+    assert pump.leader().name == survivor and len(pump.committed) > len(before)
+    pump.start(gone[0])
+    pump.run(3)
+    assert pump.leader().name == survivor and pump[gone[0]].node.epoch == 0
+    old = pump[gone[0]].own
+    pump.change(pump.leader(), message.AddLearner, old)
+    pump.repair = True
+    pump.run(3)
+    assert pump.stale == [old], "a store of the old epoch may hold other entries"
+    assert pump[gone[0]].own in pump.leader().node.config.learners
+    pump.client_s = float("inf")
+    pump.run(1)
+    assert pump.machines[gone[0]] == pump.machines[survivor]
+
+
+def test_failed_store_neither_leads_nor_votes():
+    pump = started()
+    failed = pump.leader()
+    pump.step(failed.name, message.StoreFailed())
+    assert failed.node.role is message.Role.FOLLOWER
+    pump.step(failed.name, message.Propose(-1, b"x"))
+    assert pump.refused[-1] is errors.ErrorCode.STORE_FAILED
+    pump.sent.clear()
+    new = pump.run(4)
+    assert new is not None and new is not failed
+    assert all(sent.sender != failed.own for sent in pump.sent)
+
+
+def test_idle_members_only_answer_heartbeats():
+    """Traffic at rest counts against the 10 KB/s of an instance."""
+    pump = started()
+    pump.start("d")
+    pump.change(pump.leader(), message.AddLearner, pump["d"].own)
+    pump.run(2)
+    leader, pump.client_s = pump.leader(), float("inf")
+    pump.run(2)
+    pump.sent.clear()
+    pump.run(10)
+    asked = [m for m in pump.sent if m.sender == leader.own]
+    assert all(isinstance(m, message.Append) and not m.entries for m in asked)
+    assert len(asked) <= 10 * (2 * 4 + 1) + 3
+    assert len(pump.sent) <= 2 * len(asked)
+
+
+def test_commit_index_reaches_idle_learners_at_once():
+    """A learner waits for no heartbeat before it applies an operator's change."""
+    pump = started()
+    pump.start("d")
+    pump.change(pump.leader(), message.AddLearner, pump["d"].own)
+    pump.run(2)
+    pump.client_s = float("inf")
+    pump.run(2)
+    pump.step(pump.leader().name, message.Propose(-1, b"change"))
+    pump.run(0.2)
+    assert pump.machines["d"][-1] == b"change"
+
+
+@pytest.mark.parametrize("event", [message.Propose(1, b""), message.ReadBarrier(1)])
+def test_follower_refuses_and_names_the_leader(event):
+    pump = started()
+    leader = pump.leader()
+    (effect,) = pump.step(others(pump, leader.name)[0], event)
+    assert effect.leader == leader.own
+
+
+def test_diskless_voter_needs_no_registration():
+    pump = Pump(1)
+    pump.diskless = ("c",)
+    pump.crash("c")
+    pump.start("c", pump.config)
+    assert pump["c"].node.registered and not pump["a"].node.registered
+    pump.run(5)
+    registers = [m for m in pump.sent if isinstance(m, message.BootRegister)]
+    assert pump["c"].own not in {m.sender for m in registers}
--- a/marjoramusher/consensus/recovery.py
+++ b/marjoramusher/consensus/recovery.py
@@ -24,19 +24,13 @@
 def recover_with_loss(
     loaded: state.NodeState,
     survivor: message.VoterId,
-    initial: message.GroupConfig | None = None,
 ) -> Recovery:
     """Give the survivor's way out of a lost majority.
 
     All entries of the survivor are kept, committed or not: dropping one may lose
     what a caller was told, while keeping one only adds what a caller asked for.
-
-    Parameters
-    ----------
-    initial : GroupConfig or None
-        Members if the store holds no configuration.
     """
-    own = replica.Replica("", survivor, loaded, initial)
+    own = replica.Replica("", survivor, loaded, None)
     config = message.GroupConfig((survivor,), (), own.epoch + 1)
     term = max(loaded.hard_state.term, own.log.last_term) + 1
     entry = message.Entry(
--- a/marjoramusher/consensus/replica.py
+++ b/marjoramusher/consensus/replica.py
@@ -1,6 +1,6 @@
 """State that a node keeps in every role."""
 
-from ..core import errors
+from ..core import codec, errors
 from . import config, log, message, outbox, state
 
 
@@ -12,7 +12,7 @@
     Parameters
     ----------
     initial : GroupConfig or None
-        Members if the loaded state holds no configuration.
+        Voters of a new group. They become its first entry, synced by the first step.
     """
 
     __slots__ = (
@@ -44,11 +44,16 @@
         base = loaded.snapshot
         self.commit = base.index if base else 0
         self.log = log.Log(self.commit, base.term if base else 0, loaded.entries)
-        self.members = config.Members(self.commit, base.config if base else initial)
+        self.members = config.Members(self.commit, base.config if base else None)
         for entry in log.configs(loaded.entries):
             self.members.add(entry)
         current = self.members.current
         self.epoch = current.epoch if current else 0
+        new = not loaded.entries and base is None and self.term == 0
+        if new and initial is not None and own in initial.voters:
+            # The same entry at each initial voter, so their logs agree on it.
+            payload = codec.pack(initial)
+            self.append((message.Entry(1, 0, message.EntryKind.CONFIG, payload),))
 
     def set_term(self, term: int, voted_for: message.VoterId | None) -> None:
         """Take over a term and a vote."""
--- a/marjoramusher/consensus/replication.py
+++ b/marjoramusher/consensus/replication.py
@@ -157,10 +157,22 @@
                 known.probe(min(reply.match + 1, known.next))
         elif known.acknowledged(min(reply.match, self._replica.log.last_index)):
             self._advance(now)
+            if known.sent_commit < min(known.match, self._replica.commit):
+                self._arm_flush(now)
         if reply.sender in self._members:
             self._fill(reply.sender, known, now)
         self._finish_reads(now)
 
+    def member_started(self, member: message.VoterId, now: float) -> None:
+        """Probe a member that has registered its boot.
+
+        It has answered nothing so far, and a learner's next heartbeat may be far off.
+        """
+        known = self._members.get(member)
+        if known is not None:
+            known.probe(known.next)
+            self._send_heartbeat(member, known, self._round, now)
+
     def chunk_answered(self, reply: message.SnapshotReply, now: float) -> None:
         """Take a member's answer to a snapshot chunk."""
         known = self._members.get(reply.sender)
@@ -233,8 +245,8 @@
             if pending and not self.change_pending:
                 self._drop_members(now)
         if changed:
-            if self._flush_due_s == float("inf") and self._members:
-                self._flush_due_s = now + self._settings.commit_flush_s
+            if self._members:
+                self._arm_flush(now)
             self._start_reads(now)
 
     def _update_members(self, next_index: int) -> None:
@@ -280,6 +292,10 @@
                 break
             del self._round_sent_s[old]
 
+    def _arm_flush(self, now: float) -> None:
+        if self._flush_due_s == float("inf"):
+            self._flush_due_s = now + self._settings.commit_flush_s
+
     def _flush(self, now: float) -> None:
         self._flush_due_s = float("inf")
         for member, known in self._members.items():
