Repeat a configuration that swaps a voter

The leader now repeats the configuration in a second entry once the swap is committed, and the change counts as pending until then.

--- a/marjoramusher/consensus/config.py
+++ b/marjoramusher/consensus/config.py
@@ -12,7 +12,9 @@
     A configuration is in force as soon as it is in the log. While it is uncommitted
     and its majorities need not overlap with those of the one before, both majorities
     are needed. This is so for the swap of one voter, which would otherwise rely on
-    the old store being gone.
+    the old store being gone. The leader then repeats the configuration in a second
+    entry: a restarted voter does not know what is committed, and without that entry
+    it would need the old majority again after the loss of another voter.
 
     Parameters
     ----------
@@ -38,12 +40,23 @@
         return self._history[-1][0] if self._history else 0
 
     @property
-    def added_voters(self) -> tuple[message.VoterId, ...]:
-        """Return the voters that the newest configuration has added."""
+    def needs_repeat(self) -> bool:
+        """Tell whether the newest configuration swaps voters and is not repeated."""
         if len(self._history) < 2:
-            return ()
+            return False
         before, now = self._history[-2][1], self._history[-1][1]
-        return tuple(voter for voter in now.voters if voter not in before.voters)
+        return before.epoch == now.epoch and not _overlap(before, now)
+
+    @property
+    def added_voters(self) -> tuple[message.VoterId, ...]:
+        """Return the voters that the last change of voters has added."""
+        if not self._history:
+            return ()
+        voters = self._history[-1][1].voters
+        for _, before in reversed(self._history):
+            if before.voters != voters:
+                return tuple(new for new in voters if new not in before.voters)
+        return ()
 
     def is_voter(self, member: message.VoterId) -> bool:
         """Tell whether a member votes in the configuration in force."""
@@ -81,10 +94,8 @@
         if not self._history:
             return ()
         index, now = self._history[-1]
-        if index > commit and len(self._history) > 1:
-            before = self._history[-2][1]
-            if before.epoch == now.epoch and not _overlap(before, now):
-                return (before.voters, now.voters)
+        if index > commit and self.needs_repeat:
+            return (self._history[-2][1].voters, now.voters)
         return (now.voters,)
 
     def voters(self, commit: int) -> set[message.VoterId]:
--- a/marjoramusher/consensus/replication.py
+++ b/marjoramusher/consensus/replication.py
@@ -248,6 +248,10 @@
             if self._members:
                 self._arm_flush(now)
             self._start_reads(now)
+            members = own.members
+            if self.established and not self.change_pending and members.needs_repeat:
+                repeated = codec.pack(members.current)
+                self._append([(message.EntryKind.CONFIG, repeated)], now)
 
     def _update_members(self, next_index: int) -> None:
         own = self._replica
