Count only answered heartbeats as a fresh quorum

The election itself counted, but a voter that has just voted may still vote for the next candidate before it hears from the new leader, so two nodes could hold a fresh quorum for up to 0.9 s.

--- a/marjoramusher/consensus/config.py
+++ b/marjoramusher/consensus/config.py
@@ -128,10 +128,17 @@
         self, value: Callable[[message.VoterId], float], commit: int
     ) -> float:
         """Return the highest value that a majority of each voter set has reached."""
-        return min(
-            sorted(map(value, voters), reverse=True)[len(voters) // 2]
-            for voters in self.voter_sets(commit)
-        )
+        sets = self.voter_sets(commit)
+        lowest = _majority_value(sets[0], value)
+        if len(sets) > 1:
+            lowest = min(lowest, _majority_value(sets[1], value))
+        return lowest
+
+
+def _majority_value(
+    voters: tuple[message.VoterId, ...], value: Callable[[message.VoterId], float]
+) -> float:
+    return sorted(map(value, voters), reverse=True)[len(voters) // 2]
 
 
 def _overlap(before: message.GroupConfig, now: message.GroupConfig) -> bool:
--- a/marjoramusher/consensus/node.py
+++ b/marjoramusher/consensus/node.py
@@ -112,6 +112,11 @@
         """Tell whether the newest configuration is uncommitted."""
         return self._replica.members.index > self._replica.commit
 
+    @property
+    def established(self) -> bool:
+        """Tell whether this node leads and has committed an entry of its term."""
+        return self._leadership is not None and self._leadership.established
+
     @property
     def match(self) -> dict[message.VoterId, int]:
         """Return, at the leader, the last index known to be held by each member."""
@@ -131,7 +136,7 @@
         """Tell whether this node leads and a majority confirmed it recently."""
         return (
             self._leadership is not None
-            and now - self._leadership.quorum_heard_s(now) <= self._settings.lease_s
+            and now - self._leadership.confirmed_s(now) <= self._settings.lease_s
         )
 
     def catch_up_done(self, learner: message.VoterId, now: float) -> bool:
@@ -197,8 +202,7 @@
     def _tick(self, now: float) -> None:
         self._boots.tick(now)
         if self._leadership:
-            heard_s = self._leadership.quorum_heard_s(now)
-            if now - heard_s >= self._settings.election_min_s:
+            if self._leadership.quorum_lost(now):
                 self._follow(None)
                 self._elections.reset_timeout(now)
             else:
--- a/marjoramusher/consensus/replica.py
+++ b/marjoramusher/consensus/replica.py
@@ -43,9 +43,10 @@
         self.snapshot = loaded.snapshot
         base = loaded.snapshot
         self.commit = base.index if base else 0
-        self.log = log.Log(self.commit, base.term if base else 0, loaded.entries)
+        entries = [each for each in loaded.entries if each.index > self.commit]
+        self.log = log.Log(self.commit, base.term if base else 0, entries)
         self.members = config.Members(self.commit, base.config if base else None)
-        for entry in log.configs(loaded.entries):
+        for entry in log.configs(entries):
             self.members.add(entry)
         current = self.members.current
         self.epoch = current.epoch if current else 0
--- a/marjoramusher/consensus/replication.py
+++ b/marjoramusher/consensus/replication.py
@@ -69,8 +69,12 @@
         """Return the last index that each member is known to hold."""
         return {member: known.match for member, known in self._members.items()}
 
-    def quorum_heard_s(self, now: float) -> float:
-        """Return until when a majority is known to have followed this leader."""
+    def confirmed_s(self, now: float) -> float:
+        """Return when the newest heartbeat that a majority has answered was sent.
+
+        The election itself does not count: a vote is no promise to refuse the next
+        candidate, an answered heartbeat is.
+        """
         own = self._replica
 
         def heard(voter: message.VoterId) -> float:
@@ -79,7 +83,11 @@
             known = self._members.get(voter)
             return known.heard_s if known else float("-inf")
 
-        return max(self._started_s, own.members.quorum_value(heard, own.commit))
+        return own.members.quorum_value(heard, own.commit)
+
+    def quorum_lost(self, now: float) -> bool:
+        """Tell whether no majority has answered for an election timeout."""
+        return now - self._contact_s(now) >= self._settings.election_min_s
 
     def catch_up_done(self, member: message.VoterId, now: float) -> bool:
         """Tell whether a learner may become a voter."""
@@ -103,7 +111,7 @@
         """Append commands."""
         own = self._replica
         room = own.commit + self._settings.max_uncommitted - own.log.last_index
-        fresh = now - self.quorum_heard_s(now) <= self._settings.lease_s
+        fresh = now - self._contact_s(now) <= self._settings.lease_s
         taken = proposals[: max(room, 0)] if fresh else ()
         code = errors.ErrorCode.OVERLOADED if fresh else errors.ErrorCode.NO_QUORUM
         for refused in proposals[len(taken) :]:
@@ -156,7 +164,8 @@
             if reply.match + 1 < known.next or not known.probing:
                 known.probe(min(reply.match + 1, known.next))
         elif known.acknowledged(min(reply.match, self._replica.log.last_index)):
-            self._advance(now)
+            if known.match > self._replica.commit:
+                self._advance(now)
             if known.sent_commit < min(known.match, self._replica.commit):
                 self._arm_flush(now)
         if reply.sender in self._members:
@@ -187,6 +196,9 @@
                 self._send_chunk(reply.sender, known, now)
         self._finish_reads(now)
 
+    def _contact_s(self, now: float) -> float:
+        return max(self._started_s, self.confirmed_s(now))
+
     def _may_change(self, wanted: message.Change, now: float) -> bool:
         own = self._replica
         if self.change_pending or not self.established:
@@ -242,8 +254,10 @@
             pending = self.change_pending
             own.commit_to(index)
             changed = True
-            if pending and not self.change_pending:
-                self._drop_members(now)
+            if not pending or self.change_pending:
+                break
+            # Fewer voters may be needed now that the change is committed.
+            self._drop_members(now)
         if changed:
             if self._members:
                 self._arm_flush(now)
--- a/marjoramusher/consensus/state.py
+++ b/marjoramusher/consensus/state.py
@@ -17,7 +17,8 @@
         How long a confirmed heartbeat round keeps the quorum fresh, counted from
         when it was sent. It is below `election_min_s` by more than clocks drift.
     learner_heartbeat_s : float
-        Heartbeat interval of idle learners, which neither vote nor time out.
+        Heartbeat interval of idle learners, which neither vote nor time out. It only
+        serves to find a lost message: entries and commit indexes are sent at once.
     commit_flush_s : float
         Longest wait before a new commit index is sent without entries.
     batch_bytes, window : int
@@ -41,7 +42,7 @@
     election_min_s: float = 1.0
     election_max_s: float = 1.5
     lease_s: float = 0.9
-    learner_heartbeat_s: float = 1.0
+    learner_heartbeat_s: float = 2.0
     commit_flush_s: float = 0.05
     batch_bytes: int = 64 * 1024
     window: int = 4
@@ -67,7 +68,7 @@
     Parameters
     ----------
     entries : tuple of Entry
-        Entries that follow the snapshot without a gap.
+        Entries without a gap; those up to the snapshot's index are ignored.
     boot : int
         Boot counter of the store, raised and synced before the node is made.
     boots : tuple of (VoterId, int)
