Add the operators' command line

Operators need records, jobs, requests, groups and status from a shell, with exit codes that scripts can rely on.

The client tries the servers in turn. A write with an operation id or key is sent again after a lost answer; a job submission is not. A later refusal never speaks for an earlier attempt that may have taken effect. An unknown outcome prints the options that give the first answer. A deletion in schema 1 can't erase fields of schema 2 any more.

--- /dev/null
+++ b/marjoramusher/cli/main.py
@@ -0,0 +1,137 @@
+"""Entry point of ``marjoramusher``."""
+
+import os
+import pathlib
+from urllib import parse
+
+import click
+from click import shell_completion
+
+from . import examples, exits, jobs, records, session, state
+
+DEFAULT_SERVER = "http://127.0.0.1:8080"
+PROGRAM = "marjoramusher"
+
+EXAMPLES = examples.of(
+    "marjoramusher apply -f accounts.json",
+    "marjoramusher get client_account",
+    "marjoramusher rollback --to 41 --dry-run",
+    "marjoramusher job submit --account acme --contract acme-2027 --accelerators 8",
+    'eval "$(marjoramusher completion bash)"',
+)
+
+
+def _servers(
+    ctx: click.Context, option: click.Parameter, values: tuple[str, ...]
+) -> tuple[str, ...]:
+    del ctx, option
+    for value in values:
+        parts = parse.urlsplit(value)
+        if parts.scheme not in ("http", "https") or not parts.hostname:
+            raise click.BadParameter(f"{value!r} must be http://HOST:PORT")
+    return values
+
+
+def _token(
+    ctx: click.Context, option: click.Parameter, value: pathlib.Path | None
+) -> str | None:
+    del ctx, option
+    if value is None:
+        return None
+    try:
+        token = value.read_text(encoding="ascii").strip()
+    except (OSError, UnicodeDecodeError):
+        raise click.BadParameter(f"{value} can't be read as a token") from None
+    if not token or any(c.isspace() for c in token):
+        raise click.BadParameter(f"{value} must hold one token")
+    return token
+
+
+@click.group(
+    cls=session.CodedGroup,
+    epilog=f"{EXAMPLES}\n\n{exits.HELP}",
+    context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 88},
+)
+@click.option(
+    "--server",
+    "servers",
+    multiple=True,
+    envvar="MARJORAMUSHER_SERVER",
+    default=(DEFAULT_SERVER,),
+    callback=_servers,
+    help="Base URL of an instance; repeatable, the next is tried when one fails "
+    "[env: MARJORAMUSHER_SERVER, separated by spaces].",
+)
+@click.option(
+    "--operator-token-file",
+    "token",
+    type=click.Path(path_type=pathlib.Path),
+    envvar="MARJORAMUSHER_OPERATOR_TOKEN_FILE",
+    callback=_token,
+    help="File with the operators' token [env: MARJORAMUSHER_OPERATOR_TOKEN_FILE].",
+)
+@click.option(
+    "--operator",
+    envvar="MARJORAMUSHER_OPERATOR",
+    default=lambda: os.environ.get("USER") or "operator",
+    help="Your name in the history of records [env: MARJORAMUSHER_OPERATOR].",
+)
+@click.option(
+    "--output",
+    "output_format",
+    type=click.Choice(["table", "json"]),
+    default="table",
+    show_default=True,
+)
+@click.option(
+    "--timeout-s",
+    type=click.FloatRange(0.1, 3600),
+    default=30.0,
+    show_default=True,
+    help="Longest time for one call, with all attempts.",
+)
+@click.version_option(package_name="marjoramusher")
+@click.pass_context
+def cli(
+    ctx: click.Context,
+    servers: tuple[str, ...],
+    token: str | None,
+    operator: str,
+    output_format: str,
+    timeout_s: float,
+) -> None:
+    """Operate marjoramusher: records, jobs, requests, groups and status."""
+    ctx.obj = session.Session(
+        servers, token, operator, timeout_s, output_format == "json"
+    )
+
+
+@cli.command(
+    "completion",
+    epilog=examples.of(
+        'eval "$(marjoramusher completion bash)"',
+        "marjoramusher completion fish > ~/.config/fish/completions/marjoramusher.fish",
+    ),
+)
+@click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
+def completion(shell: str) -> None:
+    """Print the script that completes commands in a shell."""
+    kind = shell_completion.get_completion_class(shell)
+    if kind is None:
+        raise click.UsageError(f"no completion for {shell}")
+    completer = kind(cli, {}, PROGRAM, "_MARJORAMUSHER_COMPLETE")
+    # `source` of bash starts a shell to look at its version; the template does not.
+    click.echo(completer.source_template % completer.source_vars())
+
+
+for command in (*records.COMMANDS, *jobs.COMMANDS, *state.COMMANDS):
+    cli.add_command(command)
+
+
+def main() -> None:
+    """Run the command line."""
+    cli(prog_name=PROGRAM)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/marjoramusher/cli/main_test.py
@@ -0,0 +1,388 @@
+"""Guards the exit codes, the resending of writes and the output of the commands."""
+
+import asyncio
+import json
+import threading
+
+import pytest
+from aiohttp import web
+from click import testing
+
+from marjoramusher.cli import client, main, session
+from marjoramusher.core import clock, errors
+from marjoramusher.groups import local
+from marjoramusher.http import errors as http_errors
+from marjoramusher.operators import routes
+from marjoramusher.records import machine
+from marjoramusher.telemetry import metrics
+
+ACCOUNT = {"kind": "client_account", "name": "acme", "replaces": 0}
+GOOD = {**ACCOUNT, "spec": {"home": "a1"}}
+JOB = {
+    "job_id": "job-a1-1",
+    "spec": {"account": "acme", "contract": "c"},
+    "state": "queued",
+}
+
+
+class Servers:
+    """Several instances over one group of one, run in a thread.
+
+    `faults` holds what happens to each coming write: ``lose`` carries it out and
+    drops the connection, ``drop`` only drops the connection, and an error is answered.
+    """
+
+    def __init__(self, number=2):
+        self.faults = []
+        self.seen = []
+        self.job_states = ["queued"]
+        self.records = machine.RecordsMachine()
+        self.urls = []
+        self._number = number
+        self._started = threading.Event()
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._run)
+        self._thread.start()
+        self._started.wait()
+
+    def close(self):
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._loop.close()
+
+    def _run(self):
+        self._loop.run_until_complete(self._start())
+        self._started.set()
+        self._loop.run_forever()
+        self._loop.run_until_complete(self._runner.cleanup())
+
+    async def _start(self):
+        counters = metrics.Metrics()
+        group = local.LocalGroup("records", self.records)
+        app = web.Application(
+            middlewares=[http_errors.make_middleware(counters), self._break]
+        )
+        app.add_routes(
+            routes.make_routes(
+                group,
+                self.records,
+                None,
+                counters,
+                clock.ManualClock(),
+                failure_domains=lambda: {"a1", "a2"},
+                sections=lambda: {
+                    "groups": [{"name": "records", "leader": "i1"}],
+                    "load": {"queued": 0},
+                },
+            )
+        )
+        app.router.add_post("/v1/jobs", self._job)
+        app.router.add_get("/v1/jobs", self._jobs)
+        app.router.add_get("/v1/jobs/{id}", self._job)
+        app.router.add_delete("/v1/jobs/{id}", self._job)
+        app.router.add_post("/v1/services/{service}/requests", self._request)
+        self._runner = web.AppRunner(app)
+        await self._runner.setup()
+        for _ in range(self._number):
+            site = web.TCPSite(self._runner, "127.0.0.1", 0)
+            await site.start()
+            port = site._server.sockets[0].getsockname()[1]
+            self.urls.append(f"http://127.0.0.1:{port}")
+
+    @web.middleware
+    async def _break(self, request, handler):
+        if request.method == "GET":
+            return await handler(request)
+        self.seen.append((request.path, request.headers.get("Idempotency-Key")))
+        fault = self.faults.pop(0) if self.faults else None
+        if isinstance(fault, errors.MarjoramusherError):
+            raise fault
+        response = None if fault == "drop" else await handler(request)
+        if fault is not None:
+            request.transport.abort()
+        return response or web.Response()
+
+    async def _job(self, request):
+        if request.match_info.get("id") == "job-a1-9":
+            raise errors.MarjoramusherError(errors.ErrorCode.NOT_FOUND, "no such job")
+        state = self.job_states[0]
+        if len(self.job_states) > 1:
+            self.job_states.pop(0)
+        return web.json_response({**JOB, "state": state})
+
+    async def _jobs(self, request):
+        return web.json_response({"jobs": [JOB]})
+
+    async def _request(self, request):
+        return web.Response(
+            body=b"answer to " + await request.read(), headers={"X-Request-Id": "r1"}
+        )
+
+
+@pytest.fixture
+def servers(monkeypatch):
+    monkeypatch.setattr(client, "FIRST_PAUSE_S", 0.001)
+    monkeypatch.setenv("MARJORAMUSHER_ACCOUNT", "acme")
+    started = Servers()
+    yield started
+    started.close()
+
+
+def run(servers, *arguments, text=None, output="json"):
+    options = [f"--server={url}" for url in servers.urls]
+    return testing.CliRunner().invoke(
+        main.cli,
+        [*options, "--operator=alice", f"--output={output}", *arguments],
+        input=json.dumps(text) if isinstance(text, (dict, list)) else text,
+        catch_exceptions=False,
+    )
+
+
+def refusal(code, outcome=errors.Outcome.NOT_RUN):
+    return errors.MarjoramusherError(code, "refused", outcome)
+
+
+APPLY = ("apply", "-f", "-")
+SUBMIT = ("job", "submit", "--contract", "c")
+SEND = ("request", "send", "search", "--data", "x")
+LOST = errors.Outcome.UNKNOWN
+ALWAYS = 20
+
+# Arguments, standard input, faults of the servers, exit code.
+EXITS = {
+    "done": (APPLY, GOOD, [], 0),
+    "no file": (("apply",), None, [], 2),
+    "unknown option": (("get", "all", "--force"), None, [], 2),
+    "unknown kind": (("get", "pet"), None, [], 2),
+    "diff of nothing": (("diff",), None, [], 2),
+    "key without need": ((*SEND, "--key", "k"), None, [], 2),
+    "recovery of several": (
+        ("group", "recover", "--group", "g", "--accept-loss"),
+        None,
+        [],
+        2,
+    ),
+    "record not found": (("get", "contract", "x"), None, [], 3),
+    "deleted record not found": (("delete", "contract", "x"), None, [], 3),
+    "job not found": (("job", "get", "job-a1-9"), None, [], 3),
+    "revision not found": (("rollback", "--to", "7"), None, [], 3),
+    "stale version": (APPLY, {**GOOD, "replaces": 4}, [], 4),
+    "no quorum": (APPLY, GOOD, [refusal(errors.ErrorCode.NO_QUORUM)] * ALWAYS, 5),
+    "unauthorized": (APPLY, GOOD, [refusal(errors.ErrorCode.UNAUTHORIZED)], 5),
+    "job refused": (SUBMIT, None, [refusal(errors.ErrorCode.JOB_INFEASIBLE)], 5),
+    "request shed": (SEND, None, [refusal(errors.ErrorCode.OVERLOADED)], 5),
+    "no quorum for one server": (
+        APPLY,
+        GOOD,
+        [refusal(errors.ErrorCode.NO_QUORUM)],
+        0,
+    ),
+    "write always lost": (APPLY, GOOD, ["drop"] * ALWAYS, 6),
+    "lost, then refused": (
+        APPLY,
+        GOOD,
+        ["drop", *[refusal(errors.ErrorCode.NO_QUORUM)] * ALWAYS],
+        6,
+    ),
+    "lost, then not authorized": (
+        APPLY,
+        GOOD,
+        ["lose", refusal(errors.ErrorCode.UNAUTHORIZED)],
+        6,
+    ),
+    "job lost": (SUBMIT, None, ["lose"], 6),
+    "request may have run": (
+        SEND,
+        None,
+        [refusal(errors.ErrorCode.OUTCOME_UNKNOWN, LOST)],
+        6,
+    ),
+    "answer not kept": (
+        SEND,
+        None,
+        [refusal(errors.ErrorCode.ANSWER_EXPIRED, errors.Outcome.DONE)],
+        6,
+    ),
+    "invalid record": (APPLY, {**GOOD, "spec": {}}, [], 8),
+    "not json": (APPLY, "{", [], 8),
+    "deep": (APPLY, "[" * 20_000, [], 8),
+    "empty": (APPLY, "", [], 8),
+    "job done": (SUBMIT, None, [], 0),
+    "request done": (SEND, None, [], 0),
+    "job list": (("job", "list"), None, [], 0),
+    "job cancelled": (("job", "cancel", "job-a1-1"), None, ["lose"], 0),
+    "metrics": (("top", "--once"), None, [], 0),
+}
+
+
+@pytest.mark.parametrize("name", EXITS)
+def test_exit_code(servers, name):
+    arguments, text, servers.faults, code = EXITS[name]
+    result = run(servers, *arguments, text=text)
+    assert result.exit_code == code, result.output
+    if code > 2:
+        error = json.loads(result.stderr[result.stderr.index("{\n") :])["error"]
+        assert (error["outcome"] == "not_run") == (code != 6)
+
+
+def test_unreachable_servers_have_their_own_exit_code(servers):
+    gone = Servers(1)
+    gone.close()
+    assert run(gone, *APPLY, text=GOOD).exit_code == 7
+    assert run(gone, "status").exit_code == 7
+    gone.urls += servers.urls
+    assert run(gone, *APPLY, text=GOOD).exit_code == 0
+    assert "error" in json.loads(run(gone, "status").stdout)[0]
+
+
+@pytest.mark.parametrize("fault", ["lose", "drop"])
+def test_lost_write_is_sent_again_and_counts_once(servers, fault):
+    servers.faults = [fault]
+    result = run(servers, *APPLY, text=GOOD)
+    assert result.exit_code == 0
+    assert "trying again" in result.stderr
+    assert json.loads(result.stdout)["revision"] == 1
+    assert servers.records.revision == 1
+    assert len(servers.seen) == 2
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ("apply", "-f", "-"),
+        ("delete", "client_account", "acme"),
+        ("rollback", "--to", "0"),
+        ("undrain", "r1"),
+    ],
+    ids=lambda arguments: arguments[0],
+)
+def test_hint_after_unknown_outcome_gives_the_first_answer(servers, arguments):
+    drain = {"kind": "drain", "name": "r1", "spec": {"failure_domain": "a1"}}
+    run(servers, *APPLY, text=[GOOD, {**drain, "replaces": 0}])
+    text = {**GOOD, "name": "b"} if arguments[0] == "apply" else None
+    servers.faults = ["lose"] + ["drop"] * ALWAYS
+    result = run(servers, *arguments, text=text)
+    assert result.exit_code == 6
+    message = json.loads(result.stderr[result.stderr.index("{\n") :])["error"]
+    hint = message["message"].partition("again with ")[2].split()
+    servers.faults = []
+    again = run(servers, *arguments, *hint, text=text)
+    assert again.exit_code == 0, again.output
+    assert json.loads(again.stdout)["revision"] == 2 == servers.records.revision
+
+
+def test_submission_with_unknown_outcome_is_not_sent_again(servers):
+    servers.faults = ["lose"]
+    assert run(servers, *SUBMIT, "--key", "k").exit_code == 6
+    assert servers.seen == [("/v1/jobs", "k")]
+
+
+def test_non_repeatable_request_is_sent_again_with_its_key(servers):
+    servers.faults = ["lose"]
+    result = run(servers, *SEND, "--non-repeatable", output="table")
+    assert result.stdout == "answer to x"
+    assert len(servers.seen) == 2
+    assert len(set(servers.seen)) == 1
+    assert servers.seen[0][1] is not None
+
+
+def test_job_is_watched_until_it_has_ended(servers):
+    servers.job_states = ["queued", "running", "running", "done"]
+    result = run(servers, "job", "watch", "job-a1-1")
+    states = [json.loads(line)["state"] for line in result.stdout.splitlines()]
+    assert states == ["queued", "running", "done"]
+
+
+def test_token_is_sent_but_never_shown(servers, tmp_path):
+    token = tmp_path / "token"
+    token.write_text("s3cret-token\n")
+    option = f"--operator-token-file={token}"
+    result = run(servers, option, *APPLY, text={**GOOD, "spec": {}})
+    assert result.exit_code == 8
+    assert "s3cret" not in result.output
+    token.write_text("two tokens")
+    assert run(servers, option, "status").exit_code == 2
+
+
+def test_long_call_shows_progress_apart_from_the_result(servers, monkeypatch):
+    monkeypatch.setattr(session, "PROGRESS_AFTER_S", 0)
+    result = run(servers, *APPLY, text=GOOD)
+    assert "applying: 0 s" in result.stderr
+    assert json.loads(result.stdout)["revision"] == 1
+
+
+@pytest.mark.parametrize("shell", ["bash", "zsh", "fish"])
+def test_completion_script_names_the_program(servers, shell):
+    assert "marjoramusher" in run(servers, "completion", shell).stdout
+
+
+def test_every_command_has_an_example():
+    def commands(group):
+        for command in group.commands.values():
+            if hasattr(command, "commands"):
+                yield from commands(command)
+            else:
+                yield command
+
+    found = list(commands(main.cli))
+    assert len(found) >= 20
+    assert [c.name for c in found if "marjoramusher" not in (c.epilog or "")] == []
+
+
+SHAPE = {
+    "kind": "guaranteed_shape",
+    "name": "train",
+    "spec": {
+        "account": "acme",
+        "failure_domain": "a1",
+        "gangs": 2,
+        "accelerators": 16,
+    },
+}
+RACK = {**SHAPE["spec"], "tasks": 2, "adjacency": "rack"}
+SESSION = [
+    (("apply", "-f", "-", "--dry-run"), [GOOD, {**SHAPE, "replaces": 0, "schema": 1}]),
+    (("apply", "-f", "-"), [GOOD, {**SHAPE, "replaces": 0, "schema": 1}]),
+    (("apply", "-f", "-"), {**SHAPE, "replaces": 1, "spec": RACK}),
+    (("apply", "-f", "-"), {**SHAPE, "replaces": 1, "spec": RACK}),
+    (
+        ("apply", "-f", "-"),
+        {**SHAPE, "replaces": 2, "schema": 1, "spec": {**SHAPE["spec"], "gangs": 3}},
+    ),
+    (
+        ("apply", "-f", "-"),
+        {
+            **SHAPE,
+            "replaces": 3,
+            "schema": 1,
+            "spec": {**SHAPE["spec"], "accelerators": 8, "failure_domain": "z"},
+        },
+    ),
+    (("get", "guaranteed_shape", "train", "--schema", "1"), None),
+    (("get", "guaranteed_shape", "train"), None),
+    (("drain", "runner-1", "--failure-domain", "a1", "--reason", "new disk"), None),
+    (("delete", "client_account", "acme"), None),
+    (("history", "guaranteed_shape", "train"), None),
+    (("diff", "--from", "1"), None),
+    (("rollback", "--to", "1", "--dry-run"), None),
+    (("rollback", "--to", "1"), None),
+    (("get", "all"), None),
+    (("status",), None),
+    (("group", "status"), None),
+]
+
+
+@pytest.mark.parametrize("output", ["json", "table"])
+def test_session_from_create_to_rollback(servers, snapshot, output):
+    del servers.urls[1:]
+    lines = []
+    for number, (arguments, text) in enumerate(SESSION):
+        if arguments[0] in ("apply", "drain", "delete", "rollback"):
+            arguments = (*arguments, "--operation-id", f"op-{number}")
+        result = run(servers, *arguments, text=text, output=output)
+        lines.append(f"$ marjoramusher {' '.join(arguments)}")
+        if text is not None:
+            lines.append(json.dumps(text))
+        lines.append(result.stdout + result.stderr + f"[exit {result.exit_code}]\n")
+    transcript = "\n".join(lines).replace(servers.urls[0], "http://127.0.0.1:00000")
+    assert transcript == snapshot
--- /dev/null
+++ b/marjoramusher/cli/output.py
@@ -0,0 +1,213 @@
+"""Tables and JSON on standard output."""
+
+import json
+from collections.abc import Iterable, Iterator, Sequence
+from typing import Any
+
+import click
+
+from ..core import errors
+
+
+def show_json(value: Any) -> None:
+    """Print a value as JSON."""
+    click.echo(json.dumps(value, indent=2, ensure_ascii=False))
+
+
+def show_json_line(value: Any) -> None:
+    """Print a value as JSON on one line."""
+    click.echo(json.dumps(value, ensure_ascii=False))
+
+
+def show_table(columns: Sequence[str], rows: Iterable[Sequence[Any]]) -> None:
+    """Print aligned columns."""
+    for line in table_lines(columns, rows):
+        click.echo(line)
+
+
+def table_lines(columns: Sequence[str], rows: Iterable[Sequence[Any]]) -> Iterator[str]:
+    """Yield the lines of a table."""
+    cells = [[column.upper() for column in columns]]
+    cells.extend([cell(value) for value in row] for row in rows)
+    widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
+    for row in cells:
+        padded = (text.ljust(width) for text, width in zip(row, widths, strict=True))
+        yield "  ".join(padded).rstrip()
+
+
+def cell(value: Any) -> str:
+    """Return the text of a value in a table, on one line."""
+    if value is None or value == "":
+        return "-"
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, float):
+        return f"{value:.6g}"
+    if isinstance(value, dict):
+        return " ".join(f"{name}={cell(part)}" for name, part in value.items()) or "-"
+    if isinstance(value, list):
+        return ",".join(cell(part) for part in value) or "-"
+    # Names from the network must not control the terminal.
+    return "".join(c if c.isprintable() else "?" for c in str(value))
+
+
+def show_records(records: Iterable[dict[str, Any]]) -> None:
+    """Print records as a table."""
+    show_table(
+        ("kind", "name", "version", "operator", "written at", "spec"),
+        (
+            (
+                record["kind"],
+                record["name"],
+                record["version"],
+                record["operator"],
+                record["written_at"],
+                record.get("spec", "(deleted)"),
+            )
+            for record in records
+        ),
+    )
+
+
+def show_applied(applied: dict[str, Any]) -> None:
+    """Print what a change has written."""
+    click.echo(
+        f"revision {applied['revision']} (operation {cell(applied['operation_id'])})"
+    )
+    show_table(
+        ("kind", "name", "version", "result"),
+        (
+            (written["kind"], written["name"], written["version"], _result(written))
+            for written in applied["records"]
+        ),
+    )
+
+
+def show_differences(differences: Iterable[dict[str, Any]]) -> None:
+    """Print differences, one line for each field."""
+    rows = []
+    for one in differences:
+        before, after = one["before"] or {}, one["after"] or {}
+        for field in one["fields"]:
+            rows.append(
+                (
+                    one["action"],
+                    f"{one['kind']}/{one['name']}",
+                    field,
+                    before.get(field),
+                    after.get(field),
+                )
+            )
+    if not rows:
+        click.echo("no differences")
+        return
+    show_table(("action", "record", "field", "before", "after"), rows)
+
+
+def show_sections(sections: dict[str, Any]) -> None:
+    """Print sections, a list of objects as a table and anything else as a line."""
+    for name, value in sections.items():
+        if isinstance(value, list) and value and isinstance(value[0], dict):
+            columns = list(dict.fromkeys(key for row in value for key in row))
+            click.echo(f"{name}:")
+            for line in table_lines(
+                columns, ([row.get(column) for column in columns] for row in value)
+            ):
+                click.echo(f"  {line}")
+        else:
+            click.echo(f"{name}: {cell(value)}")
+
+
+def show_jobs(jobs: Iterable[dict[str, Any]]) -> None:
+    """Print jobs as a table."""
+    show_table(
+        ("job", "account", "contract", "class", "state", "attempts", "error"),
+        (
+            (
+                job["job_id"],
+                job["spec"].get("account"),
+                job["spec"].get("contract"),
+                job["spec"].get("job_class", "normal"),
+                job["state"],
+                job.get("attempts", 0),
+                (job.get("error") or {}).get("code"),
+            )
+            for job in jobs
+        ),
+    )
+
+
+def show_metrics(
+    before: dict[str, Any] | None, after: dict[str, Any], elapsed_s: float
+) -> None:
+    """Print counters, with their rates if there is an earlier sample."""
+    old = {_series(one): one["value"] for one in (before or {}).get("counters", ())}
+    rows = []
+    for one in after["counters"]:
+        rate = None
+        if before is not None:
+            rate = (one["value"] - old.get(_series(one), 0.0)) / elapsed_s
+        rows.append((one["name"], one["labels"], one["value"], rate))
+    rows.extend((g["name"], g["labels"], g["value"], None) for g in after["gauges"])
+    show_table(("metric", "labels", "value", "per s"), rows)
+    if after["histograms"]:
+        show_table(
+            ("duration", "labels", "count", "mean s", "p50 s", "p99 s"),
+            (
+                (
+                    one["name"],
+                    {name: text for name, text in one["labels"].items() if text},
+                    one["count"],
+                    one["mean_s"],
+                    one["quantiles_s"].get("0.5"),
+                    one["quantiles_s"].get("0.99"),
+                )
+                for one in after["histograms"]
+            ),
+        )
+
+
+def show_error(error: errors.MarjoramusherError, as_json: bool) -> None:
+    """Print an error on standard error."""
+    body = error.body()
+    if as_json:
+        shown = {
+            "code": body.code.value,
+            "outcome": body.outcome.value,
+            "message": body.message,
+            "details": {name: _parsed(text) for name, text in body.details.items()},
+        }
+        click.echo(json.dumps({"error": shown}, indent=2), err=True)
+        return
+    click.echo(
+        f"error: {cell(body.message)} ({body.code.value}, "
+        f"outcome {body.outcome.value.replace('_', ' ')})",
+        err=True,
+    )
+    faults = _parsed(body.details.get("faults", "[]"))
+    if isinstance(faults, list) and faults:
+        rows = [[fault.get(column) for column in _FAULT_COLUMNS] for fault in faults]
+        for line in table_lines(_FAULT_COLUMNS, rows):
+            click.echo(f"  {line}", err=True)
+
+
+_FAULT_COLUMNS = ("record", "field", "rule", "message")
+
+
+def _parsed(text: str) -> Any:
+    if text[:1] not in ("[", "{"):
+        return text
+    try:
+        return json.loads(text)
+    except ValueError:
+        return text
+
+
+def _result(written: dict[str, Any]) -> str:
+    if not written.get("changed", True):
+        return "unchanged"
+    return "deleted" if written.get("deleted") else "written"
+
+
+def _series(one: dict[str, Any]) -> tuple[Any, ...]:
+    return one["name"], *sorted(one["labels"].items())
--- a/marjoramusher/operators/records.py
+++ b/marjoramusher/operators/records.py
@@ -207,7 +207,7 @@
         if self._records.revision < applied.revision:
             with contextlib.suppress(errors.MarjoramusherError):
                 await self._watch.reached(applied.revision, LOCAL_TIMEOUT_S)
-        return http_errors.json_response(applied)
+        return http_errors.json_response(msgspec.structs.asdict(applied))
 
     def _list_response(
         self, revision: int, complete: bool, records: list[view.Record]
--- a/marjoramusher/records/change.py
+++ b/marjoramusher/records/change.py
@@ -115,6 +115,8 @@
                     parsed.schema, spec, before
                 )
             )
+        elif parsed.sound and before is not None and parsed.schema == 1:
+            faults.extend(_erasure_faults(key, before))
         faults.extend(_domain_faults(parsed, before, asked.failure_domains))
         writes[key] = Write(key, parsed.schema, spec, parsed.names, parsed.sound)
     faults.extend(
@@ -196,6 +198,18 @@
     return number if number in schema.SCHEMAS else schema.LATEST
 
 
+def _erasure_faults(key: document.Key, before: schema.Spec) -> Iterator[fault.Fault]:
+    newer = schema.newer_fields(key[0], before)
+    if newer:
+        yield _fault(
+            key,
+            "delete",
+            fault.Rule.CONTRADICTS_NEWER_SCHEMA,
+            f"the deletion would erase {', '.join(newer)}, which was set with schema "
+            "2, so delete with schema 2",
+        )
+
+
 def _domain_faults(
     parsed: document.Document, before: schema.Spec | None, known: tuple[str, ...]
 ) -> Iterator[fault.Fault]:
--- a/marjoramusher/records/fault.py
+++ b/marjoramusher/records/fault.py
@@ -46,7 +46,7 @@
 def invalid(faults: list[Fault]) -> errors.ErrorBody:
     """Return the error that lists the faults."""
     first = faults[0]
-    more = f" and {len(faults) - 1} more" if len(faults) > 1 else ""
+    more = f" (and {len(faults) - 1} more)" if len(faults) > 1 else ""
     return errors.ErrorBody(
         errors.ErrorCode.INVALID_RECORD,
         errors.Outcome.NOT_RUN,
--- a/marjoramusher/records/machine_test.py
+++ b/marjoramusher/records/machine_test.py
@@ -2,6 +2,7 @@
 
 import itertools
 import json
+import random
 
 import pytest
 
@@ -390,6 +391,11 @@
         doc("service", "s", 2, 1, {"deadline_s": 4}),
         ("service/s", "spec.deadline_s", "contradicts_newer_schema"),
     ),
+    "deletion": (
+        shape(adjacency="rack"),
+        {**delete("guaranteed_shape", "g", 2), "schema": 1},
+        ("guaranteed_shape/g", "delete", "contradicts_newer_schema"),
+    ),
     "progress timeout": (
         doc("service", "s", 0, 2, {"deadline_s": 9, "progress_timeout_s": 5}),
         doc("service", "s", 2, 1, {"deadline_s": 4}),
@@ -551,13 +557,30 @@
     assert rebuilt.configuration == operator.machine.configuration
 
 
-def test_history_entries_beyond_the_limit_are_freed():
-    past = history.History(limit=10)
-    spec = schema.Withdrawal2("a1")
-    for revision in range(1, 101):
-        key = (schema.Kind.DRAIN, f"r{revision % 7}")
-        state = None if revision % 5 == 0 else spec
-        past.append([(key, history.Entry(revision, 2, "o", 0.0, state))])
-    kept = sum(len(past.versions((schema.Kind.DRAIN, f"r{n}"))) for n in range(7))
-    assert kept <= 10 + 7
-    assert past.count == len(list(past.items()))
+@pytest.mark.parametrize("seed", range(5))
+def test_bounded_history_agrees_with_a_full_one(seed):
+    draw = random.Random(seed)
+    full, bounded = history.History(limit=10_000), history.History(limit=10)
+    keys = [(schema.Kind.DRAIN, f"r{n}") for n in range(7)]
+    for revision in range(1, 201):
+        chosen = draw.sample(keys, draw.randint(1, 3))
+        entries = [
+            (key, history.Entry(revision, 2, "o", 0.0, draw.choice([None, SPEC, SPEC])))
+            for key in chosen
+        ]
+        full.append(entries)
+        bounded.append(entries)
+        if revision % 50 == 0:
+            dump = bounded.dump()
+            bounded = history.History(limit=10)
+            bounded.load(dump)
+        assert bounded.count == len(full.at(revision))
+        for known in range(bounded.floor, revision + 1):
+            assert bounded.at(known) == full.at(known)
+            changed = bounded.changed_since(known)
+            assert dict(changed) == dict(full.changed_since(known))
+        # Beyond the limit only what a record was at the floor is kept.
+        assert sum(len(bounded.versions(key)) for key in keys) <= 10 + len(keys)
+
+
+SPEC = schema.Withdrawal2("a1")
--- a/marjoramusher/records/schema.py
+++ b/marjoramusher/records/schema.py
@@ -226,6 +226,16 @@
             yield field, fault.Rule.INVALID_VALUE, message
 
 
+def newer_fields(kind: Kind, spec: Spec) -> list[str]:
+    """Return the fields that are set and that schema 1 does not have."""
+    older = spec_type(kind, 1).__struct_fields__
+    return [
+        field
+        for field in spec.__struct_fields__
+        if field not in older and getattr(spec, field) is not UNSET
+    ]
+
+
 def view(kind: Kind, schema: int, spec: Spec) -> dict[str, Any]:
     """Return a union as readers of a schema see it."""
     shown = msgspec.to_builtins(spec)
