Send jobs again with their key and keep contracts in place

The jobs machine remembers the key of a submission, so a lost answer can be resent. A contract that moves would send the resend to another domain group, where the job starts a second time.

The command line sends job submissions again with the same key. It tells the issue time only of keys that it made itself: a key from the user may be of an earlier attempt. The account and failure domain of a contract can't change. Names are quoted in paths, and silent servers, malformed headers and answers that are not JSON have defined exit codes.

--- a/marjoramusher/cli/calls.py
+++ b/marjoramusher/cli/calls.py
@@ -7,6 +7,9 @@
 import uuid
 from collections.abc import AsyncIterator, Iterable
 from typing import Any
+from urllib import parse
+
+import msgspec
 
 from ..core import errors, job
 from . import client
@@ -16,6 +19,35 @@
 FINAL_STATES = frozenset(state.value for state in job.FINAL_STATES)
 
 
+class Key(msgspec.Struct, frozen=True):
+    """Idempotency key.
+
+    Parameters
+    ----------
+    issued_at_ms : int or None
+        When the key was made, in Unix milliseconds. It is not known for a key that
+        the user gives: the first attempt may have been at any earlier time, and a
+        server that has lost claims since then must not take the key for a new one.
+    """
+
+    value: str
+    issued_at_ms: int | None = None
+
+    def headers(self) -> dict[str, str]:
+        """Return the headers that carry the key."""
+        headers = {"Idempotency-Key": self.value}
+        if self.issued_at_ms is not None:
+            headers["Idempotency-Issued-At"] = str(self.issued_at_ms)
+        return headers
+
+
+def make_key(given: str | None) -> Key:
+    """Return the key that the user gives, or a new one."""
+    if given is not None:
+        return Key(given)
+    return Key(new_id(), int(time.time() * 1000))
+
+
 def new_id() -> str:
     """Return a random operation id or key."""
     return str(uuid.uuid4())
@@ -56,7 +88,7 @@
 
 async def get_record(to: client.Client, kind: str, name: str, schema: int) -> Any:
     """Return one record."""
-    return await _get(to, f"/v1/records/{kind}/{name}", schema=schema)
+    return await _get(to, f"/v1/records/{kind}/{_quoted(name)}", schema=schema)
 
 
 async def list_records(
@@ -68,7 +100,7 @@
 
 async def record_history(to: client.Client, kind: str, name: str, schema: int) -> Any:
     """Return the retained versions of a record."""
-    return await _get(to, f"/v1/records/{kind}/{name}/history", schema=schema)
+    return await _get(to, f"/v1/records/{kind}/{_quoted(name)}/history", schema=schema)
 
 
 async def differences(to: client.Client, before: int, after: int | None) -> Any:
@@ -90,7 +122,7 @@
     """Restart a group with the server as its only voter."""
     request = client.Request(
         "POST",
-        f"/v1/groups/{group}/recover",
+        f"/v1/groups/{_quoted(group)}/recover",
         body=_json({"accept_loss": True}),
         headers=_JSON,
         resend=False,
@@ -100,20 +132,11 @@
 
 
 async def submit_job(
-    to: client.Client, account: str, spec: dict[str, Any], key: str
+    to: client.Client, account: str, spec: dict[str, Any], key: Key
 ) -> Any:
-    """Submit a job.
-
-    It is not sent again after a lost answer: whether the first attempt counts is
-    for the caller to find out by listing the jobs.
-    """
-    request = client.Request(
-        "POST",
-        "/v1/jobs",
-        body=_json(spec),
-        headers={**_JSON, "X-Client-Account": account, "Idempotency-Key": key},
-        resend=False,
-    )
+    """Submit a job; a resend with the same key finds the first one."""
+    headers = {**_JSON, "X-Client-Account": account, **key.headers()}
+    request = client.Request("POST", "/v1/jobs", body=_json(spec), headers=headers)
     return (await to.call(request)).json()
 
 
@@ -128,7 +151,7 @@
     """Return a job, after it has changed or `wait_s` is over."""
     request = client.Request(
         "GET",
-        f"/v1/jobs/{job_id}",
+        f"/v1/jobs/{_quoted(job_id)}",
         query={"wait_s": f"{wait_s:g}"} if wait_s else {},
         headers={"X-Client-Account": account},
         wait_s=wait_s,
@@ -153,7 +176,7 @@
 async def cancel_job(to: client.Client, account: str, job_id: str) -> Any:
     """Cancel a job; a second cancellation has no further effect."""
     request = client.Request(
-        "DELETE", f"/v1/jobs/{job_id}", headers={"X-Client-Account": account}
+        "DELETE", f"/v1/jobs/{_quoted(job_id)}", headers={"X-Client-Account": account}
     )
     reply = await to.call(request)
     return reply.json() if reply.body else {"job_id": job_id}
@@ -165,7 +188,7 @@
     payload: bytes,
     account: str,
     *,
-    key: str | None,
+    key: Key | None,
     deadline_ms: int | None,
     request_class: str | None,
 ) -> client.Reply:
@@ -173,8 +196,8 @@
 
     Parameters
     ----------
-    key : str or None
-        Idempotency key; marks the request as non-repeatable. With it a resend can't
+    key : Key or None
+        Marks the request as non-repeatable. With it a resend can't
         run the request twice, and without it the request may run twice.
     """
     headers = {
@@ -182,9 +205,8 @@
         "Content-Type": "application/octet-stream",
     }
     if key is not None:
-        headers["Idempotency-Key"] = key
+        headers.update(key.headers())
         headers["X-Non-Repeatable"] = "true"
-        headers["Idempotency-Issued-At"] = str(int(time.time() * 1000))
     if deadline_ms is not None:
         headers["X-Deadline-Ms"] = str(deadline_ms)
     if request_class is not None:
@@ -192,7 +214,7 @@
     return await to.call(
         client.Request(
             "POST",
-            f"/v1/services/{service}/requests",
+            f"/v1/services/{_quoted(service)}/requests",
             body=payload,
             headers=headers,
             retry=False,
@@ -237,6 +259,11 @@
 _JSON = {"Content-Type": "application/json"}
 
 
+def _quoted(name: str) -> str:
+    # A slash must not lead to another path.
+    return parse.quote(name, safe="")
+
+
 def _json(value: Any) -> bytes:
     return json.dumps(value).encode()
 
--- a/marjoramusher/cli/client.py
+++ b/marjoramusher/cli/client.py
@@ -70,8 +70,21 @@
     headers: Mapping[str, str]
 
     def json(self) -> Any:
-        """Return the decoded body."""
-        return json.loads(self.body)
+        """Return the decoded body.
+
+        Raises
+        ------
+        MarjoramusherError
+            If it is not JSON; the call itself was accepted.
+        """
+        try:
+            return json.loads(self.body)
+        except ValueError as error:
+            raise errors.MarjoramusherError(
+                errors.ErrorCode.INTERNAL,
+                "the server's answer is not JSON",
+                errors.Outcome.UNKNOWN,
+            ) from error
 
 
 class Client:
@@ -98,6 +111,8 @@
         notice: Callable[[str], None] = lambda line: None,
     ) -> None:
         self._servers = [server.rstrip("/") for server in servers]
+        if not operator.isprintable():
+            raise errors.BadRequestError("the operator's name is not printable")
         self._headers = {"X-Operator": operator}
         if token is not None:
             self._headers["Authorization"] = f"Bearer {token}"
@@ -184,7 +199,10 @@
                 if response.status >= 300:
                     raise _refusal(body, response.status)
                 return Reply(body, response.headers)
-        except (aiohttp.ClientConnectorError, aiohttp.InvalidURL) as error:
+        except ValueError as error:
+            # Raised before anything is sent, for example for a newline in a header.
+            raise errors.BadRequestError(f"malformed input: {error}") from error
+        except aiohttp.ClientConnectorError as error:
             reason = getattr(error, "strerror", None) or type(error).__name__
             raise _unreachable(f"no connection to {server}: {reason}") from error
         except aiohttp.ConnectionTimeoutError as error:
--- a/marjoramusher/cli/jobs.py
+++ b/marjoramusher/cli/jobs.py
@@ -1,5 +1,7 @@
 """Commands for jobs and requests, as a client account sends them."""
 
+import contextlib
+from collections.abc import Iterator
 from typing import Any
 
 import click
@@ -50,7 +52,7 @@
 @click.option("--run-s", type=float, default=60.0, help="Expected run time.")
 @click.option("--non-repeatable", is_flag=True, help="Never start it a second time.")
 @click.option("--payload", default="", help="Passed to the tasks.")
-@click.option("--key", default=calls.new_id, help="Idempotency key of the submission.")
+@click.option("--key", help="Idempotency key; random if missing.")
 @pass_session
 def submit(
     current: session.Session,
@@ -65,7 +67,7 @@
     run_s: float,
     non_repeatable: bool,
     payload: str,
-    key: str,
+    key: str | None,
 ) -> None:
     """Submit a job."""
     spec = {
@@ -84,9 +86,11 @@
         "repeatable": not non_repeatable,
         "payload": payload,
     }
-    submitted = current.run(
-        "submitting", lambda to: calls.submit_job(to, account, spec, key)
-    )
+    made = calls.make_key(key)
+    with _hint(made):
+        submitted = current.run(
+            "submitting", lambda to: calls.submit_job(to, account, spec, made)
+        )
     current.show(submitted, lambda j: output.show_jobs([j]))
 
 
@@ -201,9 +205,8 @@
     if key is not None and not non_repeatable:
         raise click.UsageError("--key goes with --non-repeatable")
     payload = file.read() if data is None else data.encode()
-    if non_repeatable:
-        key = key or calls.new_id()
-    try:
+    made = calls.make_key(key) if non_repeatable else None
+    with _hint(made):
         reply = current.run(
             "waiting for the answer",
             lambda to: calls.send_request(
@@ -211,15 +214,11 @@
                 service,
                 payload,
                 account,
-                key=key,
+                key=made,
                 deadline_ms=deadline_ms,
                 request_class=request_class,
             ),
         )
-    except errors.MarjoramusherError as error:
-        if key is not None:
-            error.details["idempotency_key"] = key
-        raise
     if current.json:
         output.show_json(calls.answer_of(reply))
     else:
@@ -227,3 +226,20 @@
 
 
 COMMANDS = (job, request)
+
+
+@contextlib.contextmanager
+def _hint(key: calls.Key | None) -> Iterator[None]:
+    # Tells the key with which the outcome can be found out.
+    try:
+        yield
+    except errors.MarjoramusherError as error:
+        if key is None or error.outcome is not errors.Outcome.UNKNOWN:
+            raise
+        raise errors.MarjoramusherError(
+            error.code,
+            f"{error.message}; find out by running the command again with "
+            f"--key {key.value}",
+            error.outcome,
+            {**error.details, "idempotency_key": key.value},
+        ) from error
--- a/marjoramusher/records/change.py
+++ b/marjoramusher/records/change.py
@@ -115,6 +115,7 @@
                     parsed.schema, spec, before
                 )
             )
+            faults.extend(_move_faults(key, spec, before))
         elif parsed.sound and before is not None and parsed.schema == 1:
             faults.extend(_erasure_faults(key, before))
         faults.extend(_domain_faults(parsed, before, asked.failure_domains))
@@ -198,6 +199,22 @@
     return number if number in schema.SCHEMAS else schema.LATEST
 
 
+def _move_faults(
+    key: document.Key, spec: schema.Spec, before: schema.Spec | None
+) -> Iterator[fault.Fault]:
+    if key[0] is not schema.Kind.CONTRACT or before is None:
+        return
+    for field in ("account", "failure_domain"):
+        if getattr(spec, field) != getattr(before, field):
+            yield _fault(
+                key,
+                f"spec.{field}",
+                fault.Rule.IMMUTABLE,
+                "jobs of the contract and their keys stay where it is, so a resent "
+                "job would start twice; write another contract",
+            )
+
+
 def _erasure_faults(key: document.Key, before: schema.Spec) -> Iterator[fault.Fault]:
     newer = schema.newer_fields(key[0], before)
     if newer:
--- a/marjoramusher/records/machine_test.py
+++ b/marjoramusher/records/machine_test.py
@@ -212,6 +212,10 @@
         account(replaces=1, home="a2"),
         ("client_account/acme", "spec.home", "immutable"),
     ),
+    "moved contract": (
+        contract(replaces=1, failure_domain="a2"),
+        ("contract/c", "spec.failure_domain", "immutable"),
+    ),
     "account in use": (
         delete("client_account", "acme", 1),
         ("client_account/acme", "name", "in_use"),
