Let the first runs replace the declared class

An account that declares short requests as long kept them in the long queue for about 120 runs, since the quantile fell in steps from the declared start. The first five runs now set the estimate.

--- a/marjoramusher/routing/runtime.py
+++ b/marjoramusher/routing/runtime.py
@@ -7,6 +7,8 @@
 FIRST_S = {request.RequestClass.SHORT: 0.1, request.RequestClass.LONG: 2.0}
 HYSTERESIS = 1.5  # a key changes its class only when clearly across the limit
 QUANTILE = 0.9
+FIRST_RUNS = 5  # their largest is near the 0.9 quantile
+FIRST_MARGIN = 0.3
 STEP = 0.15  # in log space; 20 longer runs move the estimate by a factor of 15
 
 
@@ -39,12 +41,15 @@
         gain = max(0.05, 1.0 / self.count)
         self.mean_s += gain * (run_s - self.mean_s)
         log_run = math.log(run_s)
-        # Larger steps at the start find the scale of an unknown key quickly.
-        step = max(STEP, 2.0 / self.count)
-        if log_run > self._log_high:
-            self._log_high += step * QUANTILE
+        if self.count <= FIRST_RUNS:
+            # The declared class says little, so the first runs replace its estimate.
+            first = log_run + FIRST_MARGIN
+            known = first if self.count == 1 else max(self._log_high, first)
+            self._log_high = known
+        elif log_run > self._log_high:
+            self._log_high += STEP * QUANTILE
         else:
-            self._log_high -= step * (1.0 - QUANTILE)
+            self._log_high -= STEP * (1.0 - QUANTILE)
         self.high_s = math.exp(self._log_high)
         if self.run_class is request.RequestClass.SHORT:
             if self.high_s > short_run_s * HYSTERESIS:
