Spill by class and probe keys declared long

A peer's free slots counted those that it keeps for short work, so most long requests were forwarded, refused there and queued late. A key that was declared long by mistake could wait past its deadlines at an instance full of long work and was never learned. Capacity is told by class now, and a few requests of an unknown key run as short.

--- a/marjoramusher/routing/fair.py
+++ b/marjoramusher/routing/fair.py
@@ -38,7 +38,7 @@
     ) -> None:
         self.asked = asked
         self.run = run
-        self.run_class = run.run_class
+        self.run_class = run.take_class()
         self.cost_s = run.mean_s
         self.queued_at = now
         self.attempts: dict[int, object] = {}
--- a/marjoramusher/routing/router.py
+++ b/marjoramusher/routing/router.py
@@ -46,7 +46,7 @@
 
     def __init__(self, link: Link) -> None:
         self.link = link
-        self.capacities: dict[str, list] = {}
+        self.capacities: dict[tuple[str, request.RequestClass], list] = {}
         self.bucket = (
             None
             if link.bytes_per_s is None
@@ -108,6 +108,13 @@
         least = math.ceil(total * MIN_LONG_SHARE)
         self.long_limit = max(total - reserve, least)
 
+    def free_slots(self, run_class: request.RequestClass) -> int:
+        """Return the slots that a class may take at once."""
+        free = self.limit - self.in_flight[SHORT] - self.in_flight[LONG]
+        if run_class is LONG:
+            free = min(free, self.long_limit - self.in_flight[LONG])
+        return max(free, 0)
+
     def set_free(self, chosen: target.Target) -> None:
         """Keep the list of targets with a free slot."""
         index = chosen.free_index
@@ -292,10 +299,12 @@
             target.Capacity(
                 self._failure_domain,
                 name,
-                max(0, service.limit - sum(service.in_flight.values())),
-                self._wait_s(service, SHORT, ""),
+                run_class,
+                0 if queue.count else service.free_slots(run_class),
+                self._wait_s(service, run_class, ""),
             )
             for name, service in self._services.items()
+            for run_class, queue in service.queues.items()
         ]
 
     def peer_capacity(self, capacity: target.Capacity, now: float) -> None:
@@ -303,7 +312,7 @@
         peer = self._peers.get(capacity.failure_domain)
         if peer is not None:
             entry = [capacity.free_slots, capacity.wait_s, now]
-            peer.capacities[capacity.service] = entry
+            peer.capacities[capacity.service, capacity.run_class] = entry
 
     def submit(self, asked: request.Request, now: float) -> list[effect.Effect]:
         """Admit, forward or refuse a request."""
@@ -312,9 +321,9 @@
         if service is None or weight is None:
             return [self._unknown(asked, service)]
         run = self._run_times.of(asked)
-        run_class = run.run_class
-        service.arrived_s[run_class] += run.mean_s
         entry = fair.Entry(asked, run, now)
+        run_class = entry.run_class
+        service.arrived_s[run_class] += run.mean_s
         queue = service.queues[run_class]
         if (
             not queue.count
@@ -505,7 +514,7 @@
         best = None
         best_s = limit_s - SPILL_MARGIN_S
         for peer in self._peers.values():
-            capacity = peer.capacities.get(entry.asked.service)
+            capacity = peer.capacities.get((entry.asked.service, entry.run_class))
             if capacity is None or now - capacity[2] > CAPACITY_TTL_S:
                 continue
             remote_s = capacity[1] + 2 * peer.link.one_way_s
@@ -518,7 +527,7 @@
             size + REQUEST_OVERHEAD_BYTES, now
         ):
             return None
-        best.capacities[entry.asked.service][0] -= 1
+        best.capacities[entry.asked.service, entry.run_class][0] -= 1
         return effect.Forward(entry.asked.request_id, best.link.failure_domain)
 
     def _refuse(
@@ -703,6 +712,8 @@
                 self._hedge(entry, now, effects)
         for entry in late:
             service = self._services[entry.asked.service]
+            if entry.waiting:
+                entry.run.note_starved()
             self._drop(service, entry, now, effects)
             self._refuse(entry, errors.ErrorCode.DEADLINE_EXCEEDED, effects)
             self._pump(service, now, effects)
--- a/marjoramusher/routing/runtime.py
+++ b/marjoramusher/routing/runtime.py
@@ -25,7 +25,7 @@
         Class that follows from the quantile.
     """
 
-    __slots__ = ("_log_high", "count", "high_s", "mean_s", "run_class")
+    __slots__ = ("_log_high", "_probes", "count", "high_s", "mean_s", "run_class")
 
     def __init__(self, declared: request.RequestClass | None) -> None:
         self.run_class = declared or request.RequestClass.SHORT
@@ -33,11 +33,30 @@
         self.high_s = 2.0 * self.mean_s
         self._log_high = math.log(self.high_s)
         self.count = 0
+        self._probes = FIRST_RUNS
+
+    def take_class(self) -> request.RequestClass:
+        """Return the class of the next request.
+
+        A few requests of a key that has no runs are treated as short. Otherwise a key
+        declared long by mistake could wait behind long work past every deadline and
+        would never be learned.
+        """
+        if self.run_class is request.RequestClass.LONG and self._probes:
+            self._probes -= 1
+            return request.RequestClass.SHORT
+        return self.run_class
+
+    def note_starved(self) -> None:
+        """Allow one more probe after a request has waited past its deadline."""
+        self._probes = max(self._probes, 1)
 
     def note(self, run_s: float, short_run_s: float) -> None:
         """Take in one run time."""
         run_s = max(run_s, 1e-4)
         self.count += 1
+        if self.count >= FIRST_RUNS:
+            self._probes = 0
         gain = max(0.05, 1.0 / self.count)
         self.mean_s += gain * (run_s - self.mean_s)
         log_run = math.log(run_s)
--- a/marjoramusher/routing/target.py
+++ b/marjoramusher/routing/target.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from ..core import announcement
+from . import request
 
 TOMBSTONE_S = 3600.0  # longer than any announcement can be under way
 MAX_BACKOFF_S = 4.0
@@ -155,11 +156,14 @@
 
     Parameters
     ----------
+    run_class : RequestClass
+        Slots kept for short work are not free for long work.
     wait_s : float
         Expected wait of a new request.
     """
 
     failure_domain: str
     service: str
+    run_class: request.RequestClass
     free_slots: int
     wait_s: float
