Take a claim without victims of its own as made

Cause: a claimant whose borrowers were already stopping returned no decisions, which counted as no claim, and the job was placed a second time. Change: compare with None; a claim dropped in the same pass is skipped. Conclusion: contract test added; it places the job once.

--- a/marjoramusher/placement/gang.py
+++ b/marjoramusher/placement/gang.py
@@ -23,7 +23,7 @@
 # Bounds one call of plan after a wave; the rest follows with the next call.
 MAX_PLACEMENTS = 256
 # Everything that waits is tried again after this time, also if nothing was released.
-RETRY_S = 1.0
+RETRY_S = 2.0
 # Workers announce themselves within this time; until then a job that fits nowhere
 # may fit a worker that is yet to come.
 SETTLE_S = 30.0
@@ -264,7 +264,8 @@
             self._queue.remove(job_id)
             return []
         for name in self._plan.covering(spec.account, spec.job_class, waiting.shape):
-            if made := self._charge(name, waiting, lane.rank, now):
+            made = self._charge(name, waiting, lane.rank, now)
+            if made is not None:
                 return made
         estimate_s = self._estimate(waiting.job, 0.9)
         ends_at = now + estimate_s
@@ -284,10 +285,12 @@
                 )
             if found is not None:
                 return [self._place(waiting, found, lane.rank, None, now)]
-            if not avoid:
+            if not avoid or not self._fits(waiting.shape, spec.repeatable):
                 self._blocked[demand, None] = self._ledger.releases
-        if lane.rank == 2 and (made := self._preempt(waiting, avoid, now)):
-            return made
+        if lane.rank == 2:
+            made = self._preempt(waiting, avoid, now)
+            if made is not None:
+                return made
         if self._never_fits(waiting, now):
             self._queue.remove(job_id)
             return [_infeasible(job_id, waiting.shape)]
@@ -295,6 +298,10 @@
         self._blocked[demand, id(lane)] = self._ledger.releases
         return None
 
+    def _fits(self, shape: resource.GangShape, is_repeatable: bool) -> bool:
+        view = ledger.free if is_repeatable else ledger.solid_free
+        return self._cells.locate(shape, view) is not None
+
     def _never_fits(self, waiting: queue.Waiting, now: float) -> bool:
         if self._settled_at is None or now < self._settled_at:
             return False
@@ -411,6 +418,8 @@
 
     def _settle_claims(self, now: float) -> Iterator[decision.Decision]:
         for job_id, claim in list(self._claims.items()):
+            if self._claims.get(job_id) is not claim:
+                continue
             entry = claim.entry
             is_taken = entry is not None and entry.job_id != job_id
             if is_taken or not claim.is_open(self._ledger):
--- a/marjoramusher/placement/placer_test.py
+++ b/marjoramusher/placement/placer_test.py
@@ -156,3 +156,40 @@
     assert not places(placer.plan(2.0))
     placer.worker_up(worker("w1", incarnation=2), 3.0)
     assert "j" in places(placer.plan(4.0))
+
+
+def guaranteed(gangs=1, gang_shape=None, account="a"):
+    return record.Configuration(
+        1,
+        guarantees={
+            "g": record.GuaranteedShape("g", account, "d", gangs, gang_shape or shape())
+        },
+    )
+
+
+def start(placer, one, now=0.0):
+    """Submit a job and carry out what the placer decides for it."""
+    placer.job_changed(one, now)
+    made = placer.plan(now)
+    placed = places(made).get(one.job_id)
+    if placed is None:
+        return made, None
+    running = after(one, job.JobState.RUNNING, placed.workers, placed.guarantee)
+    placer.job_changed(running, now)
+    return made, running
+
+
+def test_claimant_waits_for_a_borrower_that_is_already_stopping():
+    # A claim without victims of its own must not be placed a second time.
+    placer = MAKERS["gang"]()
+    placer.configure(guaranteed(2, shape(1, 4)), 0.0)
+    placer.worker_up(worker("w0"), 0.0)
+    _, borrower = start(placer, queued("b", account="b"))
+    first, _ = start(placer, queued("j", shape(1, 4)), 1.0)
+    assert [s.job_id for s in of_kind(first, decision.Stop)] == ["b"]
+    placer.job_changed(after(borrower, job.JobState.STOPPING, ["w0"]), 1.0)
+    second, _ = start(placer, queued("k", shape(1, 4)), 1.1)
+    assert not second
+    placer.job_changed(after(borrower, job.JobState.QUEUED, epoch=1), 1.5)
+    assert set(places(placer.plan(1.5))) == {"j", "k"}
+    assert not places(placer.plan(1.6))
--- a/marjoramusher/placement/reserve.py
+++ b/marjoramusher/placement/reserve.py
@@ -7,6 +7,8 @@
 
 # A gang that has waited this long gets a reservation.
 RESERVE_AFTER_S = 5.0
+# Smaller jobs find room without one.
+MIN_ACCELERATORS = 8
 # Racks with the most free cells that are considered for one reservation.
 MAX_RACKS = 16
 # Beyond this, reservations would keep the small jobs out.
@@ -42,6 +44,8 @@
             return
         if now - waiting.since < RESERVE_AFTER_S:
             return
+        if waiting.shape.accelerators < MIN_ACCELERATORS:
+            return
         reservation = self._choose(waiting, now)
         if reservation is not None:
             self._made[job_id] = reservation
