Reserve for large gangs, backfill and move borrowers

Cause: a waiting gang left reserved workers idle, and stragglers kept a rack from it. Change: best effort jobs may use reserved workers until the gang can start; smaller borrowers move elsewhere when that costs less than waiting. Shapes learned from overuse stay within the largest worker.

--- a/bench/placement_driver.py
+++ b/bench/placement_driver.py
@@ -24,6 +24,7 @@
 SILENT_AFTER_S = 2.0
 REPORT_S = 3.0
 CHECK_S = 1.0
+CHECKPOINT_S = 10.0
 # A quarantine this soon after the fault's end rests on true evidence.
 EVIDENCE_S = 30.0
 Amounts = ledger.Amounts
@@ -291,9 +292,18 @@
             self._at(at, self._fail, job_id, epoch, self._rng.choice(run.workers))
         left_s = subject.run_s - self._jobs[job_id].progress_s
         self._at(self._now + max(left_s, 0.1), self._done, job_id, epoch)
+        if subject.checkpoints:
+            self._at(self._now + CHECKPOINT_S, self._save, job_id, epoch)
         if subject.overuse is not None:
             self._at(self._now + REPORT_S, self._report, job_id, epoch)
 
+    def _save(self, job_id: str, epoch: int) -> None:
+        run = self._runs.get(job_id)
+        if run is not None and run.epoch == epoch and not run.stopping:
+            progress_s = self._jobs[job_id].progress_s + self._now - run.started_at
+            self._call(self._placer.task_saved, job_id, progress_s)
+            self._at(self._now + CHECKPOINT_S, self._save, job_id, epoch)
+
     def _report(self, job_id: str, epoch: int) -> None:
         run = self._runs.get(job_id)
         if run is not None and run.epoch == epoch and not run.stopping:
@@ -358,7 +368,7 @@
         if run.started_at is not None and subject.checkpoints:
             ran_s = self._now - run.started_at
             # A silent worker can't checkpoint; the last one is up to 10 s old.
-            progress_s += ran_s // 10 * 10 if is_silent else ran_s
+            progress_s += ran_s // CHECKPOINT_S * CHECKPOINT_S if is_silent else ran_s
         if target is job.JobState.QUEUED and not known.spec.repeatable:
             target = job.JobState.FAILED
         if target in job.FINAL_STATES:
--- a/marjoramusher/placement/baseline.py
+++ b/marjoramusher/placement/baseline.py
@@ -67,6 +67,9 @@
         if job.allocation is not None and job.job_id not in self._ledger.holdings:
             self._hold(job, [task.worker for task in job.allocation.tasks], now)
 
+    def task_saved(self, job_id: str, progress_s: float, now: float) -> None:
+        """Ignore checkpoints; nothing is preempted."""
+
     def task_failed(self, job_id: str, worker: str, now: float) -> None:
         """Count a failure."""
         self._failures[job_id] = self._failures.get(job_id, 0) + 1
@@ -106,10 +109,11 @@
         return ()
 
     def _hold(self, known: job.Job, workers: Sequence[str], now: float) -> None:
-        each = ledger.amounts_of(known.spec.shape.each)
-        amounts = ledger.spread(workers, each)
+        spec = known.spec
         self._ledger.hold(
-            ledger.Holding(known.job_id, known.spec.account, amounts, 1, True, now)
+            ledger.Holding(
+                known.job_id, spec.account, spec.shape, workers, 1, True, now
+            )
         )
 
     def _could_fit(self, shape: resource.GangShape) -> bool:
--- /dev/null
+++ b/marjoramusher/placement/fragmentation.py
@@ -0,0 +1,116 @@
+"""How much free capacity a gang can't use, and moves that make it usable."""
+
+from ..core import resource
+from . import cell, ledger, reclaim
+
+# Accelerator seconds of waiting that a move must save for each one that it costs.
+GAIN_FACTOR = 2.0
+# Checkpoint, grace and start of a moved job.
+RESTART_S = 2.0
+MAX_CANDIDATES = 4
+MAX_MOVED = 16
+# A job that was moved runs at least this long before it is moved again.
+MOVE_PAUSE_S = 120.0
+
+
+def stranded_share(book: ledger.Ledger, shape: resource.GangShape) -> float:
+    """Return the share of free accelerators that are part of no place for a gang."""
+    cells, each = cell.unit_of(shape)
+    slots: dict[str, int] = {}
+    free: list[tuple[str, int, int]] = []
+    for worker in book.workers.values():
+        if worker.is_open:
+            available = ledger.free(worker)
+            count = ledger.count_slots(available, each)
+            slots[worker.rack] = slots.get(worker.rack, 0) + count
+            free.append((worker.rack, max(0, available[0]), count))
+    total = sum(accelerators for _, accelerators, _ in free)
+    if not total:
+        return 0.0
+    if shape.adjacency is resource.Adjacency.NONE:
+        everywhere = sum(slots.values())
+        slots = dict.fromkeys(slots, everywhere)
+    serving = sum(
+        min(accelerators, count * each[0])
+        for rack, accelerators, count in free
+        if slots[rack] >= cells
+    )
+    return 1.0 - serving / total
+
+
+def movable_free(worker: ledger.Worker) -> ledger.Amounts:
+    """Return what is free once all borrowers that can be stopped have moved."""
+    a, m = ledger.free(worker), worker.movable
+    return (a[0] + m[0], a[1] + m[1], a[2] + m[2])
+
+
+class Move:
+    """Borrowers that move elsewhere so that a gang can start."""
+
+    __slots__ = ("victims", "workers")
+
+    def __init__(self, workers: tuple[str, ...], victims: list[ledger.Holding]) -> None:
+        self.workers = workers
+        self.victims = victims
+
+
+def choose_move(
+    book: ledger.Ledger,
+    cells: cell.Cells,
+    shape: resource.GangShape,
+    rank: int,
+    wait_s: float,
+    now: float,
+) -> Move | None:
+    """Weigh moving borrowers against waiting until they end.
+
+    A borrower is moved only if it is smaller than the gang, not of higher rank, and
+    fits elsewhere at once. Since only smaller jobs are moved, a moved job never
+    moves the gang in return, so moves can't go in a circle.
+    """
+    each = ledger.amounts_of(shape.each)
+    best: tuple[float, Move] | None = None
+
+    def may_move(holding: ledger.Holding) -> bool:
+        return (
+            holding.rank <= min(rank, 1)
+            and holding.accelerators < max(2, shape.accelerators)
+            and now - holding.moved_at >= MOVE_PAUSE_S
+        )
+
+    gain = max(1, shape.accelerators) * wait_s
+    for workers in reclaim.first(cells.candidates(shape, movable_free), MAX_CANDIDATES):
+        amounts = ledger.spread(workers, each)
+        victims = reclaim.choose_victims(book, amounts, may_move, now)
+        if not victims or len(victims) > MAX_MOVED:
+            continue
+        cost = sum(
+            victim.lost_work(now) + RESTART_S * max(1, victim.accelerators)
+            for victim in victims
+        )
+        if GAIN_FACTOR * cost > gain or (best is not None and cost >= best[0]):
+            continue
+        if _fit_elsewhere(book, cells, victims, set(amounts)):
+            best = (cost, Move(workers, victims))
+    return best[1] if best is not None else None
+
+
+def _fit_elsewhere(
+    book: ledger.Ledger,
+    cells: cell.Cells,
+    victims: list[ledger.Holding],
+    avoid: set[str],
+) -> bool:
+    held: list[dict[str, ledger.Amounts]] = []
+    fits = True
+    for victim in sorted(victims, key=lambda v: -v.accelerators):
+        found = cells.locate(victim.shape, ledger.free, avoid)
+        if found is None:
+            fits = False
+            break
+        amounts = ledger.spread(found, ledger.amounts_of(victim.shape.each))
+        book.set_aside(amounts, 1)
+        held.append(amounts)
+    for amounts in held:
+        book.set_aside(amounts, -1, wakes=False)
+    return fits
--- a/marjoramusher/placement/gang.py
+++ b/marjoramusher/placement/gang.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import math
 import random
 from collections.abc import Iterator, Sequence
 
@@ -10,6 +11,7 @@
     cell,
     decision,
     estimate,
+    fragmentation,
     guarantee,
     ledger,
     overuse,
@@ -75,9 +77,10 @@
         self._claims: dict[str, reclaim.Claim] = {}
         self._accounts: dict[str, Account] = {}
         self._lost: dict[str, None] = {}
+        self._largest = ledger.ZERO
         self._silent: set[str] = set()
         self._learned: dict[str, resource.Resources] = {}
-        self._moved: set[str] = set()
+        self._moved: dict[str, float] = {}
         self._blocked: dict[tuple, int] = {}
         self._next_retry = 0.0
         self._settled_at: float | None = None
@@ -125,6 +128,7 @@
         ):
             return
         known.incarnation = worker.incarnation
+        self._largest = tuple(map(max, self._largest, capacity))
         self._ledger.set_worker(worker.id, worker.rack, capacity, True)
         self._update_usable(worker.id)
         self._plan.evict([worker.id])
@@ -160,6 +164,13 @@
         else:
             self._running(job, now)
 
+    def task_saved(self, job_id: str, progress_s: float, now: float) -> None:
+        """Note run time saved in a checkpoint."""
+        holding = self._ledger.holdings.get(job_id)
+        if holding is not None and progress_s > holding.progress_s:
+            holding.progress_s = progress_s
+            holding.checkpoint_at = now
+
     def task_failed(self, job_id: str, worker: str, now: float) -> None:
         """Note that a task failed on a worker."""
         if job_id in self._jobs:
@@ -172,6 +183,7 @@
         known = self._jobs.get(job_id)
         if known is None or known.allocation is None:
             return
+        # The placer keeps no map of tasks; reports of overuse are rare.
         for task in known.allocation.tasks:
             if task.task_id == task_id:
                 self._overuse.report(
@@ -191,7 +203,7 @@
 
     def fragmentation(self, shape: resource.GangShape) -> float:
         """Return the share of free accelerators that can't serve a gang."""
-        return fragmentation_share(self._ledger, shape)
+        return fragmentation.stranded_share(self._ledger, shape)
 
     def _plan_all(self, now: float) -> Iterator[decision.Decision]:
         for job_id in list(self._lost):
@@ -249,7 +261,11 @@
             return
         # A job that failed is tried before new ones: where it runs now tells
         # whether the job or the worker is at fault.
+        spec = waiting.job.spec
         tier = -lane.rank if lane.rank == 2 else -1 if waiting.job.failed_on else 0
+        if self._plan.has_exact(spec.account, spec.job_class, waiting.shape):
+            # Before smaller jobs of the account that would use up the gang.
+            tier = -2
         share = self._account(lane.account).share
         key = self._order.key(waiting, share, now)
         heapq.heappush(heap, (tier, key, next(self._serial), demand, lane))
@@ -267,14 +283,20 @@
             made = self._charge(name, waiting, lane.rank, now)
             if made is not None:
                 return made
-        estimate_s = self._estimate(waiting.job, 0.9)
-        ends_at = now + estimate_s
         avoid = self._quarantine.avoided(now)
         if waiting.job.failed_on:
             avoid = avoid.union(waiting.job.failed_on)
-        if lane.rank < 2:
-            avoid = self._reserves.avoided(job_id, ends_at, avoid)
-        if self._blocked.get((demand, None)) != self._ledger.releases:
+        binding: tuple[str, ...] = ()
+        if lane.rank < 2 and not self._may_overstay(waiting, lane.rank, now):
+            ends_at = now + self._estimate(waiting.job, 0.9)
+            binding = self._reserves.binding(job_id, ends_at)
+            if binding:
+                avoid = avoid | self._reserves.workers(binding)
+        releases = self._ledger.releases
+        if releases not in (
+            self._blocked.get((demand, ())),
+            self._blocked.get((demand, binding)),
+        ):
             found = self._cells.locate(waiting.shape, ledger.solid_free, avoid)
             if found is None and spec.repeatable:
                 found = self._cells.locate(waiting.shape, ledger.free, avoid)
@@ -286,7 +308,9 @@
             if found is not None:
                 return [self._place(waiting, found, lane.rank, None, now)]
             if not avoid or not self._fits(waiting.shape, spec.repeatable):
-                self._blocked[demand, None] = self._ledger.releases
+                self._blocked[demand, ()] = releases
+            elif not waiting.job.failed_on:
+                self._blocked[demand, binding] = releases
         if lane.rank == 2:
             made = self._preempt(waiting, avoid, now)
             if made is not None:
@@ -295,9 +319,75 @@
             self._queue.remove(job_id)
             return [_infeasible(job_id, waiting.shape)]
         self._reserves.want(waiting, lane.rank, now)
+        reservation = self._reserves.get(job_id)
+        if reservation is not None and reservation.next_try <= now:
+            reservation.next_try = now + RETRY_S
+            made = self._end_backfill(waiting, reservation, lane, now)
+            if made is None:
+                made = self._move(waiting, reservation.ready_at, lane, now)
+            if made is not None:
+                return made
         self._blocked[demand, id(lane)] = self._ledger.releases
         return None
 
+    def _may_overstay(self, waiting: queue.Waiting, rank: int, now: float) -> bool:
+        """Tell whether a job may use reserved workers until the gang starts."""
+        moved_at = self._moved.get(waiting.job.job_id, -math.inf)
+        return (
+            rank == 0
+            and waiting.job.spec.repeatable
+            and now - moved_at >= fragmentation.MOVE_PAUSE_S
+        )
+
+    def _end_backfill(
+        self,
+        waiting: queue.Waiting,
+        reservation: reserve.Reservation,
+        lane: queue.Lane,
+        now: float,
+    ) -> list[decision.Decision] | None:
+        """Start a gang on its reserved workers by stopping what was backfilled."""
+        found = self._reserves.without_backfill(reservation)
+        if found is None or not waiting.job.spec.repeatable:
+            return None
+        amounts = ledger.spread(found, ledger.amounts_of(waiting.shape.each))
+        victims = reclaim.choose_victims(
+            self._ledger, amounts, lambda holding: holding.backfilled, now
+        )
+        if victims is None:
+            return None
+        return self._stop_for(waiting, found, amounts, victims, lane, now)
+
+    def _stop_for(
+        self,
+        waiting: queue.Waiting,
+        workers: tuple[str, ...],
+        amounts: dict[str, ledger.Amounts],
+        victims: list[ledger.Holding],
+        lane: queue.Lane,
+        now: float,
+    ) -> list[decision.Decision]:
+        for victim in victims:
+            self._moved[victim.job_id] = now
+        reason = decision.StopReason.DEFRAGMENT
+        return self._claim(
+            waiting, workers, amounts, lane.rank, None, victims, now, reason
+        )
+
+    def _move(
+        self, waiting: queue.Waiting, ready_at: float, lane: queue.Lane, now: float
+    ) -> list[decision.Decision] | None:
+        """Start a waiting gang by moving smaller borrowers, if that is cheaper."""
+        if not waiting.job.spec.repeatable or "no_move" in self._options:
+            return None
+        move = fragmentation.choose_move(
+            self._ledger, self._cells, waiting.shape, lane.rank, ready_at - now, now
+        )
+        if move is None:
+            return None
+        amounts = ledger.spread(move.workers, ledger.amounts_of(waiting.shape.each))
+        return self._stop_for(waiting, move.workers, amounts, move.victims, lane, now)
+
     def _fits(self, shape: resource.GangShape, is_repeatable: bool) -> bool:
         view = ledger.free if is_repeatable else ledger.solid_free
         return self._cells.locate(shape, view) is not None
@@ -353,7 +443,9 @@
             options.append((own[0], found, workers, ledger.spread(workers, each)))
         best = None
         for entry, planned, workers, amounts in options:
-            victims = reclaim.choose_victims(self._ledger, amounts, 2, now)
+            victims = reclaim.choose_victims(
+                self._ledger, amounts, reclaim.victims_of(3), now
+            )
             if victims is None:
                 continue
             cost = (reclaim.lost_work(victims, now), len(victims))
@@ -379,7 +471,7 @@
         for workers in reclaim.first(places, MAX_CANDIDATES):
             amounts = ledger.spread(workers, each)
             victims = reclaim.choose_victims(
-                self._ledger, amounts, reclaim.highest_victim(2), now
+                self._ledger, amounts, reclaim.victims_of(2), now
             )
             if victims is None:
                 continue
@@ -400,6 +492,7 @@
         entry: guarantee.Entry | None,
         victims: list[ledger.Holding],
         now: float,
+        reason: decision.StopReason = decision.StopReason.RECLAIM,
     ) -> list[decision.Decision]:
         job_id = waiting.job.job_id
         self._queue.remove(job_id)
@@ -411,9 +504,7 @@
         return [
             stop
             for victim in victims
-            for stop in self._stop(
-                victim.job_id, decision.StopReason.RECLAIM, now, job_id
-            )
+            for stop in self._stop(victim.job_id, reason, now, job_id)
         ]
 
     def _settle_claims(self, now: float) -> Iterator[decision.Decision]:
@@ -439,7 +530,7 @@
         """Choose again if a stop did not happen or another claim took the room."""
         self._ledger.set_aside(claim.amounts, -1)
         victims = reclaim.choose_victims(
-            self._ledger, claim.amounts, reclaim.highest_victim(claim.rank), now
+            self._ledger, claim.amounts, reclaim.victims_of(claim.rank), now
         )
         self._ledger.set_aside(claim.amounts, 1)
         if victims is not None:
@@ -494,18 +585,20 @@
         self, known: job.Job, workers: Sequence[str], rank: int, now: float
     ) -> None:
         spec = known.spec
-        each = ledger.amounts_of(self._shape(known).each)
         holding = ledger.Holding(
             known.job_id,
             spec.account,
-            ledger.spread(workers, each),
+            self._shape(known),
+            workers,
             rank,
             spec.repeatable,
             now,
         )
         holding.progress_s = known.progress_s
         holding.estimate_s = self._estimate(known, 0.5)
-        holding.moved = known.job_id in self._moved
+        holding.moved_at = self._moved.get(known.job_id, holding.moved_at)
+        if rank < 2 and self._reserves.touches(known.job_id, holding.amounts):
+            holding.backfilled = True
         self._ledger.hold(holding)
         if holding.is_firm:
             self._plan.evict(holding.amounts)
@@ -577,9 +670,7 @@
         if holding is None:
             self._adopt(known, allocation, workers, now)
             holding = self._ledger.holdings[job_id]
-        if known.progress_s != holding.progress_s:
-            holding.progress_s = known.progress_s
-            holding.checkpoint_at = now
+        self.task_saved(job_id, known.progress_s, now)
         if known.state is job.JobState.STOPPING:
             if holding.stop_at is None:
                 self._ledger.mark_stopping(job_id, now)
@@ -625,7 +716,7 @@
         self._overuse.forget(job_id)
         self._reserves.drop(job_id)
         self._learned.pop(job_id, None)
-        self._moved.discard(job_id)
+        self._moved.pop(job_id, None)
         self._jobs.pop(job_id, None)
 
     def _release(self, job_id: str, now: float) -> None:
@@ -677,10 +768,12 @@
         used = self._learned.get(known.job_id)
         if used is None:
             return shape
+        # A worker starts whatever it is given, so use may exceed any capacity.
+        most = self._largest
         each = resource.Resources(
-            max(shape.each.accelerators, used.accelerators),
-            max(shape.each.cores, used.cores),
-            max(shape.each.memory_mb, used.memory_mb),
+            max(shape.each.accelerators, min(used.accelerators, most[0])),
+            max(shape.each.cores, min(used.cores, most[1])),
+            max(shape.each.memory_mb, min(used.memory_mb, most[2])),
         )
         return resource.GangShape(shape.tasks, each, shape.adjacency)
 
@@ -745,24 +838,6 @@
     )
 
 
-def fragmentation_share(book: ledger.Ledger, shape: resource.GangShape) -> float:
-    """Return the share of free accelerators that can't serve a gang."""
-    cells, each = cell.unit_of(shape)
-    free = usable = 0
-    by_rack: dict[str, int] = {}
-    for worker in book.workers.values():
-        if worker.is_open:
-            available = ledger.free(worker)
-            free += max(0, available[0])
-            slots = ledger.count_slots(available, each)
-            by_rack[worker.rack] = by_rack.get(worker.rack, 0) + slots
-    if shape.adjacency is resource.Adjacency.NONE:
-        usable = sum(by_rack.values()) // cells * cells
-    else:
-        usable = sum(total // cells * cells for total in by_rack.values())
-    return 1.0 - usable * each[0] / free if free else 0.0
-
-
 def make_placer(
     rng: random.Random,
     failure_domain: str,
--- a/marjoramusher/placement/ledger.py
+++ b/marjoramusher/placement/ledger.py
@@ -1,6 +1,7 @@
 """Exact accelerators, cores and memory of each worker, and who holds them."""
 
-from collections.abc import Iterable, Mapping
+import math
+from collections.abc import Iterable, Mapping, Sequence
 
 from ..core import resource
 
@@ -50,18 +51,22 @@
         only jobs of lower rank, so preemption has no circles.
     movable : bool
         False for a job that must not start twice; it is never stopped for others.
+    backfilled : bool
+        Placed on workers that a waiting gang had reserved.
     """
 
     __slots__ = (
         "account",
         "accelerators",
         "amounts",
+        "backfilled",
         "checkpoint_at",
         "estimate_s",
         "job_id",
-        "moved",
+        "moved_at",
         "movable",
         "progress_s",
+        "shape",
         "rank",
         "started_at",
         "stop_at",
@@ -71,14 +76,16 @@
         self,
         job_id: str,
         account: str,
-        amounts: dict[str, Amounts],
+        shape: resource.GangShape,
+        workers: Sequence[str],
         rank: int,
         movable: bool,
         now: float,
     ) -> None:
         self.job_id = job_id
         self.account = account
-        self.amounts = amounts
+        self.shape = shape
+        self.amounts = amounts = spread(workers, amounts_of(shape.each))
         self.accelerators = sum(a for a, _, _ in amounts.values())
         self.rank = rank
         self.movable = movable
@@ -87,7 +94,13 @@
         self.progress_s = 0.0
         self.estimate_s = 0.0
         self.stop_at: float | None = None
-        self.moved = False
+        self.moved_at = -math.inf
+        self.backfilled = False
+
+    @property
+    def can_stop(self) -> bool:
+        """Tell whether this is a borrower that runs and may be stopped."""
+        return self.movable and self.rank < CHARGED and self.stop_at is None
 
     @property
     def is_firm(self) -> bool:
@@ -115,6 +128,8 @@
         Planned or used by guarantees, and held by borrowers that can't be stopped.
     yielding : list of int
         Held by best effort borrowers that can be stopped.
+    movable : list of int
+        Held by all borrowers that can be stopped, without those being stopped.
     releasing : list of int
         Part of `used` whose jobs are being stopped.
     """
@@ -126,6 +141,7 @@
         "id",
         "incarnation",
         "jobs",
+        "movable",
         "present",
         "rack",
         "releasing",
@@ -145,6 +161,7 @@
         self.held = [0, 0, 0]
         self.firm = [0, 0, 0]
         self.yielding = [0, 0, 0]
+        self.movable = [0, 0, 0]
         self.releasing = [0, 0, 0]
         self.jobs: dict[str, Amounts] = {}
 
@@ -187,7 +204,15 @@
 class Ledger:
     """Workers, holdings and the log of workers whose amounts have changed."""
 
-    __slots__ = ("_holdings", "_log", "_log_start", "_releases", "_totals", "_workers")
+    __slots__ = (
+        "_holdings",
+        "_log",
+        "_log_start",
+        "_racks",
+        "_releases",
+        "_totals",
+        "_workers",
+    )
 
     def __init__(self) -> None:
         self._workers: dict[str, Worker] = {}
@@ -196,6 +221,7 @@
         self._log_start = 0
         self._releases = 0
         self._totals = [0, 0, 0]
+        self._racks: dict[str, dict[str, Worker]] = {}
 
     @property
     def workers(self) -> Mapping[str, Worker]:
@@ -207,6 +233,15 @@
         """Return the holdings by job id."""
         return self._holdings
 
+    @property
+    def racks(self) -> set[str]:
+        """Return the names of all racks."""
+        return set(self._racks)
+
+    def open_in(self, rack: str) -> list[Worker]:
+        """Return the workers of a rack that take new work."""
+        return [w for w in self._racks.get(rack, {}).values() if w.is_open]
+
     @property
     def releases(self) -> int:
         """Return a count that grows whenever something may have become free."""
@@ -244,6 +279,9 @@
             self._totals = [
                 t - c for t, c in zip(self._totals, worker.capacity, strict=True)
             ]
+        if worker_id not in self._racks.get(rack, {}):
+            self._racks.get(worker.rack, {}).pop(worker_id, None)
+            self._racks.setdefault(rack, {})[worker_id] = worker
         worker.rack, worker.capacity, worker.present = rack, capacity, present
         if present:
             self._totals = [t + c for t, c in zip(self._totals, capacity, strict=True)]
@@ -286,14 +324,25 @@
         holding.stop_at = now
         sign = -1 if now is None else 1
         for worker_id, amounts in holding.amounts.items():
-            _accumulate(self.worker(worker_id).releasing, amounts, sign)
+            worker = self.worker(worker_id)
+            _accumulate(worker.releasing, amounts, sign)
+            if holding.movable and holding.rank < CHARGED:
+                _accumulate(worker.movable, amounts, -sign)
             self._touch(worker_id)
 
-    def set_aside(self, amounts: Mapping[str, Amounts], sign: int) -> None:
-        """Keep resources for a claimant (sign 1) or give them up (sign -1)."""
+    def set_aside(
+        self, amounts: Mapping[str, Amounts], sign: int, wakes: bool = True
+    ) -> None:
+        """Keep resources for a claimant (sign 1) or give them up (sign -1).
+
+        Parameters
+        ----------
+        wakes : bool
+            False if what is given up was only kept for a trial.
+        """
         for worker_id, part in amounts.items():
             _accumulate(self.worker(worker_id).held, part, sign)
-            if sign < 0:
+            if sign < 0 and wakes:
                 self._released(worker_id)
             else:
                 self._touch(worker_id)
@@ -316,6 +365,8 @@
             _accumulate(worker.yielding, amounts, sign)
         if holding.stop_at is not None:
             _accumulate(worker.releasing, amounts, sign)
+        elif holding.movable and holding.rank < CHARGED:
+            _accumulate(worker.movable, amounts, sign)
 
     def _released(self, worker_id: str) -> None:
         self._releases += 1
--- a/marjoramusher/placement/reclaim.py
+++ b/marjoramusher/placement/reclaim.py
@@ -1,6 +1,6 @@
 """Choice of borrowers to stop, and claimants that wait for them."""
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 
 from ..core import resource
 from . import guarantee, ledger
@@ -43,18 +43,19 @@
         return all(book.worker(worker_id).is_open for worker_id in self.amounts)
 
 
-def highest_victim(rank: int) -> int:
-    """Return the highest rank that a job of a rank may stop.
+def victims_of(rank: int) -> Callable[[ledger.Holding], bool]:
+    """Return which borrowers a job of a rank may stop.
 
     A charged job stops any borrower; an urgent one stops best effort borrowers.
     """
-    return {3: 2, 2: 0}.get(rank, -1)
+    highest = {3: 2, 2: 0}.get(rank, -1)
+    return lambda holding: holding.rank <= highest
 
 
 def choose_victims(
     book: ledger.Ledger,
     amounts: Mapping[str, ledger.Amounts],
-    highest: int,
+    may_stop: Callable[[ledger.Holding], bool],
     now: float,
 ) -> list[ledger.Holding] | None:
     """Choose borrowers whose stop makes room for `amounts`.
@@ -80,8 +81,9 @@
             (
                 holding
                 for job_id in book.worker(worker_id).jobs
-                if _may_stop(holding := book.holdings[job_id], highest)
+                if (holding := book.holdings[job_id]).can_stop
                 and job_id not in chosen
+                and may_stop(holding)
             ),
             key=lambda h: (h.rank, h.lost_work(now), h.job_id),
         )
@@ -136,10 +138,6 @@
         yield item
 
 
-def _may_stop(holding: ledger.Holding, highest: int) -> bool:
-    return holding.rank <= highest and holding.movable and holding.stop_at is None
-
-
 def _cover(missing: dict[str, list[int]], holding: ledger.Holding, sign: int) -> None:
     for worker_id, part in holding.amounts.items():
         lack = missing.get(worker_id)
--- a/marjoramusher/placement/reserve.py
+++ b/marjoramusher/placement/reserve.py
@@ -13,12 +13,14 @@
 MAX_RACKS = 16
 # Beyond this, reservations would keep the small jobs out.
 MAX_RESERVATIONS = 2
+# Share of the present wait below which other workers are reserved instead.
+CHANGE_SHARE = 0.6
 
 
 class Reservation:
     """Workers that a gang is expected to get at a time."""
 
-    __slots__ = ("job_id", "ready_at", "waiting", "workers")
+    __slots__ = ("job_id", "next_try", "ready_at", "waiting", "workers")
 
     def __init__(
         self, waiting: queue.Waiting, workers: frozenset[str], ready_at: float
@@ -27,6 +29,7 @@
         self.waiting = waiting
         self.workers = workers
         self.ready_at = ready_at
+        self.next_try = 0.0
 
 
 class Reserves:
@@ -55,30 +58,79 @@
         self._made.pop(job_id, None)
 
     def refresh(self, now: float) -> None:
-        """Choose again where an estimate was wrong."""
+        """Choose again where an estimate was wrong.
+
+        Other workers are taken only if they are ready much sooner; changing them
+        often would let long jobs in everywhere.
+        """
         for job_id, made in list(self._made.items()):
             del self._made[job_id]
             reservation = self._choose(made.waiting, now)
-            if reservation is not None:
-                self._made[job_id] = reservation
+            if reservation is None:
+                continue
+            group = [self._ledger.worker(worker) for worker in sorted(made.workers)]
+            cells, each = cell.unit_of(made.waiting.shape)
+            same = self._ready(group, cells, each, now)
+            if same is not None and all(worker.is_open for worker in group):
+                is_sooner = reservation.ready_at - now < CHANGE_SHARE * (same[0] - now)
+                if not is_sooner:
+                    reservation.workers, reservation.ready_at = made.workers, same[0]
+            reservation.next_try = made.next_try
+            self._made[job_id] = reservation
+
+    def get(self, job_id: str) -> Reservation | None:
+        """Return the reservation of a job."""
+        return self._made.get(job_id)
+
+    def touches(self, job_id: str, workers: Iterable[str]) -> bool:
+        """Tell whether workers are reserved for another job."""
+        return any(
+            made.job_id != job_id and not made.workers.isdisjoint(workers)
+            for made in self._made.values()
+        )
+
+    def without_backfill(self, made: Reservation) -> tuple[str, ...] | None:
+        """Return where a gang starts if what was backfilled is stopped."""
+        cells, each = cell.unit_of(made.waiting.shape)
+        found: list[str] = []
+        for worker_id in sorted(made.workers):
+            worker = self._ledger.worker(worker_id)
+            if not worker.is_open:
+                continue
+            have = list(ledger.projected_free(worker))
+            for job_id, part in worker.jobs.items():
+                holding = self._ledger.holdings[job_id]
+                if holding.backfilled and holding.can_stop:
+                    have = [h + p for h, p in zip(have, part, strict=True)]
+            slots = ledger.count_slots((have[0], have[1], have[2]), each)
+            found += [worker_id] * min(slots, cells - len(found))
+        if len(found) < cells:
+            return None
+        if made.waiting.shape.adjacency is resource.Adjacency.WORKER:
+            found = found * made.waiting.shape.tasks
+        return tuple(found)
+
+    def binding(self, job_id: str, ends_at: float) -> tuple[str, ...]:
+        """Return the reservations that a job ending at a time must respect."""
+        return tuple(
+            made.job_id
+            for made in self._made.values()
+            if made.job_id != job_id and ends_at > made.ready_at
+        )
 
-    def avoided(self, job_id: str, ends_at: float, avoid: set[str]) -> set[str]:
-        """Add the workers that a job ending at a time must leave to others."""
-        for made in self._made.values():
-            if made.job_id != job_id and ends_at > made.ready_at:
-                avoid = avoid | made.workers
-        return avoid
+    def workers(self, job_ids: Iterable[str]) -> set[str]:
+        """Return the workers of some reservations."""
+        return {w for job_id in job_ids for w in self._made[job_id].workers}
 
     def _choose(self, waiting: queue.Waiting, now: float) -> Reservation | None:
         cells, each = cell.unit_of(waiting.shape)
         index = self._cells.index(each, ledger.free)
         racks = [rack for rack, _ in index.racks()]
-        racks = racks[-MAX_RACKS:]
-        workers = self._ledger.workers.values()
+        if len(racks) < MAX_RACKS:
+            racks += sorted(self._ledger.racks - set(racks))[: MAX_RACKS - len(racks)]
         members: dict[str, list[ledger.Worker]] = {}
-        for worker in workers:
-            if worker.is_open:
-                members.setdefault(worker.rack, []).append(worker)
+        for rack in racks[-MAX_RACKS:]:
+            members[rack] = self._ledger.open_in(rack)
         if waiting.shape.adjacency is resource.Adjacency.NONE:
             groups = [[w for rack in members for w in members[rack]]]
         else:
@@ -136,7 +188,7 @@
         return ready_at, chosen
 
     def _end(self, holding: ledger.Holding, now: float) -> float:
-        if holding.stop_at is not None:
+        if holding.stop_at is not None or holding.backfilled and holding.can_stop:
             return now
         ran_s = now - holding.started_at
         # One that has outrun its estimate is expected to need half as long again.
