--- /dev/null
+++ b/marjoramusher/jobs/machine_test.py
@@ -0,0 +1,327 @@
+"""Guards the jobs machine: no job lost or doubled, no worker given away twice."""
+
+import msgspec
+import pytest
+
+from marjoramusher.core import errors, resource
+from marjoramusher.core import job as model
+from marjoramusher.jobs import command, machine
+
+CAPACITY = resource.Resources(8, 64, 1000)
+ERROR = errors.ErrorBody(
+    errors.ErrorCode.JOB_INFEASIBLE, errors.Outcome.NOT_RUN, "never fits"
+)
+STATES = model.JobState
+
+
+def spec(tasks=2, accelerators=8, **fields):
+    shape = resource.GangShape(tasks, resource.Resources(accelerators))
+    return model.JobSpec("acct", "contract", shape, **fields)
+
+
+class Replica:
+    """Apply commands and keep every state change visible to the test."""
+
+    def __init__(self):
+        self.machine = machine.JobsMachine("fd-a")
+        self.at = 1000.0
+        self.index = 0
+
+    def __call__(self, kind, *args, **fields):
+        self.index += 1
+        value = kind(self.at, *args, **fields)
+        data = self.machine.apply(self.index, command.encode(value))
+        return command.result(data)
+
+    def submit(self, **fields):
+        return self(command.SubmitJob, spec(**fields)).job.job_id
+
+    def allocate(self, job_id, *workers, epoch=0, capacity=CAPACITY):
+        capacities = dict.fromkeys(workers, capacity)
+        return self(command.AllocateGang, job_id, epoch, workers, capacities)
+
+    def run(self, job_id, *workers, epoch=0):
+        self.allocate(job_id, *workers, epoch=epoch)
+        self(command.GangStarted, job_id, epoch + 1)
+
+    def stop(self, job_id, cause, epoch=1, **fields):
+        self(command.GangStopping, job_id, epoch, cause)
+        return self(command.GangStopped, job_id, epoch, **fields).job
+
+
+@pytest.fixture
+def replica():
+    return Replica()
+
+
+CAUSE = command.StopCause
+UNKNOWN = errors.ErrorCode.OUTCOME_UNKNOWN
+EXPIRED = errors.ErrorCode.CONTRACT_EXPIRED
+STOPS = {
+    "reclaim": (CAUSE.RECLAIM, True, True, STATES.QUEUED, None),
+    "worker lost": (CAUSE.WORKER_LOST, True, True, STATES.QUEUED, None),
+    "not repeatable, never started": (
+        CAUSE.START_FAILED,
+        False,
+        False,
+        STATES.QUEUED,
+        None,
+    ),
+    "not repeatable, started": (
+        CAUSE.WORKER_LOST,
+        False,
+        True,
+        STATES.FAILED,
+        UNKNOWN,
+    ),
+    "not repeatable, failed": (
+        CAUSE.TASK_FAILED,
+        False,
+        True,
+        STATES.FAILED,
+        errors.ErrorCode.TARGET_FAILED,
+    ),
+    "cancelled": (CAUSE.CANCELLED, True, True, STATES.CANCELLED, None),
+    "expired": (CAUSE.CONTRACT_EXPIRED, True, True, STATES.FAILED, EXPIRED),
+}
+
+
+@pytest.mark.parametrize("name", STOPS)
+def test_cause_decides_what_becomes_of_a_stopped_job(replica, name):
+    cause, repeatable, ran, state, code = STOPS[name]
+    job_id = replica.submit(repeatable=repeatable)
+    replica.run(job_id, "w1", "w2")
+    item = replica.stop(
+        job_id, cause, checkpoint="c1", progress_s=3.0, may_have_run=ran
+    )
+    assert item.state is state
+    assert (item.error.code if item.error else None) is code
+    assert item.error is None or item.error.outcome is errors.Outcome.UNKNOWN
+    assert (item.checkpoint, item.progress_s) == ("c1", 3.0)
+    assert list(replica.machine.ledger.workers()) == []
+    assert item.epoch == (2 if state is STATES.QUEUED else 1)
+
+
+def _allocated(replica):
+    job_id = replica.submit()
+    replica.allocate(job_id, "w1", "w2")
+    return job_id
+
+
+def _stopping(replica):
+    job_id = _allocated(replica)
+    replica(command.GangStopping, job_id, 1, CAUSE.RECLAIM)
+    return job_id
+
+
+def _done(replica):
+    job_id = _allocated(replica)
+    replica(command.GangEnded, job_id, 1)
+    return job_id
+
+
+def _quarantined(replica):
+    replica(command.QuarantineWorker, "w1", "fails everything")
+    return replica.submit()
+
+
+CONFLICT, STALE = errors.ErrorCode.VERSION_CONFLICT, errors.ErrorCode.STALE_EPOCH
+FULL, MISSING = errors.ErrorCode.OVERLOADED, errors.ErrorCode.NOT_FOUND
+WORKERS, ROOM = ("w1", "w2"), {"w1": CAPACITY, "w2": CAPACITY}
+REFUSALS = {
+    "allocated twice": (_allocated, command.AllocateGang, (0, WORKERS, ROOM), CONFLICT),
+    "old epoch": (Replica.submit, command.AllocateGang, (7, WORKERS, ROOM), STALE),
+    "too few workers": (
+        Replica.submit,
+        command.AllocateGang,
+        (0, ("w1",), ROOM),
+        CONFLICT,
+    ),
+    "unknown capacity": (
+        Replica.submit,
+        command.AllocateGang,
+        (0, ("w1", "w9"), ROOM),
+        FULL,
+    ),
+    "one worker for both": (
+        Replica.submit,
+        command.AllocateGang,
+        (0, ("w1", "w1"), ROOM),
+        FULL,
+    ),
+    "quarantined": (_quarantined, command.AllocateGang, (0, WORKERS, ROOM), CONFLICT),
+    "start while stopping": (_stopping, command.GangStarted, (1,), CONFLICT),
+    "start of an old epoch": (_allocated, command.GangStarted, (0,), STALE),
+    "start of a queued job": (Replica.submit, command.GangStarted, (0,), CONFLICT),
+    "start after the end": (_done, command.GangStarted, (1,), CONFLICT),
+    "stopped, not stopping": (_allocated, command.GangStopped, (1,), CONFLICT),
+    "end of an old epoch": (_allocated, command.GangEnded, (0,), STALE),
+    "rejected, not queued": (_allocated, command.RejectJob, (ERROR,), CONFLICT),
+    "unknown job": (
+        lambda replica: replica.submit() + "9",
+        command.CancelJob,
+        (),
+        MISSING,
+    ),
+}
+
+
+@pytest.mark.parametrize("name", REFUSALS)
+def test_refused_command_changes_nothing(replica, name):
+    prepare, kind, args, code = REFUSALS[name]
+    job_id = prepare(replica)
+    before = replica.machine.snapshot()
+    with pytest.raises(errors.MarjoramusherError) as raised:
+        replica(kind, job_id, *args)
+    assert raised.value.code is code
+    assert replica.machine.snapshot() == before
+
+
+def test_two_allocations_never_overlap(replica):
+    first, second = replica.submit(accelerators=5), replica.submit(accelerators=5)
+    replica.allocate(first, "w1", "w2")
+    with pytest.raises(errors.MarjoramusherError):
+        replica.allocate(second, "w2", "w3")
+    replica.stop(first, CAUSE.RECLAIM)
+    assert replica.allocate(second, "w2", "w3").job.state is STATES.ALLOCATED
+
+
+def test_repeated_commands_are_accepted_once(replica):
+    job_id = replica.submit()
+    replica.run(job_id, "w1", "w2")
+    assert replica(command.GangStarted, job_id, 1).repeated
+    replica(command.GangStopping, job_id, 1, CAUSE.RECLAIM)
+    again = replica(command.GangStopping, job_id, 1, CAUSE.WORKER_LOST)
+    assert again.repeated
+    assert replica.machine.stopping(job_id).cause is CAUSE.RECLAIM
+    replica(command.GangEnded, job_id, 1)
+    assert replica(command.GangEnded, job_id, 1).repeated
+
+
+def test_same_key_gives_the_first_job(replica):
+    first = replica(command.SubmitJob, spec(), "key", "print")
+    again = replica(command.SubmitJob, spec(), "key", "print")
+    assert again.job.job_id == first.job.job_id and again.repeated
+    with pytest.raises(errors.MarjoramusherError) as raised:
+        replica(command.SubmitJob, spec(tasks=3), "key", "other")
+    assert raised.value.code is errors.ErrorCode.KEY_REUSED
+    other = msgspec.structs.replace(spec(), account="other")
+    assert replica(command.SubmitJob, other, "key", "print").job != first.job
+
+
+def test_cancelled_job_never_starts(replica):
+    queued, running = replica.submit(), replica.submit()
+    replica.run(running, "w1", "w2")
+    assert replica(command.CancelJob, queued).job.state is STATES.CANCELLED
+    with pytest.raises(errors.MarjoramusherError):
+        replica.allocate(queued, "w3", "w4")
+    assert replica(command.CancelJob, running).job.state is STATES.STOPPING
+    with pytest.raises(errors.MarjoramusherError):
+        replica(command.GangStarted, running, 1)
+    assert replica(command.GangStopped, running, 1).job.state is STATES.CANCELLED
+
+
+def test_contract_expiry_fails_queued_and_stops_running(replica):
+    queued, running, retried = (replica.submit() for _ in range(3))
+    replica.run(running, "w1", "w2")
+    replica.run(retried, "w3", "w4")
+    replica.stop(retried, CAUSE.RECLAIM)
+    replica(command.ContractExpired, "contract", 30.0)
+    error = replica.machine.job(queued).error
+    assert (error.code, error.outcome) == (EXPIRED, errors.Outcome.NOT_RUN)
+    # "Not run" would be false for a job of which an attempt ran.
+    assert replica.machine.job(retried).error.outcome is errors.Outcome.UNKNOWN
+    assert replica.machine.stopping(running).until == 1030.0
+    assert replica(command.ContractExpired, "contract", 30.0).changed == 0
+
+
+def test_rejection_of_a_job_that_ran_does_not_say_not_run(replica):
+    job_id = replica.submit()
+    replica.run(job_id, "w1", "w2")
+    replica.stop(job_id, CAUSE.TASK_FAILED)
+    item = replica(command.RejectJob, job_id, ERROR).job
+    assert item.error.outcome is errors.Outcome.UNKNOWN
+
+
+def test_recovery_with_loss_fences_everything(replica):
+    repeatable, once, done = (
+        replica.submit(),
+        replica.submit(repeatable=False),
+        replica.submit(),
+    )
+    replica.run(repeatable, "w1", "w2")
+    replica.run(done, "w3", "w4")
+    replica(command.GangEnded, done, 1)
+    replica(command.RecoverWithLoss, 2000.0)
+    item = replica.machine.job(repeatable)
+    assert item.state is STATES.QUEUED and item.epoch > machine.RECOVERY_EPOCHS
+    assert replica.machine.job(once).error.code is UNKNOWN
+    assert replica.machine.job(done).state is STATES.DONE
+    assert list(replica.machine.ledger.workers()) == []
+    # A lost job's number must not be given to another one.
+    assert int(replica.submit().rpartition("-")[2]) > machine.RECOVERY_NUMBERS
+    with pytest.raises(errors.MarjoramusherError) as raised:
+        replica(command.SubmitJob, spec(), "lost?", "print", 1999.0)
+    assert raised.value.code is UNKNOWN
+    assert replica(command.SubmitJob, spec(), "new", "print", 2001.0).job
+
+
+def test_finished_jobs_and_keys_are_bounded(replica, monkeypatch):
+    monkeypatch.setattr(machine, "FINISHED_COUNT", 3)
+    first = replica(command.SubmitJob, spec(payload="x"), "key", "print").job
+    for job_id in [first.job_id, *(replica.submit() for _ in range(4))]:
+        replica(command.CancelJob, job_id)
+    assert replica.machine.job(first.job_id) is None
+    with pytest.raises(errors.MarjoramusherError) as raised:
+        replica(command.SubmitJob, spec(payload="x"), "key", "print")
+    assert raised.value.code is errors.ErrorCode.ANSWER_EXPIRED
+    replica.at += machine.FINISHED_AGE_S + 1
+    fresh = replica.submit()
+    assert [i.job_id for i in replica.machine.list_jobs("acct", None, 9)] == [fresh]
+
+
+def test_queue_is_bounded_for_each_account(replica, monkeypatch):
+    monkeypatch.setattr(machine, "ACCOUNT_UNFINISHED_COUNT", 2)
+    first = replica.submit()
+    replica.submit()
+    with pytest.raises(errors.MarjoramusherError) as raised:
+        replica.submit()
+    assert raised.value.code is FULL
+    replica(command.CancelJob, first)
+    assert replica.submit()
+
+
+def test_list_is_newest_first_by_account_and_state(replica):
+    ids = [replica.submit() for _ in range(12)]
+    replica(command.CancelJob, ids[3])
+    replica(command.SubmitJob, msgspec.structs.replace(spec(), account="other"))
+    listed = [i.job_id for i in replica.machine.list_jobs("acct", STATES.QUEUED, 3)]
+    assert listed == [ids[11], ids[10], ids[9]]
+    assert len(replica.machine.list_jobs("acct", None, 100)) == 12
+
+
+def test_restored_replica_stays_equal(replica):
+    """A replica restored midway must decide like one that applied everything."""
+    jobs = [replica.submit() for _ in range(6)]
+    for job_id, worker in zip(jobs[3:0:-1], "abc", strict=True):
+        replica.run(job_id, worker + "1", worker + "2")
+    replica.stop(jobs[2], CAUSE.WORKER_LOST)
+    replica(command.QuarantineWorker, "a1", "bad")
+    other = Replica()
+    other.machine.restore(replica.machine.snapshot())
+    other.machine.drain_changes()
+    replica.machine.drain_changes()
+    for each in (replica, other):
+        each(command.RecoverWithLoss, 1500.0)
+        each(command.ContractExpired, "contract", 5.0)
+    assert replica.machine.snapshot() == other.machine.snapshot()
+    assert replica.machine.drain_changes() == other.machine.drain_changes()
+    with pytest.raises(errors.MarjoramusherError):
+        machine.JobsMachine("fd-b").restore(replica.machine.snapshot())
+
+
+def test_time_never_goes_back(replica):
+    replica(command.CancelJob, replica.submit())
+    replica.at = 1.0  # a new leader's clock is behind
+    item = replica(command.CancelJob, replica.submit()).job
+    assert item.ended_at == 1000.0
--- a/marjoramusher/workers/gang.py
+++ b/marjoramusher/workers/gang.py
@@ -61,6 +61,9 @@
 ENDED = frozenset({TaskStatus.DONE, TaskStatus.FAILED, TaskStatus.OVER})
 
 
+LIVE = (announcement.TaskState.PREPARED, announcement.TaskState.RUNNING)
+
+
 class Method(enum.Enum):
     """Calls that a worker serves."""
 
@@ -283,7 +286,6 @@
         self._retries: list[tuple[float, command.Command]] = []
         self._refreshes: list[tuple[float, str]] = []
         self._expiring: dict[str, float] = {}
-        self._strays: dict[str, set[str]] = {}
         self._gate_open = False
         self._awaited = set(jobs.ledger.workers())
         jobs.drain_changes()
@@ -435,6 +437,12 @@
 
     def _answered(self, event: Answered) -> None:
         call = event.call
+        known = self._table.worker(call.worker)
+        if known is not None:
+            answered = event.report is not None or event.refused
+            known.called(answered, self._now)
+            if not answered:
+                self._close(call.worker, known)
         gang = self._gangs.get(call.job_id)
         if gang is None or gang.epoch != call.gang_epoch:
             return
@@ -470,7 +478,9 @@
             self._start_failed(gang, task, event)
 
     def _start_failed(self, gang: Gang, task: Task, event: Answered) -> None:
-        self._task_failed(gang, task, event.message)
+        if event.refused:
+            # Silence says nothing about the job, which must not be blamed for it.
+            self._task_failed(gang, task, event.message)
         self._want_stop(gang, command.StopCause.START_FAILED)
 
     def _task_failed(self, gang: Gang, task: Task, message: str) -> None:
@@ -489,18 +499,14 @@
         touched: dict[str, Gang] = {}
         renewals: list[announcement.LeaseRenewal] = []
         stop: list[str] = []
-        strays: set[str] = set()
+        has_strays = False
         for report in said.tasks:
             job_id = report.task_id.rpartition(".")[0]
             gang = self._gangs.get(job_id)
             task = None if gang is None else gang.tasks.get(report.task_id)
             if gang is None or task is None or task.worker != said.id:
                 stop.append(report.task_id)
-                if report.state in (
-                    announcement.TaskState.PREPARED,
-                    announcement.TaskState.RUNNING,
-                ):
-                    strays.add(report.task_id)
+                has_strays = has_strays or report.state in LIVE
                 continue
             if report.epoch != gang.epoch:
                 continue  # its lease is not renewed; the calls carry a higher epoch
@@ -522,24 +528,30 @@
             if gang is not None and holding.task_id not in seen:
                 touched[holding.job_id] = gang
                 self._take_absence(gang, gang.tasks[holding.task_id], restarted)
-        self._worker_known(said, arrival, strays)
+        self._worker_known(known, arrival, has_strays)
         self._effects.append(Reply(tuple(renewals), tuple(stop)))
         for gang in touched.values():
             self._advance(gang)
 
     def _worker_known(
-        self,
-        said: announcement.WorkerAnnouncement,
-        arrival: table.Arrival,
-        strays: set[str],
+        self, known: table.Worker, arrival: table.Arrival, has_strays: bool
     ) -> None:
-        """Tell the placer of a worker once it runs nothing that it should not."""
-        held_back = said.id in self._strays
-        if strays and (held_back or arrival is table.Arrival.NEW):
-            self._strays[said.id] = strays
-        elif held_back or arrival is not table.Arrival.KNOWN:
-            self._strays.pop(said.id, None)
-            self._placer.worker_up(said, self._now)
+        """Tell the placer of a worker that can take work.
+
+        A worker is held back while it runs what the machine does not know, or does
+        not answer calls.
+        """
+        if known.is_open and arrival is table.Arrival.KNOWN:
+            return
+        if not known.is_open and (has_strays or self._now < known.withheld_until):
+            return
+        known.is_open = known.is_placed = True
+        self._placer.worker_up(known.announcement, self._now)
+
+    def _close(self, worker: str, known: table.Worker) -> None:
+        if known.is_open:
+            known.is_open = False
+            self._placer.worker_silent(worker, self._now)
 
     def _take_report(
         self, gang: Gang, task: Task, report: announcement.TaskReport
@@ -816,15 +828,10 @@
     # Time.
 
     def _ticked(self) -> None:
-        for worker in self._table.suspects(self._now):
-            self._strays.pop(worker, None)
-            self._placer.worker_down(worker, self._now)
-            for holding in list(self._jobs.ledger.holdings(worker)):
-                gang = self._gangs.get(holding.job_id)
-                if gang is not None and (
-                    gang.tasks[holding.task_id].status not in ENDED
-                ):
-                    self._want_stop(gang, command.StopCause.WORKER_LOST)
+        for worker, known in self._table.silences(self._now):
+            self._close(worker, known)
+            if known.silence is table.Silence.SUSPECTED:
+                self._lose(worker, known)
         due = [value for due_at, value in self._retries if due_at <= self._now]
         self._retries = [entry for entry in self._retries if entry[0] > self._now]
         for value in due:
@@ -840,6 +847,16 @@
         if self._gate_open:
             self._plan()
 
+    def _lose(self, worker: str, known: table.Worker) -> None:
+        """Stop the gangs of a worker that is given up."""
+        if known.is_placed:
+            known.is_placed = False
+            self._placer.worker_down(worker, self._now)
+        for holding in self._jobs.ledger.holdings(worker):
+            gang = self._gangs.get(holding.job_id)
+            if gang is not None and gang.tasks[holding.task_id].status not in ENDED:
+                self._want_stop(gang, command.StopCause.WORKER_LOST)
+
     def _expire_contracts(self) -> None:
         for name in list(self._jobs.contracts()):
             if not self._is_expired(name) or self._now < self._expiring.get(name, 0.0):
@@ -896,7 +913,7 @@
             queued is None
             or queued.state is not model.JobState.QUEUED
             or self._is_expired(queued.spec.contract)
-            or any(worker is None or worker.suspected for worker in known.values())
+            or any(worker is None or not worker.is_open for worker in known.values())
         ):
             self._refresh_later(item.job_id)
             return
--- a/marjoramusher/workers/service.py
+++ b/marjoramusher/workers/service.py
@@ -213,7 +213,9 @@
         except errors.MarjoramusherError as error:
             return codec.pack(Failed(error.body()))
 
-    async def _ask(self, failure_domain: str, question: Question) -> Sequence[model.Job]:
+    async def _ask(
+        self, failure_domain: str, question: Question
+    ) -> Sequence[model.Job]:
         if failure_domain == self._failure_domain:
             return await self._answer(question)
         body = await self._remote(failure_domain, METHOD, codec.pack(question))
--- a/marjoramusher/workers/table.py
+++ b/marjoramusher/workers/table.py
@@ -6,8 +6,11 @@
 
 TASK_LEASE_S = 4.0  # survives a leader change of about 2 s and ends before 5.5 s
 CLOCK_RATE_BOUND = 0.01  # a worker's clock runs at most this much slower than ours
+OVERDUE_S = 1.5  # a missed announcement; nothing new is placed on the worker
 SUSPECT_S = 3.0  # three missed announcements; before the lease of 4 s is over
 
+WITHHOLD_S = 2.0  # after a call without answer; doubles up to the longest
+LONGEST_WITHHOLD_S = 60.0
 FORGET_S = 600.0  # a worker that is away for longer may have been taken away
 
 LEASE_OVER_S = TASK_LEASE_S * (1 + CLOCK_RATE_BOUND)
@@ -22,15 +25,53 @@
     KNOWN = "known"
 
 
+class Silence(enum.Enum):
+    """How long a worker has not announced itself."""
+
+    NONE = "none"
+    OVERDUE = "overdue"
+    SUSPECTED = "suspected"
+
+
 class Worker:
-    """A worker as its last announcement describes it."""
+    """A worker as its last announcement describes it.
+
+    Attributes
+    ----------
+    is_open : bool
+        Whether the placer may use the worker.
+    is_placed : bool
+        Whether the placer knows the worker.
+    """
 
-    __slots__ = ("announcement", "heard_at", "suspected")
+    __slots__ = (
+        "announcement",
+        "heard_at",
+        "is_open",
+        "is_placed",
+        "silence",
+        "unanswered",
+        "withheld_until",
+    )
 
     def __init__(self, said: announcement.WorkerAnnouncement, now: float) -> None:
         self.announcement = said
         self.heard_at = now
-        self.suspected = False
+        self.silence = Silence.NONE
+        self.is_open = False
+        self.is_placed = False
+        self.unanswered = 0
+        self.withheld_until = 0.0
+
+    def called(self, answered: bool, now: float) -> None:
+        """Note how a call ended; without answers nothing new is placed for a while."""
+        if answered:
+            self.unanswered = 0
+            self.withheld_until = 0.0
+            return
+        length_s = WITHHOLD_S * 2 ** min(self.unanswered, 8)
+        self.withheld_until = now + min(length_s, LONGEST_WITHHOLD_S)
+        self.unanswered += 1
 
 
 class WorkerTable:
@@ -88,24 +129,27 @@
                 f"worker {said.id} has announced a later incarnation",
                 details={"incarnation": str(before.incarnation)},
             )
-        arrival = _arrival(before, said, known.suspected)
+        arrival = _arrival(before, said)
         known.announcement = said
         known.heard_at = now
-        known.suspected = False
+        known.silence = Silence.NONE
         del self._workers[said.id]
         self._workers[said.id] = known
         return known, arrival
 
-    def suspects(self, now: float) -> list[str]:
-        """Return the workers that have just been silent for `SUSPECT_S`."""
+    def silences(self, now: float) -> list[tuple[str, Worker]]:
+        """Return the workers whose silence has just become worse."""
         found = []
         gone = []
         for name, worker in self._workers.items():
-            if now < worker.heard_at + SUSPECT_S:
+            if now < worker.heard_at + OVERDUE_S:
                 break
-            if not worker.suspected:
-                worker.suspected = True
-                found.append(name)
+            silence = Silence.OVERDUE
+            if now >= worker.heard_at + SUSPECT_S:
+                silence = Silence.SUSPECTED
+            if worker.silence is not silence:
+                worker.silence = silence
+                found.append((name, worker))
             if now >= worker.heard_at + FORGET_S:
                 gone.append(name)
         for name in gone:
@@ -132,13 +176,11 @@
 
 
 def _arrival(
-    before: announcement.WorkerAnnouncement,
-    said: announcement.WorkerAnnouncement,
-    suspected: bool,
+    before: announcement.WorkerAnnouncement, said: announcement.WorkerAnnouncement
 ) -> Arrival:
     if said.incarnation > before.incarnation:
         return Arrival.RESTARTED
-    if suspected or (said.capacity, said.rack, said.url) != (
+    if (said.capacity, said.rack, said.url) != (
         before.capacity,
         before.rack,
         before.url,
