Wire the daemon: one path from caller to runner and from job to worker

Cause: the parts existed side by side with no process that runs them. Before the campaign delay the six-instance demo left the gang job queued, since the remote voter led and refused the workers' announcements. Conclusion: the whole path runs as separate processes.

--- a/marjoramusher/consensus/election.py
+++ b/marjoramusher/consensus/election.py
@@ -59,8 +59,12 @@
 
     def reset_timeout(self, now: float) -> None:
         """Draw a new election timeout."""
-        self.due_s = now + self._rng.uniform(
-            self._settings.election_min_s, self._settings.election_max_s
+        self.due_s = (
+            now
+            + self._settings.patience_s
+            + self._rng.uniform(
+                self._settings.election_min_s, self._settings.election_max_s
+            )
         )
 
     def leader_heard(self, now: float) -> None:
--- a/marjoramusher/consensus/state.py
+++ b/marjoramusher/consensus/state.py
@@ -13,6 +13,9 @@
     election_min_s, election_max_s : float
         Range of the randomized election timeout. A voter that heard from a leader
         less than `election_min_s` ago gives no vote.
+    patience_s : float
+        Added to the election timeout of a voter that should lead only if no other
+        can. Its votes are not delayed.
     lease_s : float
         How long a confirmed heartbeat round keeps the quorum fresh, counted from
         when it was sent. It is below `election_min_s` by more than clocks drift.
@@ -40,6 +43,7 @@
     heartbeat_s: float = 0.25
     election_min_s: float = 1.0
     election_max_s: float = 1.5
+    patience_s: float = 0.0
     lease_s: float = 0.9
     learner_heartbeat_s: float = 1.0
     commit_flush_s: float = 0.05
--- a/marjoramusher/core/codec.py
+++ b/marjoramusher/core/codec.py
@@ -52,6 +52,8 @@
 
 
 def _check_depth(data: bytes) -> None:
+    if data.count(b"{") + data.count(b"[") <= MAX_DEPTH:
+        return
     depth = 0
     in_string = False
     escaped = False
--- a/marjoramusher/core/errors.py
+++ b/marjoramusher/core/errors.py
@@ -72,6 +72,8 @@
     ErrorCode.CONTRACT_EXPIRED: 409,
     ErrorCode.STALE_EPOCH: 409,
     ErrorCode.STALE_STORE: 409,
+    ErrorCode.PEER_UNREACHABLE: 503,
+    ErrorCode.STORE_FAILED: 503,
 }
 
 
--- /dev/null
+++ b/marjoramusher/daemon/instance.py
@@ -0,0 +1,525 @@
+"""One instance: all parts wired together."""
+
+import asyncio
+import os
+import random
+from collections.abc import AsyncIterator
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from ..callers import claiming, engine, forwarding, requests, slots
+from ..callers import jobs as caller_jobs
+from ..claims import command as claims_command
+from ..core import announcement, clock, codec, errors, record
+from ..groups import bootstrap, composite, manager
+from ..http import body as http_body
+from ..http import errors as http_errors
+from ..http import token as http_token
+from ..instances import cuts
+from ..instances import peers as transport
+from ..jobs import command as jobs_command
+from ..operators import routes, watch
+from ..routing import request as routed
+from ..routing import router
+from ..targets import announcing, dispatch
+from ..telemetry import log, metrics
+from ..workers import client as tasks
+from ..workers import handlers as worker_handlers
+from ..workers import service
+from . import accounts, configuration, domain, frames, machines, peers, spread
+from .settings import Settings
+
+REQUEST = "request"
+READY_WAIT_S = 5.0
+SUPERVISE_S = 0.5
+CLAIM_TIMEOUT_S = 2.0
+GRANT_TIMEOUT_S = 1.0
+ANNOUNCE_TIMEOUT_S = 1.0
+WATCH_TIMEOUT_S = service.MAX_WAIT_S + 5.0
+FORWARD_PROGRESS_S = 10.0
+RECOVER_TIMEOUT_S = 10.0
+SAME_REGION_S = 0.0015
+OTHER_REGION_S = 0.030
+REGION_LINK_BYTES_PER_S = 15e6 / 8
+SPILL_SHARE = 0.5  # the rest is left to replication, claims and job reads
+MAX_CUTS = 1000
+
+
+class CutRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of ``POST /test/cut``."""
+
+    instances: tuple[str, ...]
+    mode: str = "silent"
+
+
+class Instance:
+    """Run one instance of the system.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings.
+    time : Clock
+        Source of time.
+    rng : random.Random
+        Source of random numbers.
+    values : Metrics
+        Counters and histograms of the process.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        time: clock.Clock,
+        rng: random.Random,
+        values: metrics.Metrics,
+    ) -> None:
+        self._settings = settings
+        self._clock = time
+        self._rng = rng
+        self._metrics = values
+        self._machines = machines.Machines()
+        self._peers = transport.make_peers(
+            settings.instance_id, settings.instance_token or b"", time, values
+        )
+        self._manager = manager.make_manager(
+            manager.Settings(
+                settings.instance_id,
+                settings.failure_domain,
+                settings.region,
+                settings.advertise_url,
+                str(settings.peer_listen),
+                tuple(str(seed) for seed in settings.seeds),
+                None if settings.data_dir is None else str(settings.data_dir),
+                settings.bootstrap_expect,
+            ),
+            time,
+            rng,
+            self._peers,
+            values,
+            self._machines.make,
+        )
+        self._directory = peers.Directory(
+            self._manager.members, settings.instance_id, rng
+        )
+        self._task_client = tasks.TaskClient(
+            (settings.instance_token or b"").decode("utf-8", "replace")
+        )
+        self._domains: dict[str, domain.DomainDuties] = {}
+        self._draining = False
+        self._started_at = time.monotonic()
+        self._background: list[asyncio.Task[Any]] = []
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether the load balancer should send callers here."""
+        return not self.not_ready()
+
+    def not_ready(self) -> str:
+        """Return why the instance is not ready, or an empty string."""
+        if self._draining:
+            return "draining"
+        if not self._manager.formed:
+            return "not a member of a cluster yet"
+        if not self._in_force.caught_up:
+            return "catching up with the configuration that was in force here"
+        behind = self._in_force.current.revision < self._manager.highest_revision
+        waited_s = self._clock.monotonic() - self._started_at
+        if behind and waited_s < READY_WAIT_S:
+            return "catching up with the configuration in force at other instances"
+        return ""
+
+    async def start(self) -> None:
+        """Open the store, join the others and listen.
+
+        Raises
+        ------
+        MarjoramusherError
+            If the data folder can't be used.
+        OSError
+            If an address can't be listened on.
+        """
+        listen = self._settings.peer_listen
+        await self._peers.server.start(listen.host, listen.port)
+        await self._manager.start()
+        self._wire()
+        self._application = self._make_application()
+        self._http = web.AppRunner(
+            self._application,
+            access_log=None,
+            handle_signals=False,
+            shutdown_timeout=1.0,
+        )
+        await self._http.setup()
+        address = self._settings.listen
+        site = web.TCPSite(self._http, address.host, address.port, backlog=1024)
+        await site.start()
+        self._engine.start()
+        self._spreader.start()
+        loop = asyncio.get_running_loop()
+        self._background = [
+            loop.create_task(self._supervise()),
+            loop.create_task(self._slot_client.run()),
+        ]
+        log.state_change(
+            "instance.started",
+            instance=self._settings.instance_id,
+            failure_domain=self._settings.failure_domain,
+            listen=str(address),
+        )
+
+    async def drain(self) -> bool:
+        """Refuse new work and wait for what is in progress.
+
+        Returns
+        -------
+        bool
+            False if requests were still in progress at the time limit.
+        """
+        self._draining = True
+        log.state_change("instance.draining", instance=self._settings.instance_id)
+        self._manager.set_draining(True)
+        self._requests.drain()
+        self._jobs.drain()
+        self._revisions.close()
+        try:
+            async with asyncio.timeout(self._settings.drain_timeout_s):
+                await self._requests.idle()
+        except TimeoutError:
+            self._metrics.increment("drain_timeouts")
+            return False
+        return True
+
+    async def stop(self) -> None:
+        """Stop all parts and close all connections."""
+        for task in self._background:
+            task.cancel()
+        await asyncio.gather(*self._background, return_exceptions=True)
+        await self._http.cleanup()
+        await self._spreader.stop()
+        await self._engine.stop()
+        for duty in self._domains.values():
+            await duty.stop()
+        self._service.close()
+        await self._task_client.close()
+        await self._manager.stop()
+        await self._peers.stop()
+        log.state_change("instance.stopped", instance=self._settings.instance_id)
+
+    def _wire(self) -> None:
+        settings, values = self._settings, self._metrics
+        own = self._manager.own
+        process = str(own.incarnation)
+        records_group = self._manager.group(bootstrap.RECORDS)
+        self._in_force = configuration.ConfigurationInForce(
+            records_group,
+            self._machines.records,
+            lambda: self._manager.revision,
+            self._manager.advance_revision,
+            values,
+        )
+        self._router = router.Router(
+            settings.instance_id,
+            process,
+            settings.failure_domain,
+            self._rng,
+            now=self._clock.monotonic(),
+        )
+        self._engine = engine.Engine(
+            self._router,
+            dispatch.HttpDispatcher(),
+            self._clock,
+            values,
+            self._forward,
+        )
+        self._in_force.changes.subscribe(on_next=self._engine.configure)
+        self._engine.configure(self._in_force.current)
+        self._spreader = spread.Spreader(
+            settings.failure_domain,
+            self._engine,
+            lambda: self._domains,
+            lambda: self._own_group.leader,
+            self._directory,
+            self._peers,
+        )
+        self._slot_client = slots.SlotClient(self._engine, self._exchange_grants)
+        claims = claiming.ClaimClient(
+            self._propose_claims, settings.instance_id, process, self._clock
+        )
+        self._requests = requests.RequestHandlers(
+            self._engine,
+            claims,
+            self._configuration,
+            self._clock,
+            values,
+            f"{settings.instance_id}-{process}",
+        )
+        self._service = service.JobsService(
+            settings.failure_domain,
+            self._own_group,
+            self._machines.domain(settings.failure_domain).jobs,
+            self._configuration,
+            self._clock,
+            self._propose_jobs,
+            self._ask_domain,
+            self._infeasible,
+        )
+        self._jobs = caller_jobs.JobHandlers(
+            accounts.AccountJobs(self._service), self._configuration
+        )
+        server = self._peers.server
+        server.register_stream(REQUEST, self._answer_request)
+        server.register(service.METHOD, self._answer_jobs)
+        self._supervise_domains()
+
+    @property
+    def _own_group(self):
+        return self._manager.group(
+            bootstrap.domain_group(self._settings.failure_domain)
+        )
+
+    def _configuration(self) -> record.Configuration:
+        return self._in_force.current
+
+    def _make_application(self) -> web.Application:
+        settings = self._settings
+        application = web.Application(
+            middlewares=[http_errors.make_middleware(self._metrics)]
+        )
+        records_group = self._manager.group(bootstrap.RECORDS)
+        self._revisions = watch.Watch(records_group, self._machines.records)
+        application.add_routes(
+            routes.make_routes(
+                records_group,
+                self._machines.records,
+                settings.operator_token,
+                self._metrics,
+                self._clock,
+                failure_domains=lambda: self._directory.failure_domains,
+                sections=self._status,
+                not_ready=self.not_ready,
+                recover=self._recover,
+                revisions=self._revisions,
+            )
+        )
+        application.add_routes(self._requests.routes())
+        application.add_routes(self._jobs.routes())
+        application.add_routes(
+            announcing.TargetHandlers(
+                settings.failure_domain,
+                self._spreader.announce,
+                settings.instance_token,
+                self._metrics,
+            ).routes()
+        )
+        worker_handlers.WorkerHandlers(
+            lambda: self._domains,
+            self._announce_worker,
+            settings.advertise_url,
+            self._leader_url,
+            self._forward_worker,
+            lambda request: http_token.check(
+                request, settings.instance_token, self._metrics, "instance"
+            ),
+        ).add_to(application.router)
+        if settings.fault_injection:
+            application.router.add_post("/test/cut", self._cut)
+        return application
+
+    # Calls to other instances.
+
+    async def _forward(
+        self, failure_domain: str, asked: routed.Request, sent: dispatch.TargetRequest
+    ) -> AsyncIterator[bytes]:
+        chosen = self._directory.pick(failure_domain)
+        if not chosen:
+            raise errors.PeerUnreachableError(failure_domain, errors.Outcome.NOT_RUN)
+        body = forwarding.encode(asked, sent, self._clock.monotonic())
+        chunks = self._peers.client.stream(chosen[0], REQUEST, body, FORWARD_PROGRESS_S)
+        async for frame in frames.split(chunks):
+            yield frame
+
+    async def _answer_request(self, sender: str, body: bytes) -> AsyncIterator[bytes]:
+        del sender
+        if self._draining:
+            raise errors.MarjoramusherError(
+                errors.ErrorCode.DRAINING, "the instance is shutting down"
+            )
+        answer = forwarding.serve(self._engine.run, body, self._clock.monotonic())
+        async for chunk in frames.join(answer):
+            yield chunk
+
+    async def _exchange_grants(self, demand: bytes) -> bytes:
+        failure_domain = self._settings.failure_domain
+        duty = self._domains.get(failure_domain)
+        if duty is not None and self._own_group.is_leader:
+            return await duty.slots.handle(self._settings.instance_id, demand)
+        return await peers.call_leader(
+            self._manager,
+            self._peers.client,
+            bootstrap.domain_group(failure_domain),
+            f"grants/{failure_domain}",
+            demand,
+            GRANT_TIMEOUT_S,
+        )
+
+    async def _propose_claims(self, home: str, batch: bytes) -> bytes:
+        group = self._manager.group(bootstrap.domain_group(home))
+        data = composite.part_command(machines.CLAIMS_PART, batch)
+        return await group.propose(data, CLAIM_TIMEOUT_S)
+
+    async def _propose_jobs(
+        self, failure_domain: str, data: bytes, timeout_s: float
+    ) -> bytes:
+        group = self._manager.group(bootstrap.domain_group(failure_domain))
+        return await group.propose(data, timeout_s)
+
+    async def _ask_domain(self, failure_domain: str, method: str, body: bytes) -> bytes:
+        return await peers.call_domain(
+            self._directory,
+            self._peers.client,
+            failure_domain,
+            method,
+            body,
+            WATCH_TIMEOUT_S,
+        )
+
+    async def _answer_jobs(self, sender: str, body: bytes) -> bytes:
+        del sender
+        return await self._service.serve(body)
+
+    def _infeasible(self, failure_domain: str, shape: Any) -> str | None:
+        duty = self._domains.get(failure_domain)
+        return duty.driver.infeasible(failure_domain, shape) if duty else None
+
+    # Workers.
+
+    def _announce_worker(
+        self, said: announcement.WorkerAnnouncement
+    ) -> announcement.WorkerReply:
+        duty = self._domains.get(said.failure_domain)
+        if duty is None:
+            raise errors.NotLeaderError(None)
+        return duty.announce(said)
+
+    def _leader_url(self, failure_domain: str) -> str:
+        group = self._manager.group(bootstrap.domain_group(failure_domain))
+        return self._directory.url(group.leader)
+
+    async def _forward_worker(
+        self, said: announcement.WorkerAnnouncement
+    ) -> announcement.WorkerReply:
+        reply = await peers.call_leader(
+            self._manager,
+            self._peers.client,
+            bootstrap.domain_group(said.failure_domain),
+            f"workers/{said.failure_domain}",
+            codec.pack(said),
+            ANNOUNCE_TIMEOUT_S,
+        )
+        return codec.unpack(reply, announcement.WorkerReply)
+
+    # Domain groups.
+
+    async def _supervise(self) -> None:
+        while True:
+            self._supervise_domains()
+            self._connect_domains()
+            await asyncio.sleep(SUPERVISE_S)
+
+    def _supervise_domains(self) -> None:
+        """Start the duties of each domain group that this instance is a member of."""
+        for name, machine in list(self._machines.domains.items()):
+            if name in self._domains:
+                continue
+            duty = domain.DomainDuties(
+                self._manager.group(bootstrap.domain_group(name)),
+                machine,
+                self._settings.instance_id,
+                self._task_client,
+                self._clock,
+                self._rng,
+                self._configuration,
+                self._manager.members,
+                self._metrics,
+            )
+            self._domains[name] = duty
+            self._peers.server.register(f"grants/{name}", duty.slots.handle)
+            self._peers.server.register(f"workers/{name}", _worker_method(duty))
+            duty.start()
+
+    def _connect_domains(self) -> None:
+        """Tell the router of each failure domain that requests may spill to."""
+        own = self._manager.own
+        sharing = 1 + sum(1 for _ in self._directory.others(own.failure_domain))
+        for found in self._directory.outside(own.failure_domain):
+            near = found.region == own.region
+            budget = REGION_LINK_BYTES_PER_S * SPILL_SHARE / sharing
+            self._router.connect(
+                router.Link(
+                    found.failure_domain,
+                    SAME_REGION_S if near else OTHER_REGION_S,
+                    None if near else budget,
+                )
+            )
+
+    # Operators.
+
+    def _status(self) -> dict[str, Any]:
+        status = self._manager.status
+        return {
+            "instance": self._settings.instance_id,
+            "revision": self._in_force.current.revision,
+            "members": status.members,
+            "groups": {group.name: group for group in status.groups},
+            "boot": status.boot,
+            "store_failure": status.store_failure,
+            "leading": [d.failure_domain for d in self._domains.values() if d.leading],
+            "shortfalls": [
+                shortfall
+                for duty in self._domains.values()
+                for shortfall in duty.driver.shortfalls()
+            ],
+            "requests_in_progress": self._requests.in_progress,
+        }
+
+    async def _recover(self, name: str) -> dict[str, Any]:
+        config = self._manager.recover_with_loss(name)
+        if name.startswith(bootstrap.DOMAIN_PREFIX):
+            await self._mark_recovered(name)
+        return {"group": name, "epoch": config.epoch, "voters": config.voters}
+
+    async def _mark_recovered(self, name: str) -> None:
+        """Have claims and jobs treat what may be lost as possibly run."""
+        at = self._clock.utcnow().timestamp()
+        group = self._manager.group(name)
+        claims = claims_command.batch([claims_command.Recover(at)])
+        jobs = jobs_command.encode(jobs_command.RecoverWithLoss(at, at))
+        for part, data in ((machines.CLAIMS_PART, claims), (jobs_command.PART, jobs)):
+            await group.propose(composite.part_command(part, data), RECOVER_TIMEOUT_S)
+
+    async def _cut(self, request: web.Request) -> web.Response:
+        asked = await http_body.read_json(request, CutRequest)
+        modes = {"silent": cuts.CutMode.SWALLOW, "refuse": cuts.CutMode.REFUSE}
+        if asked.mode not in modes or len(asked.instances) > MAX_CUTS:
+            raise errors.BadRequestError("mode must be silent or refuse")
+        self._peers.cut(set(asked.instances), modes[asked.mode])
+        return http_errors.json_response({"cut": sorted(asked.instances)})
+
+
+def _worker_method(duty: domain.DomainDuties):
+    async def answer(sender: str, body: bytes) -> bytes:
+        del sender
+        said = codec.unpack(body, announcement.WorkerAnnouncement)
+        worker_handlers.check_announcement(said, (duty.failure_domain,))
+        return codec.pack(duty.announce(said))
+
+    return answer
+
+
+def make_instance(settings: Settings, time: clock.Clock) -> Instance:
+    """Make an instance with its own random numbers and metrics."""
+    rng = random.Random(os.urandom(16))
+    return Instance(settings, time, rng, metrics.Metrics())
--- /dev/null
+++ b/marjoramusher/daemon/main.py
@@ -0,0 +1,78 @@
+"""The daemon's command."""
+
+import asyncio
+import datetime
+import gc
+import signal
+import sys
+import time
+from typing import Any
+
+import click
+
+from ..core import errors
+from ..telemetry import log
+from . import instance, settings
+
+EXIT_BAD_SETTINGS = 2
+EXIT_START_FAILED = 1
+EXIT_DRAIN_TIMEOUT = 3
+
+
+class SystemClock:
+    """Clock of the operating system."""
+
+    __slots__ = ()
+
+    def monotonic(self) -> float:
+        """Return seconds of the monotonic clock."""
+        return time.monotonic()
+
+    def utcnow(self) -> datetime.datetime:
+        """Return the current instant."""
+        return datetime.datetime.now(datetime.UTC)
+
+
+@click.command(
+    context_settings={"auto_envvar_prefix": settings.ENVIRONMENT_PREFIX},
+    epilog="Every flag can be set by an environment variable, for example "
+    "MARJORAMUSHER_DATA_DIR for --data-dir. Without flags the daemon runs as a "
+    "single instance on loopback. Example: marjoramusherd --data-dir data",
+)
+@settings.options
+def main(**values: Any) -> None:
+    """Run one instance; SIGTERM and SIGINT drain it."""
+    try:
+        checked = settings.parse(
+            {name.replace("_", "-"): value for name, value in values.items()}
+        )
+    except settings.InvalidSettingsError as error:
+        for fault in error.faults:
+            click.echo(f"marjoramusherd: {fault}", err=True)
+        sys.exit(EXIT_BAD_SETTINGS)
+    log.to_file(sys.stderr)
+    sys.exit(asyncio.run(_run(checked)))
+
+
+async def _run(checked: settings.Settings) -> int:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    running = instance.make_instance(checked, SystemClock())
+    try:
+        await running.start()
+    except (errors.MarjoramusherError, OSError) as error:
+        click.echo(f"marjoramusherd: cannot start: {error}", err=True)
+        return EXIT_START_FAILED
+    # What is loaded by now stays for the life of the process.
+    gc.collect()
+    gc.freeze()
+    await stop.wait()
+    drained = await running.drain()
+    await running.stop()
+    return 0 if drained else EXIT_DRAIN_TIMEOUT
+
+
+if __name__ == "__main__":
+    main()
--- a/marjoramusher/groups/manager.py
+++ b/marjoramusher/groups/manager.py
@@ -20,6 +20,7 @@
 REOPEN_S = 5.0
 INVITE_S = 2.0
 CHANGE_S = 5.0
+REMOTE_PATIENCE_S = 2.0  # two elections of the local voters
 TICK_S = 0.25  # finer than the heartbeat, which is sent when it is due
 
 
@@ -273,7 +274,7 @@
                 self._rng,
                 self._metrics,
                 self._note_stale,
-                self._settings.limits,
+                self._limits(name),
             )
             self._groups[name] = running
         current = self._identity
@@ -293,6 +294,15 @@
         )
         return running
 
+    def _limits(self, name: str) -> runner.Limits:
+        """Return the limits of a group; the third voter of a domain leads last."""
+        limits = self._settings.limits
+        own = bootstrap.domain_group(self._settings.failure_domain)
+        if name in (bootstrap.RECORDS, own):
+            return limits
+        patient = msgspec.structs.replace(limits.node, patience_s=REMOTE_PATIENCE_S)
+        return msgspec.structs.replace(limits, node=patient)
+
     def _discard(self) -> None:
         """Become a replacement: a new store without any state."""
         cluster_id = self._identity.cluster_id
--- a/marjoramusher/groups/recovery.py
+++ b/marjoramusher/groups/recovery.py
@@ -7,7 +7,6 @@
 def recover_with_loss(
     kept: store.Store,
     survivor: message.VoterId,
-    initial: message.GroupConfig | None,
 ) -> message.GroupConfig:
     """Make the survivor the only voter of a new group epoch, durably.
 
@@ -19,7 +18,7 @@
     StoreFailedError
         If the change can't be stored.
     """
-    result = recovery.recover_with_loss(node_state(kept.load()), survivor, initial)
+    result = recovery.recover_with_loss(node_state(kept.load()), survivor)
     persist = result.persist
     kept.append(
         persist.hard_state, persist.truncate_from, persist.entries, persist.boots
--- a/marjoramusher/groups/runner.py
+++ b/marjoramusher/groups/runner.py
@@ -259,7 +259,7 @@
         if kept is None or membership is None:
             raise errors.NoQuorumError(f"{self._name} has no state at this instance")
         self.stop()
-        config = recovery.recover_with_loss(kept, membership.own, membership.initial)
+        config = recovery.recover_with_loss(kept, membership.own)
         self.start(kept, membership)
         return config
 
--- a/marjoramusher/routing/router.py
+++ b/marjoramusher/routing/router.py
@@ -193,6 +193,12 @@
         """Return the number of attempts under way."""
         return len(self._attempts)
 
+    def connect(self, link: Link) -> None:
+        """Take over the path to another failure domain, if it is new or changed."""
+        known = self._peers.get(link.failure_domain)
+        if known is None or known.link != link:
+            self._peers[link.failure_domain] = _Peer(link)
+
     def configure(
         self, configuration: record.Configuration, now: float
     ) -> list[effect.Effect]:
--- a/marjoramusher/workers/handlers.py
+++ b/marjoramusher/workers/handlers.py
@@ -1,6 +1,6 @@
 """HTTP interface for workers' announcements."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from urllib import parse
 
 import msgspec
@@ -26,14 +26,15 @@
 
     Parameters
     ----------
-    failure_domain : str
-        Failure domain of this instance; workers of others are refused.
+    failure_domains : callable
+        Returns the failure domains that this instance may lead; workers of others
+        are refused.
     announce : callable
         Takes an announcement if this instance leads; raises `NotLeaderError` if not.
     own_url : str
         Address that workers reach this instance at.
     leader_url : callable
-        Returns the address of the leader, empty if it is unknown.
+        Returns the address of a failure domain's leader, empty if it is unknown.
     forward : callable
         Hands an announcement to the leader over the instances' links.
     authorize : callable
@@ -42,14 +43,14 @@
 
     def __init__(
         self,
-        failure_domain: str,
+        failure_domains: Callable[[], Collection[str]],
         announce: Announce,
         own_url: str,
-        leader_url: Callable[[], str],
+        leader_url: Callable[[str], str],
         forward: Forward,
         authorize: Callable[[web.Request], None],
     ) -> None:
-        self._failure_domain = failure_domain
+        self._failure_domains = failure_domains
         self._announce = announce
         self._own_url = own_url
         self._leader_url = leader_url
@@ -66,7 +67,7 @@
         said = await body.read_json(
             request, announcement.WorkerAnnouncement, body.MAX_ANNOUNCEMENT_BYTES
         )
-        check_announcement(said, self._failure_domain)
+        check_announcement(said, self._failure_domains())
         return http_errors.json_response(await self._reply(said))
 
     async def _reply(
@@ -75,7 +76,7 @@
         try:
             reply = self._announce(said)
         except errors.NotLeaderError:
-            url = self._leader_url()
+            url = self._leader_url(said.failure_domain)
             if url and url != self._own_url:
                 return announcement.WorkerReply(leader_url=url)
             return await self._forward(said)
@@ -83,21 +84,21 @@
 
 
 def check_announcement(
-    said: announcement.WorkerAnnouncement, failure_domain: str
+    said: announcement.WorkerAnnouncement, failure_domains: Collection[str]
 ) -> None:
     """Check the values of an announcement.
 
     Raises
     ------
     BadRequestError
-        If one is out of range or the worker is of another failure domain.
+        If one is out of range or the worker is of a failure domain not listed.
     """
     _check_name("id", said.id)
     _check_name("rack", said.rack)
-    if said.failure_domain != failure_domain:
+    if said.failure_domain not in failure_domains:
         raise errors.BadRequestError(
             f"worker is of failure domain {said.failure_domain[:MAX_ID_LENGTH]}",
-            {"failure_domain": failure_domain},
+            {"failure_domains": ",".join(sorted(failure_domains))},
         )
     if not _is_base_url(said.url):
         raise errors.BadRequestError("url must be http://host:port")
