Send proposals of one loop turn to the leader in one call

A forwarded proposal took a unary call of its own, about a millisecond of processor time, which held a follower to 666 commits/s at 256 callers (six instances in one process, load 8).

--- a/marjoramusher/groups/forward.py
+++ b/marjoramusher/groups/forward.py
@@ -9,10 +9,11 @@
 
 from ..core import clock, codec, errors
 from ..instances import client
+from . import courier
 
 BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.4  # an election takes one to two seconds
-PROPOSE = "propose"
+PROPOSE = courier.PROPOSE
 BARRIER = "barrier"
 
 _RETRIED = frozenset(
@@ -30,10 +31,9 @@
 
 
 class Forwarded(msgspec.Struct, frozen=True, array_like=True):
-    """A proposal or barrier for the leader of a group."""
+    """A barrier for the leader of a group."""
 
     group: str
-    command: bytes
     timeout_s: float
 
 
@@ -51,6 +51,7 @@
     __slots__ = (
         "_candidates",
         "_clock",
+        "_courier",
         "_group",
         "_hint",
         "_local",
@@ -72,6 +73,7 @@
         self._group = group
         self._own = own
         self._peers = peers
+        self._courier = courier.Courier(group, peers)
         self._clock = time
         self._candidates = candidates
         self._local = local
@@ -135,7 +137,9 @@
     ) -> bytes:
         if target == self._own:
             return await self._local(method, command, left_s)
-        body = codec.pack(Forwarded(self._group, command, left_s))
+        if method == PROPOSE:
+            return await self._courier.propose(target, command, left_s)
+        body = codec.pack(Forwarded(self._group, left_s))
         return await self._peers.call(target, method, body, left_s)
 
     def _candidate(self, attempt: int) -> str | None:
--- a/marjoramusher/groups/manager.py
+++ b/marjoramusher/groups/manager.py
@@ -9,11 +9,11 @@
 
 from ..consensus import machine, message
 from ..core import clock, codec, errors
-from ..instances import peers
+from ..instances import frame, peers
 from ..membership import member, table
 from ..storage import document, error, filesystem, identity, revision, store
 from ..telemetry import log, metrics
-from . import bootstrap, formation, forward, group, remote, replacement, runner
+from . import bootstrap, courier, formation, forward, group, remote, replacement, runner
 
 HEARTBEAT = "heartbeat"
 STATUS = "status"
@@ -583,8 +583,15 @@
 
     async def _answer_propose(self, sender: str, body: bytes) -> bytes:
         del sender
-        call = codec.unpack(body, forward.Forwarded)
-        return await self._propose_here(call.group, call.command, call.timeout_s)
+        call = codec.unpack(body, courier.Proposals)
+        answers = await asyncio.gather(
+            *(
+                self._propose_here(call.group, command, call.timeout_s)
+                for command in call.commands
+            ),
+            return_exceptions=True,
+        )
+        return codec.pack([_reply(answer) for answer in answers])
 
     async def _answer_barrier(self, sender: str, body: bytes) -> bytes:
         del sender
@@ -664,5 +671,15 @@
     return GroupManager(settings, time, rng, peer, values, machines, files)
 
 
+def _reply(answer: bytes | BaseException) -> frame.Reply:
+    match answer:
+        case bytes():
+            return frame.Reply(answer)
+        case errors.MarjoramusherError():
+            return frame.Reply(error=answer.body())
+        case _:
+            raise answer
+
+
 def _is_group(name: str) -> bool:
     return name == bootstrap.RECORDS or name.startswith(bootstrap.DOMAIN_PREFIX)
