--- a/marjoramusher/groups/manager_test.py
+++ b/marjoramusher/groups/manager_test.py
@@ -11,7 +11,7 @@
 
 from marjoramusher.consensus import message, state
 from marjoramusher.core import codec, errors
-from marjoramusher.groups import manager, runner
+from marjoramusher.groups import formation, manager, runner
 from marjoramusher.instances import peers
 from marjoramusher.storage import memory
 from marjoramusher.telemetry import metrics
@@ -337,6 +337,33 @@
     assert applied[-1] == made.group().applied_index
 
 
+@pytest.mark.parametrize("reached", [(), ("i2",)])
+async def test_cluster_is_formed_by_one_plan_over_a_crash(cluster, reached):
+    """Guards against two clusters, or a group without its first members."""
+    first = await cluster.add("i1", "d1", 3)
+
+    async def invite_some():
+        for invited in formation.members(first.manager._plan):
+            if invited.instance in reached:
+                assert await first.manager._invite_one(invited)
+        raise errors.NoQuorumError("the process dies here")
+
+    first.manager._invite = invite_some
+    for name, domain in (("i2", "d2"), ("i3", "d3")):
+        await cluster.add(name, domain, 3)
+    await until(lambda: first.manager.own.cluster_id)
+    cluster_id = first.manager.own.cluster_id
+    for name in ("i2", "i3"):  # they hear of the cluster before they are invited
+        await until(lambda name=name: cluster.instances[name].manager.own.cluster_id)
+    await cluster.restart("i1")
+    await until(lambda: all(i.manager.formed for i in cluster.instances.values()))
+    for made in cluster.instances.values():
+        assert made.manager.own.cluster_id == cluster_id
+        await made.group("domain:d3").propose(made.name.encode(), PATIENCE_S)
+        config = made.group().config
+        assert [voter.instance for voter in config.voters] == ["i1", "i2", "i3"]
+
+
 async def test_invitation_for_another_store_is_refused(cluster):
     made = await cluster.add("i1", "d1", 2)
     other = await cluster.add("i2", "d2", 2)
--- a/marjoramusher/groups/runner.py
+++ b/marjoramusher/groups/runner.py
@@ -4,7 +4,7 @@
 import collections
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import msgspec
 import reactivex
@@ -21,6 +21,9 @@
 RAFT = "raft"
 SNAPSHOT_ENTRIES = 4096
 SNAPSHOT_BYTES = 8 * 1024 * 1024
+SNAPSHOT_SHARE = 0.25  # bounds the bytes written to four times those of the entries
+SNAPSHOT_PAUSE_S = 0.01
+ENTRY_BYTES = 64  # of an entry besides its payload
 GRID_S = 0.25  # heartbeats of all groups of an instance leave in one wake-up
 ALIGN_S = 0.1  # what a leader has to do sooner than this is no heartbeat
 IDLE_S = 1.0
@@ -123,6 +126,8 @@
         self._applied_index = 0
         self._entries_since = 0
         self._bytes_since = 0
+        self._snapshot_bytes = 0
+        self._writing: Iterator[None] | None = None
         self._events: list[message.Event] = []
         self._proposed: list[message.Propose] = []
         self._scheduled = False
@@ -222,6 +227,7 @@
         self._membership = membership
         self._failure = ""
         self._may_reopen = False
+        self._snapshot_bytes = len(loaded.snapshot.data) if loaded.snapshot else 0
         if loaded.snapshot and loaded.snapshot.index > self._applied_index:
             self._machine.restore(loaded.snapshot.data)
             self._applied_index = loaded.snapshot.index
@@ -247,6 +253,7 @@
             self._timer.cancel()
             self._timer = None
             self._timer_s = float("inf")
+        self._drop_snapshot()
         self._events.clear()
         self._proposed.clear()
         self._abandon("the group stops at this instance")
@@ -481,7 +488,7 @@
                 result = self._apply_command(entry)
             self._applied_index = entry.index
             self._entries_since += 1
-            self._bytes_since += len(entry.payload)
+            self._bytes_since += len(entry.payload) + ENTRY_BYTES
             term, proposal = self._accepted.pop(entry.index, (0, None))
             if proposal is None:
                 continue
@@ -538,6 +545,8 @@
             )
 
     def _restore(self, snapshot: message.RestoreSnapshot) -> None:
+        self._drop_snapshot()
+        self._snapshot_bytes = len(snapshot.data)
         self._store.save_snapshot(
             snapshot.index, snapshot.term, snapshot.config, snapshot.data
         )
@@ -552,11 +561,18 @@
         self._entries_since = 0
         self._bytes_since = 0
 
+    def _snapshot_due(self) -> bool:
+        if self._writing is not None:
+            return False
+        if self._bytes_since < self._snapshot_bytes * SNAPSHOT_SHARE:
+            return False
+        return (
+            self._entries_since >= self._limits.snapshot_entries
+            or self._bytes_since >= self._limits.snapshot_bytes
+        )
+
     def _take_snapshot(self) -> None:
-        if (
-            self._entries_since < self._limits.snapshot_entries
-            and self._bytes_since < self._limits.snapshot_bytes
-        ):
+        if not self._snapshot_due():
             return
         index = self._applied_index
         term = self._node.term_at(index)
@@ -564,14 +580,39 @@
         if term is None or config is None:
             return
         data = self._machine.snapshot()
-        self._store.save_snapshot(index, term, config, data)
-        self._store.compact(index)
         self._entries_since = 0
         self._bytes_since = 0
+        self._snapshot_bytes = len(data)
+        steps = self._store.snapshot_in_steps(index, term, config, data)
+        self._writing = steps
+        self._write_snapshot(steps, index, data)
+
+    def _write_snapshot(self, steps: Iterator[None], index: int, data: bytes) -> None:
+        """Write one piece of a snapshot and leave the loop to others in between."""
+        if self._writing is not steps:
+            return
+        try:
+            for _ in steps:
+                asyncio.get_running_loop().call_later(
+                    SNAPSHOT_PAUSE_S, self._write_snapshot, steps, index, data
+                )
+                return
+            self._writing = None
+            self._store.compact(index)
+        except store_error.StoreFailedError as failure:
+            self._may_reopen = True
+            self._fail(failure)
+            return
         self._metrics.increment("group_snapshots", group=self._name)
         self._events.append(message.Compacted(index, data))
         self._schedule()
 
+    def _drop_snapshot(self) -> None:
+        """Give up a snapshot that is being written; the old one stays in place."""
+        steps, self._writing = self._writing, None
+        if steps is not None and hasattr(steps, "close"):
+            steps.close()
+
     def _refuse(self, refused: message.ProposalRefused) -> None:
         proposal = self._pending.get(refused.proposal_id)
         if proposal is None:
@@ -590,6 +631,7 @@
     def _fail(self, failure: errors.MarjoramusherError) -> None:
         """Take no more part: no vote, no acknowledgement, no leadership."""
         self._failure = failure.message
+        self._drop_snapshot()
         self._metrics.increment("group_failures", group=self._name)
         log.state_change("group.failed", group=self._name, error=failure.message)
         now = self._clock.monotonic()
--- a/marjoramusher/storage/document.py
+++ b/marjoramusher/storage/document.py
@@ -2,6 +2,7 @@
 
 import os
 import posixpath
+from collections.abc import Iterator
 from typing import TypeVar
 
 import msgspec
@@ -10,6 +11,7 @@
 from . import error, filesystem, frame
 
 TEMPORARY = ".tmp"
+PIECE_BYTES = 512 * 1024  # written and synced in a few milliseconds
 
 T = TypeVar("T")
 
@@ -17,6 +19,22 @@
 def write(files: filesystem.FileSystem, path: str, value: object) -> None:
     """Replace a file durably: temporary file, sync, rename, sync of the folder.
 
+    Raises
+    ------
+    StoreFailedError
+        If a file operation fails; the old file is then still in place, or the new.
+    """
+    for _ in write_in_steps(files, path, value):
+        pass
+
+
+def write_in_steps(
+    files: filesystem.FileSystem, path: str, value: object
+) -> Iterator[None]:
+    """Do what `write` does, with a pause for other work after each piece.
+
+    A write that is not finished leaves the old file in place.
+
     Raises
     ------
     StoreFailedError
@@ -25,16 +43,21 @@
     folder = posixpath.dirname(path)
     temporary = path + TEMPORARY
     salt = os.urandom(8)
-    data = frame.header(salt) + frame.encode(
-        salt, frame.HEADER_BYTES, msgspec.msgpack.encode(value)
-    )
+    body = msgspec.msgpack.encode(value)
     try:
+        start = frame.header(salt) + frame.prefix(salt, frame.HEADER_BYTES, body)
         files.make_folder(folder)
         file = files.open(temporary)
         try:
             file.truncate(0)
-            filesystem.write_all(file, data)
-            file.sync()
+            filesystem.write_all(file, start)
+            view = memoryview(body)
+            while view:
+                filesystem.write_all(file, view[:PIECE_BYTES])
+                file.sync()
+                view = view[PIECE_BYTES:]
+                if view:
+                    yield
         finally:
             file.close()
         files.rename(temporary, path)
--- a/marjoramusher/storage/filesystem.py
+++ b/marjoramusher/storage/filesystem.py
@@ -13,7 +13,7 @@
 class File(Protocol):
     """A file that is open for appending."""
 
-    def write(self, data: bytes) -> int:
+    def write(self, data: bytes | memoryview) -> int:
         """Append bytes and return how many were taken."""
 
     def sync(self) -> None:
@@ -73,7 +73,7 @@
             path, os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC, 0o600
         )
 
-    def write(self, data: bytes) -> int:
+    def write(self, data: bytes | memoryview) -> int:
         """Append bytes and return how many were taken."""
         return os.write(self._descriptor, data)
 
@@ -180,11 +180,11 @@
         os.close(descriptor)
 
 
-def write_all(file: File, data: bytes) -> None:
+def write_all(file: File, data: bytes | memoryview) -> None:
     """Append all bytes, going on after a short write."""
     view = memoryview(data)
     while view:
-        taken = file.write(bytes(view))
+        taken = file.write(view)
         if taken <= 0:
             raise OSError("the file takes no more bytes")
         view = view[taken:]
--- a/marjoramusher/storage/frame.py
+++ b/marjoramusher/storage/frame.py
@@ -6,6 +6,7 @@
 another place, or one inside a body, is never taken for a frame.
 """
 
+import errno
 import struct
 from collections.abc import Iterator
 
@@ -52,7 +53,20 @@
 
 def encode(salt: bytes, offset: int, body: bytes) -> bytes:
     """Return the frame of a body that starts at `offset` of its file."""
-    return _FRAME.pack(MARKER, len(body), _checksum(salt, offset, body)) + body
+    return prefix(salt, offset, body) + body
+
+
+def prefix(salt: bytes, offset: int, body: bytes) -> bytes:
+    """Return what precedes the body in its frame.
+
+    Raises
+    ------
+    OSError
+        If the body is larger than what a reader accepts.
+    """
+    if len(body) > MAX_BODY_BYTES:
+        raise OSError(errno.EFBIG, f"a body has at most {MAX_BODY_BYTES} bytes")
+    return _FRAME.pack(MARKER, len(body), _checksum(salt, offset, body))
 
 
 def scan(path: str, data: bytes) -> Iterator[tuple[int, bytes]]:
--- a/marjoramusher/storage/identity_test.py
+++ b/marjoramusher/storage/identity_test.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from marjoramusher.storage import document, error, identity, memory, revision
+from marjoramusher.storage import (
+    document,
+    error,
+    filesystem,
+    identity,
+    memory,
+    revision,
+)
 
 
 def test_boot_is_counted_durably():
@@ -68,3 +75,14 @@
     files.heal()
     files.lose_unsynced()
     assert revision.RevisionFile(files).number == 5
+
+
+def test_second_process_on_a_data_folder_is_refused(tmp_path):
+    first = filesystem.DiskFileSystem(str(tmp_path / "data"))
+    second = filesystem.DiskFileSystem(str(tmp_path / "data"))
+    first.lock()
+    with pytest.raises(error.StoreFailedError):
+        second.lock()
+    first.unlock()
+    second.lock()
+    second.unlock()
--- a/marjoramusher/storage/memory.py
+++ b/marjoramusher/storage/memory.py
@@ -135,7 +135,7 @@
         self._files = files
         self._content = content
 
-    def write(self, data: bytes) -> int:
+    def write(self, data: bytes | memoryview) -> int:
         """Append what fits."""
         self._files.check("write")
         room = self._files.room()
--- a/marjoramusher/storage/store.py
+++ b/marjoramusher/storage/store.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import os
+from collections.abc import Iterator
 from typing import Protocol
 
 import msgspec
@@ -72,6 +73,14 @@
         another entry there.
         """
 
+    def snapshot_in_steps(
+        self, index: int, term: int, config: message.GroupConfig, data: bytes
+    ) -> Iterator[None]:
+        """Do what `save_snapshot` does, with pauses in which appends may be made.
+
+        The iterator has to be closed before another snapshot is saved.
+        """
+
     def compact(self, index: int) -> None:
         """Drop entries up to `index`, which the snapshot must cover."""
 
@@ -234,9 +243,16 @@
         self, index: int, term: int, config: message.GroupConfig, data: bytes
     ) -> None:
         """Write and sync the snapshot, then restart the log if it does not reach it."""
+        for _ in self.snapshot_in_steps(index, term, config, data):
+            pass
+
+    def snapshot_in_steps(
+        self, index: int, term: int, config: message.GroupConfig, data: bytes
+    ) -> Iterator[None]:
+        """Write the snapshot in pieces."""
         self._check()
         try:
-            document.write(
+            yield from document.write_in_steps(
                 self._files,
                 f"{self._folder}/{SNAPSHOT}",
                 Snapshot(index, term, config, data),
@@ -430,6 +446,13 @@
             self._state.apply(Batch(restart_after=index))
         self._state.drop_until(index)
 
+    def snapshot_in_steps(
+        self, index: int, term: int, config: message.GroupConfig, data: bytes
+    ) -> Iterator[None]:
+        """Keep the snapshot at once."""
+        self.save_snapshot(index, term, config, data)
+        return iter(())
+
     def compact(self, index: int) -> None:
         """Drop entries."""
         self._state.drop_until(index)
--- a/marjoramusher/storage/store_test.py
+++ b/marjoramusher/storage/store_test.py
@@ -5,7 +5,7 @@
 import pytest
 
 from marjoramusher.consensus import message
-from marjoramusher.storage import error, filesystem, memory, store
+from marjoramusher.storage import document, error, filesystem, memory, store
 
 FOLDER = "groups/s1/records"
 VOTER = message.VoterId("i1", "s1")
@@ -255,3 +255,24 @@
     follower = (left or [index])[-1] + 1
     opened.append(None, None, (entry(follower, 3),))
     assert opened.load().entries[-1].index == follower
+
+
+@pytest.mark.parametrize("finished", [True, False])
+def test_appends_between_the_pieces_of_a_snapshot_are_kept(finished):
+    files = memory.MemoryFileSystem()
+    opened = filled(files, 4)
+    opened.save_snapshot(2, 1, CONFIG, b"old")
+    opened.compact(2)
+    data = bytes(3 * document.PIECE_BYTES)
+    steps = opened.snapshot_in_steps(4, 1, CONFIG, data)
+    for index, _ in enumerate(steps, 5):
+        opened.append(None, None, (entry(index),))
+        if not finished and index == 6:
+            steps.close()
+            break
+    files.lose_unsynced()
+    state = open_store(files)[1]
+    assert state.snapshot.data == (data if finished else b"old")
+    first = 5 if finished else 3
+    last = 7 if finished else 6
+    assert [e.index for e in state.entries] == list(range(first, last + 1))
