Create domain groups through the records group

A failure domain that appeared after the cluster was formed got no group, and two leaders could not have agreed on its first members. The records group now keeps the first members of each domain group, the first proposal wins, and each instance starts the groups that count on its store.

--- a/marjoramusher/groups/bootstrap.py
+++ b/marjoramusher/groups/bootstrap.py
@@ -12,13 +12,14 @@
 DOMAIN_PREFIX = "domain:"
 MAX_RECORDS_VOTERS = 5
 DOMAIN_VOTERS = 3
+SETTLE_S = 5.0  # how long a new domain's group waits for a second instance
 
 
 class Plan(msgspec.Struct, frozen=True):
-    """A new cluster and the members of its groups."""
+    """A new cluster and the members of its records group."""
 
     cluster_id: str
-    groups: dict[str, message.GroupConfig]
+    records: message.GroupConfig
 
 
 class NoDiskError(errors.MarjoramusherError):
@@ -55,19 +56,71 @@
 
 
 def plan(members: Iterable[member.Member], cluster_id: str) -> Plan:
-    """Choose the members of the records group and of each domain group."""
+    """Choose the members of the records group."""
     members = sorted(members, key=lambda m: m.instance_id)
     chosen = records_voters(members)
     learners = [m for m in members if m not in chosen]
-    groups = {RECORDS: message.GroupConfig(_ids(chosen), _ids(learners))}
-    load: dict[str, int] = {}
-    for domain in sorted({m.failure_domain for m in members}):
+    return Plan(cluster_id, message.GroupConfig(_ids(chosen), _ids(learners)))
+
+
+def domain_groups(
+    domains: Iterable[str],
+    members: Iterable[member.Member],
+    existing: dict[str, message.GroupConfig],
+) -> dict[str, message.GroupConfig]:
+    """Choose the members of new domain groups.
+
+    Parameters
+    ----------
+    existing : dict of str to GroupConfig
+        First members of the groups that exist, over which the load is spread.
+    """
+    members = sorted(members, key=lambda m: m.instance_id)
+    home = {m.instance_id: domain_group(m.failure_domain) for m in members}
+    groups: dict[str, message.GroupConfig] = {}
+    for domain in sorted(domains):
+        load: dict[str, int] = {}
+        for name, config in [*existing.items(), *groups.items()]:
+            for voter in config.voters:
+                if home.get(voter.instance) != name:
+                    load[voter.instance] = load.get(voter.instance, 0) + 1
         voters = domain_voters(domain, members, load)
-        for voter in voters:
-            if voter.failure_domain != domain:
-                load[voter.instance_id] = load.get(voter.instance_id, 0) + 1
         groups[domain_group(domain)] = message.GroupConfig(_ids(voters))
-    return Plan(cluster_id, groups)
+    return groups
+
+
+def domains_to_create(
+    views: Iterable[member.MemberView],
+    existing: dict[str, message.GroupConfig],
+    expect: int,
+    seen_s: dict[str, float],
+    now: float,
+) -> list[str]:
+    """Return the failure domains whose groups have to be created now.
+
+    The first groups wait for all expected instances, the group of a later domain for
+    the domain's second instance, but none for long.
+
+    Parameters
+    ----------
+    seen_s : dict of str to float
+        When each domain was first seen; it is brought up to date.
+    """
+    alive = [v.member for v in views if v.status is member.Status.ALIVE]
+    count: dict[str, int] = {}
+    for described in alive:
+        domain = described.failure_domain
+        count[domain] = count.get(domain, 0) + 1
+        seen_s.setdefault(domain, now)
+    return [
+        domain
+        for domain, instances in sorted(count.items())
+        if domain_group(domain) not in existing
+        and (
+            (instances > 1 if existing else len(alive) >= expect)
+            or now - seen_s[domain] >= SETTLE_S
+        )
+    ]
 
 
 def records_voters(members: Iterable[member.Member]) -> list[member.Member]:
--- a/marjoramusher/groups/bootstrap_test.py
+++ b/marjoramusher/groups/bootstrap_test.py
@@ -24,23 +24,30 @@
 ]
 
 
+def form(members):
+    """Return all groups of a new cluster."""
+    records = bootstrap.plan(members, "c1").records
+    domains = {m.failure_domain for m in members}
+    return {"records": records} | bootstrap.domain_groups(domains, members, {})
+
+
 def names(config):
     return [voter.instance for voter in config.voters]
 
 
 def test_six_instances_in_three_domains():
-    plan = bootstrap.plan(SIX, "c1")
-    records = plan.groups["records"]
+    groups = form(SIX)
+    records = groups["records"]
     assert names(records) == ["a1", "b1", "c1"]
     assert [v.instance for v in records.learners] == ["a2", "b2", "c2"]
-    assert names(plan.groups["domain:a"]) == ["a1", "a2", "b1"]
-    assert names(plan.groups["domain:b"]) == ["b1", "b2", "a1"]
+    assert names(groups["domain:a"]) == ["a1", "a2", "b1"]
+    assert names(groups["domain:b"]) == ["b1", "b2", "a1"]
     # No other domain lies in the region of c; the less loaded of a1 and b1 is equal.
-    assert names(plan.groups["domain:c"]) == ["c1", "c2", "a1"]
+    assert names(groups["domain:c"]) == ["c1", "c2", "a1"]
 
 
 def test_order_of_the_members_does_not_matter():
-    assert bootstrap.plan(SIX, "c1") == bootstrap.plan(SIX[::-1], "c1")
+    assert form(SIX) == form(SIX[::-1])
 
 
 CLUSTERS = {
@@ -78,12 +85,12 @@
 @pytest.mark.parametrize("name", CLUSTERS)
 def test_voters(name):
     members, records, domains = CLUSTERS[name]
-    plan = bootstrap.plan(members, "c1")
-    assert names(plan.groups["records"]) == records
+    groups = form(members)
+    assert names(groups["records"]) == records
     for domain, voters in domains.items():
-        assert names(plan.groups[f"domain:{domain}"]) == voters
+        assert names(groups[f"domain:{domain}"]) == voters
     by_id = {m.instance_id: m for m in members}
-    for config in plan.groups.values():
+    for config in groups.values():
         voters = [by_id[name] for name in names(config)]
         assert len(voters) % 2 == 1
         assert bootstrap.is_durable(voters)
@@ -91,7 +98,7 @@
 
 def test_records_have_at_most_five_voters():
     members = [made(f"i{n:02}", f"d{n:02}") for n in range(11)]
-    assert len(names(bootstrap.plan(members, "c1").groups["records"])) == 5
+    assert len(names(form(members)["records"])) == 5
 
 
 def test_cluster_without_disks_is_refused():
@@ -130,3 +137,44 @@
     views, own, due = DUE[name]
     [described] = [v.member for v in views if v.member.instance_id == own]
     assert bootstrap.is_due(views, described, 6) is due
+
+
+CREATED = {
+    "not all are there": (alive(*SIX[:5]), {}, 0, []),
+    "all are there": (alive(*SIX), {}, 0, ["a", "b", "c"]),
+    "one of them is silent": (
+        alive(*SIX[:5]) + alive(SIX[5], status=member.Status.DOWN),
+        {},
+        0,
+        [],
+    ),
+    "one of them is silent for long": (
+        alive(*SIX[:5]) + alive(SIX[5], status=member.Status.DOWN),
+        {},
+        bootstrap.SETTLE_S,
+        ["a", "b", "c"],
+    ),
+    "a later domain has one instance": (alive(*SIX, made("d1", "d")), "abc", 0, []),
+    "it has had one for long": (
+        alive(*SIX, made("d1", "d")),
+        "abc",
+        bootstrap.SETTLE_S,
+        ["d"],
+    ),
+    "a later domain has two": (
+        alive(*SIX, made("d1", "d"), made("d2", "d")),
+        "abc",
+        0,
+        ["d"],
+    ),
+    "a domain is gone": (alive(*SIX[:4]), "abc", 60, []),
+}
+
+
+@pytest.mark.parametrize("name", CREATED)
+def test_domain_groups_are_created_once_their_instances_are_known(name):
+    views, existing, now, created = CREATED[name]
+    groups = form(SIX) if existing else {}
+    seen_s = dict.fromkeys("abcd", 0.0)
+    found = bootstrap.domains_to_create(views, groups, 6, seen_s, now)
+    assert found == created
--- a/marjoramusher/groups/formation.py
+++ b/marjoramusher/groups/formation.py
@@ -37,14 +37,17 @@
 
 
 def write_initial(
-    files: filesystem.FileSystem, store_id: str, invitation: Invitation
+    files: filesystem.FileSystem,
+    store_id: str,
+    groups: dict[str, message.GroupConfig],
+    cluster_id: str,
 ) -> None:
     """Store the first members of each group."""
-    for name, config in invitation.groups.items():
+    for name, config in groups.items():
         document.write(
             files,
             f"{identity.group_folder(store_id, name)}/{INITIAL}",
-            Initial(invitation.cluster_id, config),
+            Initial(cluster_id, config),
         )
 
 
@@ -61,16 +64,9 @@
 
 def invitation(plan: bootstrap.Plan, member: message.VoterId) -> Invitation:
     """Return what a plan asks of one instance."""
-    groups = {
-        name: config
-        for name, config in plan.groups.items()
-        if member in config.voters + config.learners
-    }
-    return Invitation(plan.cluster_id, member.store, groups)
+    return Invitation(plan.cluster_id, member.store, {bootstrap.RECORDS: plan.records})
 
 
 def members(plan: bootstrap.Plan) -> list[message.VoterId]:
     """Return all instances of a plan, ordered."""
-    return sorted(
-        {m for config in plan.groups.values() for m in config.voters + config.learners}
-    )
+    return sorted(plan.records.voters + plan.records.learners)
--- a/marjoramusher/groups/forward.py
+++ b/marjoramusher/groups/forward.py
@@ -15,6 +15,8 @@
 MAX_BACKOFF_S = 0.4  # an election takes one to two seconds
 PROPOSE = courier.PROPOSE
 BARRIER = "barrier"
+LEADER = "leader"
+FIND_S = 0.5
 
 _RETRIED = frozenset(
     {
@@ -90,14 +92,18 @@
         method: str,
         command: bytes,
         timeout_s: float,
-        leader: Callable[[], str | None] = lambda: None,
+        leader: Callable[[], str | None] | None = None,
     ) -> bytes:
         """Call the leader; a call that was not run is tried again until the deadline.
 
+        The call is sent only to an instance that is said to lead. Sent to one that is
+        cut off, it would be lost and its outcome unknown.
+
         Parameters
         ----------
-        leader : callable
-            Gives the leader that this instance knows of, if any.
+        leader : callable or None
+            Gives the leader that this instance knows as a member of the group;
+            without it, the instance that took the last call is tried first.
 
         Raises
         ------
@@ -109,13 +115,19 @@
         backoff_s = BACKOFF_S
         redirect: str | None = None
         attempt = 0
+        asked = 0
         while (left_s := deadline_s - self._clock.monotonic()) > 0:
-            # Every other attempt goes past a known leader that may be gone.
-            known = (leader() or self._hint) if attempt % 2 == 0 else None
-            target = redirect or known or self._candidate(attempt) or leader()
+            target = redirect
+            # Every other attempt asks others, since what is known may be old.
+            if target is None and attempt % 2 == 0:
+                target = leader() if leader else self._hint
+            if target is None:
+                target = await self._find(asked, left_s)
+                asked += 1
+                left_s = deadline_s - self._clock.monotonic()
             redirect = None
             attempt += 1
-            if target is not None:
+            if target is not None and left_s > 0:
                 try:
                     answer = await self._ask(target, method, command, left_s)
                 except errors.MarjoramusherError as error:
@@ -132,6 +144,20 @@
             backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
         raise errors.NoQuorumError(f"no leader of {self._group} was found in time")
 
+    async def _find(self, turn: int, left_s: float) -> str | None:
+        """Ask one instance, each in its turn, who leads the group."""
+        candidates = self._candidates()
+        if not candidates:
+            return None
+        asked = candidates[turn % len(candidates)]
+        try:
+            answer = await self._peers.call(
+                asked, LEADER, self._group.encode(), min(left_s, FIND_S)
+            )
+        except errors.MarjoramusherError:
+            return None
+        return answer.decode() or None
+
     async def _ask(
         self, target: str, method: str, command: bytes, left_s: float
     ) -> bytes:
@@ -142,10 +168,6 @@
         body = codec.pack(Forwarded(self._group, left_s))
         return await self._peers.call(target, method, body, left_s)
 
-    def _candidate(self, attempt: int) -> str | None:
-        candidates = self._candidates()
-        return candidates[attempt % len(candidates)] if candidates else None
-
     def _check(self, error: errors.MarjoramusherError) -> None:
         """Raise unless the call was certainly not run and may be tried again."""
         if error.code not in _RETRIED:
--- a/marjoramusher/groups/manager.py
+++ b/marjoramusher/groups/manager.py
@@ -13,7 +13,17 @@
 from ..membership import member, table
 from ..storage import document, error, filesystem, identity, revision, store
 from ..telemetry import log, metrics
-from . import bootstrap, courier, formation, forward, group, remote, replacement, runner
+from . import (
+    bootstrap,
+    courier,
+    formation,
+    forward,
+    group,
+    remote,
+    replacement,
+    runner,
+    topology,
+)
 
 HEARTBEAT = "heartbeat"
 STATUS = "status"
@@ -94,6 +104,7 @@
         self._revision = revision.RevisionFile(None)
         self._table: table.Table | None = None
         self._groups: dict[str, runner.RaftGroup] = {}
+        self._topology: topology.TopologyMachine | None = None
         self._initial: dict[str, message.GroupConfig] = {}
         self._memory: dict[str, store.MemoryStore] = {}
         self._remote: dict[str, remote.RemoteGroup] = {}
@@ -102,6 +113,8 @@
         self._tasks: list[asyncio.Task] = []
         self._changing: dict[str, asyncio.Task] = {}
         self._reopen_s = 0.0
+        self._domains_seen_s: dict[str, float] = {}
+        self._entered: topology.Groups = {}
         self._store_failure = ""
         self._duty_failure = ""
         self._stale = False
@@ -114,10 +127,13 @@
 
     @property
     def formed(self) -> bool:
-        """Tell whether this instance belongs to a cluster and knows its records."""
+        """Tell whether the instance has a cluster whose records and domain it knows."""
         records = self._groups.get(bootstrap.RECORDS)
+        domain = bootstrap.domain_group(self._settings.failure_domain)
         return bool(self._identity.cluster_id) and (
-            records is not None and records.config is not None
+            records is not None
+            and records.config is not None
+            and domain in self._topology.groups
         )
 
     @property
@@ -200,6 +216,7 @@
         server.register_batch_end(self._run_groups)
         server.register(forward.PROPOSE, self._answer_propose)
         server.register(forward.BARRIER, self._answer_barrier)
+        server.register(forward.LEADER, self._answer_leader)
         server.register(formation.METHOD, self._answer_invitation)
         server.register(STATUS, self._answer_status)
         loop = asyncio.get_running_loop()
@@ -270,9 +287,13 @@
     def _start_group(self, name: str) -> runner.RaftGroup:
         running = self._groups.get(name)
         if running is None:
+            replicated = self._machines(name)
+            if name == bootstrap.RECORDS:
+                self._topology = topology.TopologyMachine(replicated)
+                replicated = self._topology
             running = runner.RaftGroup(
                 name,
-                self._machines(name),
+                replicated,
                 self._peers.client.send,
                 self._forwarder(name),
                 self._clock,
@@ -282,6 +303,8 @@
                 self._limits(name),
             )
             self._groups[name] = running
+            if name == bootstrap.RECORDS:
+                running.applied.subscribe(lambda _: self._note_topology())
         current = self._identity
         if self._files is None:
             kept: store.Store = self._memory.setdefault(name, store.MemoryStore())
@@ -397,6 +420,9 @@
                 await self._do_duties()
             except error.StoreFailedError as failure:
                 self._note_store_failure(failure)
+            except error.StoreCorruptError as failure:
+                log.state_change("store.corrupt", error=failure.message)
+                self._stale = True
             except errors.MarjoramusherError as failure:
                 if failure.message != self._duty_failure:
                     log.state_change("manager.duty_failed", error=failure.message)
@@ -418,6 +444,8 @@
             self._form()
         if self._plan is not None:
             await self._invite()
+        self._create_domains()
+        self._enter_domains()
         for running in self._groups.values():
             self._change_members(running)
         self._reopen_failed()
@@ -478,15 +506,24 @@
             )
         if current.cluster_id not in ("", invitation.cluster_id):
             raise errors.BadRequestError("the instance belongs to another cluster")
-        if self._files is not None:
-            formation.write_initial(self._files, current.store_id, invitation)
-        self._initial.update(invitation.groups)
+        self._write_initial(invitation.groups, invitation.cluster_id)
         self._set_cluster(invitation.cluster_id)
         for name in invitation.groups:
             running = self._groups.get(name)
             if running is None or running.config is None:
                 self._start_group(name)
 
+    def _write_initial(self, groups: topology.Groups, cluster_id: str = "") -> None:
+        current = self._identity
+        if self._files is not None:
+            formation.write_initial(
+                self._files,
+                current.store_id,
+                groups,
+                cluster_id or current.cluster_id,
+            )
+        self._initial.update(groups)
+
     def _set_cluster(self, cluster_id: str) -> None:
         if self._identity.cluster_id == cluster_id:
             return
@@ -496,6 +533,47 @@
         self._identity = current
         self._describe(cluster_id=cluster_id)
 
+    def _note_topology(self) -> None:
+        if self._topology.groups != self._entered:
+            self._duties_due.set()
+
+    def _create_domains(self) -> None:
+        """Have the records group decide on the first members of domain groups."""
+        records = self._groups[bootstrap.RECORDS]
+        busy = self._changing.get(topology.__name__)
+        if not records.is_leader or (busy is not None and not busy.done()):
+            return
+        views, existing = self._table.views, self._topology.groups
+        domains = bootstrap.domains_to_create(
+            views,
+            existing,
+            self._settings.bootstrap_expect,
+            self._domains_seen_s,
+            self._clock.monotonic(),
+        )
+        if domains:
+            alive = [v.member for v in views if v.status is member.Status.ALIVE]
+            groups = bootstrap.domain_groups(domains, alive, existing)
+            self._changing[topology.__name__] = asyncio.get_running_loop().create_task(
+                self._create(records, groups)
+            )
+
+    async def _create(self, records: runner.RaftGroup, groups: topology.Groups) -> None:
+        try:
+            await records.propose_here(topology.create_command(groups), CHANGE_S)
+        except errors.MarjoramusherError:
+            self._metrics.increment("group_change_errors", group=bootstrap.RECORDS)
+
+    def _enter_domains(self) -> None:
+        """Start the domain groups that count on this store from the beginning."""
+        own = bootstrap.voter_id(self._table.own)
+        for name, config in self._topology.groups.items():
+            running = self._groups.get(name)
+            if own in config.voters and (running is None or running.config is None):
+                self._write_initial({name: config})
+                self._start_group(name)
+        self._entered = self._topology.groups
+
     def _join(self) -> None:
         """Take over the cluster of the others; the leader of the records adds us."""
         if self._identity.cluster_id or self._plan is not None:
@@ -598,6 +676,12 @@
         call = codec.unpack(body, forward.Forwarded)
         return await self._barrier_here(call.group, call.timeout_s)
 
+    async def _answer_leader(self, sender: str, body: bytes) -> bytes:
+        del sender
+        running = self._groups.get(body.decode(errors="replace"))
+        leader = running.leader if running is not None else None
+        return (leader or "").encode()
+
     async def _answer_status(self, sender: str, body: bytes) -> bytes:
         del sender, body
         return codec.pack(self.status)
