Split slots by max-min fair demand and judge targets by logarithms

Two faults left slots unused. Grants in proportion to demand gave an instance with a long queue the slots that the other one needed for short work, and moved slots at every exchange. And one run of ten times the usual length made a target look slow, which cost three of its four slots for seconds.

--- a/marjoramusher/routing/grants.py
+++ b/marjoramusher/routing/grants.py
@@ -7,6 +7,7 @@
 
 GRANT_LEASE_S = 3.0  # slots of a dead instance come back after it
 MAX_PROGRESS_S = 10.0  # an instance's lost requests may occupy the runner so long
+MOVE_SHARE = 0.04  # smaller changes of demand move no slots
 
 
 class Held(msgspec.Struct, frozen=True, array_like=True):
@@ -104,6 +105,7 @@
         self._sequence = 0
         self._targets = target.TargetTable()
         self._holders: dict[str, _Holder] = {}
+        self._parts: dict[str, dict[str, float]] = {}
         self._orphans: list[tuple[float, tuple[str, int], int]] = []
 
     def announce(self, announced: announcement.TargetAnnouncement, now: float) -> None:
@@ -133,12 +135,19 @@
         holder.expires_at = now + GRANT_LEASE_S
         self._sequence += 1
         holder.sequence = self._sequence
-        grants = []
+        by_service: dict[str, list[announcement.TargetAnnouncement]] = {}
         for known in self._targets.values():
             announced = known.announcement
-            slots = self._offer(holder, announced, now)
-            if slots:
-                grants.append(Grant(announced.id, announced.incarnation, slots))
+            if announced.state is announcement.TargetState.SERVING:
+                by_service.setdefault(announced.service, []).append(announced)
+        grants = []
+        for service, targets in by_service.items():
+            split = self._split(service, targets)
+            for announced in targets:
+                wanted = split[announced.id][demand.instance]
+                slots = self._offer(holder, announced, wanted, now)
+                if slots:
+                    grants.append(Grant(announced.id, announced.incarnation, slots))
         return Grants(self._process, self._sequence, GRANT_LEASE_S, tuple(grants))
 
     def tick(self, now: float) -> None:
@@ -190,16 +199,16 @@
         return known.announcement.slots
 
     def _offer(
-        self, holder: _Holder, announced: announcement.TargetAnnouncement, now: float
+        self,
+        holder: _Holder,
+        announced: announcement.TargetAnnouncement,
+        wanted: int,
+        now: float,
     ) -> int:
         key = (announced.id, announced.incarnation)
         share = holder.shares.get(key)
-        if announced.state is announcement.TargetState.LEAVING:
-            wanted = 0
-        elif now < self._opens_at:
+        if now < self._opens_at:
             wanted = share.slots if share else 0
-        else:
-            wanted = self._fair_share(holder, announced)
         if share is None:
             if not wanted:
                 return 0
@@ -209,33 +218,64 @@
         share.offered = max(0, min(wanted, announced.slots - others))
         return share.offered
 
-    def _fair_share(
-        self, holder: _Holder, announced: announcement.TargetAnnouncement
-    ) -> int:
-        # Every live instance counts with a little demand, so that a burst that meets
-        # it finds some slots at once.
-        floor = 1.0
-        holders = sorted(self._holders.items())
-        demands = [max(h.demand.get(announced.service, 0.0), floor) for _, h in holders]
-        total = sum(demands)
-        shares = [announced.slots * demand / total for demand in demands]
-        slots = [int(share) for share in shares]
-        if len(holders) <= announced.slots:
-            slots = [max(count, 1) for count in slots]
-        rest = announced.slots - sum(slots)
-        # Ties go to different instances at different targets.
-        turn = sum(announced.id.encode()) % len(holders)
-        order = sorted(
-            range(len(holders)),
-            key=lambda i: (int(shares[i]) - shares[i], (i + turn) % len(holders)),
-        )
-        while rest > 0:
-            for i in order[:rest]:
-                slots[i] += 1
-            rest = announced.slots - sum(slots)
-        while rest < 0:
-            largest = max(range(len(slots)), key=lambda i: slots[i])
-            slots[largest] -= 1
-            rest += 1
-        position = next(i for i, (_, h) in enumerate(holders) if h is holder)
-        return slots[position]
+    def _split(
+        self, service: str, targets: list[announcement.TargetAnnouncement]
+    ) -> dict[str, dict[str, int]]:
+        """Split the slots of a service's targets between the instances.
+
+        Each instance gets what it asks for up to an equal part; what others leave goes
+        to those that ask for more, and what nobody asks for is split equally, so that
+        a burst meets free slots anywhere.
+
+        Returns
+        -------
+        dict
+            Slots by target and instance.
+        """
+        total = sum(announced.slots for announced in targets)
+        demands = {
+            name: max(holder.demand.get(service, 0.0), 1.0)
+            for name, holder in sorted(self._holders.items())
+        }
+        parts = _water_fill(demands, total)
+        previous = self._parts.get(service, {})
+        if previous.keys() == parts.keys() and sum(previous.values()) == total:
+            moved = sum(abs(parts[name] - previous[name]) for name in parts) / 2
+            # Slots that move serve nobody until their holder has confirmed.
+            if moved < MOVE_SHARE * total:
+                parts = previous
+        self._parts[service] = parts
+        carried = dict.fromkeys(parts, 0.0)
+        split: dict[str, dict[str, int]] = {}
+        for announced in sorted(targets, key=lambda known: known.id):
+            exact = {
+                name: carried[name] + part * announced.slots / total
+                for name, part in parts.items()
+            }
+            slots = _round_to(exact, announced.slots)
+            carried = {name: exact[name] - slots[name] for name in parts}
+            split[announced.id] = slots
+        return split
+
+
+def _water_fill(demands: dict[str, float], total: float) -> dict[str, float]:
+    """Return the max-min fair parts of the demands, with the rest split equally."""
+    parts: dict[str, float] = {}
+    left = total
+    ordered = sorted(demands, key=lambda name: demands[name])
+    for position, name in enumerate(ordered):
+        parts[name] = min(demands[name], left / (len(ordered) - position))
+        left -= parts[name]
+    return {name: part + left / len(parts) for name, part in parts.items()}
+
+
+def _round_to(exact: dict[str, float], total: int) -> dict[str, int]:
+    """Round to integers of at least 0 with a given sum."""
+    slots = {name: max(int(value), 0) for name, value in exact.items()}
+    by_rest = sorted(exact, key=lambda name: slots[name] - exact[name])
+    while sum(slots.values()) < total:
+        for name in by_rest[: total - sum(slots.values())]:
+            slots[name] += 1
+    while sum(slots.values()) > total:
+        slots[max(slots, key=lambda name: slots[name] - exact[name])] -= 1
+    return slots
--- a/marjoramusher/routing/router.py
+++ b/marjoramusher/routing/router.py
@@ -23,6 +23,7 @@
 CAPACITY_TTL_S = 3.0
 SPILL_MARGIN_S = 0.05
 REQUEST_OVERHEAD_BYTES = 600
+TYPICAL_GAIN = 0.005  # over some 200 runs, more than any one target has
 DEMAND_DECAY = 0.8
 
 
@@ -81,8 +82,10 @@
         "long_limit",
         "queues",
         "record",
+        "reserve",
         "retries",
         "targets",
+        "typical_log",
     )
 
     def __init__(self, service: record.Service) -> None:
@@ -95,6 +98,8 @@
         self.load = {SHORT: 0.0, LONG: 0.0}
         self.limit = 0
         self.long_limit = 0
+        self.reserve = 0
+        self.typical_log = 0.0
         self.demand = 0.0
         self.answer_bytes = 1024.0
         self.retries = budget.RetryBudget()
@@ -105,9 +110,15 @@
         total = self.limit
         short = self.load[SHORT]
         reserve = math.ceil(short + RESERVE_SIGMAS * math.sqrt(short) + 1.0)
+        self.reserve = reserve
         least = math.ceil(total * MIN_LONG_SHARE)
         self.long_limit = max(total - reserve, least)
 
+    def note_ratio(self, chosen: target.Target, ratio: float) -> None:
+        """Note a run time relative to the expected one."""
+        log_ratio = chosen.note_run(ratio, self.typical_log)
+        self.typical_log += TYPICAL_GAIN * (log_ratio - self.typical_log)
+
     def free_slots(self, run_class: request.RequestClass) -> int:
         """Return the slots that a class may take at once."""
         free = self.limit - self.in_flight[SHORT] - self.in_flight[LONG]
@@ -250,9 +261,10 @@
         del now
         wanted = {}
         for name, service in self._services.items():
-            present = sum(service.in_flight.values()) + sum(
-                len(queue) for queue in service.queues.values()
-            )
+            # Short work asks for its reserve, and long work for a slot each.
+            long = service.in_flight[LONG] + service.queues[LONG].count
+            short = service.in_flight[SHORT] + service.queues[SHORT].count
+            present = long + max(short, service.reserve if service.load[SHORT] else 0)
             service.demand = max(float(present), DEMAND_DECAY * service.demand)
             wanted[name] = service.demand
         held = tuple(
@@ -378,7 +390,9 @@
         service = self._services[entry.asked.service]
         self._release(service, known)
         run_s = now - known.sent_at
-        known.target.note_run(run_s / entry.run.mean_s if entry.run.count > 8 else 1.0)
+        if entry.run.count > runtime.FIRST_RUNS:
+            service.note_ratio(known.target, run_s / entry.run.mean_s)
+        known.target.failures = 0
         entry.run.note(run_s, service.record.short_run_s)
         service.answer_bytes += 0.05 * (answer_bytes - service.answer_bytes)
         service.retries.succeed()
@@ -617,12 +631,12 @@
                 continue
             self._release(service, attempt)
             entry.sent = True
-            if entry.run.count > 8:
+            if entry.run.count > runtime.FIRST_RUNS:
                 # The run time is at least this, which slow targets would hide
                 # if cancelled attempts did not count.
                 ratio = (now - attempt.sent_at) / entry.run.mean_s
                 if ratio > attempt.target.slowness:
-                    attempt.target.note_run(ratio)
+                    service.note_ratio(attempt.target, ratio)
             effects.append(effect.Cancel(entry.asked.request_id, attempt.number))
 
     def _drop(
--- a/marjoramusher/routing/target.py
+++ b/marjoramusher/routing/target.py
@@ -1,5 +1,7 @@
 """Targets of one failure domain with their incarnations."""
 
+import math
+
 import msgspec
 
 from ..core import announcement
@@ -8,7 +10,7 @@
 TOMBSTONE_S = 3600.0  # longer than any announcement can be under way
 MAX_BACKOFF_S = 4.0
 SLOW_RATIO = 1.5  # below this the noise of run times looks like slowness
-SLOWNESS_GAIN = 0.1
+SLOWNESS_GAIN = 0.05  # deviation of 0.1 at the usual spread of run times
 
 
 class Target:
@@ -19,7 +21,7 @@
     granted : int
         Slots that this instance may fill.
     slowness : float
-        Moving average of run times relative to what the class expects.
+        Run times relative to those of the same work at the peers.
     """
 
     __slots__ = (
@@ -32,6 +34,7 @@
         "granted",
         "in_flight",
         "limit",
+        "log_ratio",
         "slowness",
     )
 
@@ -43,6 +46,7 @@
         self.in_flight = 0
         self.limit = 0
         self.slowness = 1.0
+        self.log_ratio = 0.0
         self.failures = 0
         self.backoff_until = 0.0
         self.free_index = -1
@@ -65,10 +69,27 @@
         else:
             self.limit = self.granted
 
-    def note_run(self, ratio: float) -> None:
-        """Take in the run time of an attempt relative to the expected one."""
-        self.slowness += SLOWNESS_GAIN * (min(ratio, 8.0) - self.slowness)
+    def note_run(self, ratio: float, typical_log: float) -> float:
+        """Take in the run time of an attempt relative to the expected one.
+
+        Logarithms are averaged, since one run of ten times the usual length says
+        little about a target.
+
+        Parameters
+        ----------
+        typical_log : float
+            Mean logarithm of the ratio at all targets of the service.
+
+        Returns
+        -------
+        float
+            Logarithm of the ratio.
+        """
+        log_ratio = math.log(max(ratio, 0.01))
+        self.log_ratio += SLOWNESS_GAIN * (log_ratio - self.log_ratio)
+        self.slowness = math.exp(self.log_ratio - typical_log)
         self.failures = 0
+        return log_ratio
 
     def note_failure(self, now: float) -> None:
         """Keep work away for a time that doubles with each failure in a row."""
