Charge both classes of a client account to one fair queue

With a round for each class, an account within its share got no slot for long work while another account's short work used more than its share. Both classes are charged to the account now, short work leads by a bound, and unused claims last for a second.

--- a/marjoramusher/routing/fair.py
+++ b/marjoramusher/routing/fair.py
@@ -1,10 +1,14 @@
-"""Deficit round robin between client accounts."""
+"""Weighted fair queues of client accounts."""
 
 import collections
-from collections.abc import Iterator
+import math
 
 from . import request, runtime
 
+# Slot time over weight, about a second of an instance's slots.
+MAX_CREDIT = 4.0
+BURST_CREDIT = 2.0  # long work comes in bursts, and instances see a part of them
+
 
 class Entry:
     """A request that the router has neither answered nor handed on.
@@ -49,117 +53,164 @@
         self.tries = 0
 
 
-class _AccountQueue:
-    __slots__ = ("active", "deficit_s", "entries", "weight", "work_s")
+class _Account:
+    """Queues of one client account, with the slot time it was charged for."""
+
+    __slots__ = ("charged", "entries", "waiting", "weight", "work_s")
 
     def __init__(self, weight: float) -> None:
         self.weight = weight
-        self.deficit_s = 0.0
+        self.charged = 0.0
+        self.waiting = 0
+        self.entries: dict[request.RequestClass, collections.deque[Entry]] = {
+            run_class: collections.deque() for run_class in request.RequestClass
+        }
+        self.work_s = dict.fromkeys(request.RequestClass, 0.0)
+
+
+class ClassQueue:
+    """What waits in one class."""
+
+    __slots__ = ("accounts", "count", "weight", "work_s")
+
+    def __init__(self) -> None:
+        self.accounts: dict[str, _Account] = {}
+        self.count = 0
         self.work_s = 0.0
-        self.active = False
-        self.entries: collections.deque[Entry] = collections.deque()
+        self.weight = 0.0
 
 
 class FairQueue:
-    """Queue of one class of one service.
+    """Queues of both classes of one service.
 
-    Costs are expected run times, so accounts share slot time and not request counts.
-    An account that waits gets `weight` times the largest recent cost for each round.
+    Start-time fair queueing: each dispatch charges its account with the expected slot
+    time over the account's weight, and the account charged least is next. Both classes
+    are charged to the same account; with a round for each class, an account that
+    sends both would get two shares. The charge is corrected once the run time is known.
     """
 
-    __slots__ = ("_accounts", "_quantum_s", "_round", "count", "weight", "work_s")
+    __slots__ = ("_accounts", "_virtual", "classes")
 
     def __init__(self) -> None:
-        self._accounts: dict[str, _AccountQueue] = {}
-        self._round: collections.deque[_AccountQueue] = collections.deque()
-        self._quantum_s = 0.0
-        self.count = 0
-        self.work_s = 0.0
-        self.weight = 0.0
+        self._accounts: dict[str, _Account] = {}
+        self._virtual = 0.0
+        self.classes = {run_class: ClassQueue() for run_class in request.RequestClass}
 
     def __len__(self) -> int:
-        return self.count
-
-    def __iter__(self) -> Iterator[Entry]:
-        for account in self._round:
-            yield from account.entries
+        return sum(queue.count for queue in self.classes.values())
 
     def set_weights(self, weights: dict[str, float]) -> None:
         """Take over the weights of the client accounts."""
         for name, account in self._accounts.items():
             account.weight = weights.get(name, 1.0)
-        self.weight = sum(account.weight for account in self._round)
+        for queue in self.classes.values():
+            queue.weight = sum(a.weight for a in queue.accounts.values())
 
     def push(self, entry: Entry, weight: float, first: bool = False) -> None:
         """Add an entry, in front of its account's others if it was tried before."""
-        account = self._accounts.get(entry.asked.account)
-        if account is None:
-            account = _AccountQueue(weight)
-            self._accounts[entry.asked.account] = account
+        name = entry.asked.account
+        account = self._account(name, weight)
+        run_class = entry.run_class
+        entries = account.entries[run_class]
+        # An account has a claim to what it left unused, up to a bound that is larger
+        # if it had to leave it because the long class was at its limit.
+        credit = MAX_CREDIT if account.waiting else BURST_CREDIT
+        account.charged = max(account.charged, self._virtual - credit)
+        account.waiting += 1
         if first:
-            account.entries.appendleft(entry)
+            entries.appendleft(entry)
         else:
-            account.entries.append(entry)
+            entries.append(entry)
         entry.waiting = True
-        account.work_s += entry.cost_s
-        self.work_s += entry.cost_s
-        self.count += 1
-        if not account.active:
-            account.active = True
-            account.deficit_s = 0.0
-            self.weight += account.weight
-            self._round.append(account)
-
-    def pop(self) -> Entry | None:
-        """Take the entry whose turn it is."""
-        turns = self._round
-        while turns:
-            account = turns[0]
-            entry = account.entries[0]
-            if account.deficit_s < entry.cost_s:
-                # The quantum follows the largest cost, so one round is enough for
-                # the heaviest head.
-                self._quantum_s = max(entry.cost_s, 0.99 * self._quantum_s)
-                account.deficit_s += account.weight * self._quantum_s
-                if account.deficit_s < entry.cost_s:
-                    turns.rotate(-1)
-                    continue
-            account.deficit_s -= entry.cost_s
-            account.entries.popleft()
-            self._left(account, entry)
-            if account.active and account.deficit_s < account.entries[0].cost_s:
-                turns.rotate(-1)
-            return entry
-        return None
+        account.work_s[run_class] += entry.cost_s
+        queue = self.classes[run_class]
+        queue.work_s += entry.cost_s
+        queue.count += 1
+        if len(entries) == 1:
+            queue.accounts[name] = account
+            queue.weight += account.weight
+
+    def charge(self, entry: Entry, weight: float) -> None:
+        """Charge an account for a dispatch."""
+        account = self._account(entry.asked.account, weight)
+        if not account.waiting:
+            account.charged = max(account.charged, self._virtual - BURST_CREDIT)
+        self._virtual = max(self._virtual, account.charged)
+        account.charged += entry.cost_s / account.weight
+
+    def correct(self, entry: Entry, run_s: float) -> None:
+        """Replace the expected slot time of a dispatch by the real one."""
+        account = self._accounts.get(entry.asked.account)
+        if account is not None:
+            account.charged += (run_s - entry.cost_s) / account.weight
+
+    def lag(self, run_class: request.RequestClass) -> float:
+        """Return the charge of the account that is next in a class."""
+        accounts = self.classes[run_class].accounts
+        if not accounts:
+            return math.inf
+        return min(account.charged for account in accounts.values())
+
+    def pop(self, run_class: request.RequestClass) -> Entry:
+        """Take the next entry of a class that isn't empty."""
+        accounts = self.classes[run_class].accounts
+        if len(accounts) == 1:
+            (account,) = accounts.values()
+        else:
+            account = min(accounts.values(), key=_charged)
+        entry = account.entries[run_class].popleft()
+        self._left(account, entry)
+        return entry
 
     def remove(self, entry: Entry) -> None:
         """Take out an entry that no longer waits for its turn."""
         account = self._accounts[entry.asked.account]
-        account.entries.remove(entry)
+        account.entries[entry.run_class].remove(entry)
         self._left(account, entry)
 
-    def account_work_s(self, account: str) -> float:
-        """Return the expected slot time of what waits for an account."""
-        known = self._accounts.get(account)
-        return known.work_s if known else 0.0
-
-    def share(self, account: str, weight: float) -> float:
-        """Return the share of the slots that an account gets if it joins."""
-        known = self._accounts.get(account)
-        if known is not None and known.active:
-            return known.weight / self.weight
-        return weight / (self.weight + weight)
+    def wait_s(
+        self,
+        run_class: request.RequestClass,
+        name: str,
+        weight: float,
+        slots: float,
+    ) -> float:
+        """Return the expected wait of a new entry of an account."""
+        queue = self.classes[run_class]
+        account = self._accounts.get(name)
+        if account is None:
+            return 0.0
+        total = queue.weight
+        if not account.entries[run_class]:
+            total += weight
+        rate = slots * weight / total
+        owed_s = max(0.0, account.charged - self._virtual) * weight
+        if not queue.count:
+            owed_s = 0.0
+        return (account.work_s[run_class] + owed_s) / rate
+
+    def _account(self, name: str, weight: float) -> _Account:
+        account = self._accounts.get(name)
+        if account is None:
+            account = self._accounts[name] = _Account(weight)
+        return account
 
-    def _left(self, account: _AccountQueue, entry: Entry) -> None:
+    def _left(self, account: _Account, entry: Entry) -> None:
+        run_class = entry.run_class
+        queue = self.classes[run_class]
         entry.waiting = False
-        account.work_s -= entry.cost_s
-        self.work_s -= entry.cost_s
-        self.count -= 1
-        if not account.entries:
-            account.active = False
-            account.work_s = 0.0
-            self.weight -= account.weight
-            self._round.remove(account)
-            if not self.count:
-                self.work_s = 0.0
-                self.weight = 0.0
+        account.waiting -= 1
+        account.work_s[run_class] -= entry.cost_s
+        queue.work_s -= entry.cost_s
+        queue.count -= 1
+        if not account.entries[run_class]:
+            account.work_s[run_class] = 0.0
+            queue.weight -= account.weight
+            del queue.accounts[entry.asked.account]
+            if not queue.count:
+                queue.work_s = 0.0
+                queue.weight = 0.0
+
+
+def _charged(account: _Account) -> float:
+    return account.charged
--- a/marjoramusher/routing/router.py
+++ b/marjoramusher/routing/router.py
@@ -20,6 +20,7 @@
 HEDGE_FACTOR = 2.0
 HEDGE_MIN_S = 0.05
 HEDGE_SHARE = 0.02
+SHORT_LEAD = 0.5  # slot time over weight; short work is ahead of fairness by this
 CAPACITY_TTL_S = 3.0
 SPILL_MARGIN_S = 0.05
 REQUEST_OVERHEAD_BYTES = 600
@@ -74,6 +75,7 @@
         "answer_bytes",
         "arrived_s",
         "demand",
+        "fair",
         "free",
         "hedges",
         "in_flight",
@@ -92,7 +94,8 @@
         self.record = service
         self.targets: dict[str, target.Target] = {}
         self.free: list[target.Target] = []
-        self.queues = {SHORT: fair.FairQueue(), LONG: fair.FairQueue()}
+        self.fair = fair.FairQueue()
+        self.queues = self.fair.classes
         self.in_flight = {SHORT: 0, LONG: 0}
         self.arrived_s = {SHORT: 0.0, LONG: 0.0}
         self.load = {SHORT: 0.0, LONG: 0.0}
@@ -193,11 +196,7 @@
     @property
     def waiting(self) -> int:
         """Return the number of requests that wait for a slot."""
-        return sum(
-            len(queue)
-            for service in self._services.values()
-            for queue in service.queues.values()
-        )
+        return sum(len(service.fair) for service in self._services.values())
 
     @property
     def in_flight(self) -> int:
@@ -225,8 +224,7 @@
             else:
                 service.record = service_record
         for service in self._services.values():
-            for queue in service.queues.values():
-                queue.set_weights(self._weights)
+            service.fair.set_weights(self._weights)
         effects: list[effect.Effect] = []
         for known in self._table.values():
             self._attach(known)
@@ -350,6 +348,7 @@
             and asked.request_id not in self._entries
         ):
             self._entries[asked.request_id] = entry
+            service.fair.charge(entry, weight)
             return [self._dispatch(service, entry, now)]
         return self._enqueue(service, entry, weight, now)
 
@@ -394,6 +393,7 @@
             service.note_ratio(known.target, run_s / entry.run.mean_s)
         known.target.failures = 0
         entry.run.note(run_s, service.record.short_run_s)
+        service.fair.correct(entry, run_s)
         service.answer_bytes += 0.05 * (answer_bytes - service.answer_bytes)
         service.retries.succeed()
         service.hedges.succeed()
@@ -432,7 +432,7 @@
             self._refuse(entry, code, effects)
         else:
             weight = self._weights.get(entry.asked.account, 1.0)
-            service.queues[entry.run_class].push(entry, weight, first=True)
+            service.fair.push(entry, weight, first=True)
         self._pump(service, now, effects)
         return effects
 
@@ -499,7 +499,7 @@
             self._refuse(entry, code, effects)
             return effects
         self._entries[asked.request_id] = entry
-        queue.push(entry, weight)
+        service.fair.push(entry, weight)
         self._pump(service, now, effects)
         return effects
 
@@ -519,8 +519,7 @@
         slots = max(slots, 1)
         if not account:
             return queue.work_s / slots
-        ahead_s = queue.account_work_s(account)
-        return ahead_s / (slots * queue.share(account, weight))
+        return service.fair.wait_s(run_class, account, weight, slots)
 
     def _spill(
         self, service: _Service, entry: fair.Entry, limit_s: float, now: float
@@ -597,16 +596,21 @@
         """Dispatch what waits while there are free slots."""
         short, long = service.queues[SHORT], service.queues[LONG]
         while service.free:
-            if short.count:
-                entry = short.pop()
-            elif long.count and service.in_flight[LONG] < service.long_limit:
-                entry = long.pop()
+            long_ready = long.count and service.in_flight[LONG] < service.long_limit
+            if short.count and not (
+                long_ready
+                and service.fair.lag(LONG) + SHORT_LEAD < service.fair.lag(SHORT)
+            ):
+                entry = service.fair.pop(SHORT)
+            elif long_ready:
+                entry = service.fair.pop(LONG)
             else:
                 return
             if entry.asked.deadline - 0.5 * entry.cost_s < now:
                 code = errors.ErrorCode.DEADLINE_EXCEEDED
                 self._refuse(entry, code, effects)
                 continue
+            service.fair.charge(entry, self._weights.get(entry.asked.account, 1.0))
             effects.append(self._dispatch(service, entry, now))
 
     def _release(self, service: _Service, attempt: _Attempt) -> None:
@@ -647,7 +651,7 @@
         effects: list[effect.Effect],
     ) -> None:
         if entry.waiting:
-            service.queues[entry.run_class].remove(entry)
+            service.fair.remove(entry)
         self._cancel_attempts(service, entry, now, effects)
         self._entries.pop(entry.asked.request_id, None)
 
