Count overrunning short requests as long work

Long requests of an account that declares nothing run in the short class, and a burst of them took the slots that are kept for short work. An attempt that exceeds three times the upper quantile of its key counts as long work now, so that queued long work waits.

--- a/marjoramusher/routing/router.py
+++ b/marjoramusher/routing/router.py
@@ -17,6 +17,7 @@
 LOAD_WINDOW_S = 0.5
 MIN_LONG_SHARE = 0.2  # long work is never starved by short work
 RESERVE_SIGMAS = 2.5  # spare slots in standard deviations of short slots in use
+OVERRUN_FACTOR = 3.0
 HEDGE_FACTOR = 2.0
 HEDGE_MIN_S = 0.05
 HEDGE_SHARE = 0.02
@@ -57,7 +58,7 @@
 
 
 class _Attempt:
-    __slots__ = ("entry", "number", "sent_at", "target")
+    __slots__ = ("entry", "number", "run_class", "sent_at", "target")
 
     def __init__(
         self, number: int, entry: fair.Entry, chosen: target.Target, now: float
@@ -66,6 +67,7 @@
         self.entry = entry
         self.target = chosen
         self.sent_at = now
+        self.run_class = entry.run_class
 
 
 class _Service:
@@ -616,7 +618,7 @@
     def _release(self, service: _Service, attempt: _Attempt) -> None:
         del self._attempts[attempt.number]
         del attempt.entry.attempts[attempt.number]
-        service.in_flight[attempt.entry.run_class] -= 1
+        service.in_flight[attempt.run_class] -= 1
         chosen = attempt.target
         chosen.in_flight -= 1
         if chosen.free_index < 0:
@@ -726,8 +728,10 @@
         for entry in self._entries.values():
             if entry.asked.deadline <= now:
                 late.append(entry)
-            elif len(entry.attempts) == 1 and not entry.answering:
-                self._hedge(entry, now, effects)
+            elif entry.attempts and entry.run_class is SHORT:
+                self._reclassify(entry, now)
+                if len(entry.attempts) == 1 and not entry.answering:
+                    self._hedge(entry, now, effects)
         for entry in late:
             service = self._services[entry.asked.service]
             if entry.waiting:
@@ -736,15 +740,20 @@
             self._refuse(entry, errors.ErrorCode.DEADLINE_EXCEEDED, effects)
             self._pump(service, now, effects)
 
+    def _reclassify(self, entry: fair.Entry, now: float) -> None:
+        """Count what overruns as long work, so that queued long work makes room."""
+        service = self._services[entry.asked.service]
+        limit_s = min(OVERRUN_FACTOR * entry.run.high_s, service.record.short_run_s)
+        for attempt in entry.attempts.values():
+            if attempt.run_class is SHORT and now - attempt.sent_at > limit_s:
+                attempt.run_class = LONG
+                service.in_flight[SHORT] -= 1
+                service.in_flight[LONG] += 1
+
     def _hedge(
         self, entry: fair.Entry, now: float, effects: list[effect.Effect]
     ) -> None:
-        if (
-            entry.hedged
-            or entry.run_class is LONG
-            or not entry.asked.repeatable
-            or entry.run.count < 20
-        ):
+        if entry.hedged or not entry.asked.repeatable or entry.run.count < 20:
             return
         (attempt,) = entry.attempts.values()
         limit_s = max(HEDGE_FACTOR * entry.run.high_s, HEDGE_MIN_S)
