Adapt the slots kept for short work to its waits

A fixed reserve of 2.5 standard deviations left a third of the slots idle while long work was refused. The reserve now follows the share of short requests that waited for more than half of the upper quantile of their run time.

--- a/marjoramusher/routing/router.py
+++ b/marjoramusher/routing/router.py
@@ -16,7 +16,13 @@
 SCAN_S = 0.05  # period of the search for passed deadlines and hedges
 LOAD_WINDOW_S = 0.5
 MIN_LONG_SHARE = 0.2  # long work is never starved by short work
-RESERVE_SIGMAS = 2.5  # spare slots in standard deviations of short slots in use
+# Spare slots for short work, in standard deviations of its slots in use: the first
+# value, the range, and the steps by which late short work raises and lowers it.
+RESERVE_SIGMAS = 2.5
+LEAST_SIGMAS, MOST_SIGMAS = 0.5, 4.0
+RAISE_SIGMAS, LOWER_SIGMAS = 0.5, 0.1
+LATE_WAIT = 0.5  # of the upper quantile of the run time
+LATE_SHARE = 0.01  # the bound is on the 0.99 quantile
 OVERRUN_FACTOR = 3.0
 HEDGE_FACTOR = 2.0
 HEDGE_MIN_S = 0.05
@@ -81,6 +87,7 @@
         "free",
         "hedges",
         "in_flight",
+        "late",
         "limit",
         "load",
         "long_limit",
@@ -88,6 +95,8 @@
         "record",
         "reserve",
         "retries",
+        "shorts",
+        "sigmas",
         "targets",
         "typical_log",
     )
@@ -105,6 +114,9 @@
         self.long_limit = 0
         self.reserve = 0
         self.typical_log = 0.0
+        self.sigmas = RESERVE_SIGMAS
+        self.late = 0
+        self.shorts = 0
         self.demand = 0.0
         self.answer_bytes = 1024.0
         self.retries = budget.RetryBudget()
@@ -114,11 +126,22 @@
         """Split the slots between the classes by the mix of what arrives."""
         total = self.limit
         short = self.load[SHORT]
-        reserve = math.ceil(short + RESERVE_SIGMAS * math.sqrt(short) + 1.0)
+        reserve = math.ceil(short + self.sigmas * math.sqrt(short) + 1.0)
         self.reserve = reserve
         least = math.ceil(total * MIN_LONG_SHARE)
         self.long_limit = max(total - reserve, least)
 
+    def adapt_reserve(self) -> None:
+        """Keep as many slots for short work as its waits call for."""
+        if self.shorts < 20:
+            return
+        if self.late > LATE_SHARE * self.shorts:
+            self.sigmas = min(self.sigmas + RAISE_SIGMAS, MOST_SIGMAS)
+        else:
+            self.sigmas = max(self.sigmas - LOWER_SIGMAS, LEAST_SIGMAS)
+        self.late = 0
+        self.shorts = 0
+
     def note_ratio(self, chosen: target.Target, ratio: float) -> None:
         """Note a run time relative to the expected one."""
         log_ratio = chosen.note_run(ratio, self.typical_log)
@@ -578,6 +601,10 @@
         entry.tries += 1
         chosen.in_flight += 1
         service.in_flight[entry.run_class] += 1
+        if entry.run_class is SHORT and entry.tries == 1:
+            service.shorts += 1
+            if now - entry.queued_at > LATE_WAIT * entry.run.high_s:
+                service.late += 1
         if chosen.in_flight >= chosen.limit:
             service.set_free(chosen)
         announced = chosen.announcement
@@ -722,6 +749,7 @@
                 gain = 0.7 if present > before else 0.2
                 service.load[run_class] = before + gain * (present - before)
                 service.arrived_s[run_class] = 0.0
+            service.adapt_reserve()
 
     def _scan(self, now: float, effects: list[effect.Effect]) -> None:
         late = []
