Let long work wait longer before it is refused

Long requests were refused at an expected wait of 10 s although their deadline of 30 s allowed more. The bound is 20 s.

--- a/marjoramusher/routing/router.py
+++ b/marjoramusher/routing/router.py
@@ -9,7 +9,7 @@
 from . import budget, effect, fair, grants, request, runtime, target
 
 SHORT, LONG = request.RequestClass.SHORT, request.RequestClass.LONG
-MAX_QUEUE_S = {SHORT: 0.75, LONG: 10.0}
+MAX_QUEUE_S = {SHORT: 0.75, LONG: 20.0}
 MAX_QUEUED = 4096  # for each service and class; bounds memory
 MAX_TRIES = 4
 STARTUP_S = 2.5  # targets renew every 2 s, so by then all are known
