Try queued jobs only where a release may help

Change: lanes of a demand that failed are skipped until something is released, guarantees or reservations apart; trials of set-aside amounts wake nothing; an index without enough cells answers at once. Exactly guaranteed shapes go before smaller jobs of the account. The load gains claims of guaranteed gangs.

--- a/bench/placement_driver.py
+++ b/bench/placement_driver.py
@@ -25,6 +25,8 @@
 REPORT_S = 3.0
 CHECK_S = 1.0
 CHECKPOINT_S = 10.0
+# Jobs smaller than a guaranteed gang may use it after waiting this long.
+SMALL_CHARGE_S = 4.9
 # A quarantine this soon after the fault's end rests on true evidence.
 EVIDENCE_S = 30.0
 Amounts = ledger.Amounts
@@ -141,7 +143,11 @@
         name = self._exact_guarantee(one.spec)
         if name is not None:
             waiting = sum(
-                1 for other in self._claims if self._guarantee_of(other) == name
+                1
+                for other in self._jobs.values()
+                if other.state is job.JobState.QUEUED
+                and other is not one
+                and self._may_use(name, other)
             )
             if waiting < self._unused(name):
                 self._claims[one.job_id] = self._now
@@ -433,8 +439,15 @@
                 return name
         return None
 
-    def _guarantee_of(self, job_id: str) -> str | None:
-        return self._exact_guarantee(self._jobs[job_id].spec)
+    def _may_use(self, name: str, known: job.Job) -> bool:
+        """Tell whether a waiting job may be charged to a guarantee first."""
+        account, _, shape = load.GUARANTEES[name]
+        waited_s = load.WALL_OFFSET_S + self._now - known.submitted_at
+        return (
+            known.spec.account == account
+            and known.spec.shape.accelerators <= shape.accelerators
+            and (known.spec.shape == shape or waited_s > SMALL_CHARGE_S)
+        )
 
     def _unused(self, name: str) -> int:
         gangs = load.GUARANTEES[name][1]
--- a/bench/placement_load.py
+++ b/bench/placement_load.py
@@ -14,6 +14,7 @@
 ACCOUNTS = ("north", "south", "east", "west")
 # Relative demand; one client account is much larger than the others.
 DEMAND = (0.45, 0.25, 0.2, 0.1)
+CLAIM_EVERY_S = 90.0
 MEMORY_MB = {"A": 256_000, "B": 128_000}
 
 
@@ -126,6 +127,9 @@
     subjects: list[Subject] = []
     work_s = utilization * span_s * len(workers) * 8
     serial = 0
+    claims = _make_claims(rng, span_s)
+    subjects += claims
+    work_s -= sum(s.run_s * s.job.spec.shape.accelerators for s in claims)
     while work_s > 0:
         # A burst of one account: similar jobs within seconds.
         account = ACCOUNTS[rng.choice(4, p=DEMAND)]
@@ -184,6 +188,25 @@
     )
 
 
+def _make_claims(rng: np.random.Generator, span_s: float) -> list[Subject]:
+    """Make jobs that come now and then for exactly what is guaranteed."""
+    claims = []
+    for name, (account, _, shape) in GUARANTEES.items():
+        at = float(rng.exponential(CLAIM_EVERY_S))
+        while at < span_s:
+            run_s = float(rng.uniform(10.0, 40.0))
+            spec = job.JobSpec(account, f"{account}-0", shape, run_s=run_s)
+            one = job.Job(
+                f"job-{DOMAIN}-{name}-{len(claims)}",
+                spec,
+                job.JobState.QUEUED,
+                WALL_OFFSET_S + at,
+            )
+            claims.append(Subject(one, run_s))
+            at += float(rng.exponential(CLAIM_EVERY_S))
+    return claims
+
+
 def _draw_time(rng: np.random.Generator, span_s: float) -> float:
     while True:
         at = float(rng.uniform(0, span_s))
--- a/marjoramusher/placement/cell.py
+++ b/marjoramusher/placement/cell.py
@@ -33,6 +33,7 @@
         "_racks",
         "_slots",
         "_sums",
+        "_total",
         "_totals",
         "_view",
     )
@@ -58,9 +59,10 @@
         for worker_id in sorted(changed):
             self._update(workers[worker_id])
 
-    def total(self) -> int:
-        """Return the number of free cells in all racks."""
-        return sum(total * len(racks) for total, racks in self._buckets.items())
+    def _has_room(self, tasks: int, adjacency: resource.Adjacency) -> bool:
+        if self._sums and self._sums[-1] >= tasks:
+            return True
+        return adjacency is resource.Adjacency.NONE and self._total >= tasks
 
     def racks(self) -> Iterator[tuple[str, int]]:
         """Yield racks and their free cells, the fullest racks first."""
@@ -84,6 +86,8 @@
         avoid: Collection[str] = NOWHERE,
     ) -> Iterator[tuple[str, ...]]:
         """Yield places for a gang; the rack that it fills best comes first."""
+        if not self._has_room(tasks, adjacency):
+            return
         start = bisect.bisect_left(self._sums, tasks)
         for total in self._sums[start:]:
             for rack in self._buckets[total]:
@@ -123,6 +127,7 @@
         self._totals: dict[str, int] = {}
         self._buckets: dict[int, dict[str, None]] = {}
         self._sums: list[int] = []
+        self._total = 0
         self._position = self._ledger.end
         for worker in self._ledger.workers.values():
             self._update(worker)
@@ -155,6 +160,7 @@
                 del self._buckets[total]
                 del self._sums[bisect.bisect_left(self._sums, total)]
         total += change
+        self._total += change
         self._totals[rack] = total
         if total:
             racks = self._buckets.get(total)
--- a/marjoramusher/placement/gang.py
+++ b/marjoramusher/placement/gang.py
@@ -81,7 +81,8 @@
         self._silent: set[str] = set()
         self._learned: dict[str, resource.Resources] = {}
         self._moved: dict[str, float] = {}
-        self._blocked: dict[tuple, int] = {}
+        self._blocked: dict[tuple[int, tuple[str, ...]], int] = {}
+        self._drained = (-1, -1)
         self._next_retry = 0.0
         self._settled_at: float | None = None
         self._serial = itertools.count()
@@ -107,7 +108,8 @@
             self._update_usable(worker_id)
         for name, account in self._accounts.items():
             self._set_weight(name, account)
-        self._blocked.clear()
+        self._requeue_all(now)
+        self._unblock()
 
     def worker_up(self, worker: announcement.WorkerAnnouncement, now: float) -> None:
         """Add a worker or take over its changed capacity."""
@@ -227,51 +229,72 @@
         yield from self._settle_claims(now)
         if now >= self._next_retry:
             self._next_retry = now + RETRY_S
-            self._blocked.clear()
+            self._unblock()
             self._reserves.refresh(now)
-        if len(self._queue):
+            self._drained = (-1, -1)
+        # Nothing that waits can start unless something was released or added.
+        if len(self._queue) and self._drained != self._state():
             yield from self._drain_queue(now)
 
+    def _state(self) -> tuple[int, int]:
+        return (self._ledger.releases, self._queue.added)
+
     def _drain_queue(self, now: float) -> Iterator[decision.Decision]:
-        heap = []
-        for demand in list(self._queue.demands()):
-            for lane in self._queue.lanes(demand):
-                self._push(heap, demand, lane, now)
+        heap: list[tuple] = []
+        for lane in self._queue.lanes():
+            self._push(heap, lane, now)
         placed = 0
         while heap and placed < MAX_PLACEMENTS:
-            *_, demand, lane = heapq.heappop(heap)
+            lane = heapq.heappop(heap)[-1]
             if not lane.jobs:
                 continue
-            waiting = lane.head()
-            made = self._try(demand, lane, waiting, now)
+            made = self._try(lane, lane.head(), now)
             if made is None:
                 continue
             placed += 1
             yield from made
             if lane.jobs:
-                self._push(heap, demand, lane, now)
+                self._push(heap, lane, now)
+        if not heap:
+            self._drained = self._state()
 
-    def _push(self, heap: list, demand, lane: queue.Lane, now: float) -> None:
-        if self._blocked.get((demand, id(lane))) == self._ledger.releases:
+    def _push(self, heap: list[tuple], lane: queue.Lane, now: float) -> None:
+        if lane.blocked_at == self._ledger.releases:
             return
         waiting = lane.head()
-        if waiting.job.failed_on and (
-            self._quarantine.paused_until(waiting.job.job_id) > now
-        ):
+        if lane.is_retry and self._quarantine.paused_until(waiting.job.job_id) > now:
+            return
+        if self._is_hopeless(lane, waiting, now):
             return
+        if lane.covering is None:
+            spec = waiting.job.spec
+            lane.covering = self._plan.covering(
+                spec.account, spec.job_class, waiting.shape
+            )
         # A job that failed is tried before new ones: where it runs now tells
         # whether the job or the worker is at fault.
-        spec = waiting.job.spec
-        tier = -lane.rank if lane.rank == 2 else -1 if waiting.job.failed_on else 0
-        if self._plan.has_exact(spec.account, spec.job_class, waiting.shape):
+        tier = -2 if lane.rank == 2 else -1 if lane.is_retry else 0
+        if lane.covering and self._plan.has_exact(lane.covering, waiting.shape):
             # Before smaller jobs of the account that would use up the gang.
             tier = -2
         share = self._account(lane.account).share
         key = self._order.key(waiting, share, now)
-        heapq.heappush(heap, (tier, key, next(self._serial), demand, lane))
+        heapq.heappush(heap, (tier, key, next(self._serial), lane))
+
+    def _is_hopeless(
+        self, lane: queue.Lane, waiting: queue.Waiting, now: float
+    ) -> bool:
+        """Tell whether an equal job was tried in vain and nothing else may help."""
+        return (
+            lane.covering is not None
+            and lane.rank < 2
+            and self._blocked.get((lane.demand, ())) == self._ledger.releases
+            and not self._plan.has_unused(lane.covering)
+            and not self._reserves.is_due(waiting, now)
+        )
 
     def _try(
-        self, demand, lane: queue.Lane, waiting: queue.Waiting, now: float
+        self, lane: queue.Lane, waiting: queue.Waiting, now: float
     ) -> list[decision.Decision] | None:
         spec = waiting.job.spec
         job_id = waiting.job.job_id
@@ -279,7 +302,7 @@
             # The committed expiry follows; the job is not placed meanwhile.
             self._queue.remove(job_id)
             return []
-        for name in self._plan.covering(spec.account, spec.job_class, waiting.shape):
+        for name in lane.covering or ():
             made = self._charge(name, waiting, lane.rank, now)
             if made is not None:
                 return made
@@ -293,6 +316,7 @@
             if binding:
                 avoid = avoid | self._reserves.workers(binding)
         releases = self._ledger.releases
+        demand = lane.demand
         if releases not in (
             self._blocked.get((demand, ())),
             self._blocked.get((demand, binding)),
@@ -327,7 +351,7 @@
                 made = self._move(waiting, reservation.ready_at, lane, now)
             if made is not None:
                 return made
-        self._blocked[demand, id(lane)] = self._ledger.releases
+        lane.blocked_at = self._ledger.releases
         return None
 
     def _may_overstay(self, waiting: queue.Waiting, rank: int, now: float) -> bool:
@@ -528,7 +552,7 @@
         self, claim: reclaim.Claim, now: float
     ) -> Iterator[decision.Decision]:
         """Choose again if a stop did not happen or another claim took the room."""
-        self._ledger.set_aside(claim.amounts, -1)
+        self._ledger.set_aside(claim.amounts, -1, wakes=False)
         victims = reclaim.choose_victims(
             self._ledger, claim.amounts, reclaim.victims_of(claim.rank), now
         )
@@ -747,6 +771,23 @@
             holding.rank = reclaim.rank_of(job_class)
             self._ledger.hold(holding)
 
+    def _requeue_all(self, now: float) -> None:
+        """Read contracts and guarantees of queued jobs again."""
+        for job_id, known in self._jobs.items():
+            if (
+                known.state is _QUEUED
+                and job_id not in self._claims
+                and job_id not in self._ledger.holdings
+            ):
+                self._queue.remove(job_id)
+                self._enqueue(known, now)
+
+    def _unblock(self) -> None:
+        self._blocked.clear()
+        self._drained = (-1, -1)
+        for lane in self._queue.lanes():
+            lane.blocked_at = -1
+
     # Accounts, estimates and workers.
 
     def _learn(self, known: job.Job) -> None:
--- a/marjoramusher/placement/guarantee.py
+++ b/marjoramusher/placement/guarantee.py
@@ -6,9 +6,6 @@
 from ..core import record, resource
 from . import cell, ledger, placer
 
-# Callers choose shapes freely, so the answers that are kept are limited.
-MAX_COVERING = 4096
-
 
 class Entry:
     """One guaranteed gang: where it would start, or the job that uses it."""
@@ -96,7 +93,6 @@
         self._cells = cells
         self._entries: dict[str, list[Entry]] = {}
         self._by_account: dict[str, list[str]] = {}
-        self._covering: dict[tuple, tuple[str, ...]] = {}
         self._by_worker: dict[str, dict[Entry, None]] = {}
         self._unplanned: dict[Entry, None] = {}
         self._by_job: dict[str, Entry] = {}
@@ -129,7 +125,6 @@
                 entries.append(entry)
                 self._unplanned[entry] = None
         self._by_account = {}
-        self._covering = {}
         for name, guarantee in sorted(wanted.items()):
             self._by_account.setdefault(guarantee.account, []).append(name)
         self._is_repacked = False
@@ -155,10 +150,6 @@
         """Return an account's guarantees that a job may use, the smallest first."""
         if account not in self._by_account:
             return ()
-        key = (account, job_class, shape)
-        found = self._covering.get(key)
-        if found is not None:
-            return found
         names = [
             name
             for name in self._by_account.get(account, ())
@@ -166,18 +157,21 @@
             and covers(self._entries[name][0].guarantee, job_class, shape)
         ]
         names.sort(key=lambda n: self._entries[n][0].guarantee.shape.accelerators)
-        if len(self._covering) >= MAX_COVERING:
-            self._covering.clear()
-        self._covering[key] = tuple(names)
-        return self._covering[key]
+        return tuple(names)
 
-    def has_exact(
-        self, account: str, job_class: resource.JobClass, shape: resource.GangShape
-    ) -> bool:
+    def has_unused(self, names: Iterable[str]) -> bool:
+        """Tell whether one of some guarantees has an unused gang with workers."""
+        return any(
+            entry.job_id is None and entry.is_planned
+            for name in names
+            for entry in self._entries.get(name, ())
+        )
+
+    def has_exact(self, names: Iterable[str], shape: resource.GangShape) -> bool:
         """Tell whether an unused guaranteed gang has exactly a job's shape."""
         return any(
-            self._entries[name][0].guarantee.shape == shape and self.unused(name)
-            for name in self.covering(account, job_class, shape)
+            self._entries[name][0].guarantee.shape == shape and self.has_unused((name,))
+            for name in names
         )
 
     def planned_on(self, worker: str) -> Iterable[Entry]:
--- a/marjoramusher/placement/queue.py
+++ b/marjoramusher/placement/queue.py
@@ -1,6 +1,6 @@
 """Jobs that wait, and the order in which they are tried."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from typing import Protocol
 
 import msgspec
@@ -108,13 +108,37 @@
 
 
 class Lane:
-    """Queued jobs of one client account, class and contract with equal demand."""
+    """Queued jobs of one client account, class and contract with equal demand.
 
-    __slots__ = ("account", "jobs", "rank")
+    Parameters
+    ----------
+    demand : int
+        Number of the demand; hashing a shape on each attempt costs more.
+    is_retry : bool
+        True if the job has failed before.
+    covering : tuple of str or None
+        Guarantees that the jobs may use, once they are looked up.
+    blocked_at : int
+        Count of releases at which the lane was last tried in vain.
+    """
 
-    def __init__(self, account: str, rank: int) -> None:
+    __slots__ = (
+        "account",
+        "blocked_at",
+        "covering",
+        "demand",
+        "is_retry",
+        "jobs",
+        "rank",
+    )
+
+    def __init__(self, account: str, rank: int, demand: int, is_retry: bool) -> None:
         self.account = account
         self.rank = rank
+        self.demand = demand
+        self.is_retry = is_retry
+        self.covering: tuple[str, ...] | None = None
+        self.blocked_at = -1
         self.jobs: dict[str, Waiting] = {}
 
     def head(self) -> Waiting:
@@ -122,6 +146,9 @@
         return next(iter(self.jobs.values()))
 
 
+# Callers choose shapes freely, so the demands that are remembered are limited.
+MAX_NUMBERS = 4096
+
 LaneKey = tuple[str, str, resource.JobClass, str]
 
 
@@ -131,11 +158,18 @@
     Removal is a deletion from a dict, also for jobs in the middle of a lane.
     """
 
-    __slots__ = ("_lanes", "_lane_of")
+    __slots__ = ("_added", "_lane_of", "_lanes", "_numbers")
 
     def __init__(self) -> None:
-        self._lanes: dict[Demand, dict[LaneKey, Lane]] = {}
-        self._lane_of: dict[str, tuple[Demand, LaneKey]] = {}
+        self._lanes: dict[int, dict[LaneKey, Lane]] = {}
+        self._numbers: dict[Demand, int] = {}
+        self._lane_of: dict[str, tuple[int, LaneKey]] = {}
+        self._added = 0
+
+    @property
+    def added(self) -> int:
+        """Return how many jobs were added so far."""
+        return self._added
 
     def __len__(self) -> int:
         return len(self._lane_of)
@@ -157,7 +191,11 @@
         equal jobs may use. Jobs that were stopped don't queue behind new ones.
         """
         spec = waiting.job.spec
-        demand = (waiting.shape, spec.repeatable)
+        self._added += 1
+        if len(self._numbers) >= MAX_NUMBERS:
+            # Demands that still wait under an old number are merely tried twice.
+            self._numbers.clear()
+        demand = self._numbers.setdefault((waiting.shape, spec.repeatable), self._added)
         again = "stopped" if waiting.job.epoch else ""
         if waiting.job.failed_on:
             again = waiting.job.job_id
@@ -165,7 +203,8 @@
         lanes = self._lanes.setdefault(demand, {})
         lane = lanes.get(key)
         if lane is None:
-            lane = lanes[key] = Lane(spec.account, rank)
+            is_retry = bool(waiting.job.failed_on)
+            lane = lanes[key] = Lane(spec.account, rank, demand, is_retry)
         lane.jobs[waiting.job.job_id] = waiting
         self._lane_of[waiting.job.job_id] = (demand, key)
 
@@ -183,10 +222,7 @@
                 del self._lanes[demand]
         return waiting
 
-    def demands(self) -> Iterable[Demand]:
-        """Return the distinct demands that wait."""
-        return self._lanes
-
-    def lanes(self, demand: Demand) -> Iterator[Lane]:
-        """Yield the lanes of a demand."""
-        yield from self._lanes.get(demand, {}).values()
+    def lanes(self) -> Iterator[Lane]:
+        """Yield all lanes, those of equal demand together."""
+        for lanes in self._lanes.values():
+            yield from lanes.values()
--- a/marjoramusher/placement/reserve.py
+++ b/marjoramusher/placement/reserve.py
@@ -13,6 +13,8 @@
 MAX_RACKS = 16
 # Beyond this, reservations would keep the small jobs out.
 MAX_RESERVATIONS = 2
+# A reservation looks at every job on some racks, so it is made at most this often.
+WANT_S = 1.0
 # Share of the present wait below which other workers are reserved instead.
 CHANGE_SHARE = 0.6
 
@@ -39,20 +41,33 @@
         self._ledger = book
         self._cells = cells
         self._made: dict[str, Reservation] = {}
+        self._next_want = 0.0
 
     def want(self, waiting: queue.Waiting, rank: int, now: float) -> None:
         """Reserve workers for a gang that could not be placed."""
         job_id = waiting.job.job_id
-        if job_id in self._made or len(self._made) >= MAX_RESERVATIONS:
-            return
-        if now - waiting.since < RESERVE_AFTER_S:
-            return
-        if waiting.shape.accelerators < MIN_ACCELERATORS:
+        if job_id in self._made or not self._is_wanted(waiting, now):
             return
+        self._next_want = now + WANT_S
         reservation = self._choose(waiting, now)
         if reservation is not None:
             self._made[job_id] = reservation
 
+    def is_due(self, waiting: queue.Waiting, now: float) -> bool:
+        """Tell whether trying a gang again may give or use a reservation."""
+        made = self._made.get(waiting.job.job_id)
+        if made is not None:
+            return made.next_try <= now
+        return self._is_wanted(waiting, now)
+
+    def _is_wanted(self, waiting: queue.Waiting, now: float) -> bool:
+        return (
+            waiting.shape.accelerators >= MIN_ACCELERATORS
+            and len(self._made) < MAX_RESERVATIONS
+            and now - waiting.since >= RESERVE_AFTER_S
+            and now >= self._next_want
+        )
+
     def drop(self, job_id: str) -> None:
         """Give up the reservation of a job that is placed or gone."""
         self._made.pop(job_id, None)
