--- a/bench/placement_driver.py
+++ b/bench/placement_driver.py
@@ -58,6 +58,9 @@
     placed: int = 0
     stops: dict[str, int] = {}
     plan_s: float = 0.0
+    plan_places: int = 0
+    idle_s: float = 0.0
+    idle: int = 0
     event_s: float = 0.0
     stranded: float = 0.0
     stranded_now: float = 0.0
@@ -164,7 +167,14 @@
     def _plan(self) -> None:
         before = time.perf_counter()
         made = self._placer.plan(self._now)
-        self.verdict.plan_s += time.perf_counter() - before
+        spent_s = time.perf_counter() - before
+        places = sum(isinstance(one, decision.Place) for one in made)
+        if places:
+            self.verdict.plan_s += spent_s
+            self.verdict.plan_places += places
+        else:
+            self.verdict.idle_s += spent_s
+            self.verdict.idle += 1
         for one in made:
             self._carry_out(one)
         if any(self._is_firm(one) for one in made):
@@ -425,7 +435,8 @@
         if self._now >= self._next_check:
             self._next_check = self._now + CHECK_S
             self._check_guarantees(placed=False)
-            self._sample_fragmentation()
+            if self._now < self._load.span_s:
+                self._sample_fragmentation()
         if any(k.state not in job.FINAL_STATES for k in self._jobs.values()) or any(
             action == self._submit for _, _, action, _ in self._events[:1]
         ):
--- a/bench/placement_load.py
+++ b/bench/placement_load.py
@@ -46,6 +46,7 @@
     configuration: record.Configuration
     subjects: list[Subject]
     faults: list[Fault]
+    span_s: float
 
 
 def rack_shape(tasks: int, accelerators: int) -> resource.GangShape:
@@ -147,6 +148,10 @@
         if job_class is resource.JobClass.URGENT:
             shape, size = rack_shape(1, int(rng.choice([1, 2, 4, 8]))), 1
         median_s = float(rng.choice([8.0, 30.0, 90.0]))
+        if rng.random() < 0.2 and shape.accelerators <= 2:
+            # Memory of such jobs is short in deployment B before accelerators are.
+            each = resource.Resources(shape.each.accelerators, shape.each.cores, 48_000)
+            shape = resource.GangShape(shape.tasks, each, shape.adjacency)
         for _ in range(size):
             submitted_at = at + float(rng.uniform(0, 2.0))
             run_s = median_s * float(rng.lognormal(0, 0.4))
@@ -185,6 +190,7 @@
         make_configuration(span_s),
         subjects,
         _make_faults(rng, workers, span_s),
+        span_s,
     )
 
 
