--- a/marjoramusher/placement/gang.py
+++ b/marjoramusher/placement/gang.py
@@ -447,20 +447,30 @@
         avoid = self._quarantine.avoided(now).union(waiting.job.failed_on)
         own = [e for e in entries if not avoid.intersection(e.workers)] or entries
         each = ledger.amounts_of(waiting.shape.each)
+        # Workers that a waiting gang has reserved are taken only if no others are free.
+        reserved = self._reserves.all_workers()
         options = []
+        free_now = []
         for entry in own[:MAX_CANDIDATES]:
             workers = guarantee.seats(outer, waiting.shape, entry.workers)
             amounts = ledger.spread(workers, each)
             if reclaim.room_for(self._ledger, amounts):
-                return [self._place(waiting, workers, 3, entry, now)]
+                if reserved.isdisjoint(workers):
+                    return [self._place(waiting, workers, 3, entry, now)]
+                free_now.append((entry, workers))
             options.append((entry, entry.workers, workers, amounts))
-        elsewhere = self._cells.locate(outer, ledger.solid_free, avoid)
+        elsewhere = self._cells.locate(outer, ledger.solid_free, avoid | reserved)
+        if elsewhere is None and not free_now and reserved:
+            elsewhere = self._cells.locate(outer, ledger.solid_free, avoid)
         if elsewhere is not None:
             entry = own[0]
             self._plan.unassign(entry)
             self._plan.assign(entry, elsewhere)
             workers = guarantee.seats(outer, waiting.shape, elsewhere)
             return [self._place(waiting, workers, 3, entry, now)]
+        if free_now:
+            entry, workers = free_now[0]
+            return [self._place(waiting, workers, 3, entry, now)]
         others = self._cells.candidates(outer, ledger.firm_free, avoid)
         for found in reclaim.first(others, MAX_CANDIDATES):
             workers = guarantee.seats(outer, waiting.shape, found)
--- a/marjoramusher/placement/reserve.py
+++ b/marjoramusher/placement/reserve.py
@@ -133,6 +133,10 @@
             if made.job_id != job_id and ends_at > made.ready_at
         )
 
+    def all_workers(self) -> set[str]:
+        """Return the workers of all reservations."""
+        return {w for made in self._made.values() for w in made.workers}
+
     def workers(self, job_ids: Iterable[str]) -> set[str]:
         """Return the workers of some reservations."""
         return {w for job_id in job_ids for w in self._made[job_id].workers}
