--- a/bench/placement_load.py
+++ b/bench/placement_load.py
@@ -14,6 +14,7 @@
 ACCOUNTS = ("north", "south", "east", "west")
 # Relative demand; one client account is much larger than the others.
 DEMAND = (0.45, 0.25, 0.2, 0.1)
+CLAIM_EVERY_S = 90.0
 MEMORY_MB = {"A": 256_000, "B": 128_000}
 
 
@@ -45,6 +46,7 @@
     configuration: record.Configuration
     subjects: list[Subject]
     faults: list[Fault]
+    span_s: float
 
 
 def rack_shape(tasks: int, accelerators: int) -> resource.GangShape:
@@ -126,14 +128,17 @@
     subjects: list[Subject] = []
     work_s = utilization * span_s * len(workers) * 8
     serial = 0
+    claims = _make_claims(rng, span_s)
+    subjects += claims
+    work_s -= sum(s.run_s * s.job.spec.shape.accelerators for s in claims)
     while work_s > 0:
         # A burst of one account: similar jobs within seconds.
         account = ACCOUNTS[rng.choice(4, p=DEMAND)]
         at = _draw_time(rng, span_s)
         size = int(rng.choice([1, 2, 5, 40], p=[0.55, 0.3, 0.12, 0.03]))
         shape = shapes[rng.choice(len(shapes), p=[share for share, _ in shapes])][1]
-        if size == 40 and shape.accelerators > 4:
-            size = 6
+        # Bursts stay within the size of the failure domain.
+        size = min(size, max(1, 160 // shape.accelerators))
         batch = int(rng.integers(3))
         job_class = (
             resource.JobClass.URGENT,
@@ -143,6 +148,10 @@
         if job_class is resource.JobClass.URGENT:
             shape, size = rack_shape(1, int(rng.choice([1, 2, 4, 8]))), 1
         median_s = float(rng.choice([8.0, 30.0, 90.0]))
+        if rng.random() < 0.2 and shape.accelerators <= 2:
+            # Memory of such jobs is short in deployment B before accelerators are.
+            each = resource.Resources(shape.each.accelerators, shape.each.cores, 48_000)
+            shape = resource.GangShape(shape.tasks, each, shape.adjacency)
         for _ in range(size):
             submitted_at = at + float(rng.uniform(0, 2.0))
             run_s = median_s * float(rng.lognormal(0, 0.4))
@@ -181,9 +190,29 @@
         make_configuration(span_s),
         subjects,
         _make_faults(rng, workers, span_s),
+        span_s,
     )
 
 
+def _make_claims(rng: np.random.Generator, span_s: float) -> list[Subject]:
+    """Make jobs that come now and then for exactly what is guaranteed."""
+    claims = []
+    for name, (account, _, shape) in GUARANTEES.items():
+        at = float(rng.exponential(CLAIM_EVERY_S))
+        while at < span_s:
+            run_s = float(rng.uniform(10.0, 40.0))
+            spec = job.JobSpec(account, f"{account}-0", shape, run_s=run_s)
+            one = job.Job(
+                f"job-{DOMAIN}-{name}-{len(claims)}",
+                spec,
+                job.JobState.QUEUED,
+                WALL_OFFSET_S + at,
+            )
+            claims.append(Subject(one, run_s))
+            at += float(rng.exponential(CLAIM_EVERY_S))
+    return claims
+
+
 def _draw_time(rng: np.random.Generator, span_s: float) -> float:
     while True:
         at = float(rng.uniform(0, span_s))
