Refuse a gap in the log before it is written

An append with a gap was written and synced before it raised, which left a log that no longer loads. Any unexpected failure of a turn now takes the group out of service instead of going on with lost effects. Bytes are counted under the instance id on both sides.

--- a/marjoramusher/groups/manager_test.py
+++ b/marjoramusher/groups/manager_test.py
@@ -195,6 +195,19 @@
             assert answer == command.upper()
 
 
+async def test_failure_domain_that_appears_later_gets_its_own_group(cluster):
+    await form(cluster)
+    for name in ("i4", "i5"):
+        await cluster.add(name, "d4", 3, disk=name == "i4")
+    made = cluster.instances["i5"]
+    assert await made.group("domain:d4").propose(b"a", PATIENCE_S) == b"A"
+    await until(lambda: made.manager.formed)
+    voters = [v.instance for v in made.group("domain:d4").config.voters]
+    assert voters[:2] == ["i4", "i5"]
+    assert len(voters) == 3
+    await until(lambda: cluster.instances["i4"].commands("domain:d4") == [b"a"])
+
+
 async def test_faulty_command_is_answered_and_the_group_goes_on(cluster):
     leader = await form(cluster)
     with pytest.raises(errors.MarjoramusherError) as caught:
@@ -259,6 +272,27 @@
     assert made.commands() == [*(str(n).encode() for n in range(30)), b"again"]
 
 
+async def test_state_survives_the_restart_of_all_instances_at_once(cluster):
+    leader = await form(cluster, (True, True, False))
+    for n in range(30):
+        await leader.group().propose(str(n).encode(), PATIENCE_S)
+    old = cluster.instances["i3"].manager.own.store_id
+    cluster_id = leader.manager.own.cluster_id
+    stopped = list(cluster.instances.values())
+    for made in stopped:
+        if made.files is not None:
+            made.files.lose_unsynced()
+        await made.stop()
+    cluster.instances, cluster.seeds = {}, []
+    for made in stopped:
+        domain, _, expect, limits = made._arguments
+        disk = made.files is not None
+        await cluster.add(made.name, domain, expect, disk, made.files, limits)
+    made = await replaced(cluster, "i3", old)
+    assert made.commands() == [*(str(n).encode() for n in range(30)), b"again"]
+    assert made.manager.own.cluster_id == cluster_id
+
+
 async def test_damaged_store_is_refused_and_replaced(cluster):
     leader = await form(cluster)
     for n in range(5):
--- a/marjoramusher/groups/runner.py
+++ b/marjoramusher/groups/runner.py
@@ -427,7 +427,13 @@
             # The stores of the group contradict each other: taking part any longer
             # could only spread it.
             self._fail(failure)
-            return
+        except Exception as failure:
+            # Effects are lost, so the node no longer matches its store.
+            self._fail(
+                errors.MarjoramusherError(
+                    errors.ErrorCode.INTERNAL, f"{self._name} failed: {failure!r}"
+                )
+            )
         self._set_timer()
 
     def _persist(self, persist: message.Persist | None) -> None:
--- a/marjoramusher/instances/client.py
+++ b/marjoramusher/instances/client.py
@@ -195,7 +195,12 @@
         peer = self._peers.get(address)
         if peer is None:
             peer = _Peer(
-                address, self._instance_id, self._token, self._clock, self._metrics
+                address,
+                self._ids,
+                self._instance_id,
+                self._token,
+                self._clock,
+                self._metrics,
             )
             self._peers[address] = peer
         return peer
@@ -261,12 +266,14 @@
     def __init__(
         self,
         address: str,
+        ids: dict[str, str],
         instance_id: str,
         token: bytes,
         time: clock.Clock,
         values: metrics.Metrics,
     ) -> None:
         self._address = address
+        self._ids = ids
         self._instance_id = instance_id
         self._token = token
         self._clock = time
@@ -282,6 +289,11 @@
         self._failed_s = -RECONNECT_S
         self._carrier: _Connection | None = None  # carries the stream of batches
 
+    @property
+    def _label(self) -> str:
+        """Return the instance id for counters, or the address until it is known."""
+        return self._ids.get(self._address, self._address)
+
     def send(self, method: str, body: bytes, delay_s: float = 0.0) -> None:
         """Queue a message for the next turn of the loop, or for a later one."""
         self._queue.append((method, body))
@@ -291,7 +303,7 @@
         ):
             _, dropped = self._queue.popleft()
             self._queued_bytes -= len(dropped)
-            self._metrics.increment("peer_dropped_messages", peer=self._address)
+            self._metrics.increment("peer_dropped_messages", peer=self._label)
         self._check_silence()
         if not delay_s:
             self._flush()
@@ -335,7 +347,7 @@
         if data is None:
             raise errors.PeerUnreachableError(instance_id)
         connection.progress_s = self._clock.monotonic()
-        self._metrics.increment("peer_received_bytes", len(data), peer=self._address)
+        self._metrics.increment("peer_received_bytes", len(data), peer=self._label)
         return data
 
     async def stream(
@@ -362,7 +374,7 @@
                             return
                         started_s = connection.progress_s = self._clock.monotonic()
                         self._metrics.increment(
-                            "peer_received_bytes", len(data), peer=self._address
+                            "peer_received_bytes", len(data), peer=self._label
                         )
                         yield data
             except TimeoutError as error:
@@ -409,14 +421,14 @@
         """Abandon a connection on which nothing has arrived since a call began."""
         if connection.progress_s <= since_s and self._connection is connection:
             self._lose(connection)
-            self._metrics.increment("peer_silent_connections", peer=self._address)
+            self._metrics.increment("peer_silent_connections", peer=self._label)
 
     def _check_silence(self) -> None:
         if not self._unacknowledged:
             return
         since_s = max(self._unacknowledged[0][1], self._acknowledged_s)
         if self._clock.monotonic() - since_s > SILENCE_S:
-            self._metrics.increment("peer_silent_connections", peer=self._address)
+            self._metrics.increment("peer_silent_connections", peer=self._label)
             log.state_change("peer.connection_silent", address=self._address)
             if self._sender is not None:
                 self._sender.cancel()
@@ -493,7 +505,7 @@
                 while self._unacknowledged and self._unacknowledged[0][0] <= count:
                     self._unacknowledged.popleft()
         except (*_BROKEN, errors.BadRequestError):
-            self._metrics.increment("peer_broken_streams", peer=self._address)
+            self._metrics.increment("peer_broken_streams", peer=self._label)
         finally:
             self._wake.set()
 
@@ -516,4 +528,4 @@
         self._queued_bytes = 0
 
     def _count_sent(self, data: bytes) -> None:
-        self._metrics.increment("peer_sent_bytes", len(data), peer=self._address)
+        self._metrics.increment("peer_sent_bytes", len(data), peer=self._label)
--- a/marjoramusher/instances/peer_test.py
+++ b/marjoramusher/instances/peer_test.py
@@ -123,6 +123,8 @@
     assert await pair.client.call("b", "echo", b"hi", 5) == b"a:hi"
     assert pair.values.counter("peer_received_bytes", peer="a") > 0
     assert pair.values.counter("peer_sent_bytes", peer="a") > 0
+    assert pair.values.counter("peer_sent_bytes", peer="b") > 0
+    assert pair.values.counter("peer_received_bytes", peer="b") > 0
 
 
 ANSWERS = {
--- a/marjoramusher/storage/store.py
+++ b/marjoramusher/storage/store.py
@@ -296,11 +296,11 @@
         try:
             if self._file is None or self._size >= self._segment_bytes:
                 self._start_segment()
+            self._state.apply(batch)  # refuses a gap before it is written
             self._write(batch)
         except OSError as failure:
             self._cut_back()
             raise self._fail(failure) from failure
-        self._state.apply(batch)
         segment = self._segments[-1]
         segment.last_index = max(segment.last_index, _highest(batch))
 
--- a/marjoramusher/storage/store_test.py
+++ b/marjoramusher/storage/store_test.py
@@ -276,3 +276,13 @@
     first = 5 if finished else 3
     last = 7 if finished else 6
     assert [e.index for e in state.entries] == list(range(first, last + 1))
+
+
+@pytest.mark.parametrize("kind", STORES)
+def test_entries_with_a_gap_are_refused_and_not_written(kind):
+    opened = STORES[kind]()
+    opened.load()
+    opened.append(None, None, (entry(1),))
+    with pytest.raises(ValueError, match="follows"):
+        opened.append(None, None, (entry(3),))
+    assert [e.index for e in opened.load().entries] == [1]
