Keep calls between instances from holding up each other

The h2 library lets a peer open 100 streams, so that 300 calls in progress stopped every other call, and eight answers that their callers did not read filled the window of the connection and stopped all traffic to that peer. The server now accepts 8192 streams, and the window of a stream is small beside that of its connection. Both tests failed before.

--- a/marjoramusher/instances/client.py
+++ b/marjoramusher/instances/client.py
@@ -21,6 +21,9 @@
 RECONNECT_S = 0.25
 QUEUE_MESSAGES = 4096
 QUEUE_BYTES = 32 * 1024 * 1024
+# An answer that its caller does not read must not stop the other calls.
+CONNECTION_WINDOW_BYTES = 64 * 1024 * 1024
+STREAM_WINDOW_BYTES = 256 * 1024
 MAX_STREAM_BYTES = 256 * 1024 * 1024
 
 _BROKEN = (
@@ -235,7 +238,13 @@
     def __init__(self, address: str, now: float) -> None:
         host, _, port = address.rpartition(":")
         self.channel = grpclib.client.Channel(
-            host.strip("[]"), int(port), codec=frame.RawCodec()
+            host.strip("[]"),
+            int(port),
+            codec=frame.RawCodec(),
+            config=grpclib.config.Configuration(
+                http2_connection_window_size=CONNECTION_WINDOW_BYTES,
+                http2_stream_window_size=STREAM_WINDOW_BYTES,
+            ),
         )
         self.opened_s = now
         self.progress_s = now
--- a/marjoramusher/instances/peer_test.py
+++ b/marjoramusher/instances/peer_test.py
@@ -37,6 +37,9 @@
 
         async def parts(sender, body):
             yield b"x" * 100_000
+            if body == b"long":
+                for _ in range(64):
+                    yield bytes(256 * 1024)
             if body == b"fail":
                 raise errors.NotLeaderError("c")
             if body == b"abort":
@@ -284,6 +287,30 @@
     assert b"".join(data) == b"x" * 100_000 + b"y"
 
 
+async def test_many_calls_in_progress_do_not_hold_up_another(pair):
+    hanging = [
+        asyncio.ensure_future(pair.client.call("b", "echo", b"hang", 30))
+        for _ in range(300)
+    ]
+    await asyncio.sleep(0)
+    assert await pair.client.call("b", "echo", b"1", 20) == b"a:1"
+    for call in hanging:
+        call.cancel()
+    await asyncio.gather(*hanging, return_exceptions=True)
+
+
+async def test_unread_streams_do_not_hold_up_other_traffic(pair):
+    streams = [pair.client.stream("b", "parts", b"long", 30) for _ in range(8)]
+    for stream in streams:
+        await anext(stream)
+    await asyncio.sleep(0.2)  # the peer sends as much as the windows allow
+    assert await pair.client.call("b", "echo", bytes(100_000), 20)
+    pair.client.send("b", "note", b"1")
+    assert await pair.notes(1)
+    for stream in streams:
+        await stream.aclose()
+
+
 STREAMS = {
     "handler's error": (b"fail", errors.NotLeaderError, {}),
     "connection reset": (b"abort", client.StreamCutError, {}),
--- a/marjoramusher/instances/server.py
+++ b/marjoramusher/instances/server.py
@@ -13,6 +13,7 @@
 import grpclib.protocol
 import grpclib.server
 import h2.exceptions
+import h2.settings
 import xxhash
 
 from ..core import codec, errors
@@ -23,6 +24,8 @@
 LAST_ACKNOWLEDGE_S = 1.5  # when no other batch follows; below the peer's patience
 SWALLOW_S = 60.0
 WINDOW_BYTES = 1024 * 1024  # bounds what an unread stream holds in memory
+CONNECTION_WINDOW_BYTES = 64 * 1024 * 1024  # unread streams must not stop the others
+MAX_STREAMS = 8192  # above the requests that one instance relays to another
 
 CallHandler: TypeAlias = Callable[[str, bytes], Awaitable[bytes]]
 OneWayHandler: TypeAlias = Callable[[str, bytes], None]
@@ -91,7 +94,7 @@
             [self],
             codec=frame.RawCodec(),
             config=grpclib.config.Configuration(
-                http2_connection_window_size=4 * WINDOW_BYTES,
+                http2_connection_window_size=CONNECTION_WINDOW_BYTES,
                 http2_stream_window_size=WINDOW_BYTES,
             ),
         )
@@ -251,11 +254,24 @@
                 protocol.connection.close()
 
     def _protocol_factory(self) -> grpclib.protocol.H2Protocol:
-        protocol = super()._protocol_factory()
+        made = super()._protocol_factory()
+        protocol = _Protocol(made.handler, made.config, made.h2_config)
         self._protocols.add(protocol)
         return protocol
 
 
+class _Protocol(grpclib.protocol.H2Protocol):
+    """A connection that accepts more streams than the 100 of the h2 library."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Announce the number of streams that the peer may open."""
+        super().connection_made(transport)
+        self.connection._connection.update_settings(
+            {h2.settings.SettingCodes.MAX_CONCURRENT_STREAMS: MAX_STREAMS}
+        )
+        self.connection.flush()
+
+
 class _Receipts:
     """Acknowledge batches of one stream, at most once in `ACKNOWLEDGE_S`."""
 
