Give streamed answers a connection of their own

Consensus messages shared a connection with relayed answers and queued behind them in the buffers of a slow link. Streams now use a second connection to each peer, which is opened when first used. 101 tests of transport and groups pass.

--- a/marjoramusher/instances/client.py
+++ b/marjoramusher/instances/client.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import contextlib
+import enum
 from collections.abc import AsyncIterator, Iterable
 
 import grpclib.client
@@ -41,7 +42,7 @@
 
 
 class PeerClient:
-    """Call other instances over one connection each.
+    """Call other instances over one connection each, and one for streamed answers.
 
     Parameters
     ----------
@@ -269,8 +270,19 @@
             self.channel.close()
 
 
+class _Use(enum.Enum):
+    """What a connection carries.
+
+    Large answers have a connection of their own, since messages queue behind them in
+    the buffers of a slow link for longer than an election timeout.
+    """
+
+    CONTROL = "control"
+    ANSWERS = "answers"
+
+
 class _Peer:
-    """Connection and queue of one-way messages to one address."""
+    """Connections and queue of one-way messages to one address."""
 
     def __init__(
         self,
@@ -287,7 +299,7 @@
         self._token = token
         self._clock = time
         self._metrics = values
-        self._connection: _Connection | None = None
+        self._connections: dict[_Use, _Connection] = {}
         self._queue: collections.deque[tuple[str, bytes]] = collections.deque()
         self._queued_bytes = 0
         self._wake: asyncio.Event = asyncio.Event()
@@ -331,7 +343,7 @@
     async def call(self, instance_id: str, envelope: bytes, timeout_s: float) -> bytes:
         """Make a unary call and return the encoded reply."""
         started_s = self._clock.monotonic()
-        connection = await self._connect(instance_id, timeout_s)
+        connection = await self._connect(_Use.CONTROL, instance_id, timeout_s)
         remaining_s = timeout_s - (self._clock.monotonic() - started_s)
         with connection.use():
             try:
@@ -364,7 +376,7 @@
     ) -> AsyncIterator[bytes]:
         """Make a call whose reply is a stream of encoded chunks."""
         started_s = self._clock.monotonic()
-        connection = await self._connect(instance_id, progress_s)
+        connection = await self._connect(_Use.ANSWERS, instance_id, progress_s)
         with connection.use():
             try:
                 async with connection.channel.request(
@@ -403,14 +415,17 @@
         if self._sender is not None:
             self._sender.cancel()
             self._sender = None
-        if self._connection is not None:
-            self._connection.channel.close()
-            self._connection = None
-
-    async def _connect(self, instance_id: str, timeout_s: float) -> _Connection:
-        if self._connection is None:
-            self._connection = _Connection(self._address, self._clock.monotonic())
-        connection = self._connection
+        for connection in self._connections.values():
+            connection.channel.close()
+        self._connections.clear()
+
+    async def _connect(
+        self, use: _Use, instance_id: str, timeout_s: float
+    ) -> _Connection:
+        connection = self._connections.get(use)
+        if connection is None:
+            connection = _Connection(self._address, self._clock.monotonic())
+            self._connections[use] = connection
         try:
             async with asyncio.timeout(min(timeout_s, CONNECT_S)):
                 await connection.channel.__connect__()
@@ -423,12 +438,14 @@
 
     def _lose(self, connection: _Connection) -> None:
         connection.abandon()
-        if self._connection is connection:
-            self._connection = None
+        for use, current in tuple(self._connections.items()):
+            if current is connection:
+                del self._connections[use]
 
     def _abandon_if_silent(self, connection: _Connection, since_s: float) -> None:
         """Abandon a connection on which nothing has arrived since a call began."""
-        if connection.progress_s <= since_s and self._connection is connection:
+        current = connection in self._connections.values()
+        if connection.progress_s <= since_s and current:
             self._lose(connection)
             self._metrics.increment("peer_silent_connections", peer=self._label)
 
@@ -454,7 +471,7 @@
             self._drop_queue()
             return
         try:
-            connection = await self._connect(self._address, CONNECT_S)
+            connection = await self._connect(_Use.CONTROL, self._address, CONNECT_S)
             self._carrier = connection
             with connection.use():
                 async with connection.channel.request(
