Hold back workers that answer no call and keep jobs free of blame

A worker that announces itself but answers no call kept getting gangs, and a start that it refused by its epoch counted against the job. The core now withholds such a worker for a doubling time, tells stale refusals from others, and takes two absent reports before it gives a task up. A task that was only prepared no longer counts as run once its worker reports it stopped.

--- a/marjoramusher/workers/client.py
+++ b/marjoramusher/workers/client.py
@@ -20,10 +20,6 @@
 """A stop is repeated by the core until the lease of the task is over."""
 
 
-class Refusal(errors.MarjoramusherError):
-    """A worker answered that it does not carry out a call."""
-
-
 class TaskClient:
     """Call workers; every call is idempotent for (task, epoch).
 
@@ -44,8 +40,9 @@
 
         Raises
         ------
-        Refusal
-            If the worker answered with an error.
+        MarjoramusherError
+            With code ``stale_epoch`` if the worker does not hold the task at this
+            epoch, ``target_failed`` if it refused for another reason.
         PeerUnreachableError
             If it did not answer; the call may still have arrived.
         """
@@ -84,21 +81,21 @@
         try:
             return msgspec.json.decode(body, type=announcement.TaskReport)
         except msgspec.DecodeError as error:
-            raise Refusal(
+            raise errors.MarjoramusherError(
                 errors.ErrorCode.TARGET_FAILED,
                 f"worker {order.worker} sent a malformed answer",
                 errors.Outcome.UNKNOWN,
             ) from error
 
 
-def _refusal(order: gang.Call, status: int, body: bytes) -> Refusal:
+def _refusal(order: gang.Call, status: int, body: bytes) -> errors.MarjoramusherError:
     text = body[:200].decode("utf-8", "replace")
     code = (
         errors.ErrorCode.STALE_EPOCH
         if status == 409
         else errors.ErrorCode.TARGET_FAILED
     )
-    return Refusal(
+    return errors.MarjoramusherError(
         code,
         f"worker {order.worker} refused {order.method.value} with {status}: {text}",
         errors.Outcome.UNKNOWN,
--- a/marjoramusher/workers/driver.py
+++ b/marjoramusher/workers/driver.py
@@ -12,7 +12,7 @@
 from ..jobs import command, machine
 from ..placement import placer
 from ..telemetry import log, metrics
-from . import client, gang
+from . import gang
 
 TICK_S = 0.1
 BATCH_S = 0.005  # events of a burst share one plan
@@ -203,8 +203,7 @@
             event = gang.Answered(call, report)
         except errors.MarjoramusherError as error:
             self._metrics.increment("task_call_failures", method=method)
-            refused = isinstance(error, client.Refusal)
-            event = gang.Answered(call, None, refused, error.message)
+            event = gang.Answered(call, None, error.code, error.message)
         if self._core is core:
             self._step(event)
             self._kick.set()
--- a/marjoramusher/workers/gang.py
+++ b/marjoramusher/workers/gang.py
@@ -18,6 +18,7 @@
 
 RECLAIM_GRACE_S = 1.0  # checkpoint time of a gang that gives way
 MISSING_S = 2.0  # an announcement may have left before a call and arrive after it
+MISSING_COUNT = 2  # a single one may have been delayed for longer
 RETRY_S = 0.5
 SETTLE_S = 1.5  # every live worker announces itself once within it
 REJECT_AFTER_S = 10.0  # a job may only seem too large while workers are coming back
@@ -35,11 +36,6 @@
     STOPPING = "stopping"
 
 
-RENEWED_PHASES = frozenset(
-    {Phase.RECONCILING, Phase.PREPARING, Phase.STARTING, Phase.RUNNING, Phase.GRACE}
-)
-
-
 class TaskStatus(enum.Enum):
     """What the leader knows of a task.
 
@@ -64,6 +60,14 @@
 LIVE = (announcement.TaskState.PREPARED, announcement.TaskState.RUNNING)
 
 
+RAN = (
+    announcement.TaskState.RUNNING,
+    announcement.TaskState.DONE,
+    announcement.TaskState.FAILED,
+)
+"""States that show a start; a stopped task may only have been prepared."""
+
+
 class Method(enum.Enum):
     """Calls that a worker serves."""
 
@@ -140,13 +144,15 @@
     ----------
     report : TaskReport or None
         The task after the call; ``None`` if the call failed.
-    refused : bool
-        True if the worker answered that it won't, False if it did not answer.
+    code : ErrorCode or None
+        ``stale_epoch`` if the worker does not hold the task at this epoch,
+        ``target_failed`` if it refuses for another reason, ``peer_unreachable`` if it
+        did not answer.
     """
 
     call: Call
     report: announcement.TaskReport | None = None
-    refused: bool = False
+    code: errors.ErrorCode | None = None
     message: str = ""
 
 
@@ -178,6 +184,7 @@
     """One task of a gang."""
 
     __slots__ = (
+        "absences",
         "checkpoint",
         "confirmed_at",
         "index",
@@ -198,6 +205,7 @@
         self.status = TaskStatus.PREPARING
         self.started = False  # a start may have reached the worker
         self.confirmed_at = 0.0
+        self.absences = 0  # announcements in a row that do not name the task
         self.checkpoint = ""
         self.progress_s = 0.0
         self.saved = False  # has answered the checkpoint of this stop
@@ -355,6 +363,9 @@
         self._now = now
         self._at = at
         self._effects = []
+        # Committed changes come first, so that a cancelled job is not started by the
+        # answer that completes its preparation.
+        self._take_changes()
         match event:
             case Announced():
                 self._announced(event.announcement)
@@ -369,7 +380,6 @@
                 self._placer.configure(event.configuration, now)
             case Ticked():
                 self._ticked()
-        self._take_changes()
         return self._effects
 
     # Committed changes.
@@ -426,9 +436,6 @@
             self._call(gang, task, Method.PREPARE)
 
     def _start(self, gang: Gang) -> None:
-        current = self._jobs.job(gang.job_id)
-        if current is None or current.state is not model.JobState.ALLOCATED:
-            return  # cancelled meanwhile
         gang.phase = Phase.STARTING
         for task in gang.tasks.values():
             task.status = TaskStatus.STARTING
@@ -439,7 +446,7 @@
         call = event.call
         known = self._table.worker(call.worker)
         if known is not None:
-            answered = event.report is not None or event.refused
+            answered = event.code is not errors.ErrorCode.PEER_UNREACHABLE
             known.called(answered, self._now)
             if not answered:
                 self._close(call.worker, known)
@@ -478,8 +485,8 @@
             self._start_failed(gang, task, event)
 
     def _start_failed(self, gang: Gang, task: Task, event: Answered) -> None:
-        if event.refused:
-            # Silence says nothing about the job, which must not be blamed for it.
+        # Silence or a restart of the worker says nothing about the job.
+        if event.code is errors.ErrorCode.TARGET_FAILED:
             self._task_failed(gang, task, event.message)
         self._want_stop(gang, command.StopCause.START_FAILED)
 
@@ -511,11 +518,12 @@
             if report.epoch != gang.epoch:
                 continue  # its lease is not renewed; the calls carry a higher epoch
             seen.add(report.task_id)
+            task.absences = 0
             touched[job_id] = gang
             self._take_report(gang, task, report)
-            if gang.phase in RENEWED_PHASES and (
-                gang.cause is None or gang.phase is Phase.GRACE
-            ):
+            # A gang that stops soon is not renewed, so that a worker that answers no
+            # call is free when its lease is over.
+            if gang.cause is None or gang.phase is Phase.GRACE:
                 self._table.renew(task.task_id, self._now)
                 renewals.append(
                     announcement.LeaseRenewal(
@@ -556,7 +564,7 @@
     def _take_report(
         self, gang: Gang, task: Task, report: announcement.TaskReport
     ) -> None:
-        if report.state is not announcement.TaskState.PREPARED:
+        if report.state in RAN:
             task.started = True
         if report.checkpoint and gang.phase is not Phase.CHECKPOINTING:
             task.checkpoint = report.checkpoint
@@ -602,9 +610,12 @@
             return
         if task.status is TaskStatus.UNSEEN:
             task.status = TaskStatus.MISSING
-        elif task.status in (TaskStatus.PREPARED, TaskStatus.RUNNING) and (
-            restarted or self._now > task.confirmed_at + MISSING_S
-        ):
+            return
+        if task.status not in (TaskStatus.PREPARED, TaskStatus.RUNNING):
+            return
+        task.absences += 1
+        late = self._now <= task.confirmed_at + MISSING_S
+        if restarted or (task.absences >= MISSING_COUNT and not late):
             task.status = TaskStatus.MISSING
             self._want_stop(gang, command.StopCause.WORKER_LOST)
 
--- a/marjoramusher/workers/gang_test.py
+++ b/marjoramusher/workers/gang_test.py
@@ -8,6 +8,7 @@
 import contextlib
 import datetime
 
+import msgspec
 import pytest
 
 from marjoramusher.core import announcement, errors, record, resource
@@ -29,7 +30,8 @@
         self.name = name
         self.incarnation = 1
         self.alive = True
-        self.tasks = {}  # task id -> [epoch, state, lease end, run end]
+        self.deaf = False  # announces itself but answers no call
+        self.tasks = {}  # task id -> [epoch, state, lease end, run end, checkpoint]
         self.seen = {}
 
     def expire(self, now):
@@ -49,7 +51,8 @@
         task = self.tasks.get(call.task_id)
         if call.method is gang.Method.PREPARE and fresh:
             lease_until = now + call.order.lease_s
-            task = [epoch, announcement.TaskState.PREPARED, lease_until, 0]
+            state, checkpoint = announcement.TaskState.PREPARED, call.order.checkpoint
+            task = [epoch, state, lease_until, 0, checkpoint]
             self.tasks[call.task_id] = task
         elif call.method is gang.Method.STOP:
             if task and task[1] is not announcement.TaskState.DONE:
@@ -57,14 +60,17 @@
         elif task is None or task[0] != epoch or task[1].value == "stopped":
             return None
         elif call.method is gang.Method.START and task[1].value == "prepared":
-            task[1:] = [RUNNING, task[2], now + run_s]
-        state = task[1] if task else announcement.TaskState.STOPPED
-        checkpoint = call.order.checkpoint
-        return announcement.TaskReport(call.task_id, epoch, state, checkpoint, 1.0)
+            task[1], task[3] = RUNNING, now + run_s
+        elif call.method is gang.Method.CHECKPOINT:
+            task[4] = call.order.checkpoint
+        if task is None:
+            state = announcement.TaskState.STOPPED
+            return announcement.TaskReport(call.task_id, epoch, state)
+        return announcement.TaskReport(call.task_id, epoch, task[1], task[4], 1.0)
 
     def announcement(self):
         reports = tuple(
-            announcement.TaskReport(task_id, task[0], task[1])
+            announcement.TaskReport(task_id, task[0], task[1], task[4], 1.0)
             for task_id, task in self.tasks.items()
         )
         return announcement.WorkerAnnouncement(
@@ -149,7 +155,12 @@
         self.trace.append(f"{self.now:.1f} {effect.worker} {name}")
         worker = self.workers[effect.worker]
         report = None
-        if worker.alive and effect.url and bent not in ("lost", "refused"):
+        if (
+            worker.alive
+            and not worker.deaf
+            and effect.url
+            and bent not in ("lost", "refused")
+        ):
             started = worker.tasks.get(effect.task_id, [0, None])[1]
             report = worker.call(effect, self.now, self.run_s)
             if report is not None and effect.method is gang.Method.START:
@@ -158,11 +169,15 @@
                 self.starts[effect.job_id].add(effect.gang_epoch)
         if bent == "answer lost":
             report = None
-        refused = bent == "refused"
-        if report is None and not refused and worker.alive and bent is None:
-            refused = True  # by its epoch
-        answer = gang.Answered(effect, report, refused, "no answer")
-        if report is None and not refused:
+        code = None
+        if bent == "refused":
+            code = errors.ErrorCode.TARGET_FAILED
+        elif report is None and worker.alive and not worker.deaf and not bent:
+            code = errors.ErrorCode.STALE_EPOCH
+        elif report is None:
+            code = errors.ErrorCode.PEER_UNREACHABLE
+        answer = gang.Answered(effect, report, code)
+        if code is errors.ErrorCode.PEER_UNREACHABLE:
             tries = 1 if effect.method is gang.Method.STOP else 2
             self.later.append((self.now + tries * 1.0, self.core, answer))
         else:
@@ -234,6 +249,11 @@
     session.workers[name].incarnation += 1
 
 
+def _forget(session, effect):
+    name = effect.worker if isinstance(effect, gang.Call) else "w1"
+    session.workers[name].tasks.clear()
+
+
 def _depose(session, effect):
     session.now += 1.5
     session.elect()
@@ -256,6 +276,7 @@
     _lose_answer,
     _kill,
     _restart,
+    _forget,
     _depose,
     _depose_after,
 ]
@@ -274,7 +295,9 @@
     job_id = session.submit(repeatable=repeatable)
     item = session.until_ended(job_id)
     assert session.steps >= step
-    if repeatable:
+    blamed = fault is _refuse and 1 < step < 8
+    assert bool(item.failed_on) == blamed  # silence is not the job's fault
+    if repeatable or (step <= 4 and fault not in (_depose, _depose_after)):
         assert item.state is STATES.DONE
     else:
         assert len(session.starts[job_id]) <= 1
@@ -330,7 +353,7 @@
     session.submit()
     session.advance(3.0)
     for worker in session.workers.values():
-        worker.alive = worker.name == "w3"
+        worker.alive = worker.name == "w0"
     session.elect()
     waiting = session.submit(tasks=1)
     session.advance(table.LEASE_OVER_S - TICK_S)
@@ -342,20 +365,40 @@
 def test_tasks_that_the_machine_does_not_know_keep_a_worker_out():
     """After a recovery with loss, workers may run gangs of lost commands."""
     session = Session(workers=1)
-    lost = [5, RUNNING, 1e9, 1e9]
-    session.workers["w0"].tasks["job-fd-a-77.0"] = lost
+    worker = session.workers["w0"]
+    worker.tasks["job-fd-a-77.0"] = [5, RUNNING, 1e9, 1e9, ""]
+    worker.replied = lambda reply, now: stops.append(reply.stop)
     session.check = lambda: None
-    first = session.step(gang.Announced(session.workers["w0"].announcement()))
-    assert first[0].stop == ("job-fd-a-77.0",)
+    stops = []
     job_id = session.submit(tasks=1)
-    session.workers["w0"].alive = False
-    session.advance(2.0)
+    session.advance(4.0)
+    assert stops == [("job-fd-a-77.0",)] * 4
     assert session.jobs.job(job_id).state is STATES.QUEUED
-    del session.workers["w0"].tasks["job-fd-a-77.0"], session.check
-    session.workers["w0"].alive = True
+    worker.tasks.clear()
+    del worker.replied, session.check
     assert session.until_ended(job_id).state is STATES.DONE
 
 
+def test_cancel_is_seen_before_the_answer_that_would_start_the_gang():
+    session = Session()
+    job_id = session.submit(tasks=1)
+    session.fault = lambda session, effect: (
+        "dropped"
+        if isinstance(effect, gang.Call) and held.append(effect) is None
+        else None
+    )
+    held = []
+    session.advance(2.0)
+    prepare = held[0]
+    cancel = command.encode(command.CancelJob(session.at, job_id))
+    session.jobs.apply(0, cancel)
+    report = announcement.TaskReport(
+        prepare.task_id, 1, announcement.TaskState.PREPARED
+    )
+    effects = session.step(gang.Answered(prepare, report))
+    assert [e.method for e in effects] == [gang.Method.STOP]
+
+
 def test_late_reports_and_answers_of_old_epochs_change_nothing():
     session = Session(run_s=60.0)
     calls = []
@@ -376,17 +419,18 @@
         for state in announcement.TaskState:
             report = announcement.TaskReport(call.task_id, 1, state, "old", 9.0)
             session.step(gang.Answered(call, report))
-        session.step(gang.Answered(call, None, True, "late"))
-    stale = session.workers["w0"].announcement()
-    reports = tuple(
-        announcement.TaskReport(task.task_id, 1, announcement.TaskState.FAILED)
-        for task in tasks
-    )
-    stale = announcement.WorkerAnnouncement(
-        *(getattr(stale, name) for name in stale.__struct_fields__[:-1]), reports
-    )
+        session.step(gang.Answered(call, None, errors.ErrorCode.TARGET_FAILED))
+    task = item.allocation.tasks[0]
+    stale = session.workers[task.worker].announcement()
+    reports = (announcement.TaskReport(task.task_id, 1, announcement.TaskState.FAILED),)
+    stale = msgspec.structs.replace(stale, tasks=reports)
     effects = session.step(gang.Announced(stale))
-    assert effects[-1].renewals == ()
+    assert effects == [gang.Reply((), ())]
+    older = msgspec.structs.replace(
+        session.workers[task.worker].announcement(), incarnation=0
+    )
+    with pytest.raises(errors.MarjoramusherError):
+        session.step(gang.Announced(older))
     session.advance(TICK_S)
     assert session.jobs.snapshot() == before
 
@@ -398,6 +442,17 @@
     session.step(gang.Configured(session.configuration))
 
 
+def test_gang_that_loses_a_worker_in_its_grace_stops_at_once():
+    session = Session(run_s=60.0)
+    _with_contract(session, 4.0, 30.0)
+    job_id = session.submit()
+    session.advance(5.0)
+    lost = session.jobs.job(job_id).allocation.tasks[0].worker
+    session.workers[lost].alive = False
+    assert session.until_ended(job_id).state is STATES.FAILED
+    assert session.now < 5.0 + table.LEASE_OVER_S + 1.0
+
+
 @pytest.mark.parametrize("deposed", [False, True])
 def test_expired_contract_gives_grace_then_stops_with_a_checkpoint(deposed):
     session = Session(run_s=60.0)
@@ -473,10 +528,46 @@
     item = session.jobs.job(job_id)
     complete = fault in (None, _depose)  # the next leader asks again
     assert item.checkpoint == (f"{job_id}@1" if complete else "")
+    assert item.progress_s == (1.0 if complete else 0.0)
     if fault is None:
         assert session.now <= 3.0 + gang.RECLAIM_GRACE_S + 3 * TICK_S
 
 
+def test_incomplete_checkpoint_keeps_the_one_before():
+    session = Session(workers=3, run_s=60.0)
+    policy = _scripted(session)
+    job_id = session.submit()
+    session.advance(3.0)
+    for _ in range(2):
+        policy.extra = (decision.Stop(job_id, decision.StopReason.RECLAIM),)
+        session.advance(3.1)
+        session.workers["w1"].deaf = True
+    session.advance(2.0)
+    item = session.jobs.job(job_id)
+    assert (item.epoch, item.checkpoint) == (4, f"{job_id}@1")
+
+
+def test_deaf_worker_is_waited_out_by_its_lease():
+    """A worker that announces itself but answers no call must not hold its gang."""
+    session = Session(run_s=60.0)
+    policy = _scripted(session)
+    job_id = session.submit()
+    session.advance(3.0)
+    worker = session.jobs.job(job_id).allocation.tasks[1].worker
+    session.workers[worker].deaf = True
+    policy.extra = (decision.Stop(job_id, decision.StopReason.RECLAIM),)
+    session.advance(table.LEASE_OVER_S + 3 * TICK_S)
+    assert session.jobs.job(job_id).epoch >= 2
+
+
+def test_deaf_worker_gets_new_gangs_ever_more_rarely():
+    session = Session(run_s=60.0)
+    session.workers["w1"].deaf = True
+    session.submit(tasks=1)  # the baseline asks for w1 again and again
+    session.advance(59.0)
+    assert 3 <= sum("w1 prepare" in line for line in session.trace) <= 6
+
+
 def test_rejections_wait_until_the_workers_are_back():
     session = Session(workers=2)
     job_id = session.submit(tasks=5)
