Test announcements, the jobs service and the driver with worker stand-ins

The stand-ins must fence by epoch and lease as the leader's decisions assume, so they are tested through the same client that the driver uses.

--- /dev/null
+++ b/marjoramusher/workers/driver_test.py
@@ -0,0 +1,227 @@
+"""Guards the driver with real stand-ins for workers on loopback."""
+
+import asyncio
+import datetime
+import json
+import time
+
+import pytest
+import reactivex.subject
+from aiohttp import web
+
+from marjoramusher.consensus import message
+from marjoramusher.core import announcement, errors, record, resource
+from marjoramusher.core import job as model
+from marjoramusher.groups import composite, local
+from marjoramusher.http import errors as http_errors
+from marjoramusher.jobs import command, machine
+from marjoramusher.placement import baseline
+from marjoramusher.telemetry import metrics
+from marjoramusher.workers import client, driver, gang, handlers, table
+from standins import worker as standin
+
+STATES = model.JobState
+
+
+class WallClock:
+    def monotonic(self):
+        return time.monotonic()
+
+    def utcnow(self):
+        return datetime.datetime.now(datetime.UTC)
+
+
+class Group(local.LocalGroup):
+    """A group of one whose leadership the test takes and gives."""
+
+    def __init__(self, jobs):
+        parts = composite.CompositeMachine({command.PART: jobs})
+        super().__init__("domain:fd-a", parts)
+        self.led = True
+        self.changes = reactivex.subject.Subject()
+
+    @property
+    def is_leader(self):
+        return self.led
+
+    @property
+    def roles(self):
+        return self.changes
+
+    def set_leader(self, led):
+        self.led = led
+        role = message.Role.LEADER if led else message.Role.FOLLOWER
+        self.changes.on_next(message.RoleChanged(role, 1, None))
+
+
+class Domain:
+    """One instance with its workers."""
+
+    def __init__(self, path):
+        self.path = path
+        self.jobs = machine.JobsMachine("fd-a")
+        self.group = Group(self.jobs)
+        self.values = metrics.Metrics()
+        self.tasks = client.TaskClient("t")
+        self.driver = driver.GangDriver(
+            self.group,
+            self.jobs,
+            lambda: baseline.make_placer("fd-a"),
+            self.tasks,
+            WallClock(),
+            record.Configuration,
+            self.values,
+        )
+        self.workers = []
+
+    async def __aenter__(self):
+        app = web.Application(middlewares=[http_errors.make_middleware(self.values)])
+        self.runner = web.AppRunner(app)
+
+        async def forward(said):
+            raise errors.NotLeaderError(None)
+
+        served = handlers.WorkerHandlers(
+            "fd-a", self.driver.announce, "", lambda: "", forward, lambda request: None
+        )
+        served.add_to(app.router)
+        await self.runner.setup()
+        await web.TCPSite(self.runner, "127.0.0.1", 0).start()
+        url = "http://{}:{}".format(*self.runner.addresses[0][:2])
+        self.driving = asyncio.create_task(self.driver.run())
+        for number in range(3):
+            made = standin.Worker(
+                f"w{number}",
+                "fd-a",
+                "r1",
+                resource.Resources(8, 64, 1000),
+                [url],
+                "t",
+                self.path / "history",
+            )
+            await made.start()
+            self.workers.append(made)
+        return self
+
+    async def __aexit__(self, *error):
+        self.driving.cancel()
+        await asyncio.gather(self.driving, return_exceptions=True)
+        for made in self.workers:
+            await made.stop()
+        await self.tasks.close()
+        await self.runner.cleanup()
+
+    async def propose(self, value):
+        data = composite.part_command(command.PART, command.encode(value))
+        return command.result(await self.group.propose(data, 1.0)).job
+
+    async def submit(self, payload, **fields):
+        shape = resource.GangShape(3, resource.Resources(8))
+        spec = model.JobSpec("a", "c", shape, payload=payload, **fields)
+        return (await self.propose(command.SubmitJob(time.time(), spec))).job_id
+
+    async def until(self, job_id, *states):
+        while (item := self.jobs.job(job_id)).state not in states:
+            await asyncio.sleep(0.01)
+        return item
+
+    def history(self, *events):
+        lines = (self.path / "history").read_text().splitlines()
+        return [e for e in map(json.loads, lines) if e["event"] in events]
+
+
+@pytest.fixture
+async def domain(tmp_path):
+    async with asyncio.timeout(60), Domain(tmp_path) as made:
+        yield made
+
+
+async def test_gang_runs_on_real_workers_and_fails_with_its_task(domain):
+    done = await domain.submit('{"run_s": 0.1}')
+    await domain.until(done, STATES.DONE)
+    started = domain.history("started")
+    assert [line["epoch"] for line in started] == [1, 1, 1]
+    failed = await domain.submit('{"run_s": 0.1, "fail": "on:w1"}', repeatable=False)
+    item = await domain.until(failed, STATES.FAILED)
+    assert item.error.code is errors.ErrorCode.TARGET_FAILED
+    assert item.failed_on == ("w1",)
+
+
+async def test_cancel_and_refusal_leave_nothing_behind(domain):
+    running = await domain.submit('{"run_s": 60}')
+    await domain.until(running, STATES.RUNNING)
+    await domain.propose(command.CancelJob(time.time(), running))
+    await domain.until(running, STATES.CANCELLED)
+    assert len(domain.history("stopped")) == 3
+    domain.workers[1].control(standin.Control("refuse"))
+    refused = await domain.submit('{"run_s": 0.1}')
+    while domain.jobs.job(refused).failed_on != ("w1",):
+        await asyncio.sleep(0.01)
+    domain.workers[1].control(standin.Control())
+    await domain.until(refused, STATES.DONE)
+
+
+async def test_gang_outlives_a_change_of_leader(domain):
+    job_id = await domain.submit('{"run_s": 3}')
+    await domain.until(job_id, STATES.RUNNING)
+    domain.group.set_leader(False)
+    with pytest.raises(errors.NotLeaderError):
+        domain.driver.announce(
+            announcement.WorkerAnnouncement(
+                "w9", "http://h:1", "fd-a", "r", 1, resource.Resources()
+            )
+        )
+    await asyncio.sleep(0.3)
+    assert domain.driver.core is None
+    domain.group.set_leader(True)
+    item = await domain.until(job_id, STATES.DONE)
+    assert item.epoch == 1 and len(domain.history("started")) == 3
+
+
+async def test_worker_stops_by_itself_without_renewal(domain):
+    job_id = await domain.submit('{"run_s": 60}')
+    await domain.until(job_id, STATES.RUNNING)
+    domain.driving.cancel()
+    domain.group.set_leader(False)
+    while len(domain.history("stopped")) < 3:
+        await asyncio.sleep(0.05)
+    assert {line["reason"] for line in domain.history("stopped")} == {"lease"}
+
+
+async def _call(domain, method, epoch, task_id="job-fd-a-9.0", **fields):
+    call = gang.Call(
+        "job-fd-a-9",
+        task_id,
+        epoch,
+        "w0",
+        domain.workers[0].url,
+        gang.Method(method),
+        gang.Order(epoch, **fields),
+    )
+    try:
+        return (await domain.tasks.call(call)).state.value
+    except errors.MarjoramusherError as error:
+        return error.code.value
+
+
+async def test_worker_fences_by_epoch_and_lease(domain):
+    """The stand-in must keep the promises that the leader's decisions rest on."""
+    domain.group.set_leader(False)
+    assert await _call(domain, "prepare", 2) == "prepared"
+    assert await _call(domain, "prepare", 2) == "prepared"
+    assert await _call(domain, "start", 1) == "stale_epoch"
+    assert await _call(domain, "start", 2) == "running"
+    assert await _call(domain, "start", 2) == "running"
+    assert len(domain.history("started")) == 1
+    assert await _call(domain, "stop", 3) == "stopped"
+    assert await _call(domain, "prepare", 2) == "stale_epoch"
+    assert await _call(domain, "prepare", 3) == "stale_epoch"
+    assert await _call(domain, "prepare", 4, lease_s=0.01) == "prepared"
+    await asyncio.sleep(0.02)
+    assert await _call(domain, "start", 4) == "stale_epoch"
+    assert await _call(domain, "stop", 8, "never-seen.0") == "stopped"
+    assert await _call(domain, "start", 7, "never-seen.0") == "stale_epoch"
+
+
+def test_lease_is_longer_than_two_lost_announcements():
+    assert table.TASK_LEASE_S > table.SUSPECT_S > 2 * standin.ANNOUNCE_S
