Restart the gang core after a fault or a recovery with loss

A fault of the placer could reach the group through its stream of applied entries, and a recovery with loss freed workers that still ran tasks of lost commands. The driver now takes changes in its own steps and begins anew from the committed state; after a recovery nothing is placed before every lease is over. Stops have their own bound of calls, so that a dead rack does not delay the start of other gangs.

--- a/marjoramusher/workers/client.py
+++ b/marjoramusher/workers/client.py
@@ -14,6 +14,7 @@
 CALL_TIMEOUT_S = 1.0
 TRIES = 2
 MAX_CALLS = 64  # of a gang of 256; more only queue in the kernel
+MAX_STOPS = 64  # apart, so that stops of a dead rack don't delay the start of others
 MAX_ANSWER_BYTES = 64 * 1024
 
 TRIES_OF = {gang.Method.STOP: 1, gang.Method.THROTTLE: 1}
@@ -32,7 +33,8 @@
     def __init__(self, token: str = "", timeout_s: float = CALL_TIMEOUT_S) -> None:
         self._headers = {"Authorization": f"Bearer {token}"} if token else {}
         self._timeout = aiohttp.ClientTimeout(total=timeout_s)
-        self._limit = asyncio.Semaphore(MAX_CALLS)
+        self._calls = asyncio.Semaphore(MAX_CALLS)
+        self._stops = asyncio.Semaphore(MAX_STOPS)
         self._session: aiohttp.ClientSession | None = None
 
     async def call(self, order: gang.Call) -> announcement.TaskReport:
@@ -46,7 +48,8 @@
         PeerUnreachableError
             If it did not answer; the call may still have arrived.
         """
-        async with self._limit:
+        is_stop = order.method is gang.Method.STOP
+        async with self._stops if is_stop else self._calls:
             last: Exception | None = None
             for _ in range(TRIES_OF.get(order.method, TRIES)):
                 try:
@@ -65,7 +68,9 @@
         if self._session is None:
             # Calls are rare. A connection for each can't have gone silent before it.
             connector = aiohttp.TCPConnector(
-                force_close=True, limit=MAX_CALLS, socket_factory=_make_socket
+                force_close=True,
+                limit=MAX_CALLS + MAX_STOPS,
+                socket_factory=_make_socket,
             )
             self._session = aiohttp.ClientSession(connector=connector)
         url = f"{order.url}/tasks/{order.task_id}/{order.method.value}"
--- a/marjoramusher/workers/driver.py
+++ b/marjoramusher/workers/driver.py
@@ -15,6 +15,7 @@
 from . import gang
 
 TICK_S = 0.1
+RESTART_S = 1.0  # between two leaderships of which the first ended by a fault
 BATCH_S = 0.005  # events of a burst share one plan
 BARRIER_TIMEOUT_S = 2.0
 PROPOSE_TIMEOUT_S = 2.0
@@ -95,7 +96,11 @@
         try:
             while True:
                 if self._group.is_leader:
-                    await self._lead()
+                    try:
+                        await self._lead()
+                    except Exception as error:
+                        self._failed(error)
+                        await asyncio.sleep(RESTART_S)
                 await self._wait()
         finally:
             self._resign()
@@ -132,12 +137,16 @@
             return
         configuration = self._configuration()
         self._revision = configuration.revision
-        self._core = gang.GangCore(
-            self._jobs, self._make_placer(), configuration, elected_at
+        self._core = core = gang.GangCore(
+            self._jobs,
+            self._make_placer(),
+            configuration,
+            elected_at,
+            self._time.utcnow().timestamp(),
         )
         log.state_change("jobs.leading", failure_domain=self._jobs.failure_domain)
         try:
-            while self._leads(generation):
+            while self._leads(generation) and not core.is_outdated:
                 configuration = self._configuration()
                 if configuration.revision != self._revision:
                     self._revision = configuration.revision
@@ -169,18 +178,24 @@
         self._kick.set()
 
     def _applied(self, index: int) -> None:
+        # Each step takes the changes first. Taking them here would let a fault of the
+        # placer reach the group.
         del index
-        if self._core is not None:
-            self._step(gang.Applied())
-            self._kick.set()
+        self._kick.set()
 
     def _step(self, event: gang.Event) -> list[gang.Effect]:
         core = self._core
         if core is None:
             return []
-        effects = core.step(
-            event, self._time.monotonic(), self._time.utcnow().timestamp()
-        )
+        try:
+            effects = core.step(
+                event, self._time.monotonic(), self._time.utcnow().timestamp()
+            )
+        except errors.MarjoramusherError:
+            raise  # the event is refused
+        except Exception as error:
+            self._failed(error)
+            raise
         for effect in effects:
             if isinstance(effect, gang.Call):
                 self._spawn(self._call(core, effect))
@@ -191,7 +206,19 @@
     def _spawn(self, work: Any) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._running.add(task)
-        task.add_done_callback(self._running.discard)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self._running.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self._failed(error)
+
+    def _failed(self, error: BaseException) -> None:
+        """Begin anew from the committed state after a fault of the program."""
+        self._metrics.increment("gang_driver_faults")
+        log.state_change("jobs.driver_fault", error=repr(error))
+        self._generation += 1
+        self._kick.set()
 
     async def _call(self, core: gang.GangCore, call: gang.Call) -> None:
         if not self._group.is_leader:
@@ -224,6 +251,18 @@
 
     def _note(self, item: model.Job) -> None:
         self._metrics.increment("job_changes", state=item.state.value)
+        if item.started_at is not None:
+            spec = item.spec
+            if item.state is model.JobState.RUNNING and item.attempts == 1:
+                waited_s = item.started_at - item.submitted_at
+                self._metrics.observe(
+                    "job_wait", waited_s, spec.account, spec.job_class.value
+                )
+            elif item.state is model.JobState.DONE and item.ended_at is not None:
+                taken_s = item.ended_at - item.submitted_at
+                self._metrics.observe(
+                    "job_completion", taken_s, spec.account, spec.job_class.value
+                )
         log.state_change(
             "job.state",
             job_id=item.job_id,
--- a/marjoramusher/workers/gang.py
+++ b/marjoramusher/workers/gang.py
@@ -20,7 +20,9 @@
 MISSING_S = 2.0  # an announcement may have left before a call and arrive after it
 MISSING_COUNT = 2  # a single one may have been delayed for longer
 RETRY_S = 0.5
+SILENT_RETRY_S = 5.0
 SETTLE_S = 1.5  # every live worker announces itself once within it
+RECOVERY_S = 60.0  # far above a lease and the difference of two clocks
 REJECT_AFTER_S = 10.0  # a job may only seem too large while workers are coming back
 
 
@@ -273,6 +275,8 @@
         Operators' records in force.
     now : float
         Instant of the election on the monotonic clock.
+    at : float
+        The same instant in seconds since the Unix epoch.
     """
 
     def __init__(
@@ -281,9 +285,10 @@
         policy: placer.Placer,
         configuration: record.Configuration,
         now: float,
+        at: float,
     ) -> None:
         self._now = now
-        self._at = 0.0
+        self._at = at
         self._jobs = jobs
         self._placer = policy
         self._configuration = configuration
@@ -295,6 +300,11 @@
         self._refreshes: list[tuple[float, str]] = []
         self._expiring: dict[str, float] = {}
         self._gate_open = False
+        self._recovered_at = jobs.recovered_at
+        # Gangs of lost commands may run anywhere, also on workers that are silent.
+        self._is_lossy = (
+            jobs.recovered_at is not None and abs(at - jobs.recovered_at) < RECOVERY_S
+        )
         self._awaited = set(jobs.ledger.workers())
         jobs.drain_changes()
         policy.configure(configuration, now)
@@ -320,6 +330,15 @@
         """Tell whether reconciliation with the workers is complete."""
         return self._gate_open
 
+    @property
+    def is_outdated(self) -> bool:
+        """Tell whether a recovery with loss has made the gangs unknown.
+
+        The caller must go on with a new core, which waits until no task of a lost
+        command can run.
+        """
+        return self._jobs.recovered_at != self._recovered_at
+
     def shortfalls(self, now: float) -> Iterable[placer.Shortfall]:
         """Return the guarantees that can't be honoured."""
         return self._placer.shortfalls(now) if self._gate_open else ()
@@ -519,8 +538,10 @@
                 continue  # its lease is not renewed; the calls carry a higher epoch
             seen.add(report.task_id)
             task.absences = 0
-            touched[job_id] = gang
+            before = task.status
             self._take_report(gang, task, report)
+            if task.status is not before or gang.phase is not Phase.RUNNING:
+                touched[job_id] = gang
             # A gang that stops soon is not renewed, so that a worker that answers no
             # call is free when its lease is over.
             if gang.cause is None or gang.phase is Phase.GRACE:
@@ -534,8 +555,9 @@
         for holding in self._jobs.ledger.holdings(said.id):
             gang = self._gangs.get(holding.job_id)
             if gang is not None and holding.task_id not in seen:
-                touched[holding.job_id] = gang
                 self._take_absence(gang, gang.tasks[holding.task_id], restarted)
+                if gang.cause is not None or gang.phase is Phase.RECONCILING:
+                    touched[holding.job_id] = gang
         self._worker_known(known, arrival, has_strays)
         self._effects.append(Reply(tuple(renewals), tuple(stop)))
         for gang in touched.values():
@@ -674,7 +696,9 @@
     def _stop_answered(self, task: Task, event: Answered) -> None:
         report = event.report
         if report is None:
-            task.stop_due_at = self._now + RETRY_S
+            # Calls to a dead rack must not crowd out others; its leases end anyway.
+            silent = self._table.is_silent(task.worker, self._now)
+            task.stop_due_at = self._now + (SILENT_RETRY_S if silent else RETRY_S)
             if not task.started:
                 # It was never told to start, and the higher epoch keeps a late
                 # prepare of it from mattering.
@@ -854,7 +878,8 @@
         if not self._gate_open:
             settled = self._now >= self._table.elected_at + SETTLE_S
             over = self._now >= self._table.elected_at + table.LEASE_OVER_S
-            self._gate_open = settled and (over or not self._awaited)
+            heard = not self._awaited and not self._is_lossy
+            self._gate_open = settled and (over or heard)
         if self._gate_open:
             self._plan()
 
@@ -896,7 +921,10 @@
                 self._place(item)
             case decision.Stop():
                 gang = self._gangs.get(item.job_id)
-                if gang is not None:
+                if gang is not None and (
+                    gang.job.spec.repeatable
+                    or item.reason is not decision.StopReason.DEFRAGMENT
+                ):
                     self._want_stop(gang, _CAUSES[item.reason])
                     self._advance(gang)
                 else:
--- a/marjoramusher/workers/handlers.py
+++ b/marjoramusher/workers/handlers.py
@@ -76,7 +76,9 @@
             reply = self._announce(said)
         except errors.NotLeaderError:
             url = self._leader_url()
-            if url and url != self._own_url:
+            if url == self._own_url:
+                raise  # elected, but not caught up yet
+            if url:
                 return announcement.WorkerReply(leader_url=url)
             return await self._forward(said)
         return msgspec.structs.replace(reply, leader_url=self._own_url)
--- a/marjoramusher/workers/service.py
+++ b/marjoramusher/workers/service.py
@@ -171,11 +171,12 @@
             list would say that they don't exist.
         """
         limit = max(0, min(limit, MAX_LIST))
-        domains = {
+        domains = {self._failure_domain}
+        domains.update(
             contract.failure_domain
             for contract in self._configuration().contracts.values()
             if contract.account == account
-        }
+        )
         question = ListJobs(account, state, limit)
         answers = await asyncio.gather(
             *(self._ask(domain, question) for domain in sorted(domains))
