--- a/marjoramusher/workers/driver_test.py
+++ b/marjoramusher/workers/driver_test.py
@@ -82,7 +82,12 @@
             raise errors.NotLeaderError(None)
 
         served = handlers.WorkerHandlers(
-            "fd-a", self.driver.announce, "", lambda: "", forward, lambda request: None
+            lambda: ("fd-a",),
+            self.driver.announce,
+            "",
+            lambda failure_domain: "",
+            forward,
+            lambda request: None,
         )
         served.add_to(app.router)
         await self.runner.setup()
--- a/marjoramusher/workers/handlers_test.py
+++ b/marjoramusher/workers/handlers_test.py
@@ -29,6 +29,7 @@
     def __init__(self):
         self.leads = True
         self.leader_url = ""
+        self.connected = True
         self.forwarded = []
 
     def announce(self, said):
@@ -38,6 +39,8 @@
 
     async def forward(self, said):
         self.forwarded.append(said)
+        if not self.connected:
+            raise errors.PeerUnreachableError("leader")
         return announcement.WorkerReply(LEADER, (RENEWAL,))
 
     def authorize(self, request):
@@ -54,10 +57,10 @@
 async def post(instance):
     app = web.Application(middlewares=[http_errors.make_middleware(metrics.Metrics())])
     served = handlers.WorkerHandlers(
-        "fd-a",
+        lambda: ("fd-a",),
         instance.announce,
         OWN,
-        lambda: instance.leader_url,
+        lambda failure_domain: instance.leader_url,
         instance.forward,
         instance.authorize,
     )
@@ -104,22 +107,24 @@
 
 
 @pytest.mark.parametrize(
-    ("leads", "leader_url", "renewed", "said_leader", "forwarded"),
+    ("leads", "leader_url", "connected", "renewed", "said_leader"),
     [
-        (True, "", True, OWN, 0),
-        (False, LEADER, False, LEADER, 0),
-        (False, "", True, LEADER, 1),
+        (True, "", True, True, OWN),
+        (False, LEADER, True, True, LEADER),
+        (False, LEADER, False, False, LEADER),
+        (False, "", True, True, LEADER),
     ],
 )
 async def test_leader_renews_and_others_point_to_it(
-    post, instance, leads, leader_url, renewed, said_leader, forwarded
+    post, instance, leads, leader_url, connected, renewed, said_leader
 ):
     instance.leads, instance.leader_url = leads, leader_url
+    instance.connected = connected
     status, body = await post(msgspec.json.encode(SAID))
     reply = msgspec.json.decode(body, type=announcement.WorkerReply)
     assert (status, reply.leader_url) == (200, said_leader)
     assert reply.renewals == ((RENEWAL,) if renewed else ())
-    assert len(instance.forwarded) == forwarded
+    assert len(instance.forwarded) == (not leads)
 
 
 async def test_leader_that_has_not_caught_up_renews_nothing(post, instance):
