Tick the gang driver only as often as something is due

Ten wake-ups a second took 0.0059 of a core on an instance that leads nothing and 0.0082 on a leader of 24 idle workers, against 0.015 for the whole instance.

--- a/marjoramusher/jobs/machine.py
+++ b/marjoramusher/jobs/machine.py
@@ -129,6 +129,11 @@
         """Return the reason of each automatic quarantine by worker."""
         return dict(self._quarantines)
 
+    @property
+    def queued_count(self) -> int:
+        """Return the number of queued jobs."""
+        return len(self._by_state[model.JobState.QUEUED])
+
     @property
     def recovered_at(self) -> float | None:
         """Return the mark of the last recovery with loss."""
--- a/marjoramusher/workers/driver.py
+++ b/marjoramusher/workers/driver.py
@@ -1,10 +1,10 @@
 """Drive gangs while this instance leads its failure domain."""
 
 import asyncio
-import contextlib
 from collections.abc import Callable
 from typing import Any, Protocol
 
+from ..consensus import message
 from ..core import announcement, clock, errors, record, resource
 from ..core import job as model
 from ..groups import composite
@@ -14,7 +14,8 @@
 from ..telemetry import log, metrics
 from . import gang
 
-TICK_S = 0.1
+TICK_S = 0.1  # while something is under way
+IDLE_TICK_S = 0.5
 RESTART_S = 1.0  # between two leaderships of which the first ended by a fault
 BATCH_S = 0.005  # events of a burst share one plan
 BARRIER_TIMEOUT_S = 2.0
@@ -69,6 +70,7 @@
         self._core: gang.GangCore | None = None
         self._revision = -1
         self._generation = 0
+        self._is_elected = False
         self._running: set[asyncio.Task[None]] = set()
         self._kick = asyncio.Event()
 
@@ -167,13 +169,19 @@
         self._running.clear()
 
     async def _wait(self) -> None:
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._kick.wait(), TICK_S)
-        await asyncio.sleep(BATCH_S)
+        # A node that has just been elected has a fresh quorum a little later.
+        busy = self._is_elected if self._core is None else self._core.is_busy
+        loop = asyncio.get_running_loop()
+        due_at = loop.time() + (TICK_S if busy else IDLE_TICK_S)
+        timer = loop.call_at(due_at, self._kick.set)
+        await self._kick.wait()
+        timer.cancel()
+        if loop.time() < due_at:
+            await asyncio.sleep(BATCH_S)
         self._kick.clear()
 
-    def _role_changed(self, role: Any) -> None:
-        del role
+    def _role_changed(self, change: message.RoleChanged) -> None:
+        self._is_elected = change.role is message.Role.LEADER
         self._generation += 1
         self._kick.set()
 
@@ -181,7 +189,8 @@
         # Each step takes the changes first. Taking them here would let a fault of the
         # placer reach the group.
         del index
-        self._kick.set()
+        if self._core is not None:
+            self._kick.set()
 
     def _step(self, event: gang.Event) -> list[gang.Effect]:
         core = self._core
--- a/marjoramusher/workers/gang.py
+++ b/marjoramusher/workers/gang.py
@@ -330,6 +330,17 @@
         """Tell whether reconciliation with the workers is complete."""
         return self._gate_open
 
+    @property
+    def is_busy(self) -> bool:
+        """Tell whether a step may be due soon without a further event."""
+        return bool(
+            self._active
+            or self._retries
+            or self._refreshes
+            or not self._gate_open
+            or self._jobs.queued_count
+        )
+
     @property
     def is_outdated(self) -> bool:
         """Tell whether a recovery with loss has made the gangs unknown.
