--- a/marjoramusher/workers/handlers.py
+++ b/marjoramusher/workers/handlers.py
@@ -75,14 +75,24 @@
     ) -> announcement.WorkerReply:
         try:
             reply = self._announce(said)
+            url = self._own_url
         except errors.NotLeaderError:
             url = self._leader_url(said.failure_domain)
             if url == self._own_url:
                 raise  # elected, but not caught up yet
-            if url:
-                return announcement.WorkerReply(leader_url=url)
+            reply = await self._forward_or_point(said, url)
+        return msgspec.structs.replace(reply, leader_url=url or reply.leader_url)
+
+    async def _forward_or_point(
+        self, said: announcement.WorkerAnnouncement, url: str
+    ) -> announcement.WorkerReply:
+        """Renew through the leader, since the worker may not reach it directly."""
+        try:
             return await self._forward(said)
-        return msgspec.structs.replace(reply, leader_url=self._own_url)
+        except errors.MarjoramusherError:
+            if not url:
+                raise
+            return announcement.WorkerReply()
 
 
 def check_announcement(
