Cover removals, one-way cuts and truncated configurations

The random schedules now also remove voters, which come back as learners and are promoted, and cut an instance's outgoing link alone.

--- a/marjoramusher/consensus/node_test.py
+++ b/marjoramusher/consensus/node_test.py
@@ -10,6 +10,7 @@
 from marjoramusher.core import codec, errors
 
 NAMES = ("a", "b", "c")
+FAULTS = ["crash", "torn", "cut", "mute", "heal", "compact", "wipe", "old", "remove"]
 
 
 class Instance:
@@ -83,6 +84,7 @@
             now=self.now,
             settings=self.settings,
         )
+        instance.due_s = self.now
 
     def crash(self, name):
         self[name].node = None
@@ -94,6 +96,7 @@
         """Carry out the effects of a step; a crash may cut them short."""
         instance = self[name]
         effects = instance.node.step(event, self.now)
+        instance.due_s = instance.node.due_s
         for position, effect in enumerate(effects):
             assert position == 0 or not isinstance(effect, message.Persist)
             if position == crash_after:
@@ -120,7 +123,7 @@
         sent = effect.message
         self.sent.append(sent)
         receiver = sent.receiver.instance
-        if {instance.name, receiver} in self.cut or self.rng.random() < self.loss:
+        if (instance.name, receiver) in self.cut or self.rng.random() < self.loss:
             return
         for _ in range(1 + (self.rng.random() < self.duplicate)):
             at = self.now + self.rng.uniform(0.001, 0.03)
@@ -188,9 +191,11 @@
             for each in self.up():
                 if each.own not in config.voters + config.learners:
                     self.change(fresh, message.AddLearner, each.own)
-                old = [v for v in config.voters if v.instance == each.name != v.store]
+                old = [v for v in config.voters if v.instance == each.name]
                 if old and old[0] != each.own:
                     self.change(fresh, message.ReplaceVoter, old[0], each.own)
+                elif not old and each.own in config.learners:
+                    self.change(fresh, message.AddVoter, each.own)
 
     def change(self, leader, kind, *members):
         number = next(self.sequence)
@@ -201,7 +206,7 @@
         end, next_client = self.now + seconds, self.now + self.client_s
         while True:
             due, name = min(
-                ((each.node.due_s, each.name) for each in self.up()),
+                ((each.due_s, each.name) for each in self.up()),
                 default=(end + 1, ""),
             )
             when = min(due, next_client, self.queue[0][0] if self.queue else due)
@@ -238,8 +243,10 @@
             assert self.machines[each.name] == commands, "lost or doubled command"
 
 
-def isolate(pump, name):
-    pump.cut = {frozenset((name, other)) for other in pump.instances if other != name}
+def isolate(pump, name, directions=2):
+    """Cut an instance off; with one direction it still hears the others."""
+    outward = {(name, other) for other in pump.instances}
+    pump.cut = outward | {pair[::-1] for pair in outward if directions == 2}
 
 
 def boots_known(pump):
@@ -275,7 +282,7 @@
         fresh = pump.leader()
         name = fresh.name if fresh and rng.random() < 0.5 else rng.choice(names)
         instance = pump[name]
-        fault = rng.choice(["crash", "torn", "cut", "heal", "compact", "wipe", "old"])
+        fault = rng.choice(FAULTS)
         if fault == "crash":
             old[name] = instance.copy()
             pump.crash(name)
@@ -285,6 +292,10 @@
             pump.step(name, proposal, crash_after=rng.randrange(3))
         elif fault == "cut":
             isolate(pump, name)
+        elif fault == "mute":
+            isolate(pump, name, directions=1)
+        elif fault == "remove" and healthy(pump):
+            pump.change(fresh, message.RemoveVoter, instance.own)
         elif fault == "wipe" and healthy(pump):
             instance.wipe()
             pump.start(name)
@@ -503,7 +514,7 @@
     pump.repair = True
     pump.run(3)
     assert pump.stale == [old], "a store of the old epoch may hold other entries"
-    assert pump[gone[0]].own in pump.leader().node.config.learners
+    assert pump[gone[0]].own in pump.leader().node.config.voters
     pump.client_s = float("inf")
     pump.run(1)
     assert pump.machines[gone[0]] == pump.machines[survivor]
@@ -570,7 +581,7 @@
     assert pump["c"].own not in {m.sender for m in registers}
 
 
-A, B, C = (message.VoterId(name, f"{name}0") for name in NAMES)
+A, B, C, D = (message.VoterId(name, f"{name}0") for name in "abcd")
 
 
 def member(registered=True, term=1):
@@ -639,3 +650,38 @@
     assert not [each for each in effects if isinstance(each, message.ReadReady)]
     refused = message.ReadRefused(-1, None)
     assert refused in leader.node.step(message.StoreFailed(), pump.now)
+
+
+def test_members_follow_the_log_when_it_is_cut_or_replaced():
+    made, epoch = member(), 1
+    before, changed = made.config, message.GroupConfig((A, B, C), (D,), epoch)
+    config = message.Entry(2, 2, message.EntryKind.CONFIG, codec.pack(changed))
+    other = message.Entry(2, 3, message.EntryKind.NOOP)
+    for term, entry, expected in ((2, config, changed), (3, other, before)):
+        append = message.Append("g", A, B, epoch, term, 1, 1, (entry,), 0, 1)
+        effects = made.step(message.Receive(append), 0.1)
+        assert message.ConfigChanged(expected) in effects and made.config == expected
+    assert effects[0].truncate_from == 2
+    chunk = message.SnapshotChunk("g", A, B, epoch, 3, 9, 3, changed, 0, b"x", True, 1)
+    effects = made.step(message.Receive(chunk), 0.2)
+    assert message.RestoreSnapshot(9, 3, changed, b"x") in effects
+    assert (made.config, made.commit_index, made.last_index) == (changed, 9, 9)
+
+
+def test_new_member_with_other_initial_members_takes_the_groups():
+    config = message.GroupConfig((B,))
+    made = node.make_node(
+        "g",
+        B,
+        state.NodeState(),
+        config,
+        diskless=True,
+        rng=random.Random(1),
+        now=0.0,
+    )
+    agreed = message.GroupConfig((A, B, C))
+    entry = message.Entry(1, 1, message.EntryKind.CONFIG, codec.pack(agreed))
+    append = message.Append("g", A, B, 0, 1, 0, 0, (entry,), 1, 1)
+    effects = made.step(message.Receive(append), 0.1)
+    assert effects[0].entries == (entry,) and effects[0].truncate_from == 1
+    assert made.config == agreed
--- a/marjoramusher/consensus/outbox.py
+++ b/marjoramusher/consensus/outbox.py
@@ -28,8 +28,10 @@
     ) -> None:
         """Have entries synced, after dropping those from `truncate_from` on."""
         if truncate_from is not None:
-            if self._entries or self._truncate_from is not None:
-                raise ValueError("a step truncates at most once, before it appends")
+            # The first step of a new group may drop its own first entry again.
+            self._entries = tuple(
+                entry for entry in self._entries if entry.index < truncate_from
+            )
             self._truncate_from = truncate_from
         self._entries += entries
 
--- a/marjoramusher/consensus/state.py
+++ b/marjoramusher/consensus/state.py
@@ -54,7 +54,14 @@
 
 
 class Snapshot(msgspec.Struct, frozen=True):
-    """State of the machine up to `index`."""
+    """State of the machine up to `index`.
+
+    Parameters
+    ----------
+    data : bytes
+        A node uses only its length and slices, so a mapped file serves as well and
+        keeps a large state out of memory.
+    """
 
     index: int
     term: int
