Let members of an older epoch rejoin a recovered group

A member that was alive when its group was recovered with loss answered the new leader with StaleStore, so its instance discarded all its groups, also those that it keeps as one of few voters. The survivor even contacted its old peers by itself, because removed members get entries until the removal is committed.

Such a member now checks that the new leader holds what it has committed itself and then goes on; only one that holds more is stale. Until the new configuration reaches it, it does not campaign. The survivor leaves the members of the old epoch alone until they are added.

--- a/marjoramusher/consensus/config.py
+++ b/marjoramusher/consensus/config.py
@@ -106,11 +106,12 @@
         """Return the members that get entries, in a stable order.
 
         A removed member gets them until its removal is committed, so that it learns
-        of it.
+        of it; members of an older epoch don't.
         """
         members: dict[message.VoterId, None] = {}
         for index, config in self._history[-2:]:
-            if index == self.index or self.index > commit:
+            same_epoch = config.epoch == self._history[-1][1].epoch
+            if index == self.index or (self.index > commit and same_epoch):
                 members.update(dict.fromkeys(config.voters))
                 members.update(dict.fromkeys(config.learners))
         return members
--- a/marjoramusher/consensus/following.py
+++ b/marjoramusher/consensus/following.py
@@ -19,6 +19,23 @@
         self._arriving: tuple[message.VoterId, int, int] | None = None
         self._data = bytearray()
 
+    def diverged(self, sent: message.Append | message.SnapshotChunk) -> bool:
+        """Tell whether the leader of a recovered group lacks committed entries.
+
+        A leader that has them never starts below this node's commit index: its first
+        message starts at its last entry, and every hint is at or above that index.
+        """
+        own = self._replica
+        if own.epoch_checked:
+            return False
+        if isinstance(sent, message.SnapshotChunk):
+            return sent.index <= own.commit
+        known = own.log.term_at(sent.prev_index)
+        if sent.prev_index < own.commit:
+            return True
+        own.epoch_checked = known == sent.prev_term
+        return not own.epoch_checked and sent.prev_index == own.commit
+
     def append(self, sent: message.Append) -> None:
         """Take entries that fit and answer."""
         own = self._replica
@@ -51,6 +68,7 @@
         if own.log.term_at(sent.index) == sent.index_term and sent.index > own.commit:
             own.commit_to(sent.index)
         if sent.index <= own.commit:
+            own.epoch_checked = True
             self._arriving = None
             self._data = bytearray()
             own.send(message.AppendReply, sent.sender, True, own.commit, sent.round)
@@ -65,6 +83,7 @@
                 data = bytes(self._data)
                 self._arriving = None
                 self._data = bytearray()
+                own.epoch_checked = True
                 own.restore(
                     state.Snapshot(sent.index, sent.index_term, sent.config, data)
                 )
--- a/marjoramusher/consensus/node.py
+++ b/marjoramusher/consensus/node.py
@@ -216,14 +216,11 @@
         if received.receiver != own.own or received.epoch < own.epoch:
             return
         if received.epoch > own.epoch:
-            if own.members.current is None:
-                own.epoch = received.epoch
-            else:
-                # The group was recovered with loss without this store, so its log
-                # may differ from the group's below its commit index.
-                if isinstance(received, _FROM_LEADER):
-                    self._discard()
-                return
+            # The group was recovered with loss; this node may hold entries that it
+            # has lost, also below the commit index.
+            own.epoch = received.epoch
+            own.epoch_checked = own.members.current is None
+            self._follow(None)
         match received:
             case message.BootRegister():
                 self._boots.receive(received, self.match.get(received.sender, 0))
@@ -278,7 +275,11 @@
         self._elections.leader_heard(now)
         self._follow(received.sender)
         self._boots.heard_from(received.sender)
-        return self._boots.registered
+        if not self._boots.registered:
+            return False
+        if self._follower.diverged(received):
+            self._discard()
+        return not self._halted
 
     def _vote(self, request: message.VoteRequest, now: float) -> None:
         self._boots.heard_from(request.sender)
@@ -341,7 +342,11 @@
 
     def _may_campaign(self) -> bool:
         own = self._replica
-        return self._boots.registered and own.members.is_voter(own.own)
+        return (
+            self._boots.registered
+            and own.members.is_voter(own.own)
+            and own.members.current.epoch == own.epoch
+        )
 
     def _leave_if_removed(self) -> None:
         own = self._replica
--- a/marjoramusher/consensus/replica.py
+++ b/marjoramusher/consensus/replica.py
@@ -7,7 +7,9 @@
 class Replica:
     """Log, members, term, vote and commit index of one node.
 
-    Each change of synced state goes to the outbox as well.
+    Each change of synced state goes to the outbox as well. `epoch_checked` is false
+    while the node hears from a recovered group and has not found its own committed
+    entries in that group's log yet.
 
     Parameters
     ----------
@@ -18,6 +20,7 @@
     __slots__ = (
         "commit",
         "epoch",
+        "epoch_checked",
         "group",
         "log",
         "members",
@@ -48,6 +51,7 @@
         self.members = config.Members(self.commit, base.config if base else None)
         for entry in log.configs(entries):
             self.members.add(entry)
+        self.epoch_checked = True
         current = self.members.current
         self.epoch = current.epoch if current else 0
         new = not loaded.entries and base is None and self.term == 0
