--- a/marjoramusher/consensus/message.py
+++ b/marjoramusher/consensus/message.py
@@ -131,7 +131,13 @@
 
 
 class SnapshotChunk(Message, frozen=True, tag=True):
-    """A part of a snapshot for a member whose next entry is compacted."""
+    """A part of a snapshot for a member whose next entry is compacted.
+
+    Parameters
+    ----------
+    config : GroupConfig
+        Members at `index` in the last chunk, empty in the others.
+    """
 
     index: int
     index_term: int
--- a/marjoramusher/consensus/replication.py
+++ b/marjoramusher/consensus/replication.py
@@ -3,6 +3,7 @@
 from ..core import codec, errors
 from . import config, message, progress, replica, state
 
+NO_CONFIG = message.GroupConfig(())
 RETRY_S = 0.5  # A snapshot chunk unanswered for this long is sent again.
 
 
@@ -342,7 +343,7 @@
             member,
             sent.index,
             sent.term,
-            sent.config,
+            NO_CONFIG,
             known.offset,
             b"",
             False,
@@ -377,6 +378,7 @@
         sent = known.transfer
         start = known.offset
         end = min(start + self._settings.chunk_bytes, len(sent.data))
+        last = end == len(sent.data)
         known.offset = end
         known.chunk_s = now
         self._replica.send(
@@ -384,10 +386,10 @@
             member,
             sent.index,
             sent.term,
-            sent.config,
+            sent.config if last else NO_CONFIG,
             start,
             sent.data[start:end],
-            end == len(sent.data),
+            last,
             self._round,
         )
 
