Let client accounts carry unused claims for longer

Bursts of an account with a small weight were refused as over its share although it had left slots unused in the seconds before. The claim is 4 units of slot time over weight.

--- a/marjoramusher/routing/fair.py
+++ b/marjoramusher/routing/fair.py
@@ -5,9 +5,9 @@
 
 from . import request, runtime
 
-# Slot time over weight, about a second of an instance's slots.
+# Claim to unused capacity, in slot time over weight: about a second of an instance's
+# slots. Long work comes in bursts, and each instance sees only a part of a burst.
 MAX_CREDIT = 4.0
-BURST_CREDIT = 2.0  # long work comes in bursts, and instances see a part of them
 
 
 class Entry:
@@ -112,10 +112,7 @@
         account = self._account(name, weight)
         run_class = entry.run_class
         entries = account.entries[run_class]
-        # An account has a claim to what it left unused, up to a bound that is larger
-        # if it had to leave it because the long class was at its limit.
-        credit = MAX_CREDIT if account.waiting else BURST_CREDIT
-        account.charged = max(account.charged, self._virtual - credit)
+        account.charged = max(account.charged, self._virtual - MAX_CREDIT)
         account.waiting += 1
         if first:
             entries.appendleft(entry)
@@ -134,7 +131,7 @@
         """Charge an account for a dispatch."""
         account = self._account(entry.asked.account, weight)
         if not account.waiting:
-            account.charged = max(account.charged, self._virtual - BURST_CREDIT)
+            account.charged = max(account.charged, self._virtual - MAX_CREDIT)
         self._virtual = max(self._virtual, account.charged)
         account.charged += entry.cost_s / account.weight
 
