Open a new slot broker once every instance has reported

A fresh failure domain granted nothing for the three seconds of a lease, and requests that arrived before the first grants were refused as if the instance had one slot. The broker opens when all instances of the settings have reported, and the expected wait counts half of the announced slots until grants arrive.

--- a/marjoramusher/callers/requests_test.py
+++ b/marjoramusher/callers/requests_test.py
@@ -93,9 +93,7 @@
     )
     application.add_routes(handlers.routes())
     stack.engine.start()
-    stack.server.lead("lead1")
-    # The wait after a change of leader is checked in the tests of the broker.
-    stack.server._broker._opens_at = 0.0
+    stack.server.lead("lead1", frozenset({"i1"}))
     async with contextlib.AsyncExitStack() as opened:
         server = test_utils.TestServer(application)
         stack.http = await opened.enter_async_context(test_utils.TestClient(server))
--- a/marjoramusher/callers/slots.py
+++ b/marjoramusher/callers/slots.py
@@ -26,10 +26,18 @@
         self._broker: grants.SlotBroker | None = None
         self._announced: dict[str, announcement.TargetAnnouncement] = {}
 
-    def lead(self, process: str) -> None:
-        """Start to grant; `process` is new for each leadership."""
+    def lead(self, process: str, instances: frozenset[str]) -> None:
+        """Start to grant.
+
+        Parameters
+        ----------
+        process : str
+            Id of this leadership, for example the instance id with the term.
+        instances : frozenset of str
+            Instances of the failure domain by the settings, alive or not.
+        """
         now = self._time.monotonic()
-        self._broker = grants.SlotBroker(process, now)
+        self._broker = grants.SlotBroker(process, now, instances)
         for announced in self._announced.values():
             self._broker.announce(announced, now)
 
--- a/marjoramusher/routing/fair.py
+++ b/marjoramusher/routing/fair.py
@@ -56,12 +56,11 @@
 class _Account:
     """Queues of one client account, with the slot time it was charged for."""
 
-    __slots__ = ("charged", "entries", "waiting", "weight", "work_s")
+    __slots__ = ("charged", "entries", "weight", "work_s")
 
     def __init__(self, weight: float) -> None:
         self.weight = weight
         self.charged = 0.0
-        self.waiting = 0
         self.entries: dict[request.RequestClass, collections.deque[Entry]] = {
             run_class: collections.deque() for run_class in request.RequestClass
         }
@@ -113,7 +112,6 @@
         run_class = entry.run_class
         entries = account.entries[run_class]
         account.charged = max(account.charged, self._virtual - MAX_CREDIT)
-        account.waiting += 1
         if first:
             entries.appendleft(entry)
         else:
@@ -130,8 +128,7 @@
     def charge(self, entry: Entry, weight: float) -> None:
         """Charge an account for a dispatch."""
         account = self._account(entry.asked.account, weight)
-        if not account.waiting:
-            account.charged = max(account.charged, self._virtual - MAX_CREDIT)
+        account.charged = max(account.charged, self._virtual - MAX_CREDIT)
         self._virtual = max(self._virtual, account.charged)
         account.charged += entry.cost_s / account.weight
 
@@ -196,7 +193,6 @@
         run_class = entry.run_class
         queue = self.classes[run_class]
         entry.waiting = False
-        account.waiting -= 1
         account.work_s[run_class] -= entry.cost_s
         queue.work_s -= entry.cost_s
         queue.count -= 1
--- a/marjoramusher/routing/grants.py
+++ b/marjoramusher/routing/grants.py
@@ -88,8 +88,9 @@
 
     The sum of what holders may use never exceeds a target's slots: a share that
     shrinks counts in full until its holder has confirmed the reply that shrinks it, or
-    its lease is over. A new broker only renews what holders report until one lease
-    has passed, since a holder that it hasn't heard of may hold the rest.
+    its lease is over. A new broker only renews what holders report until all expected
+    instances have reported or one lease has passed, since an instance that it hasn't
+    heard of may hold the rest.
 
     Parameters
     ----------
@@ -97,11 +98,17 @@
         Id of this leadership; replies carry it.
     now : float
         Start of the leadership.
+    instances : frozenset of str
+        Instances of the failure domain, those included that don't answer; empty if
+        they are not known.
     """
 
-    def __init__(self, process: str, now: float) -> None:
+    def __init__(
+        self, process: str, now: float, instances: frozenset[str] = frozenset()
+    ) -> None:
         self._process = process
         self._opens_at = now + GRANT_LEASE_S
+        self._unheard = set(instances)
         self._sequence = 0
         self._targets = target.TargetTable()
         self._holders: dict[str, _Holder] = {}
@@ -132,6 +139,10 @@
             holder = self._holders[demand.instance] = _Holder(demand.process)
         self._take_over(holder, demand, now)
         holder.demand = demand.demand
+        if self._unheard:
+            self._unheard.discard(demand.instance)
+            if not self._unheard:
+                self._opens_at = min(self._opens_at, now)
         holder.expires_at = now + GRANT_LEASE_S
         self._sequence += 1
         holder.sequence = self._sequence
--- a/marjoramusher/routing/router.py
+++ b/marjoramusher/routing/router.py
@@ -541,6 +541,9 @@
             slots = service.limit - service.in_flight[LONG]
         else:
             slots = service.long_limit
+        if not service.limit:
+            # Grants have not arrived yet; half of the slots are the usual part.
+            slots = sum(t.announcement.slots for t in service.targets.values()) // 2
         slots = max(slots, 1)
         if not account:
             return queue.work_s / slots
