Refuse a late request once

The scan for passed deadlines dispatched what waited after each late request, which refused the other late ones a second time.

--- a/marjoramusher/routing/router.py
+++ b/marjoramusher/routing/router.py
@@ -769,7 +769,10 @@
                 entry.run.note_starved()
             self._drop(service, entry, now, effects)
             self._refuse(entry, errors.ErrorCode.DEADLINE_EXCEEDED, effects)
-            self._pump(service, now, effects)
+        if late:
+            # Only now, since it refuses late entries too.
+            for service in self._services.values():
+                self._pump(service, now, effects)
 
     def _reclassify(self, entry: fair.Entry, now: float) -> None:
         """Count what overruns as long work, so that queued long work makes room."""
@@ -802,6 +805,6 @@
 _MESSAGES = {
     errors.ErrorCode.OVERLOADED: "the expected wait is too long for the request",
     errors.ErrorCode.NO_TARGET: "no target of the service takes work",
-    errors.ErrorCode.DEADLINE_EXCEEDED: "the deadline passed before the answer",
+    errors.ErrorCode.DEADLINE_EXCEEDED: "the deadline has passed or can't be kept",
     errors.ErrorCode.TARGET_FAILED: "the target gave no complete answer",
 }
