Close answers that nobody reads and keep relayed outcomes true

A stream whose caller had gone before its first piece kept its slot until the deadline. A malformed frame from a peer counted as not run, and so did a local refusal after a forward with an unknown outcome. Answers are closed now, non-repeatable requests go on without their caller, and both cases give an unknown outcome.

--- a/marjoramusher/callers/engine.py
+++ b/marjoramusher/callers/engine.py
@@ -1,19 +1,21 @@
 """Carries out the effects of a routing policy on the event loop."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable, Iterable
+import contextlib
+from collections.abc import AsyncGenerator, AsyncIterator, Callable, Iterable
 
 import msgspec
 
 from ..core import announcement, clock, errors, record
 from ..routing import effect, grants, policy, request, target
 from ..targets import dispatch
-from ..telemetry import metrics
+from ..telemetry import log, metrics
 from . import answer as answers
 from . import forwarding
 
 BUSY_TICK_S = 0.05
 IDLE_TICK_S = 0.5
+FORWARD_GRACE_S = 0.5  # the other domain ends the request at its deadline itself
 WHOLE_BYTES = 64 * 1024  # shorter answers are read whole and may be tried again
 
 
@@ -22,7 +24,7 @@
 
 
 class _Pending:
-    __slots__ = ("aborted", "answer", "asked", "sent", "tasks")
+    __slots__ = ("aborted", "answer", "asked", "may_have_run", "sent", "tasks")
 
     def __init__(
         self,
@@ -34,6 +36,9 @@
         self.sent = sent
         self.answer = answer
         self.tasks: dict[int, asyncio.Task] = {}
+        # True after a forward with an unknown outcome, which the local policy doesn't
+        # know of.
+        self.may_have_run = False
         self.aborted: errors.MarjoramusherError | None = None
 
 
@@ -153,8 +158,12 @@
             self._observe_end(asked, began_at)
             self._forget(asked.request_id)
             return answer
-        stream = self._watch(pending, answer, began_at)
-        return answers.Answer(answer.status, answer.content_type, stream=stream)
+        return answers.Answer(
+            answer.status,
+            answer.content_type,
+            stream=self._watch(pending, answer, began_at),
+            on_close=lambda: self._withdraw(asked.request_id),
+        )
 
     async def idle(self) -> None:
         """Wait until no request is in progress."""
@@ -163,14 +172,15 @@
 
     async def _watch(
         self, pending: _Pending, answer: answers.Answer, began_at: float
-    ) -> AsyncIterator[bytes]:
+    ) -> AsyncGenerator[bytes, None]:
         """Stream an answer and end the request with it."""
         request_id = pending.asked.request_id
         try:
-            async for piece in answer.pieces():
-                if pending.aborted is not None:
-                    raise pending.aborted
-                yield piece
+            async with contextlib.aclosing(answer.pieces()) as pieces:
+                async for piece in pieces:
+                    if pending.aborted is not None:
+                        raise pending.aborted
+                    yield piece
             self._observe_end(pending.asked, began_at)
         finally:
             self._withdraw(request_id)
@@ -195,6 +205,8 @@
                     task.cancel()
             elif isinstance(item, effect.Refuse):
                 error = errors.from_body(item.error)
+                if pending.may_have_run:
+                    error.outcome = errors.Outcome.UNKNOWN
                 pending.aborted = error
                 if not pending.answer.done():
                     pending.answer.set_exception(error)
@@ -224,6 +236,12 @@
                 self._routing.failed(number, error.kind, self._time.monotonic())
             )
             return
+        except Exception as error:
+            # Without this, the slot would stay taken until the deadline.
+            log.state_change("attempt.internal_error", error=repr(error))
+            kind = request.FailureKind.CUT
+            self._apply(self._routing.failed(number, kind, self._time.monotonic()))
+            return
         now = self._time.monotonic()
         self._apply(self._routing.started(number, now))
         if pending.answer.done():
@@ -239,12 +257,13 @@
 
     async def _stream(
         self, number: int, answer: dispatch.TargetAnswer
-    ) -> AsyncIterator[bytes]:
+    ) -> AsyncGenerator[bytes, None]:
         size = 0
         try:
-            async for piece in answer.pieces():
-                size += len(piece)
-                yield piece
+            async with contextlib.aclosing(answer.pieces()) as pieces:
+                async for piece in pieces:
+                    size += len(piece)
+                    yield piece
         except dispatch.AttemptFailedError as error:
             self._metrics.increment("attempt_failures", kind=error.kind.value)
             self._apply(
@@ -263,10 +282,16 @@
                     item.failure_domain, errors.Outcome.NOT_RUN
                 )
             frames = self._forward(item.failure_domain, pending.asked, pending.sent)
-            answer = await forwarding.read(frames)
-        except errors.MarjoramusherError as error:
+            left_s = pending.asked.deadline - self._time.monotonic()
+            async with asyncio.timeout(left_s + FORWARD_GRACE_S):
+                answer = await forwarding.read(frames)
+        except (errors.MarjoramusherError, TimeoutError) as error:
             if pending.answer.done():
                 return
+            if isinstance(error, TimeoutError):
+                error = errors.PeerUnreachableError(item.failure_domain)
+            if error.outcome is not errors.Outcome.NOT_RUN:
+                pending.may_have_run = True
             if error.outcome is errors.Outcome.NOT_RUN or pending.asked.repeatable:
                 # Nothing is lost but time: the local queue gets it after all.
                 again = msgspec.structs.replace(pending.asked, forwarded=True)
--- a/marjoramusher/callers/forwarding.py
+++ b/marjoramusher/callers/forwarding.py
@@ -1,6 +1,7 @@
 """Frames of a request that is answered in another failure domain."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+import contextlib
+from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
 
 import msgspec
 import xxhash
@@ -73,7 +74,7 @@
 Run = Callable[[request.Request, dispatch.TargetRequest], Awaitable[answers.Answer]]
 
 
-async def serve(run: Run, message: bytes, now: float) -> AsyncIterator[bytes]:
+async def serve(run: Run, message: bytes, now: float) -> AsyncGenerator[bytes, None]:
     """Run a forwarded request here and yield the frames of its answer."""
     try:
         got = codec.unpack(message, Forwarded)
@@ -91,14 +92,21 @@
             got.request_id, got.account, got.content_type, got.payload, got.key
         )
         answer = await run(asked, sent)
+    except errors.MarjoramusherError as error:
+        yield codec.pack(Failure(error.body()))
+        return
+    try:
         yield codec.pack(Head(answer.status, answer.content_type))
         digest = xxhash.xxh3_64()
-        async for piece in answer.pieces():
-            digest.update(piece)
-            yield codec.pack(Piece(piece))
+        async with contextlib.aclosing(answer.pieces()) as pieces:
+            async for piece in pieces:
+                digest.update(piece)
+                yield codec.pack(Piece(piece))
         yield codec.pack(End(digest.intdigest()))
     except errors.MarjoramusherError as error:
         yield codec.pack(Failure(error.body()))
+    finally:
+        answer.close()
 
 
 async def read(frames: AsyncIterator[bytes]) -> answers.Answer:
@@ -110,7 +118,7 @@
         The failure at the other side, or an unknown outcome if the frames end early.
     """
     async for data in frames:
-        match codec.unpack(data, Frame):
+        match _frame(data):
             case Head() as head:
                 return answers.Answer(
                     head.status, head.content_type, stream=_body(frames)
@@ -122,10 +130,10 @@
     raise _broken()
 
 
-async def _body(frames: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+async def _body(frames: AsyncIterator[bytes]) -> AsyncGenerator[bytes, None]:
     digest = xxhash.xxh3_64()
     async for data in frames:
-        match codec.unpack(data, Frame):
+        match _frame(data):
             case Piece() as piece:
                 digest.update(piece.body)
                 yield piece.body
@@ -140,6 +148,14 @@
     raise _broken()
 
 
+def _frame(data: bytes) -> Frame:
+    try:
+        return codec.unpack(data, Frame)
+    except errors.BadRequestError as error:
+        # A malformed frame does not mean that the request was refused.
+        raise _broken() from error
+
+
 def _broken() -> errors.MarjoramusherError:
     return errors.MarjoramusherError(
         errors.ErrorCode.PEER_UNREACHABLE,
--- a/marjoramusher/callers/requests.py
+++ b/marjoramusher/callers/requests.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import itertools
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncGenerator, AsyncIterator, Callable
 
 from aiohttp import web
 
@@ -44,6 +44,9 @@
 class RequestHandlers:
     """Serve `POST /v1/services/{service}/requests`.
 
+    The server may cancel handlers of callers that are gone: repeatable requests are
+    withdrawn then, and the others go on.
+
     Parameters
     ----------
     runs : Engine
@@ -78,6 +81,7 @@
         self._serials = itertools.count(1)
         self._draining = False
         self._in_progress = 0
+        self._once_tasks: set[asyncio.Future[web.StreamResponse]] = set()
 
     @property
     def in_progress(self) -> int:
@@ -94,7 +98,7 @@
 
     async def idle(self) -> None:
         """Wait until every request in progress is answered."""
-        while self._in_progress or self._engine.in_progress:
+        while self._in_progress or self._once_tasks or self._engine.in_progress:
             await asyncio.sleep(0.02)
 
     async def post(self, request: web.Request) -> web.StreamResponse:
@@ -107,12 +111,22 @@
         try:
             call = await self._parse(request)
             if not call.asked.repeatable:
-                return await self._once(request, call)
+                # Goes on without its caller, so that the answer is recorded.
+                work = asyncio.ensure_future(self._once(request, call))
+                self._once_tasks.add(work)
+                work.add_done_callback(self._once_ended)
+                return await asyncio.shield(work)
             answer = await self._engine.run(call.asked, call.sent)
             return await _respond(request, call.asked.request_id, answer)
         finally:
             self._in_progress -= 1
 
+    def _once_ended(self, work: asyncio.Future[web.StreamResponse]) -> None:
+        self._once_tasks.discard(work)
+        if not work.cancelled():
+            # The handler has raised it, unless its caller is gone.
+            work.exception()
+
     async def _parse(self, request: web.Request) -> _Call:
         headers = request.headers
         account = limits.name(headers.get("X-Client-Account"), "X-Client-Account")
@@ -196,21 +210,25 @@
             whole = answers.Answer(*head, whole=kept)
             return await _respond(request, asked.request_id, whole)
 
-        async def rest() -> AsyncIterator[bytes]:
+        recorded = False
+
+        async def rest() -> AsyncGenerator[bytes, None]:
             # The last piece is held back until the outcome is recorded.
+            nonlocal recorded
             held = kept + last
-            try:
-                async for piece in pieces:
-                    yield held
-                    held = piece
-            except BaseException:
-                await self._claims.unknown(owner, account, key, holder)
-                raise
+            async for piece in pieces:
+                yield held
+                held = piece
+            recorded = True
             await self._claims.record(owner, account, key, holder, *head, None)
             yield held
 
-        large = answers.Answer(*head, stream=rest())
-        return await _respond(request, asked.request_id, large)
+        large = answers.Answer(*head, stream=rest(), on_close=answer.close)
+        try:
+            return await _respond(request, asked.request_id, large)
+        finally:
+            if not recorded:
+                await self._claims.unknown(owner, account, key, holder)
 
     async def _claim(
         self, owner: str, call: _Call
@@ -280,6 +298,7 @@
             request.transport.abort()
     finally:
         await pieces.aclose()
+        answer.close()
     return response
 
 
--- a/marjoramusher/callers/requests_test.py
+++ b/marjoramusher/callers/requests_test.py
@@ -228,6 +228,24 @@
         assert not stack.engine.in_progress
 
 
+@pytest.mark.parametrize("once", [False, True])
+async def test_caller_that_goes_away_frees_its_slot(once):
+    headers = ONCE if once else {}
+    async with running(1) as stack:
+        payload = {"run_ms": 200, "size": 200_000, "pieces": 2}
+        call = asyncio.create_task(stack.post(payload, **headers))
+        while not stack.runs():
+            await asyncio.sleep(0.01)
+        call.cancel()
+        await stack.handlers.idle()
+        assert stack.engine.in_progress == 0
+        assert stack.engine._routing.in_flight == 0
+        if once:
+            _, body = await stack.post(payload, **headers)
+            assert body["error"]["code"] in ("outcome_unknown", "answer_expired")
+            assert len(stack.runs()) == 1
+
+
 async def test_large_answer_of_a_key_is_recorded_as_done():
     async with running(1) as stack:
         status, _ = await stack.post({"size": 200_000, "pieces": 4}, **ONCE)
--- a/marjoramusher/callers/slots.py
+++ b/marjoramusher/callers/slots.py
@@ -103,6 +103,7 @@
         """Report once and take over the reply."""
         try:
             reply = await self._call_leader(codec.pack(self._engine.demand()))
+            granted = codec.unpack(reply, grants.Grants)
         except errors.NotLeaderError:
             self._engine.leader_known(False)
             return
@@ -110,4 +111,4 @@
             self._engine.leader_known(True)
             return
         self._engine.leader_known(True)
-        self._engine.grant(codec.unpack(reply, grants.Grants))
+        self._engine.grant(granted)
