--- a/marjoramusher/placement/guarantee.py
+++ b/marjoramusher/placement/guarantee.py
@@ -146,8 +146,10 @@
 
     def covering(
         self, account: str, job_class: resource.JobClass, shape: resource.GangShape
-    ) -> Iterator[str]:
-        """Yield an account's guarantees that a job may use, the smallest first."""
+    ) -> tuple[str, ...]:
+        """Return an account's guarantees that a job may use, the smallest first."""
+        if account not in self._by_account:
+            return ()
         names = [
             name
             for name in self._by_account.get(account, ())
@@ -155,7 +157,22 @@
             and covers(self._entries[name][0].guarantee, job_class, shape)
         ]
         names.sort(key=lambda n: self._entries[n][0].guarantee.shape.accelerators)
-        yield from names
+        return tuple(names)
+
+    def has_unused(self, names: Iterable[str]) -> bool:
+        """Tell whether one of some guarantees has an unused gang with workers."""
+        return any(
+            entry.job_id is None and entry.is_planned
+            for name in names
+            for entry in self._entries.get(name, ())
+        )
+
+    def has_exact(self, names: Iterable[str], shape: resource.GangShape) -> bool:
+        """Tell whether an unused guaranteed gang has exactly a job's shape."""
+        return any(
+            self._entries[name][0].guarantee.shape == shape and self.has_unused((name,))
+            for name in names
+        )
 
     def planned_on(self, worker: str) -> Iterable[Entry]:
         """Return the entries assigned to a worker."""
--- a/marjoramusher/placement/placer.py
+++ b/marjoramusher/placement/placer.py
@@ -31,6 +31,12 @@
     def worker_up(self, worker: announcement.WorkerAnnouncement, now: float) -> None:
         """Add a worker or take over its changed capacity."""
 
+    def worker_silent(self, worker: str, now: float) -> None:
+        """Keep new work off a worker that misses announcements or calls.
+
+        Its gangs stay until `worker_down`; the next `worker_up` brings it back.
+        """
+
     def worker_down(self, worker: str, now: float) -> None:
         """Remove a worker; its gangs are stopped by `plan`."""
 
@@ -40,6 +46,9 @@
     def job_changed(self, job: job.Job, now: float) -> None:
         """Take over a job's committed state, for any of its states."""
 
+    def task_saved(self, job_id: str, progress_s: float, now: float) -> None:
+        """Note run time saved in a checkpoint, as workers announce it."""
+
     def task_failed(self, job_id: str, worker: str, now: float) -> None:
         """Note that a task failed on a worker."""
 
--- a/marjoramusher/records/change.py
+++ b/marjoramusher/records/change.py
@@ -115,6 +115,9 @@
                     parsed.schema, spec, before
                 )
             )
+            faults.extend(_move_faults(key, spec, before))
+        elif parsed.sound and before is not None and parsed.schema == 1:
+            faults.extend(_erasure_faults(key, before))
         faults.extend(_domain_faults(parsed, before, asked.failure_domains))
         writes[key] = Write(key, parsed.schema, spec, parsed.names, parsed.sound)
     faults.extend(
@@ -196,6 +199,34 @@
     return number if number in schema.SCHEMAS else schema.LATEST
 
 
+def _move_faults(
+    key: document.Key, spec: schema.Spec, before: schema.Spec | None
+) -> Iterator[fault.Fault]:
+    if key[0] is not schema.Kind.CONTRACT or before is None:
+        return
+    for field in ("account", "failure_domain"):
+        if getattr(spec, field) != getattr(before, field):
+            yield _fault(
+                key,
+                f"spec.{field}",
+                fault.Rule.IMMUTABLE,
+                "jobs of the contract and their keys stay where it is, so a resent "
+                "job would start twice; write another contract",
+            )
+
+
+def _erasure_faults(key: document.Key, before: schema.Spec) -> Iterator[fault.Fault]:
+    newer = schema.newer_fields(key[0], before)
+    if newer:
+        yield _fault(
+            key,
+            "delete",
+            fault.Rule.CONTRADICTS_NEWER_SCHEMA,
+            f"the deletion would erase {', '.join(newer)}, which was set with schema "
+            "2, so delete with schema 2",
+        )
+
+
 def _domain_faults(
     parsed: document.Document, before: schema.Spec | None, known: tuple[str, ...]
 ) -> Iterator[fault.Fault]:
