Send a failed job to other workers before its guaranteed place

Cause: a claimant was placed again and again on the worker that failed it, so that nothing showed it innocent; a bad worker was quarantined after up to 161 s. Change: entries on avoided workers move; a borrower returns to a worker that it failed on only after 30 s without another place.

--- a/marjoramusher/placement/gang.py
+++ b/marjoramusher/placement/gang.py
@@ -324,11 +324,9 @@
             found = self._cells.locate(waiting.shape, ledger.solid_free, avoid)
             if found is None and spec.repeatable:
                 found = self._cells.locate(waiting.shape, ledger.free, avoid)
-            if found is None and waiting.job.failed_on:
-                retry_avoid = self._quarantine.avoided(now)
-                found = self._cells.locate(
-                    waiting.shape, ledger.solid_free, retry_avoid
-                )
+            if found is None and self._quarantine.may_return(job_id, now):
+                doubtful = self._quarantine.avoided(now)
+                found = self._cells.locate(waiting.shape, ledger.solid_free, doubtful)
             if found is not None:
                 return [self._place(waiting, found, lane.rank, None, now)]
             if not avoid or not self._fits(waiting.shape, spec.repeatable):
@@ -445,7 +443,7 @@
         ):
             return None
         avoid = self._quarantine.avoided(now).union(waiting.job.failed_on)
-        own = [e for e in entries if not avoid.intersection(e.workers)] or entries
+        own = [e for e in entries if not avoid.intersection(e.workers)]
         each = ledger.amounts_of(waiting.shape.each)
         # Workers that a waiting gang has reserved are taken only if no others are free.
         reserved = self._reserves.all_workers()
@@ -463,7 +461,7 @@
         if elsewhere is None and not free_now and reserved:
             elsewhere = self._cells.locate(outer, ledger.solid_free, avoid)
         if elsewhere is not None:
-            entry = own[0]
+            entry = (own or entries)[0]
             self._plan.unassign(entry)
             self._plan.assign(entry, elsewhere)
             workers = guarantee.seats(outer, waiting.shape, elsewhere)
@@ -474,7 +472,15 @@
         others = self._cells.candidates(outer, ledger.firm_free, avoid)
         for found in reclaim.first(others, MAX_CANDIDATES):
             workers = guarantee.seats(outer, waiting.shape, found)
-            options.append((own[0], found, workers, ledger.spread(workers, each)))
+            entry = (own or entries)[0]
+            options.append((entry, found, workers, ledger.spread(workers, each)))
+        if not options:
+            # Every place has a worker that is avoided; a doubtful one is better
+            # than none.
+            for entry in entries[:MAX_CANDIDATES]:
+                workers = guarantee.seats(outer, waiting.shape, entry.workers)
+                amounts = ledger.spread(workers, each)
+                options.append((entry, entry.workers, workers, amounts))
         best = None
         for entry, planned, workers, amounts in options:
             victims = reclaim.choose_victims(
--- a/marjoramusher/placement/quarantine.py
+++ b/marjoramusher/placement/quarantine.py
@@ -26,6 +26,8 @@
 MAX_SHARE = 1 / 3
 FIRST_PAUSE_S = 0.5
 LONGEST_PAUSE_S = 4.0
+# A job that found no other worker for this long returns to those it failed on.
+RETURN_S = 30.0
 # Evidence older than this says nothing about the present.
 EVIDENCE_S = 900.0
 
@@ -141,6 +143,13 @@
         job = self._jobs.get(job_id)
         return 0.0 if job is None else job.paused_until
 
+    def may_return(self, job_id: str, now: float) -> bool:
+        """Tell whether a job may be tried where it has failed, for lack of others."""
+        job = self._jobs.get(job_id)
+        return job is not None and all(
+            now - failure.at >= RETURN_S for failure in job.failed_on.values()
+        )
+
     def avoided(self, now: float) -> set[str]:
         """Return workers that get no new work for the moment."""
         over = [w for w in self._suspects if self._workers[w].paused_until <= now]
