Keep room for urgent jobs and move plan entries off doubtful workers

Cause: urgent jobs waited where no best effort borrower ran; a guaranteed gang of four whole workers returned to the failing worker 18 times. Change: normal jobs leave a twelfth of the workers free or to best effort jobs; unused entries are rearranged to free one of an avoided worker.

--- a/marjoramusher/placement/cell.py
+++ b/marjoramusher/placement/cell.py
@@ -59,6 +59,17 @@
         for worker_id in sorted(changed):
             self._update(workers[worker_id])
 
+    @property
+    def total(self) -> int:
+        """Return the number of free cells in all racks."""
+        return self._total
+
+    def workers(self) -> Iterator[str]:
+        """Yield the workers that have free cells."""
+        for racks in self._buckets.values():
+            for rack in racks:
+                yield from (w for w in self._members[rack] if self._slots[w])
+
     def _has_room(self, tasks: int, adjacency: resource.Adjacency) -> bool:
         if self._sums and self._sums[-1] >= tasks:
             return True
--- a/marjoramusher/placement/gang.py
+++ b/marjoramusher/placement/gang.py
@@ -36,6 +36,8 @@
 # Half-life of the attained service of a client account.
 SERVED_HALF_LIFE_S = 600.0
 MAX_CANDIDATES = 4
+# Share of the workers that other jobs than best effort ones leave to urgent jobs.
+STANDBY_SHARE = 1 / 12
 
 
 class Account:
@@ -307,6 +309,8 @@
             if made is not None:
                 return made
         avoid = self._quarantine.avoided(now)
+        if lane.rank == 1 or lane.rank == 0 and not spec.repeatable:
+            avoid = avoid | self._standby()
         if waiting.job.failed_on:
             avoid = avoid.union(waiting.job.failed_on)
         binding: tuple[str, ...] = ()
@@ -352,6 +356,15 @@
         lane.blocked_at = self._ledger.releases
         return None
 
+    def _standby(self) -> set[str]:
+        """Return workers to keep for urgent jobs: free, or with best effort jobs."""
+        each = (self._largest[0], 0, 0)
+        if not each[0] or "no_standby" in self._options:
+            return set()
+        index = self._cells.index(each, ledger.yielding_free)
+        wanted = int(len(self._ledger.workers) * STANDBY_SHARE)
+        return set(index.workers()) if index.total <= wanted else set()
+
     def _may_overstay(self, waiting: queue.Waiting, rank: int, now: float) -> bool:
         """Tell whether a job may use reserved workers until the gang starts."""
         moved_at = self._moved.get(waiting.job.job_id, -math.inf)
@@ -444,6 +457,8 @@
             return None
         avoid = self._quarantine.avoided(now).union(waiting.job.failed_on)
         own = [e for e in entries if not avoid.intersection(e.workers)]
+        if not own and self._plan.relocate(entries[0], avoid):
+            own = [entries[0]]
         each = ledger.amounts_of(waiting.shape.each)
         # Workers that a waiting gang has reserved are taken only if no others are free.
         reserved = self._reserves.all_workers()
--- a/marjoramusher/placement/guarantee.py
+++ b/marjoramusher/placement/guarantee.py
@@ -1,6 +1,6 @@
 """The plan that makes room for each unused guaranteed gang."""
 
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Collection, Iterable, Iterator, Sequence
 from typing import Protocol
 
 from ..core import record, resource
@@ -246,6 +246,36 @@
                     self.unassign(entry)
         self._is_repacked = False
 
+    def relocate(self, entry: Entry, avoid: Collection[str]) -> bool:
+        """Move an unused entry off some workers, rearranging the others if need be.
+
+        Returns
+        -------
+        bool
+            False if there is no such arrangement; then nothing changes.
+        """
+        unused = sorted(
+            (e for e in self.waiting_entries() if e.is_planned), key=_by_size
+        )[: self.MAX_REPACK]
+        before = {e: e.workers for e in unused}
+        for other in unused:
+            self.unassign(other)
+        found = self._cells.locate(entry.guarantee.shape, ledger.firm_free, avoid)
+        if found is not None:
+            self.assign(entry, found)
+            self._fill(other for other in unused if other is not entry)
+        if found is not None and all(other.is_planned for other in unused):
+            return True
+        self._restore(before)
+        return False
+
+    def _restore(self, before: dict[Entry, tuple[str, ...]]) -> None:
+        for entry in before:
+            self.unassign(entry)
+        for entry, workers in before.items():
+            if workers:
+                self.assign(entry, workers)
+
     def capacity_changed(self) -> None:
         """Allow another repacking."""
         self._is_repacked = False
@@ -310,11 +340,7 @@
             self.unassign(entry)
         self._fill(list(self._unplanned))
         if len(self._unplanned) >= missing:
-            for entry in unused:
-                self.unassign(entry)
-            for entry, workers in before.items():
-                if workers:
-                    self.assign(entry, workers)
+            self._restore(before)
 
 
 def _by_size(entry: Entry) -> tuple[bool, int, int, int]:
