Keep gangs off workers they failed on when borrowers move for them

Cause: a gang whose reservation or move led to the failing worker failed there 26 times; an urgent job that must not start twice never preempted. Change: reservations and moves respect a job's failures; such urgent jobs preempt where the plan of guarantees leaves room.

--- a/marjoramusher/placement/fragmentation.py
+++ b/marjoramusher/placement/fragmentation.py
@@ -1,5 +1,7 @@
 """How much free capacity a gang can't use, and moves that make it usable."""
 
+from collections.abc import Collection
+
 from ..core import resource
 from . import cell, ledger, reclaim
 
@@ -60,6 +62,7 @@
     shape: resource.GangShape,
     rank: int,
     wait_s: float,
+    avoid: Collection[str],
     now: float,
 ) -> Move | None:
     """Weigh moving borrowers against waiting until they end.
@@ -79,7 +82,8 @@
         )
 
     gain = max(1, shape.accelerators) * wait_s
-    for workers in reclaim.first(cells.candidates(shape, movable_free), MAX_CANDIDATES):
+    places = cells.candidates(shape, movable_free, avoid)
+    for workers in reclaim.first(places, MAX_CANDIDATES):
         amounts = ledger.spread(workers, each)
         victims = reclaim.choose_victims(book, amounts, may_move, now)
         if not victims or len(victims) > MAX_MOVED:
--- a/marjoramusher/placement/gang.py
+++ b/marjoramusher/placement/gang.py
@@ -415,8 +415,10 @@
         """Start a waiting gang by moving smaller borrowers, if that is cheaper."""
         if not waiting.job.spec.repeatable or "no_move" in self._options:
             return None
+        wait_s = ready_at - now
+        avoid = self._quarantine.avoided(now).union(waiting.job.failed_on)
         move = fragmentation.choose_move(
-            self._ledger, self._cells, waiting.shape, lane.rank, ready_at - now, now
+            self._ledger, self._cells, waiting.shape, lane.rank, wait_s, avoid, now
         )
         if move is None:
             return None
@@ -518,11 +520,12 @@
         self, waiting: queue.Waiting, avoid: set[str], now: float
     ) -> list[decision.Decision] | None:
         """Make room for an urgent job by stopping best effort borrowers."""
-        if not waiting.job.spec.repeatable:
-            return None
         each = ledger.amounts_of(waiting.shape.each)
         best = None
-        places = self._cells.candidates(waiting.shape, ledger.yielding_free, avoid)
+        view = ledger.yielding_free
+        if not waiting.job.spec.repeatable:
+            view = ledger.yielding_solid
+        places = self._cells.candidates(waiting.shape, view, avoid)
         for workers in reclaim.first(places, MAX_CANDIDATES):
             amounts = ledger.spread(workers, each)
             victims = reclaim.choose_victims(
--- a/marjoramusher/placement/ledger.py
+++ b/marjoramusher/placement/ledger.py
@@ -195,6 +195,12 @@
     return (a[0] + y[0], a[1] + y[1], a[2] + y[2])
 
 
+def yielding_solid(worker: Worker) -> Amounts:
+    """Return what of `yielding_free` is not needed by the plan of guarantees."""
+    a, b = yielding_free(worker), firm_free(worker)
+    return (min(a[0], b[0]), min(a[1], b[1]), min(a[2], b[2]))
+
+
 def projected_free(worker: Worker) -> Amounts:
     """Return what is free once the jobs that are being stopped have ended."""
     a, r = free(worker), worker.releasing
--- a/marjoramusher/placement/reserve.py
+++ b/marjoramusher/placement/reserve.py
@@ -149,7 +149,11 @@
             racks += sorted(self._ledger.racks - set(racks))[: MAX_RACKS - len(racks)]
         members: dict[str, list[ledger.Worker]] = {}
         for rack in racks[-MAX_RACKS:]:
-            members[rack] = self._ledger.open_in(rack)
+            members[rack] = [
+                worker
+                for worker in self._ledger.open_in(rack)
+                if worker.id not in waiting.job.failed_on
+            ]
         if waiting.shape.adjacency is resource.Adjacency.NONE:
             groups = [[w for rack in members for w in members[rack]]]
         else:
