--- a/bench/placement_driver.py
+++ b/bench/placement_driver.py
@@ -48,6 +48,7 @@
     completion_s: dict[str, float] = {}
     urgent_start_s: list[float] = []
     reclaim_s: list[float] = []
+    reclaim_silent_s: list[float] = []
     quarantine_s: list[float] = []
     broken: int = 0
     shortfall_false: int = 0
@@ -293,7 +294,11 @@
             submitted_at = self._urgent.pop(job_id)
             self.verdict.urgent_start_s.append(self._now - submitted_at)
         if job_id in self._claims:
-            self.verdict.reclaim_s.append(self._now - self._claims.pop(job_id))
+            submitted_at = self._claims.pop(job_id)
+            self.verdict.reclaim_s.append(self._now - submitted_at)
+            silences = (f.at for f in self._load.faults if f.kind != "bad")
+            if any(0 <= submitted_at - at <= SILENT_AFTER_S for at in silences):
+                self.verdict.reclaim_silent_s.append(self._now - submitted_at)
         self._change(
             job_id,
             state=job.JobState.RUNNING,
--- a/bench/placement_load.py
+++ b/bench/placement_load.py
@@ -128,7 +128,8 @@
     subjects: list[Subject] = []
     work_s = utilization * span_s * len(workers) * 8
     serial = 0
-    claims = _make_claims(rng, span_s)
+    faults = _make_faults(rng, workers, span_s)
+    claims = _make_claims(rng, span_s, faults)
     subjects += claims
     work_s -= sum(s.run_s * s.job.spec.shape.accelerators for s in claims)
     while work_s > 0:
@@ -189,17 +190,24 @@
         workers,
         make_configuration(span_s),
         subjects,
-        _make_faults(rng, workers, span_s),
+        faults,
         span_s,
     )
 
 
-def _make_claims(rng: np.random.Generator, span_s: float) -> list[Subject]:
-    """Make jobs that come now and then for exactly what is guaranteed."""
+def _make_claims(
+    rng: np.random.Generator, span_s: float, faults: list[Fault]
+) -> list[Subject]:
+    """Make jobs for exactly what is guaranteed, now and then and after silences."""
     claims = []
+    silences = [fault.at for fault in faults if fault.kind != "bad"]
     for name, (account, _, shape) in GUARANTEES.items():
+        times = [at + float(rng.uniform(0.1, 1.5)) for at in silences]
         at = float(rng.exponential(CLAIM_EVERY_S))
         while at < span_s:
+            times.append(at)
+            at += float(rng.exponential(CLAIM_EVERY_S))
+        for at in times:
             run_s = float(rng.uniform(10.0, 40.0))
             spec = job.JobSpec(account, f"{account}-0", shape, run_s=run_s)
             one = job.Job(
@@ -209,7 +217,6 @@
                 WALL_OFFSET_S + at,
             )
             claims.append(Subject(one, run_s))
-            at += float(rng.exponential(CLAIM_EVERY_S))
     return claims
 
 
@@ -242,9 +249,9 @@
     span_s: float,
 ) -> list[Fault]:
     names = [w.id for w in workers]
-    picked = [str(name) for name in rng.choice(names, 7, replace=False)]
-    starts = np.sort(rng.uniform(0.1, 0.8, 7)) * span_s
-    kinds = ["bad", "silent", "lost", "bad", "silent", "lost", "silent"]
+    kinds = ["bad", "silent", "lost", "bad", "silent", "lost", "silent", "silent"]
+    picked = [str(name) for name in rng.choice(names, len(kinds), replace=False)]
+    starts = np.sort(rng.uniform(0.1, 0.8, len(kinds))) * span_s
     lengths = {"bad": 240.0, "silent": 30.0, "lost": 120.0}
     return [
         Fault(kind, worker, float(at), float(at) + lengths[kind])
--- a/marjoramusher/placement/gang.py
+++ b/marjoramusher/placement/gang.py
@@ -9,6 +9,7 @@
 from ..core import announcement, errors, job, record, resource
 from . import (
     cell,
+    counts,
     decision,
     estimate,
     fragmentation,
@@ -69,6 +70,9 @@
         self._ledger = ledger.Ledger()
         self._cells = cell.Cells(self._ledger)
         self._plan = guarantee.CellPlan(self._ledger, self._cells)
+        self._counts = None
+        if "count_plan" in options:
+            self._counts = counts.CountPlan(self._ledger, self._plan)
         self._queue = queue.Queue()
         self._run_times = estimate.RunTimes()
         self._quarantine = quarantine.Quarantine(rng, self._ledger)
@@ -326,7 +330,11 @@
             self._blocked.get((demand, binding)),
         ):
             found = self._cells.locate(waiting.shape, ledger.solid_free, avoid)
-            if found is None and spec.repeatable:
+            if found is None and (
+                spec.repeatable
+                or self._counts is not None
+                and self._counts.allows(waiting.shape)
+            ):
                 found = self._cells.locate(waiting.shape, ledger.free, avoid)
             if found is None and self._quarantine.may_return(job_id, now):
                 doubtful = self._quarantine.avoided(now)
@@ -344,7 +352,8 @@
         if self._never_fits(waiting, now):
             self._queue.remove(job_id)
             return [_infeasible(job_id, waiting.shape)]
-        self._reserves.want(waiting, lane.rank, now)
+        if "no_reserve" not in self._options:
+            self._reserves.want(waiting, now)
         reservation = self._reserves.get(job_id)
         if reservation is not None and reservation.next_try <= now:
             reservation.next_try = now + RETRY_S
@@ -370,6 +379,7 @@
         moved_at = self._moved.get(waiting.job.job_id, -math.inf)
         return (
             rank == 0
+            and "no_overstay" not in self._options
             and waiting.job.spec.repeatable
             and now - moved_at >= fragmentation.MOVE_PAUSE_S
         )
@@ -934,7 +944,8 @@
     order : queue.Order or None
         Order of the queue; the bench compares others.
     options : frozenset of str
-        Parts to leave out, for comparisons: ``no_reserve``.
+        Alternatives that the bench compares: ``no_reserve``, ``no_move``,
+        ``no_standby``, ``no_overstay`` and ``count_plan``.
     """
     return GangPlacer(
         rng, failure_domain, wall_offset_s, order or queue.Combined(), options
--- a/marjoramusher/placement/reserve.py
+++ b/marjoramusher/placement/reserve.py
@@ -43,7 +43,7 @@
         self._made: dict[str, Reservation] = {}
         self._next_want = 0.0
 
-    def want(self, waiting: queue.Waiting, rank: int, now: float) -> None:
+    def want(self, waiting: queue.Waiting, now: float) -> None:
         """Reserve workers for a gang that could not be placed."""
         job_id = waiting.job.job_id
         if job_id in self._made or not self._is_wanted(waiting, now):
