Remember failed attempts by what they had to leave to others

Cause: attempts under reservations or with workers left to urgent jobs were repeated for each lane; whether a job fits at all was looked up on each attempt; reservations were chosen anew although they were on time. Change: failures are kept for each demand and restriction, the fit is looked up once in 30 s, a reservation on time is kept, the workers left to urgent jobs are cached.

--- a/marjoramusher/placement/gang.py
+++ b/marjoramusher/placement/gang.py
@@ -89,6 +89,8 @@
         self._moved: dict[str, float] = {}
         self._blocked: dict[tuple[int, tuple[str, ...]], int] = {}
         self._drained = (-1, -1)
+        self._standby_at = -1
+        self._standby_set: set[str] = set()
         self._next_retry = 0.0
         self._settled_at: float | None = None
         self._serial = itertools.count()
@@ -294,7 +296,12 @@
         return (
             lane.covering is not None
             and lane.rank < 2
-            and self._blocked.get((lane.demand, ())) == self._ledger.releases
+            and not lane.is_retry
+            and self._ledger.releases
+            in (
+                self._blocked.get((lane.demand, ())),
+                self._blocked.get((lane.demand, lane.blocked_by)),
+            )
             and not self._plan.has_unused(lane.covering)
             and not self._reserves.is_due(waiting, now)
         )
@@ -313,8 +320,6 @@
             if made is not None:
                 return made
         avoid = self._quarantine.avoided(now)
-        if lane.rank == 1 or lane.rank == 0 and not spec.repeatable:
-            avoid = avoid | self._standby()
         if waiting.job.failed_on:
             avoid = avoid.union(waiting.job.failed_on)
         binding: tuple[str, ...] = ()
@@ -323,8 +328,14 @@
             binding = self._reserves.binding(job_id, ends_at)
             if binding:
                 avoid = avoid | self._reserves.workers(binding)
+        if lane.rank == 1 or lane.rank == 0 and not spec.repeatable:
+            standby = self._standby()
+            if standby:
+                avoid = avoid | standby
+                binding += ("standby",)
         releases = self._ledger.releases
         demand = lane.demand
+        lane.blocked_by = binding
         if releases not in (
             self._blocked.get((demand, ())),
             self._blocked.get((demand, binding)),
@@ -349,7 +360,7 @@
             made = self._preempt(waiting, avoid, now)
             if made is not None:
                 return made
-        if self._never_fits(waiting, now):
+        if self._never_fits(lane, waiting, now):
             self._queue.remove(job_id)
             return [_infeasible(job_id, waiting.shape)]
         if "no_reserve" not in self._options:
@@ -367,12 +378,16 @@
 
     def _standby(self) -> set[str]:
         """Return workers to keep for urgent jobs: free, or with best effort jobs."""
-        each = (self._largest[0], 0, 0)
-        if not each[0] or "no_standby" in self._options:
-            return set()
-        index = self._cells.index(each, ledger.yielding_free)
-        wanted = int(len(self._ledger.workers) * STANDBY_SHARE)
-        return set(index.workers()) if index.total <= wanted else set()
+        if self._standby_at != self._ledger.end:
+            self._standby_at = self._ledger.end
+            self._standby_set = set()
+            each = (self._largest[0], 0, 0)
+            if each[0] and "no_standby" not in self._options:
+                index = self._cells.index(each, ledger.yielding_free)
+                wanted = int(len(self._ledger.workers) * STANDBY_SHARE)
+                if index.total <= wanted:
+                    self._standby_set = set(index.workers())
+        return self._standby_set
 
     def _may_overstay(self, waiting: queue.Waiting, rank: int, now: float) -> bool:
         """Tell whether a job may use reserved workers until the gang starts."""
@@ -439,14 +454,15 @@
         view = ledger.free if is_repeatable else ledger.solid_free
         return self._cells.locate(shape, view) is not None
 
-    def _never_fits(self, waiting: queue.Waiting, now: float) -> bool:
+    def _never_fits(self, lane: queue.Lane, waiting: queue.Waiting, now: float) -> bool:
         if self._settled_at is None or now < self._settled_at:
             return False
-        if now - waiting.since < SETTLE_S:
+        if now - waiting.since < SETTLE_S or now < lane.next_check:
             return False
-        return self._cells.locate(waiting.shape, _nominal) is None and not any(
-            not w.present or not w.usable for w in self._ledger.workers.values()
-        )
+        lane.next_check = now + SETTLE_S
+        if self._cells.locate(waiting.shape, _nominal) is not None:
+            return False
+        return all(worker.is_open for worker in self._ledger.workers.values())
 
     def _charge(
         self, name: str, waiting: queue.Waiting, rank: int, now: float
--- a/marjoramusher/placement/queue.py
+++ b/marjoramusher/placement/queue.py
@@ -120,15 +120,21 @@
         Guarantees that the jobs may use, once they are looked up.
     blocked_at : int
         Count of releases at which the lane was last tried in vain.
+    blocked_by : tuple of str
+        What the last attempt had to leave to others.
+    next_check : float
+        When to look again whether the jobs can ever fit.
     """
 
     __slots__ = (
         "account",
         "blocked_at",
+        "blocked_by",
         "covering",
         "demand",
         "is_retry",
         "jobs",
+        "next_check",
         "rank",
     )
 
@@ -139,6 +145,8 @@
         self.is_retry = is_retry
         self.covering: tuple[str, ...] | None = None
         self.blocked_at = -1
+        self.blocked_by: tuple[str, ...] = ()
+        self.next_check = 0.0
         self.jobs: dict[str, Waiting] = {}
 
     def head(self) -> Waiting:
--- a/marjoramusher/placement/reserve.py
+++ b/marjoramusher/placement/reserve.py
@@ -79,14 +79,19 @@
         often would let long jobs in everywhere.
         """
         for job_id, made in list(self._made.items()):
+            group = [self._ledger.worker(worker) for worker in sorted(made.workers)]
+            cells, each = cell.unit_of(made.waiting.shape)
+            same = None
+            if all(worker.is_open for worker in group):
+                same = self._ready(group, cells, each, now)
+            if same is not None and same[0] <= made.ready_at:
+                made.ready_at = same[0]
+                continue
             del self._made[job_id]
             reservation = self._choose(made.waiting, now)
             if reservation is None:
                 continue
-            group = [self._ledger.worker(worker) for worker in sorted(made.workers)]
-            cells, each = cell.unit_of(made.waiting.shape)
-            same = self._ready(group, cells, each, now)
-            if same is not None and all(worker.is_open for worker in group):
+            if same is not None:
                 is_sooner = reservation.ready_at - now < CHANGE_SHARE * (same[0] - now)
                 if not is_sooner:
                     reservation.workers, reservation.ready_at = made.workers, same[0]
