Probe a worker on which an innocent job has failed

Cause: after a first failure the next start on a bad worker could be half a minute away, and with it the second piece of evidence. Change: the next small repeatable job goes there if nothing was started since.

--- a/marjoramusher/placement/gang.py
+++ b/marjoramusher/placement/gang.py
@@ -254,7 +254,7 @@
         placed = 0
         while heap and placed < MAX_PLACEMENTS:
             lane = heapq.heappop(heap)[-1]
-            if not lane.jobs:
+            if not lane.jobs or self._is_hopeless(lane, lane.head(), now):
                 continue
             made = self._try(lane, lane.head(), now)
             if made is None:
@@ -334,6 +334,9 @@
                 avoid = avoid | standby
                 binding += ("standby",)
         releases = self._ledger.releases
+        probed = self._probe(lane, waiting, now)
+        if probed is not None:
+            return [self._place(waiting, (probed,), lane.rank, None, now)]
         demand = lane.demand
         lane.blocked_by = binding
         if releases not in (
@@ -376,6 +379,20 @@
         lane.blocked_at = self._ledger.releases
         return None
 
+    def _probe(
+        self, lane: queue.Lane, waiting: queue.Waiting, now: float
+    ) -> str | None:
+        """Return a questioned worker for a job of a single task."""
+        if lane.is_retry or lane.rank == 2 or waiting.shape.tasks > 1:
+            return None
+        if not waiting.job.spec.repeatable:
+            return None
+        each = ledger.amounts_of(waiting.shape.each)
+        for worker in self._quarantine.probes(now):
+            if reclaim.room_for(self._ledger, {worker: each}):
+                return worker
+        return None
+
     def _standby(self) -> set[str]:
         """Return workers to keep for urgent jobs: free, or with best effort jobs."""
         if self._standby_at != self._ledger.end:
--- a/marjoramusher/placement/quarantine.py
+++ b/marjoramusher/placement/quarantine.py
@@ -150,6 +150,26 @@
             now - failure.at >= RETURN_S for failure in job.failed_on.values()
         )
 
+    def probes(self, now: float) -> Iterator[str]:
+        """Yield workers on which one more start would tell whether they are bad.
+
+        An innocent job has failed there and nothing was started since; without a
+        probe the second failure may be long in coming.
+        """
+        for worker in self._questioned:
+            evidence = self._workers[worker]
+            if (
+                evidence.until is None
+                and evidence.failures
+                and evidence.paused_until <= now
+                and self._innocent(evidence)
+            ):
+                last = max(failure.at for failure in evidence.failures.values())
+                jobs = self._ledger.worker(worker).jobs
+                holdings = (self._ledger.holdings[job_id] for job_id in jobs)
+                if all(holding.started_at < last for holding in holdings):
+                    yield worker
+
     def avoided(self, now: float) -> set[str]:
         """Return workers that get no new work for the moment."""
         over = [w for w in self._suspects if self._workers[w].paused_until <= now]
