Look up guarantees of a lane once

Cause: with many lanes most of a decision went into looking up unused guarantees. Change: a lane keeps the guarantees that cover it and those of its exact shape.

--- a/marjoramusher/placement/gang.py
+++ b/marjoramusher/placement/gang.py
@@ -294,10 +294,11 @@
             lane.covering = self._plan.covering(
                 spec.account, spec.job_class, waiting.shape
             )
+            lane.exact = self._plan.exact(lane.covering, waiting.shape)
         # A job that failed is tried before new ones: where it runs now tells
         # whether the job or the worker is at fault.
         tier = -2 if lane.rank == 2 else -1 if lane.is_retry else 0
-        if lane.covering and self._plan.has_exact(lane.covering, waiting.shape):
+        if lane.exact and self._plan.has_unused(lane.exact):
             # Before smaller jobs of the account that would use up the gang.
             tier = -2
         share = self._account(lane.account).share
@@ -311,15 +312,14 @@
         if lane.covering is None or lane.rank == 2 or lane.is_retry:
             return False
         releases = self._ledger.releases
-        blocked = self._blocked.get
-        return (
-            (
-                blocked((lane.demand, ())) == releases
-                or blocked((lane.demand, lane.blocked_by)) == releases
-            )
-            and not self._plan.has_unused(lane.covering)
-            and not self._reserves.is_due(waiting, now)
-        )
+        if (
+            self._blocked.get((lane.demand, ())) != releases
+            and self._blocked.get((lane.demand, lane.blocked_by)) != releases
+        ):
+            return False
+        if lane.covering and self._plan.has_unused(lane.covering):
+            return False
+        return not self._reserves.is_due(waiting, now)
 
     def _try(
         self, lane: queue.Lane, waiting: queue.Waiting, now: float
--- a/marjoramusher/placement/guarantee.py
+++ b/marjoramusher/placement/guarantee.py
@@ -161,17 +161,16 @@
 
     def has_unused(self, names: Iterable[str]) -> bool:
         """Tell whether one of some guarantees has an unused gang with workers."""
-        return any(
-            entry.job_id is None and entry.is_planned
-            for name in names
-            for entry in self._entries.get(name, ())
-        )
+        for name in names:
+            for entry in self._entries.get(name, ()):
+                if entry.job_id is None and entry.workers:
+                    return True
+        return False
 
-    def has_exact(self, names: Iterable[str], shape: resource.GangShape) -> bool:
-        """Tell whether an unused guaranteed gang has exactly a job's shape."""
-        return any(
-            self._entries[name][0].guarantee.shape == shape and self.has_unused((name,))
-            for name in names
+    def exact(self, names: Iterable[str], shape: resource.GangShape) -> tuple[str, ...]:
+        """Return the guarantees that have exactly a shape."""
+        return tuple(
+            name for name in names if self._entries[name][0].guarantee.shape == shape
         )
 
     def planned_on(self, worker: str) -> Iterable[Entry]:
--- a/marjoramusher/placement/queue.py
+++ b/marjoramusher/placement/queue.py
@@ -119,6 +119,8 @@
         True if the job has failed before.
     covering : tuple of str or None
         Guarantees that the jobs may use, once they are looked up.
+    exact : tuple of str
+        Those of them that have exactly the jobs' shape.
     blocked_at : int
         Count of releases at which the lane was last tried in vain.
     blocked_by : tuple of str
@@ -135,6 +137,7 @@
         "blocked_by",
         "covering",
         "demand",
+        "exact",
         "is_retry",
         "jobs",
         "next_check",
@@ -156,6 +159,7 @@
         self.demand = demand
         self.is_retry = is_retry
         self.covering: tuple[str, ...] | None = None
+        self.exact: tuple[str, ...] = ()
         self.blocked_at = -1
         self.blocked_by: tuple[str, ...] = ()
         self.next_check = 0.0
--- a/marjoramusher/placement/reserve.py
+++ b/marjoramusher/placement/reserve.py
@@ -55,6 +55,8 @@
 
     def is_due(self, waiting: queue.Waiting, now: float) -> bool:
         """Tell whether trying a gang again may give or use a reservation."""
+        if waiting.shape.accelerators < MIN_ACCELERATORS:
+            return False
         made = self._made.get(waiting.job.job_id)
         if made is not None:
             return made.next_try <= now
