Backfill short jobs past long ones and repair the plan after dropped claims

Cause: contract tests found that a long job at the head of a lane kept short ones from backfilling, and that a claim given up with its worker waited for the next call. Change: lanes hold jobs of like declared length; the plan is repaired once more after claims are settled.

--- a/marjoramusher/placement/gang.py
+++ b/marjoramusher/placement/gang.py
@@ -235,6 +235,8 @@
                 yield verdict
         self._plan.repair()
         yield from self._settle_claims(now)
+        # A claim that was given up may have left its entry without workers.
+        self._plan.repair()
         if now >= self._next_retry:
             self._next_retry = now + RETRY_S
             self._unblock()
--- a/marjoramusher/placement/queue.py
+++ b/marjoramusher/placement/queue.py
@@ -1,5 +1,6 @@
 """Jobs that wait, and the order in which they are tried."""
 
+import math
 from collections.abc import Collection, Iterator
 from typing import Protocol
 
@@ -173,7 +174,7 @@
 # Callers choose shapes freely, so the demands that are remembered are limited.
 MAX_NUMBERS = 4096
 
-LaneKey = tuple[str, str, resource.JobClass, str]
+LaneKey = tuple[str, str, resource.JobClass, int, str]
 
 
 class Queue:
@@ -223,7 +224,10 @@
         again = "stopped" if waiting.job.epoch else ""
         if waiting.job.failed_on:
             again = waiting.job.job_id
-        key = (spec.account, spec.contract, spec.job_class, again)
+        # Jobs of like length wait together, so that a long one at the head does not
+        # keep short ones from being backfilled.
+        length = math.frexp(spec.run_s)[1]
+        key = (spec.account, spec.contract, spec.job_class, length, again)
         lanes = self._lanes.setdefault(demand, {})
         lane = lanes.get(key)
         if lane is None:
