--- a/marjoramusher/placement/cell.py
+++ b/marjoramusher/placement/cell.py
@@ -59,7 +59,19 @@
         for worker_id in sorted(changed):
             self._update(workers[worker_id])
 
-    def _has_room(self, tasks: int, adjacency: resource.Adjacency) -> bool:
+    @property
+    def total(self) -> int:
+        """Return the number of free cells in all racks."""
+        return self._total
+
+    def workers(self) -> Iterator[str]:
+        """Yield the workers that have free cells."""
+        for racks in self._buckets.values():
+            for rack in racks:
+                yield from (w for w in self._members[rack] if self._slots[w])
+
+    def has_room(self, tasks: int, adjacency: resource.Adjacency) -> bool:
+        """Tell whether there are enough free cells for a gang."""
         if self._sums and self._sums[-1] >= tasks:
             return True
         return adjacency is resource.Adjacency.NONE and self._total >= tasks
@@ -86,7 +98,7 @@
         avoid: Collection[str] = NOWHERE,
     ) -> Iterator[tuple[str, ...]]:
         """Yield places for a gang; the rack that it fills best comes first."""
-        if not self._has_room(tasks, adjacency):
+        if not self.has_room(tasks, adjacency):
             return
         start = bisect.bisect_left(self._sums, tasks)
         for total in self._sums[start:]:
--- a/marjoramusher/placement/quarantine.py
+++ b/marjoramusher/placement/quarantine.py
@@ -26,6 +26,8 @@
 MAX_SHARE = 1 / 3
 FIRST_PAUSE_S = 0.5
 LONGEST_PAUSE_S = 4.0
+# A job that found no other worker for this long returns to those it failed on.
+RETURN_S = 30.0
 # Evidence older than this says nothing about the present.
 EVIDENCE_S = 900.0
 
@@ -141,6 +143,33 @@
         job = self._jobs.get(job_id)
         return 0.0 if job is None else job.paused_until
 
+    def may_return(self, job_id: str, now: float) -> bool:
+        """Tell whether a job may be tried where it has failed, for lack of others."""
+        job = self._jobs.get(job_id)
+        return job is not None and all(
+            now - failure.at >= RETURN_S for failure in job.failed_on.values()
+        )
+
+    def probes(self, now: float) -> Iterator[str]:
+        """Yield workers on which one more start would tell whether they are bad.
+
+        An innocent job has failed there and nothing was started since; without a
+        probe the second failure may be long in coming.
+        """
+        for worker in self._questioned:
+            evidence = self._workers[worker]
+            if (
+                evidence.until is None
+                and evidence.failures
+                and evidence.paused_until <= now
+                and self._innocent(evidence)
+            ):
+                last = max(failure.at for failure in evidence.failures.values())
+                jobs = self._ledger.worker(worker).jobs
+                holdings = (self._ledger.holdings[job_id] for job_id in jobs)
+                if all(holding.started_at < last for holding in holdings):
+                    yield worker
+
     def avoided(self, now: float) -> set[str]:
         """Return workers that get no new work for the moment."""
         over = [w for w in self._suspects if self._workers[w].paused_until <= now]
--- a/marjoramusher/placement/queue.py
+++ b/marjoramusher/placement/queue.py
@@ -1,11 +1,13 @@
 """Jobs that wait, and the order in which they are tried."""
 
-from collections.abc import Iterator
+import math
+from collections.abc import Collection, Iterator
 from typing import Protocol
 
 import msgspec
 
 from ..core import job, resource
+from . import cell, ledger
 
 Demand = tuple[resource.GangShape, bool]
 
@@ -118,27 +120,50 @@
         True if the job has failed before.
     covering : tuple of str or None
         Guarantees that the jobs may use, once they are looked up.
+    exact : tuple of str
+        Those of them that have exactly the jobs' shape.
     blocked_at : int
         Count of releases at which the lane was last tried in vain.
+    blocked_by : tuple of str
+        What the last attempt had to leave to others.
+    unit : tuple
+        Number and size of the cells that a job needs.
+    next_check : float
+        When to look again whether the jobs can ever fit.
     """
 
     __slots__ = (
         "account",
         "blocked_at",
+        "blocked_by",
         "covering",
         "demand",
+        "exact",
         "is_retry",
         "jobs",
+        "next_check",
         "rank",
+        "unit",
     )
 
-    def __init__(self, account: str, rank: int, demand: int, is_retry: bool) -> None:
+    def __init__(
+        self,
+        account: str,
+        rank: int,
+        demand: int,
+        is_retry: bool,
+        unit: tuple[int, ledger.Amounts],
+    ) -> None:
+        self.unit = unit
         self.account = account
         self.rank = rank
         self.demand = demand
         self.is_retry = is_retry
         self.covering: tuple[str, ...] | None = None
+        self.exact: tuple[str, ...] = ()
         self.blocked_at = -1
+        self.blocked_by: tuple[str, ...] = ()
+        self.next_check = 0.0
         self.jobs: dict[str, Waiting] = {}
 
     def head(self) -> Waiting:
@@ -149,7 +174,7 @@
 # Callers choose shapes freely, so the demands that are remembered are limited.
 MAX_NUMBERS = 4096
 
-LaneKey = tuple[str, str, resource.JobClass, str]
+LaneKey = tuple[str, str, resource.JobClass, int, str]
 
 
 class Queue:
@@ -199,12 +224,16 @@
         again = "stopped" if waiting.job.epoch else ""
         if waiting.job.failed_on:
             again = waiting.job.job_id
-        key = (spec.account, spec.contract, spec.job_class, again)
+        # Jobs of like length wait together, so that a long one at the head does not
+        # keep short ones from being backfilled.
+        length = math.frexp(spec.run_s)[1]
+        key = (spec.account, spec.contract, spec.job_class, length, again)
         lanes = self._lanes.setdefault(demand, {})
         lane = lanes.get(key)
         if lane is None:
             is_retry = bool(waiting.job.failed_on)
-            lane = lanes[key] = Lane(spec.account, rank, demand, is_retry)
+            unit = cell.unit_of(waiting.shape)
+            lane = lanes[key] = Lane(spec.account, rank, demand, is_retry, unit)
         lane.jobs[waiting.job.job_id] = waiting
         self._lane_of[waiting.job.job_id] = (demand, key)
 
@@ -222,6 +251,11 @@
                 del self._lanes[demand]
         return waiting
 
+    def by_demand(self) -> Iterator[tuple[int, Collection[Lane]]]:
+        """Yield the lanes of each demand."""
+        for demand, lanes in self._lanes.items():
+            yield demand, lanes.values()
+
     def lanes(self) -> Iterator[Lane]:
         """Yield all lanes, those of equal demand together."""
         for lanes in self._lanes.values():
