Refuse unknown fields in shapes, resources and task reports

A misspelt field inside shape, each, capacity or a task report was ignored: a job with "adjacancy" was placed without adjacency, and "gpus" counted as no capacity. The structs now forbid unknown fields like the bodies around them. tests/hostile_test.py: the four cases failed before and pass now.

--- a/marjoramusher/core/announcement.py
+++ b/marjoramusher/core/announcement.py
@@ -47,7 +47,9 @@
     STOPPED = "stopped"
 
 
-class TaskReport(msgspec.Struct, frozen=True, omit_defaults=True):
+class TaskReport(
+    msgspec.Struct, frozen=True, omit_defaults=True, forbid_unknown_fields=True
+):
     """State of one task at its worker.
 
     Parameters
--- a/marjoramusher/core/resource.py
+++ b/marjoramusher/core/resource.py
@@ -21,7 +21,9 @@
     BEST_EFFORT = "best_effort"
 
 
-class Resources(msgspec.Struct, frozen=True, omit_defaults=True):
+class Resources(
+    msgspec.Struct, frozen=True, omit_defaults=True, forbid_unknown_fields=True
+):
     """Amounts on one worker or for one gang member.
 
     Parameters
@@ -63,7 +65,9 @@
         )
 
 
-class GangShape(msgspec.Struct, frozen=True, omit_defaults=True):
+class GangShape(
+    msgspec.Struct, frozen=True, omit_defaults=True, forbid_unknown_fields=True
+):
     """What one gang needs.
 
     Parameters
