Refuse runners' addresses without a host

An announcement with the URL http:// or with port 99999 was accepted and every dispatch to it failed. The check now parses the URL.

--- a/marjoramusher/targets/announcing.py
+++ b/marjoramusher/targets/announcing.py
@@ -1,6 +1,7 @@
 """HTTP handlers for runners."""
 
 from collections.abc import Callable
+from urllib import parse
 
 from aiohttp import web
 
@@ -71,10 +72,7 @@
             f"the runner is in {announced.failure_domain}, the instance in "
             f"{failure_domain}"
         )
-    if (
-        not announced.url.startswith(("http://", "https://"))
-        or len(announced.url) > MAX_URL_CHARS
-    ):
+    if not _is_http(announced.url):
         raise errors.BadRequestError("url is not an http address")
     for value, least, most, what in (
         (announced.slots, 1, 1024, "slots"),
@@ -84,3 +82,13 @@
     ):
         if not least <= value <= most:
             raise errors.BadRequestError(f"{what} is not from {least} to {most}")
+
+
+def _is_http(text: str) -> bool:
+    if len(text) > MAX_URL_CHARS or not text.isprintable():
+        return False
+    try:
+        url = parse.urlsplit(text)
+        return bool(url.scheme in ("http", "https") and url.hostname and url.port != 0)
+    except ValueError:
+        return False
