--- a/marjoramusher/groups/manager.py
+++ b/marjoramusher/groups/manager.py
@@ -176,12 +176,14 @@
 
         Raises
         ------
-        NoQuorumError
-            If this instance holds no state of the group.
+        MarjoramusherError
+            With code ``not_found`` if this instance holds no state of the group.
         """
         running = self._groups.get(name)
         if running is None or running.config is None:
-            raise errors.NoQuorumError(f"{name} has no state at this instance")
+            raise errors.MarjoramusherError(
+                errors.ErrorCode.NOT_FOUND, f"{name} has no state at this instance"
+            )
         log.state_change("group.recovered_with_loss", group=name)
         return running.recover_with_loss()
 
