Show members and groups of the status as tables

"marjoramusher group status" raised a TypeError against a daemon, which gives the groups as an object by name while the command read a list; the test's server gave a list. Members were positional arrays, and "status" printed each group on one line.

The status now gives members as objects. The commands print one row for each member (with the revision in force there) and group (role, leader, commit, voters).

--- a/marjoramusher/cli/main_test.py
+++ b/marjoramusher/cli/main_test.py
@@ -4,14 +4,17 @@
 import json
 import threading
 
+import msgspec
 import pytest
 from aiohttp import web
 from click import testing
 
 from marjoramusher.cli import client, main, session
+from marjoramusher.consensus import message
 from marjoramusher.core import clock, errors
-from marjoramusher.groups import local
+from marjoramusher.groups import local, runner
 from marjoramusher.http import errors as http_errors
+from marjoramusher.membership import member
 from marjoramusher.operators import routes
 from marjoramusher.records import machine
 from marjoramusher.telemetry import metrics
@@ -25,6 +28,31 @@
 }
 
 
+# As the daemon tells them, see `daemon.instance`.
+MEMBERS = [
+    {**msgspec.structs.asdict(one), "status": "alive"}
+    for one in (
+        member.Member("i1", "a1", "r1", "http://h1", "p1", "s1", True),
+        member.Member("i2", "a2", "r1", "http://h2", "p2", "s2", False),
+    )
+]
+GROUP = msgspec.to_builtins(
+    runner.GroupStatus(
+        "records",
+        message.Role.FOLLOWER,
+        3,
+        "i1",
+        9,
+        8,
+        True,
+        "",
+        message.GroupConfig(
+            (message.VoterId("i1", "s1"),), (message.VoterId("i2", "s2"),)
+        ),
+    )
+)
+
+
 class Servers:
     """Several instances over one group of one, run in a thread.
 
@@ -76,7 +104,11 @@
                 clock.ManualClock(),
                 failure_domains=lambda: {"a1", "a2"},
                 sections=lambda: {
-                    "groups": [{"name": "records", "leader": "i1"}],
+                    "members": MEMBERS,
+                    "groups": {"records": GROUP},
+                    "shortfalls": [
+                        {"guarantee": "g1", "missing_gangs": 1, "reason": "no rack"}
+                    ],
                     "load": {"queued": 0},
                 },
             )
@@ -423,3 +455,8 @@
         lines.append(result.stdout + result.stderr + f"[exit {result.exit_code}]\n")
     transcript = "\n".join(lines).replace(servers.urls[0], "http://127.0.0.1:00000")
     assert transcript == snapshot
+
+
+def test_group_status_has_a_row_for_each_group_of_each_server(servers):
+    rows = json.loads(run(servers, "group", "status").stdout)
+    assert [(row["name"], row["leader"]) for row in rows] == [("records", "i1")] * 2
--- a/marjoramusher/cli/state.py
+++ b/marjoramusher/cli/state.py
@@ -6,7 +6,7 @@
 import click
 
 from ..core import errors
-from . import calls, examples, output, session
+from . import calls, examples, output, overview, session
 from .records import pass_session
 
 MIN_INTERVAL_S = 0.2
@@ -15,15 +15,15 @@
 @click.command(
     "status",
     epilog=examples.of(
-        "marjoramusher --server http://10.0.0.1:8080 \\",
-        "  --server http://10.0.0.2:8080 status",
+        "marjoramusher --server http://10.0.0.1:8420 \\",
+        "  --server http://10.0.0.2:8420 status",
     ),
 )
 @pass_session
 def status(current: session.Session) -> None:
     """Show the status of each server."""
     found = _ask_all(current, lambda to: calls.status(to))
-    current.show(found, _show_servers)
+    current.show(found, overview.show_status)
 
 
 @click.command(
@@ -77,18 +77,19 @@
 def group_status(current: session.Session) -> None:
     """Show the groups of each server."""
     found = _ask_all(current, lambda to: calls.status(to))
-    groups = [
-        {"server": one["server"], **shown}
-        for one in found
-        for shown in one.get("groups", [])
-    ]
-    current.show(groups, lambda rows: output.show_sections({"groups": rows}))
+    if current.json:
+        found = [
+            {"server": one["server"], **shown}
+            for one in found
+            for shown in one.get("groups", {}).values()
+        ]
+    current.show(found, overview.show_groups)
 
 
 @group.command(
     "recover",
     epilog=examples.of(
-        "marjoramusher --server http://10.0.0.1:8080 \\",
+        "marjoramusher --server http://10.0.0.1:8420 \\",
         "  group recover --group domain:a1 --accept-loss",
     ),
 )
@@ -131,10 +132,3 @@
     if last is not None and all("error" in one for one in found):
         raise last
     return found
-
-
-def _show_servers(found: list[dict[str, Any]]) -> None:
-    for number, one in enumerate(found):
-        if number:
-            click.echo()
-        output.show_sections(one)
--- a/marjoramusher/daemon/instance.py
+++ b/marjoramusher/daemon/instance.py
@@ -472,7 +472,10 @@
         return {
             "instance": self._settings.instance_id,
             "revision": self._in_force.current.revision,
-            "members": status.members,
+            "members": [
+                {**msgspec.structs.asdict(view.member), "status": view.status}
+                for view in status.members
+            ],
             "groups": {group.name: group for group in status.groups},
             "boot": status.boot,
             "store_failure": status.store_failure,
