--- a/marjoramusher/cli/main.py
+++ b/marjoramusher/cli/main.py
@@ -9,7 +9,7 @@
 
 from . import examples, exits, jobs, records, session, state
 
-DEFAULT_SERVER = "http://127.0.0.1:8080"
+DEFAULT_SERVER = "http://127.0.0.1:8420"
 PROGRAM = "marjoramusher"
 
 EXAMPLES = examples.of(
--- a/marjoramusher/cli/main_test.py
+++ b/marjoramusher/cli/main_test.py
@@ -12,6 +12,7 @@
 from marjoramusher.cli import client, main, session
 from marjoramusher.consensus import message
 from marjoramusher.core import clock, errors
+from marjoramusher.daemon import settings
 from marjoramusher.groups import local, runner
 from marjoramusher.http import errors as http_errors
 from marjoramusher.membership import member
@@ -457,6 +458,13 @@
     assert transcript == snapshot
 
 
+def test_default_server_is_where_a_daemon_without_flags_listens():
+    listen = next(
+        p for p in settings.options(lambda: None).__click_params__ if p.name == "listen"
+    )
+    assert f"http://{listen.default}" == main.DEFAULT_SERVER
+
+
 def test_group_status_has_a_row_for_each_group_of_each_server(servers):
     rows = json.loads(run(servers, "group", "status").stdout)
     assert [(row["name"], row["leader"]) for row in rows] == [("records", "i1")] * 2
