--- a/marjoramusher/placement/gang.py
+++ b/marjoramusher/placement/gang.py
@@ -9,6 +9,7 @@
 from ..core import announcement, errors, job, record, resource
 from . import (
     cell,
+    counts,
     decision,
     estimate,
     fragmentation,
@@ -36,6 +37,8 @@
 # Half-life of the attained service of a client account.
 SERVED_HALF_LIFE_S = 600.0
 MAX_CANDIDATES = 4
+# Share of the workers that other jobs than best effort ones leave to urgent jobs.
+STANDBY_SHARE = 1 / 12
 
 
 class Account:
@@ -67,6 +70,9 @@
         self._ledger = ledger.Ledger()
         self._cells = cell.Cells(self._ledger)
         self._plan = guarantee.CellPlan(self._ledger, self._cells)
+        self._counts = None
+        if "count_plan" in options:
+            self._counts = counts.CountPlan(self._ledger, self._plan)
         self._queue = queue.Queue()
         self._run_times = estimate.RunTimes()
         self._quarantine = quarantine.Quarantine(rng, self._ledger)
@@ -83,6 +89,8 @@
         self._moved: dict[str, float] = {}
         self._blocked: dict[tuple[int, tuple[str, ...]], int] = {}
         self._drained = (-1, -1)
+        self._standby_at = -1
+        self._standby_set: set[str] = set()
         self._next_retry = 0.0
         self._settled_at: float | None = None
         self._serial = itertools.count()
@@ -227,6 +235,8 @@
                 yield verdict
         self._plan.repair()
         yield from self._settle_claims(now)
+        # A claim that was given up may have left its entry without workers.
+        self._plan.repair()
         if now >= self._next_retry:
             self._next_retry = now + RETRY_S
             self._unblock()
@@ -241,12 +251,16 @@
 
     def _drain_queue(self, now: float) -> Iterator[decision.Decision]:
         heap: list[tuple] = []
-        for lane in self._queue.lanes():
-            self._push(heap, lane, now)
+        releases = self._ledger.releases
+        for demand, lanes in self._queue.by_demand():
+            if self._blocked.get((demand, ())) != releases:
+                self._check_room(demand, next(iter(lanes)))
+            for lane in lanes:
+                self._push(heap, lane, now)
         placed = 0
         while heap and placed < MAX_PLACEMENTS:
             lane = heapq.heappop(heap)[-1]
-            if not lane.jobs:
+            if not lane.jobs or self._is_hopeless(lane, lane.head(), now):
                 continue
             made = self._try(lane, lane.head(), now)
             if made is None:
@@ -258,6 +272,17 @@
         if not heap:
             self._drained = self._state()
 
+    def _check_room(self, demand: int, lane: queue.Lane) -> None:
+        """Block a demand that has no room, without an attempt for each lane."""
+        waiting = lane.head()
+        cells, each = lane.unit
+        view = ledger.free if waiting.job.spec.repeatable else ledger.solid_free
+        if self._counts is not None:
+            view = ledger.free
+        index = self._cells.index(each, view)
+        if not index.has_room(cells, waiting.shape.adjacency):
+            self._blocked[demand, ()] = self._ledger.releases
+
     def _push(self, heap: list[tuple], lane: queue.Lane, now: float) -> None:
         if lane.blocked_at == self._ledger.releases:
             return
@@ -271,10 +296,11 @@
             lane.covering = self._plan.covering(
                 spec.account, spec.job_class, waiting.shape
             )
+            lane.exact = self._plan.exact(lane.covering, waiting.shape)
         # A job that failed is tried before new ones: where it runs now tells
         # whether the job or the worker is at fault.
         tier = -2 if lane.rank == 2 else -1 if lane.is_retry else 0
-        if lane.covering and self._plan.has_exact(lane.covering, waiting.shape):
+        if lane.exact and self._plan.has_unused(lane.exact):
             # Before smaller jobs of the account that would use up the gang.
             tier = -2
         share = self._account(lane.account).share
@@ -285,13 +311,17 @@
         self, lane: queue.Lane, waiting: queue.Waiting, now: float
     ) -> bool:
         """Tell whether an equal job was tried in vain and nothing else may help."""
-        return (
-            lane.covering is not None
-            and lane.rank < 2
-            and self._blocked.get((lane.demand, ())) == self._ledger.releases
-            and not self._plan.has_unused(lane.covering)
-            and not self._reserves.is_due(waiting, now)
-        )
+        if lane.covering is None or lane.rank == 2 or lane.is_retry:
+            return False
+        releases = self._ledger.releases
+        if (
+            self._blocked.get((lane.demand, ())) != releases
+            and self._blocked.get((lane.demand, lane.blocked_by)) != releases
+        ):
+            return False
+        if lane.covering and self._plan.has_unused(lane.covering):
+            return False
+        return not self._reserves.is_due(waiting, now)
 
     def _try(
         self, lane: queue.Lane, waiting: queue.Waiting, now: float
@@ -315,20 +345,31 @@
             binding = self._reserves.binding(job_id, ends_at)
             if binding:
                 avoid = avoid | self._reserves.workers(binding)
+        if lane.rank == 1 or lane.rank == 0 and not spec.repeatable:
+            standby = self._standby()
+            if standby:
+                avoid = avoid | standby
+                binding += ("standby",)
         releases = self._ledger.releases
+        probed = self._probe(lane, waiting, now)
+        if probed is not None:
+            return [self._place(waiting, (probed,), lane.rank, None, now)]
         demand = lane.demand
+        lane.blocked_by = binding
         if releases not in (
             self._blocked.get((demand, ())),
             self._blocked.get((demand, binding)),
         ):
             found = self._cells.locate(waiting.shape, ledger.solid_free, avoid)
-            if found is None and spec.repeatable:
+            if found is None and (
+                spec.repeatable
+                or self._counts is not None
+                and self._counts.allows(waiting.shape)
+            ):
                 found = self._cells.locate(waiting.shape, ledger.free, avoid)
-            if found is None and waiting.job.failed_on:
-                retry_avoid = self._quarantine.avoided(now)
-                found = self._cells.locate(
-                    waiting.shape, ledger.solid_free, retry_avoid
-                )
+            if found is None and self._quarantine.may_return(job_id, now):
+                doubtful = self._quarantine.avoided(now)
+                found = self._cells.locate(waiting.shape, ledger.solid_free, doubtful)
             if found is not None:
                 return [self._place(waiting, found, lane.rank, None, now)]
             if not avoid or not self._fits(waiting.shape, spec.repeatable):
@@ -339,10 +380,11 @@
             made = self._preempt(waiting, avoid, now)
             if made is not None:
                 return made
-        if self._never_fits(waiting, now):
+        if self._never_fits(lane, waiting, now):
             self._queue.remove(job_id)
             return [_infeasible(job_id, waiting.shape)]
-        self._reserves.want(waiting, lane.rank, now)
+        if "no_reserve" not in self._options:
+            self._reserves.want(waiting, now)
         reservation = self._reserves.get(job_id)
         if reservation is not None and reservation.next_try <= now:
             reservation.next_try = now + RETRY_S
@@ -354,11 +396,39 @@
         lane.blocked_at = self._ledger.releases
         return None
 
+    def _probe(
+        self, lane: queue.Lane, waiting: queue.Waiting, now: float
+    ) -> str | None:
+        """Return a questioned worker for a job of a single task."""
+        if lane.is_retry or lane.rank == 2 or waiting.shape.tasks > 1:
+            return None
+        if not waiting.job.spec.repeatable:
+            return None
+        each = ledger.amounts_of(waiting.shape.each)
+        for worker in self._quarantine.probes(now):
+            if reclaim.room_for(self._ledger, {worker: each}):
+                return worker
+        return None
+
+    def _standby(self) -> set[str]:
+        """Return workers to keep for urgent jobs: free, or with best effort jobs."""
+        if self._standby_at != self._ledger.end:
+            self._standby_at = self._ledger.end
+            self._standby_set = set()
+            each = (self._largest[0], 0, 0)
+            if each[0] and "no_standby" not in self._options:
+                index = self._cells.index(each, ledger.yielding_free)
+                wanted = int(len(self._ledger.workers) * STANDBY_SHARE)
+                if index.total <= wanted:
+                    self._standby_set = set(index.workers())
+        return self._standby_set
+
     def _may_overstay(self, waiting: queue.Waiting, rank: int, now: float) -> bool:
         """Tell whether a job may use reserved workers until the gang starts."""
         moved_at = self._moved.get(waiting.job.job_id, -math.inf)
         return (
             rank == 0
+            and "no_overstay" not in self._options
             and waiting.job.spec.repeatable
             and now - moved_at >= fragmentation.MOVE_PAUSE_S
         )
@@ -404,8 +474,10 @@
         """Start a waiting gang by moving smaller borrowers, if that is cheaper."""
         if not waiting.job.spec.repeatable or "no_move" in self._options:
             return None
+        wait_s = ready_at - now
+        avoid = self._quarantine.avoided(now).union(waiting.job.failed_on)
         move = fragmentation.choose_move(
-            self._ledger, self._cells, waiting.shape, lane.rank, ready_at - now, now
+            self._ledger, self._cells, waiting.shape, lane.rank, wait_s, avoid, now
         )
         if move is None:
             return None
@@ -416,14 +488,15 @@
         view = ledger.free if is_repeatable else ledger.solid_free
         return self._cells.locate(shape, view) is not None
 
-    def _never_fits(self, waiting: queue.Waiting, now: float) -> bool:
+    def _never_fits(self, lane: queue.Lane, waiting: queue.Waiting, now: float) -> bool:
         if self._settled_at is None or now < self._settled_at:
             return False
-        if now - waiting.since < SETTLE_S:
+        if now - waiting.since < SETTLE_S or now < lane.next_check:
             return False
-        return self._cells.locate(waiting.shape, _nominal) is None and not any(
-            not w.present or not w.usable for w in self._ledger.workers.values()
-        )
+        lane.next_check = now + SETTLE_S
+        if self._cells.locate(waiting.shape, _nominal) is not None:
+            return False
+        return all(worker.is_open for worker in self._ledger.workers.values())
 
     def _charge(
         self, name: str, waiting: queue.Waiting, rank: int, now: float
@@ -445,7 +518,9 @@
         ):
             return None
         avoid = self._quarantine.avoided(now).union(waiting.job.failed_on)
-        own = [e for e in entries if not avoid.intersection(e.workers)] or entries
+        own = [e for e in entries if not avoid.intersection(e.workers)]
+        if not own and self._plan.relocate(entries[0], avoid):
+            own = [entries[0]]
         each = ledger.amounts_of(waiting.shape.each)
         # Workers that a waiting gang has reserved are taken only if no others are free.
         reserved = self._reserves.all_workers()
@@ -463,7 +538,7 @@
         if elsewhere is None and not free_now and reserved:
             elsewhere = self._cells.locate(outer, ledger.solid_free, avoid)
         if elsewhere is not None:
-            entry = own[0]
+            entry = (own or entries)[0]
             self._plan.unassign(entry)
             self._plan.assign(entry, elsewhere)
             workers = guarantee.seats(outer, waiting.shape, elsewhere)
@@ -474,7 +549,15 @@
         others = self._cells.candidates(outer, ledger.firm_free, avoid)
         for found in reclaim.first(others, MAX_CANDIDATES):
             workers = guarantee.seats(outer, waiting.shape, found)
-            options.append((own[0], found, workers, ledger.spread(workers, each)))
+            entry = (own or entries)[0]
+            options.append((entry, found, workers, ledger.spread(workers, each)))
+        if not options:
+            # Every place has a worker that is avoided; a doubtful one is better
+            # than none.
+            for entry in entries[:MAX_CANDIDATES]:
+                workers = guarantee.seats(outer, waiting.shape, entry.workers)
+                amounts = ledger.spread(workers, each)
+                options.append((entry, entry.workers, workers, amounts))
         best = None
         for entry, planned, workers, amounts in options:
             victims = reclaim.choose_victims(
@@ -497,11 +580,12 @@
         self, waiting: queue.Waiting, avoid: set[str], now: float
     ) -> list[decision.Decision] | None:
         """Make room for an urgent job by stopping best effort borrowers."""
-        if not waiting.job.spec.repeatable:
-            return None
         each = ledger.amounts_of(waiting.shape.each)
         best = None
-        places = self._cells.candidates(waiting.shape, ledger.yielding_free, avoid)
+        view = ledger.yielding_free
+        if not waiting.job.spec.repeatable:
+            view = ledger.yielding_solid
+        places = self._cells.candidates(waiting.shape, view, avoid)
         for workers in reclaim.first(places, MAX_CANDIDATES):
             amounts = ledger.spread(workers, each)
             victims = reclaim.choose_victims(
@@ -910,7 +994,8 @@
     order : queue.Order or None
         Order of the queue; the bench compares others.
     options : frozenset of str
-        Parts to leave out, for comparisons: ``no_reserve``.
+        Alternatives that the bench compares: ``no_reserve``, ``no_move``,
+        ``no_standby``, ``no_overstay`` and ``count_plan``.
     """
     return GangPlacer(
         rng, failure_domain, wall_offset_s, order or queue.Combined(), options
--- a/marjoramusher/placement/reserve.py
+++ b/marjoramusher/placement/reserve.py
@@ -43,7 +43,7 @@
         self._made: dict[str, Reservation] = {}
         self._next_want = 0.0
 
-    def want(self, waiting: queue.Waiting, rank: int, now: float) -> None:
+    def want(self, waiting: queue.Waiting, now: float) -> None:
         """Reserve workers for a gang that could not be placed."""
         job_id = waiting.job.job_id
         if job_id in self._made or not self._is_wanted(waiting, now):
@@ -55,6 +55,8 @@
 
     def is_due(self, waiting: queue.Waiting, now: float) -> bool:
         """Tell whether trying a gang again may give or use a reservation."""
+        if waiting.shape.accelerators < MIN_ACCELERATORS:
+            return False
         made = self._made.get(waiting.job.job_id)
         if made is not None:
             return made.next_try <= now
@@ -79,14 +81,19 @@
         often would let long jobs in everywhere.
         """
         for job_id, made in list(self._made.items()):
+            group = [self._ledger.worker(worker) for worker in sorted(made.workers)]
+            cells, each = cell.unit_of(made.waiting.shape)
+            same = None
+            if all(worker.is_open for worker in group):
+                same = self._ready(group, cells, each, now)
+            if same is not None and same[0] <= made.ready_at:
+                made.ready_at = same[0]
+                continue
             del self._made[job_id]
             reservation = self._choose(made.waiting, now)
             if reservation is None:
                 continue
-            group = [self._ledger.worker(worker) for worker in sorted(made.workers)]
-            cells, each = cell.unit_of(made.waiting.shape)
-            same = self._ready(group, cells, each, now)
-            if same is not None and all(worker.is_open for worker in group):
+            if same is not None:
                 is_sooner = reservation.ready_at - now < CHANGE_SHARE * (same[0] - now)
                 if not is_sooner:
                     reservation.workers, reservation.ready_at = made.workers, same[0]
@@ -149,7 +156,11 @@
             racks += sorted(self._ledger.racks - set(racks))[: MAX_RACKS - len(racks)]
         members: dict[str, list[ledger.Worker]] = {}
         for rack in racks[-MAX_RACKS:]:
-            members[rack] = self._ledger.open_in(rack)
+            members[rack] = [
+                worker
+                for worker in self._ledger.open_in(rack)
+                if worker.id not in waiting.job.failed_on
+            ]
         if waiting.shape.adjacency is resource.Adjacency.NONE:
             groups = [[w for rack in members for w in members[rack]]]
         else:
--- a/marjoramusher/routing/router.py
+++ b/marjoramusher/routing/router.py
@@ -547,6 +547,9 @@
             slots = service.limit - service.in_flight[LONG]
         else:
             slots = service.long_limit
+        if not service.limit:
+            # Grants have not arrived yet; half of the slots are the usual part.
+            slots = sum(t.announcement.slots for t in service.targets.values()) // 2
         slots = max(slots, 1)
         if not account:
             return queue.work_s / slots
@@ -772,7 +775,10 @@
                 entry.run.note_starved()
             self._drop(service, entry, now, effects)
             self._refuse(entry, errors.ErrorCode.DEADLINE_EXCEEDED, effects)
-            self._pump(service, now, effects)
+        if late:
+            # Only now, since it refuses late entries too.
+            for service in self._services.values():
+                self._pump(service, now, effects)
 
     def _reclassify(self, entry: fair.Entry, now: float) -> None:
         """Count what overruns as long work, so that queued long work makes room."""
@@ -805,6 +811,6 @@
 _MESSAGES = {
     errors.ErrorCode.OVERLOADED: "the expected wait is too long for the request",
     errors.ErrorCode.NO_TARGET: "no target of the service takes work",
-    errors.ErrorCode.DEADLINE_EXCEEDED: "the deadline passed before the answer",
+    errors.ErrorCode.DEADLINE_EXCEEDED: "the deadline has passed or can't be kept",
     errors.ErrorCode.TARGET_FAILED: "the target gave no complete answer",
 }
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -407,12 +407,12 @@
                 url = leader or self._announce_urls[position]
                 reply = await self._announce(url)
                 if reply is None:
+                    # Another instance may reach the leader when this worker does not.
                     leader = ""
                     position = (position + 1) % len(self._announce_urls)
+                    await self._announce(self._announce_urls[position])
                 elif reply.leader_url and reply.leader_url != url:
                     leader = reply.leader_url
-                    if await self._announce(leader) is None:
-                        leader = ""
             await asyncio.sleep(ANNOUNCE_S)
 
     async def _announce(self, url: str) -> announcement.WorkerReply | None:
