Tell why a cluster is not formed with too many instances

A cluster is formed only by exactly the expected number of instances; one more kept it from forming without a word. The state change is now logged.

--- a/marjoramusher/groups/manager.py
+++ b/marjoramusher/groups/manager.py
@@ -118,6 +118,7 @@
         self._store_failure = ""
         self._duty_failure = ""
         self._stale = False
+        self._surplus = False
         self._duties_due = asyncio.Event()
 
     @property
@@ -446,12 +447,27 @@
             self._form()
         if self._plan is not None:
             await self._invite()
+        self._note_surplus()
         self._create_domains()
         self._enter_domains()
         for running in self._groups.values():
             self._change_members(running)
         self._reopen_failed()
 
+    def _note_surplus(self) -> None:
+        """Tell the operator why no cluster is formed."""
+        known = len(self._table.views)
+        surplus = not self._identity.cluster_id and (
+            known > self._settings.bootstrap_expect
+        )
+        if surplus and not self._surplus:
+            log.state_change(
+                "cluster.too_many_instances",
+                known=known,
+                expected=self._settings.bootstrap_expect,
+            )
+        self._surplus = surplus
+
     def _form(self) -> None:
         """Decide on the cluster and store the plan before anyone hears of it."""
         cluster_id = self._rng.randbytes(8).hex()
--- a/marjoramusher/groups/manager_test.py
+++ b/marjoramusher/groups/manager_test.py
@@ -322,7 +322,8 @@
     assert made.commands() == [b"a", b"again"]
 
 
-async def test_full_disk_of_the_leader_moves_leadership_and_heals(cluster):
+async def test_full_disk_of_the_leader_moves_leadership_and_heals(cluster, monkeypatch):
+    monkeypatch.setattr(manager, "REOPEN_S", 0.5)
     leader = await form(cluster)
     await leader.group().propose(b"a", PATIENCE_S)
     leader.files.fail("sync")
