Let the slot server lead without knowing the instances

The daemon starts a leadership with its id only; the required list of instances made that call fail. Without the list the broker waits for one lease, as before.

--- a/marjoramusher/callers/slots.py
+++ b/marjoramusher/callers/slots.py
@@ -26,7 +26,7 @@
         self._broker: grants.SlotBroker | None = None
         self._announced: dict[str, announcement.TargetAnnouncement] = {}
 
-    def lead(self, process: str, instances: frozenset[str]) -> None:
+    def lead(self, process: str, instances: frozenset[str] = frozenset()) -> None:
         """Start to grant.
 
         Parameters
@@ -34,7 +34,8 @@
         process : str
             Id of this leadership, for example the instance id with the term.
         instances : frozenset of str
-            Instances of the failure domain by the settings, alive or not.
+            Instances of the failure domain by the settings, alive or not. If they
+            are not known, nothing new is granted for the time of a lease.
         """
         now = self._time.monotonic()
         self._broker = grants.SlotBroker(process, now, instances)
