--- a/marjoramusher/routing/baseline.py
+++ b/marjoramusher/routing/baseline.py
@@ -2,6 +2,7 @@
 
 import collections
 import random
+from typing import TypeAlias
 
 from ..core import announcement, errors, record
 from . import effect, grants, request, target
@@ -22,6 +23,9 @@
         self.tries = tries
 
 
+_Queue: TypeAlias = collections.OrderedDict[str, tuple[request.Request, int, bool]]
+
+
 class FifoRouter:
     """Route without classes, fairness, shedding, grants, hedges or spill.
 
@@ -45,9 +49,7 @@
         self._rng = rng
         self._configuration = record.Configuration()
         self._table = target.TargetTable()
-        self._queues: dict[
-            str, collections.deque[tuple[request.Request, int, bool]]
-        ] = {}
+        self._queues: dict[str, _Queue] = {}
         self._attempts: dict[int, _Attempt] = {}
         self._by_request: dict[str, int] = {}
         self._next_attempt = 0
@@ -95,10 +97,10 @@
 
     def submit(self, asked: request.Request, now: float) -> list[effect.Effect]:
         """Queue a request."""
-        queue = self._queues.setdefault(asked.service, collections.deque())
+        queue = self._queues.setdefault(asked.service, collections.OrderedDict())
         if len(queue) >= MAX_QUEUED:
             return [_refusal(asked, errors.ErrorCode.OVERLOADED, False)]
-        queue.append((asked, 0, False))
+        queue[asked.request_id] = (asked, 0, False)
         return self._pump(asked.service, now)
 
     def withdraw(self, request_id: str, now: float) -> list[effect.Effect]:
@@ -111,10 +113,7 @@
                 *self._pump(known.asked.service, now),
             ]
         for queue in self._queues.values():
-            for item in queue:
-                if item[0].request_id == request_id:
-                    queue.remove(item)
-                    return []
+            queue.pop(request_id, None)
         return []
 
     def started(self, attempt: int, now: float) -> list[effect.Effect]:
@@ -143,7 +142,9 @@
             known.tries < MAX_TRIES and (known.asked.repeatable or not sent)
         ):
             tries = known.tries + (kind is not request.FailureKind.NOT_STARTED)
-            self._queues[known.asked.service].appendleft((known.asked, tries, sent))
+            queue = self._queues[known.asked.service]
+            queue[known.asked.request_id] = (known.asked, tries, sent)
+            queue.move_to_end(known.asked.request_id, last=False)
             if kind is request.FailureKind.NOT_STARTED:
                 # Tried again when a request ends or at the next tick.
                 return []
@@ -181,7 +182,7 @@
             and known.announcement.state is announcement.TargetState.SERVING
         ]
         while queue and free:
-            asked, tries, sent = queue.popleft()
+            _, (asked, tries, sent) = queue.popitem(last=False)
             chosen = self._rng.choice(free)
             chosen.in_flight += 1
             if chosen.in_flight >= chosen.announcement.slots:
