Tell bad workers from bad jobs in a full failure domain; leave lone overusers alone

Change: failures of several jobs of different origin that found no healthy worker count; a job is refused after 5 failures if others run; overuse needs a neighbour.

--- a/marjoramusher/placement/gang.py
+++ b/marjoramusher/placement/gang.py
@@ -183,8 +183,10 @@
 
     def task_failed(self, job_id: str, worker: str, now: float) -> None:
         """Note that a task failed on a worker."""
-        if job_id in self._jobs:
-            self._quarantine.failed(job_id, worker, now)
+        known = self._jobs.get(job_id)
+        if known is not None:
+            spec = known.spec
+            self._quarantine.failed(job_id, spec.account, spec.contract, worker, now)
 
     def task_used(
         self, job_id: str, task_id: str, usage: resource.Resources, now: float
--- a/marjoramusher/placement/overuse.py
+++ b/marjoramusher/placement/overuse.py
@@ -101,7 +101,12 @@
                     break
 
     def _is_harmful(self, task: Overuser, excess: ledger.Amounts) -> bool:
-        have = ledger.free(self._ledger.worker(task.worker))
+        worker = self._ledger.worker(task.worker)
+        if len(worker.jobs) < 2:
+            # Alone on its worker it harms nobody; one that uses more than a whole
+            # worker would otherwise be stopped again after each start.
+            return False
+        have = ledger.free(worker)
         extra = ledger.amounts_of(task.usage.minus(task.declared))
         return any(
             extra[dimension] > 0 and excess[dimension] > have[dimension]
--- /dev/null
+++ b/marjoramusher/placement/overuse_test.py
@@ -0,0 +1,98 @@
+"""Guards that overuse harms no neighbour, and that estimates stay bounded."""
+
+import random
+
+import pytest
+
+from marjoramusher.core import job, resource
+from marjoramusher.placement import decision, estimate, gang, placer_test
+
+R = resource.Resources
+DECLARED = R(1, 8, 8_000)
+
+
+def make(neighbour_charged):
+    placer = gang.make_placer(random.Random(1), "d")
+    half = resource.GangShape(1, R(4, 48, 8_000))
+    if neighbour_charged:
+        placer.configure(placer_test.guaranteed(1, half), 0.0)
+    placer.worker_up(placer_test.worker("w0"), 0.0)
+    placer_test.start(placer, placer_test.queued("n", half))
+    _, running = placer_test.start(
+        placer, placer_test.queued("o", resource.GangShape(1, DECLARED), "b")
+    )
+    return placer, running
+
+
+CASES = {
+    # name: (use, neighbour is charged, seconds until the stop or None)
+    "within tolerance": (R(1, 8, 8_500), True, None),
+    "room is left": (R(1, 14, 8_000), True, None),
+    "beside a borrower": (R(1, 30, 8_000), False, 10.0),
+    "beside a guarantee": (R(1, 30, 8_000), True, 2.0),
+    "memory": (R(1, 8, 300_000), True, 2.0),
+}
+
+
+@pytest.mark.parametrize("case", CASES)
+def test_overuse_is_throttled_first_and_then_stopped(case):
+    use, charged, stop_s = CASES[case]
+    placer, running = make(charged)
+    (task,) = running.allocation.tasks
+    placer.task_used("o", task.task_id, use, 1.0)
+    first = placer.plan(1.0)
+    if stop_s is None:
+        assert not first
+        assert not placer.plan(60.0)
+        return
+    assert first == [decision.Throttle("o", task.task_id, "w0")]
+    assert not placer.plan(1.0 + stop_s - 0.1)
+    made = placer.plan(1.0 + stop_s)
+    assert made == [decision.Stop("o", decision.StopReason.OVERUSE)]
+
+
+def test_throttled_task_that_obeys_is_not_stopped():
+    placer, running = make(True)
+    (task,) = running.allocation.tasks
+    placer.task_used("o", task.task_id, R(1, 30, 8_000), 1.0)
+    placer.plan(1.0)
+    placer.task_used("o", task.task_id, DECLARED, 2.0)
+    assert not placer.plan(60.0)
+
+
+def test_stopped_job_returns_with_what_it_really_uses():
+    placer, running = make(False)
+    (task,) = running.allocation.tasks
+    placer.task_used("o", task.task_id, R(1, 30, 8_000), 1.0)
+    placer.plan(1.0)
+    placer.plan(11.0)
+    placer.job_changed(placer_test.after(running, job.JobState.STOPPING, ["w0"]), 11.0)
+    placer.job_changed(placer_test.after(running, job.JobState.QUEUED, epoch=2), 12.0)
+    assert not placer_test.places(placer.plan(12.0))
+    placer.worker_up(placer_test.worker("w1"), 13.0)
+    assert placer_test.places(placer.plan(13.0))["o"].workers == ("w1",)
+
+
+def test_job_that_overuses_a_whole_worker_alone_is_left_to_end():
+    # It was stopped after each start, for ever.
+    placer = gang.make_placer(random.Random(1), "d")
+    placer.worker_up(placer_test.worker("w0"), 0.0)
+    _, running = placer_test.start(placer, placer_test.queued("o"))
+    (task,) = running.allocation.tasks
+    placer.task_used("o", task.task_id, R(8, 96, 8_000), 1.0)
+    assert not placer.plan(1.0)
+    assert not placer.plan(60.0)
+
+
+def test_estimates_follow_runs_and_are_bounded():
+    times = estimate.RunTimes()
+    assert times.quantile("a", "c", 10.0, 0.9) == 10.0
+    for _ in range(estimate.MIN_RUNS):
+        times.learn("a", "c", 10.0, 1e9)
+    assert times.quantile("a", "c", 10.0, 0.9) == 10.0 * estimate.MAX_FACTOR
+    # Another contract of the account starts from what the account's jobs did.
+    assert times.quantile("a", "other", 10.0, 0.5) == 10.0 * estimate.MAX_FACTOR
+    assert times.quantile("b", "c", 10.0, 0.5) == 10.0
+    for _ in range(estimate.WINDOW):
+        times.learn("a", "c", 10.0, 5.0)
+    assert times.quantile("a", "c", 10.0, 0.9) == 5.0
--- a/marjoramusher/placement/quarantine.py
+++ b/marjoramusher/placement/quarantine.py
@@ -1,6 +1,7 @@
 """Jobs that can never run told apart from workers that fail everything."""
 
 import heapq
+import math
 import random
 from collections.abc import Iterator
 from typing import NamedTuple
@@ -15,11 +16,16 @@
 RAN_FACTOR = 2.0
 # Distinct jobs that must have failed on a worker and run elsewhere.
 MIN_INNOCENT = 2
+# Distinct jobs that failed on a worker, and then found no other for DOUBT_S, that
+# count as well; in a full failure domain nothing can run elsewhere.
+MIN_DOUBTED = 3
+DOUBT_S = 8.0
 # Distinct healthy workers on which a job must have failed.
 MIN_HEALTHY = 3
-# Distinct workers without any success of another job that refuse a job as well;
-# on an idle failure domain no worker is known to be healthy.
-MIN_UNKNOWN = 8
+# Distinct workers of which nothing is known that refuse a job as well: fewer if
+# another job runs somewhere, so that the failure domain as a whole is not at fault.
+MIN_UNKNOWN = 5
+MIN_UNKNOWN_ALONE = 8
 FIRST_QUARANTINE_S = 60.0
 LONGEST_QUARANTINE_S = 3600.0
 # At most this share of the workers is quarantined automatically.
@@ -56,9 +62,10 @@
 class JobEvidence:
     """What is known about one job that has failed."""
 
-    __slots__ = ("failed_on", "paused_until", "ran")
+    __slots__ = ("failed_on", "origin", "paused_until", "ran")
 
     def __init__(self) -> None:
+        self.origin = ("", "")
         self.failed_on: dict[str, Failure] = {}
         self.ran = False
         self.paused_until = 0.0
@@ -83,6 +90,8 @@
         self._questioned: set[str] = set()
         self._is_changed = False
         self._active: set[str] = set()
+        self._proven_at = -EVIDENCE_S
+        self._next_doubt = math.inf
 
     @property
     def active(self) -> set[str]:
@@ -100,13 +109,17 @@
         """Note a start; `decide` looks whether it has survived."""
         heapq.heappush(self._checks, (now + SURVIVED_S, job_id, now))
 
-    def failed(self, job_id: str, worker: str, now: float) -> None:
+    def failed(
+        self, job_id: str, account: str, contract: str, worker: str, now: float
+    ) -> None:
         """Note a failure of a job's task on a worker."""
         holding = self._ledger.holdings.get(job_id)
         run_s = now - holding.started_at if holding is not None else 0.0
         failure = Failure(now, run_s)
         job = self._job(job_id)
         job.failed_on[worker] = failure
+        job.origin = (account, contract)
+        self._next_doubt = min(self._next_doubt, now + DOUBT_S)
         job.ran = False
         pause_s = FIRST_PAUSE_S * 2 ** min(len(job.failed_on) - 1, 6)
         job.paused_until = now + min(pause_s, LONGEST_PAUSE_S)
@@ -156,7 +169,7 @@
         An innocent job has failed there and nothing was started since; without a
         probe the second failure may be long in coming.
         """
-        for worker in self._questioned:
+        for worker in sorted(self._questioned):
             evidence = self._workers[worker]
             if (
                 evidence.until is None
@@ -191,6 +204,9 @@
                 evidence.failures.clear()
                 self._active.discard(worker)
                 yield decision.ReleaseWorker(worker)
+        if self._next_doubt <= now:
+            self._next_doubt = now + DOUBT_S if self._questioned else math.inf
+            self._is_changed = True
         if self._is_changed:
             self._is_changed = False
             yield from self._judge(now)
@@ -204,6 +220,8 @@
                 continue
             innocent = self._innocent(evidence)
             needed = 1 if evidence.on_probation else MIN_INNOCENT
+            if len(innocent) < needed:
+                innocent = self._doubted(evidence, now)
             if len(innocent) >= needed and self._below_cap():
                 yield self._quarantine(worker, evidence, innocent, now)
         for job_id in sorted(self._accused):
@@ -214,7 +232,7 @@
             present = sum(1 for w in self._ledger.workers.values() if w.is_open)
             if (
                 len(healthy) >= MIN_HEALTHY
-                or len(job.failed_on) >= MIN_UNKNOWN
+                or len(job.failed_on) >= self._min_unknown(now)
                 and not any(self._is_blamed(w) for w in job.failed_on)
                 or 0 < present < MIN_HEALTHY
                 and len(healthy) >= present
@@ -242,7 +260,7 @@
         self._active.add(worker)
         return decision.QuarantineWorker(
             worker,
-            f"{len(innocent)} jobs failed here and ran on other workers: "
+            f"{len(innocent)} jobs failed here and on no healthy worker: "
             f"{', '.join(sorted(innocent))}; for {length_s:.0f} s",
         )
 
@@ -274,6 +292,8 @@
         again_s = 0.0
         if ran_s < SURVIVED_S:
             return again_s
+        if holding.job_id not in self._jobs or self._jobs[holding.job_id].ran:
+            self._proven_at = now
         for worker in holding.amounts:
             evidence = self._worker(worker)
             evidence.proofs[holding.job_id] = now
@@ -310,6 +330,34 @@
             and job.ran
         ]
 
+    def _min_unknown(self, now: float) -> int:
+        is_proven = now - self._proven_at < EVIDENCE_S
+        return MIN_UNKNOWN if is_proven else MIN_UNKNOWN_ALONE
+
+    def _doubted(self, evidence: WorkerEvidence, now: float) -> list[str]:
+        """Return jobs that failed here and found no other worker to run on.
+
+        They speak against the worker if they are many, of different origin, and
+        other jobs run in the failure domain; a batch of bad jobs has one origin.
+        Jobs that failed on several workers, none of which runs anything since, must
+        be more, since it may be the jobs that are bad.
+        """
+        if now - self._proven_at >= EVIDENCE_S:
+            return []
+        found: dict[str, JobEvidence] = {}
+        for job_id, failure in evidence.failures.items():
+            job = self._jobs.get(job_id)
+            if job is None or now - failure.at < DOUBT_S:
+                continue
+            if all(self._worker(worker).failures for worker in job.failed_on):
+                found[job_id] = job
+        only_here = {j: job for j, job in found.items() if len(job.failed_on) == 1}
+        for jobs, least in ((only_here, MIN_DOUBTED), (found, MIN_DOUBTED + 1)):
+            origins = {job.origin for job in jobs.values()}
+            if len(jobs) >= least and len(origins) >= least - 1:
+                return list(jobs)
+        return []
+
     def _is_blamed(self, worker: str) -> bool:
         evidence = self._workers.get(worker)
         return evidence is not None and (
