Spread stops over many jobs and limit the weight of declared length

Cause: among the slowest jobs were whole-rack gangs that declared seven times their run time and waited for 1,300 s and more, and gangs that were stopped up to 16 times. Change: the cost of a stop grows with the number of starts; estimates above 120 s count alike in the order.

--- a/marjoramusher/placement/fragmentation.py
+++ b/marjoramusher/placement/fragmentation.py
@@ -7,8 +7,6 @@
 
 # Accelerator seconds of waiting that a move must save for each one that it costs.
 GAIN_FACTOR = 2.0
-# Checkpoint, grace and start of a moved job.
-RESTART_S = 2.0
 MAX_CANDIDATES = 4
 MAX_MOVED = 16
 # A job that was moved runs at least this long before it is moved again.
@@ -88,10 +86,7 @@
         victims = reclaim.choose_victims(book, amounts, may_move, now)
         if not victims or len(victims) > MAX_MOVED:
             continue
-        cost = sum(
-            victim.lost_work(now) + RESTART_S * max(1, victim.accelerators)
-            for victim in victims
-        )
+        cost = reclaim.stop_cost(victims, now)
         if GAIN_FACTOR * cost > gain or (best is not None and cost >= best[0]):
             continue
         if _fit_elsewhere(book, cells, victims, set(amounts)):
--- a/marjoramusher/placement/gang.py
+++ b/marjoramusher/placement/gang.py
@@ -567,7 +567,7 @@
             )
             if victims is None:
                 continue
-            cost = (reclaim.lost_work(victims, now), len(victims))
+            cost = (reclaim.stop_cost(victims, now), len(victims))
             if best is None or cost < best[0]:
                 best = (cost, entry, planned, workers, amounts, victims)
         if best is None:
@@ -595,7 +595,7 @@
             )
             if victims is None:
                 continue
-            cost = (reclaim.lost_work(victims, now), len(victims))
+            cost = (reclaim.stop_cost(victims, now), len(victims))
             if best is None or cost < best[0]:
                 best = (cost, workers, amounts, victims)
         if best is None:
@@ -715,6 +715,7 @@
             now,
         )
         holding.progress_s = known.progress_s
+        holding.stops = known.epoch
         holding.estimate_s = self._estimate(known, 0.5)
         holding.moved_at = self._moved.get(known.job_id, holding.moved_at)
         if rank < 2 and self._reserves.touches(known.job_id, holding.amounts):
--- a/marjoramusher/placement/ledger.py
+++ b/marjoramusher/placement/ledger.py
@@ -51,6 +51,8 @@
         only jobs of lower rank, so preemption has no circles.
     movable : bool
         False for a job that must not start twice; it is never stopped for others.
+    stops : int
+        How often the job was started before.
     backfilled : bool
         Placed on workers that a waiting gang had reserved.
     """
@@ -70,6 +72,7 @@
         "rank",
         "started_at",
         "stop_at",
+        "stops",
     )
 
     def __init__(
@@ -94,6 +97,7 @@
         self.progress_s = 0.0
         self.estimate_s = 0.0
         self.stop_at: float | None = None
+        self.stops = 0
         self.moved_at = -math.inf
         self.backfilled = False
 
@@ -111,8 +115,15 @@
         """Return accelerator seconds since the last checkpoint."""
         return (now - self.checkpoint_at) * max(1, self.accelerators)
 
+    def stop_cost(self, now: float) -> float:
+        """Return lost work with a surcharge that spreads stops over many jobs."""
+        surcharge_s = STOP_COST_S * (1 + self.stops)
+        return self.lost_work(now) + surcharge_s * max(1, self.accelerators)
+
 
 CHARGED = 3
+# Checkpoint, stop and start of a job, for each time that it was started.
+STOP_COST_S = 3.0
 
 
 class Worker:
--- a/marjoramusher/placement/queue.py
+++ b/marjoramusher/placement/queue.py
@@ -99,12 +99,16 @@
     DUE_RUNS = 2.0
     # Expected work below this is treated alike, so that waiting decides.
     FLOOR_S = 5.0
+    # Expected work above this is treated alike, since declarations are often far too
+    # long and would keep a large gang waiting.
+    CEILING_S = 120.0
 
     def key(self, waiting: Waiting, share: Share, now: float) -> tuple[float, ...]:
         """Return the rank of a job of a client account."""
         slack_s = waiting.expires_at_s - now
         due = slack_s < self.DUE_RUNS * waiting.estimate_s
-        size = (waiting.estimate_s + self.FLOOR_S) * (1.0 + share.dominant)
+        size = min(waiting.estimate_s, self.CEILING_S) + self.FLOOR_S
+        size *= 1.0 + share.dominant
         ratio = (now - waiting.since + size) / size
         return (0.0 if due else 1.0, slack_s if due else 0.0, -ratio)
 
@@ -226,7 +230,7 @@
             again = waiting.job.job_id
         # Jobs of like length wait together, so that a long one at the head does not
         # keep short ones from being backfilled.
-        length = math.frexp(spec.run_s)[1]
+        length = math.frexp(spec.run_s)[1] // 2
         key = (spec.account, spec.contract, spec.job_class, length, again)
         lanes = self._lanes.setdefault(demand, {})
         lane = lanes.get(key)
--- a/marjoramusher/placement/reclaim.py
+++ b/marjoramusher/placement/reclaim.py
@@ -85,7 +85,7 @@
                 and job_id not in chosen
                 and may_stop(holding)
             ),
-            key=lambda h: (h.rank, h.lost_work(now), h.job_id),
+            key=lambda h: (h.rank, h.stop_cost(now), h.job_id),
         )
         for holding in candidates:
             part = holding.amounts[worker_id]
@@ -97,7 +97,7 @@
                 break
         if max(lack) > 0:
             return None
-    for holding in sorted(chosen.values(), key=lambda h: -h.lost_work(now)):
+    for holding in sorted(chosen.values(), key=lambda h: -h.stop_cost(now)):
         _cover(missing, holding, 1)
         if any(max(lack) > 0 for lack in missing.values()):
             _cover(missing, holding, -1)
@@ -106,9 +106,9 @@
     return list(chosen.values())
 
 
-def lost_work(victims: list[ledger.Holding], now: float) -> float:
-    """Return the accelerator seconds that stopping all victims loses."""
-    return sum(victim.lost_work(now) for victim in victims)
+def stop_cost(victims: list[ledger.Holding], now: float) -> float:
+    """Return the accelerator seconds that stopping all victims costs."""
+    return sum(victim.stop_cost(now) for victim in victims)
 
 
 def rank_of(job_class: resource.JobClass) -> int:
