Leave half workers to urgent jobs where whole ones are taken

Cause: guarantees had taken the workers left to urgent jobs, and normal jobs the rest; one urgent job waited 16.5 s. Change: if too few whole workers are free or hold best effort jobs, halves are left.

--- a/marjoramusher/placement/gang.py
+++ b/marjoramusher/placement/gang.py
@@ -417,12 +417,18 @@
         if self._standby_at != self._ledger.end:
             self._standby_at = self._ledger.end
             self._standby_set = set()
-            each = (self._largest[0], 0, 0)
-            if each[0] and "no_standby" not in self._options:
-                index = self._cells.index(each, ledger.yielding_free)
-                wanted = int(len(self._ledger.workers) * STANDBY_SHARE)
-                if index.total <= wanted:
-                    self._standby_set = set(index.workers())
+            wanted = int(len(self._ledger.workers) * STANDBY_SHARE)
+            if "no_standby" in self._options:
+                wanted = 0
+            # Whole workers first; if guarantees have taken those, halves.
+            for part in (1, 2):
+                size = self._largest[0] // part
+                if not size or not wanted:
+                    break
+                index = self._cells.index((size, 0, 0), ledger.yielding_free)
+                if index.total > wanted * part:
+                    break
+                self._standby_set.update(index.workers())
         return self._standby_set
 
     def _may_overstay(self, waiting: queue.Waiting, rank: int, now: float) -> bool:
