Refuse to recover a group that has a leader

"group recover" on a healthy group of six instances made a second epoch beside the old one; two members then took their stores for old copies, discarded them whole, and another group lost its majority with them. The recovery is now refused while this instance knows a leader. The test of a real loss first waits until the survivor has noticed it.

--- a/marjoramusher/groups/manager.py
+++ b/marjoramusher/groups/manager.py
@@ -178,12 +178,20 @@
         ------
         MarjoramusherError
             With code ``not_found`` if this instance holds no state of the group.
+        BadRequestError
+            If the group has a leader: its majority is not lost, and a second epoch
+            beside it would make its members discard their stores.
         """
         running = self._groups.get(name)
         if running is None or running.config is None:
             raise errors.MarjoramusherError(
                 errors.ErrorCode.NOT_FOUND, f"{name} has no state at this instance"
             )
+        if running.leader is not None:
+            raise errors.BadRequestError(
+                f"{name} has a leader, so its majority is not lost",
+                {"leader": running.leader},
+            )
         log.state_change("group.recovered_with_loss", group=name)
         return running.recover_with_loss()
 
--- a/marjoramusher/groups/manager_test.py
+++ b/marjoramusher/groups/manager_test.py
@@ -313,6 +313,8 @@
     survivor = cluster.instances["i3"]
     with pytest.raises(errors.NoQuorumError):
         await survivor.group().propose(b"b", 0.3)
+    # Recovery is refused until the survivor has noticed that its leader is gone.
+    await until(lambda: survivor.group().leader is None)
     config = survivor.manager.recover_with_loss("records")
     assert (len(config.voters), config.epoch) == (1, 1)
     await survivor.group().propose(b"c", PATIENCE_S)
@@ -324,6 +326,17 @@
     await cluster.instances["i5"].group().propose(b"d", PATIENCE_S)
 
 
+async def test_group_with_a_leader_is_not_recovered(cluster):
+    leader = await form(cluster)
+    await leader.group().propose(b"a", PATIENCE_S)
+    for running in cluster.instances.values():
+        await running.group().barrier(PATIENCE_S)
+        before = running.group().config
+        with pytest.raises(errors.BadRequestError):
+            running.manager.recover_with_loss("records")
+        assert running.group().config == before
+
+
 async def test_role_and_applied_streams_report_changes(cluster):
     made = await cluster.add("i1", "d1", 1)
     roles, applied = [], []
