Probe the cluster before a fault case starts its load

Requests were refused for 4 s while the runners announced themselves and slots were granted, so that cases ran their faults with little load.

--- a/faults/load.py
+++ b/faults/load.py
@@ -48,6 +48,7 @@
         self._duplicates: set[asyncio.Task[bool]] = set()
         self._attempts = 0
         self._submissions = 0
+        self._probes = 0
         self._jobs: dict[str, str] = {}
         self.revision = 0
 
@@ -123,20 +124,26 @@
         self._stopping.set()
         await asyncio.gather(*self._tasks, *self._duplicates)
 
-    async def probe(self, timeout_s: float = 8.0) -> None:
-        """Send requests through each instance until one of each kind is answered."""
-        generator = random.Random(f"{self._seed}-probe")
+    async def probe(self, timeout_s: float = 10.0) -> bool:
+        """Send requests through each instance until one of each kind is answered.
+
+        Returns
+        -------
+        bool
+            True if all of them were answered in time.
+        """
         until = time.monotonic() + timeout_s
 
-        async def probe_one(instance: str, account: str, repeatable: bool) -> None:
+        async def probe_one(instance: str, account: str, repeatable: bool) -> bool:
             while time.monotonic() < until:
-                token = f"probe-{instance}-{account}-{generator.getrandbits(48):x}"
-                request = standin.Request(token, 0.005, 100)
+                self._probes += 1
+                request = standin.Request(f"probe-{self._probes}", 0.005, 100)
                 if await self._attempt(instance, account, request, repeatable):
-                    return
+                    return True
                 await asyncio.sleep(0.2)
+            return False
 
-        await asyncio.gather(
+        answered = await asyncio.gather(
             *(
                 probe_one(instance, account, repeatable)
                 for instance in self._cluster.instances
@@ -144,6 +151,7 @@
                 for repeatable in (True, False)
             )
         )
+        return all(answered)
 
     async def probe_jobs(self, timeout_s: float = 12.0) -> None:
         """Run an urgent job of two tasks in each failure domain to its end."""
--- a/faults/main.py
+++ b/faults/main.py
@@ -95,6 +95,8 @@
     work = load.Load(cluster, seed)
     await work.write_base_records()
     await standin.start(cluster)
+    if not await work.probe():
+        raise clusters.PreconditionError("requests are not answered before the fault")
     work.start()
     try:
         await asyncio.sleep(WARM_UP_S)
