--- a/marjoramusher/routing/router.py
+++ b/marjoramusher/routing/router.py
@@ -9,20 +9,29 @@
 from . import budget, effect, fair, grants, request, runtime, target
 
 SHORT, LONG = request.RequestClass.SHORT, request.RequestClass.LONG
-MAX_QUEUE_S = {SHORT: 0.75, LONG: 10.0}
+MAX_QUEUE_S = {SHORT: 0.75, LONG: 20.0}
 MAX_QUEUED = 4096  # for each service and class; bounds memory
 MAX_TRIES = 4
 STARTUP_S = 2.5  # targets renew every 2 s, so by then all are known
 SCAN_S = 0.05  # period of the search for passed deadlines and hedges
 LOAD_WINDOW_S = 0.5
 MIN_LONG_SHARE = 0.2  # long work is never starved by short work
-RESERVE_SIGMAS = 2.5  # spare slots in standard deviations of short slots in use
+# Spare slots for short work, in standard deviations of its slots in use: the first
+# value, the range, and the steps by which late short work raises and lowers it.
+RESERVE_SIGMAS = 2.5
+LEAST_SIGMAS, MOST_SIGMAS = 0.5, 4.0
+RAISE_SIGMAS, LOWER_SIGMAS = 0.5, 0.1
+LATE_WAIT = 0.5  # of the upper quantile of the run time
+LATE_SHARE = 0.01  # the bound is on the 0.99 quantile
+OVERRUN_FACTOR = 3.0
 HEDGE_FACTOR = 2.0
 HEDGE_MIN_S = 0.05
 HEDGE_SHARE = 0.02
+SHORT_LEAD = 0.5  # slot time over weight; short work is ahead of fairness by this
 CAPACITY_TTL_S = 3.0
 SPILL_MARGIN_S = 0.05
 REQUEST_OVERHEAD_BYTES = 600
+TYPICAL_GAIN = 0.005  # over some 200 runs, more than any one target has
 DEMAND_DECAY = 0.8
 
 
@@ -55,7 +64,7 @@
 
 
 class _Attempt:
-    __slots__ = ("entry", "number", "sent_at", "target")
+    __slots__ = ("entry", "number", "run_class", "sent_at", "target")
 
     def __init__(
         self, number: int, entry: fair.Entry, chosen: target.Target, now: float
@@ -64,6 +73,7 @@
         self.entry = entry
         self.target = chosen
         self.sent_at = now
+        self.run_class = entry.run_class
 
 
 class _Service:
@@ -73,28 +83,40 @@
         "answer_bytes",
         "arrived_s",
         "demand",
+        "fair",
         "free",
         "hedges",
         "in_flight",
+        "late",
         "limit",
         "load",
         "long_limit",
         "queues",
         "record",
+        "reserve",
         "retries",
+        "shorts",
+        "sigmas",
         "targets",
+        "typical_log",
     )
 
     def __init__(self, service: record.Service) -> None:
         self.record = service
         self.targets: dict[str, target.Target] = {}
         self.free: list[target.Target] = []
-        self.queues = {SHORT: fair.FairQueue(), LONG: fair.FairQueue()}
+        self.fair = fair.FairQueue()
+        self.queues = self.fair.classes
         self.in_flight = {SHORT: 0, LONG: 0}
         self.arrived_s = {SHORT: 0.0, LONG: 0.0}
         self.load = {SHORT: 0.0, LONG: 0.0}
         self.limit = 0
         self.long_limit = 0
+        self.reserve = 0
+        self.typical_log = 0.0
+        self.sigmas = RESERVE_SIGMAS
+        self.late = 0
+        self.shorts = 0
         self.demand = 0.0
         self.answer_bytes = 1024.0
         self.retries = budget.RetryBudget()
@@ -104,10 +126,27 @@
         """Split the slots between the classes by the mix of what arrives."""
         total = self.limit
         short = self.load[SHORT]
-        reserve = math.ceil(short + RESERVE_SIGMAS * math.sqrt(short) + 1.0)
+        reserve = math.ceil(short + self.sigmas * math.sqrt(short) + 1.0)
+        self.reserve = reserve
         least = math.ceil(total * MIN_LONG_SHARE)
         self.long_limit = max(total - reserve, least)
 
+    def adapt_reserve(self) -> None:
+        """Keep as many slots for short work as its waits call for."""
+        if self.shorts < 20:
+            return
+        if self.late > LATE_SHARE * self.shorts:
+            self.sigmas = min(self.sigmas + RAISE_SIGMAS, MOST_SIGMAS)
+        else:
+            self.sigmas = max(self.sigmas - LOWER_SIGMAS, LEAST_SIGMAS)
+        self.late = 0
+        self.shorts = 0
+
+    def note_ratio(self, chosen: target.Target, ratio: float) -> None:
+        """Note a run time relative to the expected one."""
+        log_ratio = chosen.note_run(ratio, self.typical_log)
+        self.typical_log += TYPICAL_GAIN * (log_ratio - self.typical_log)
+
     def free_slots(self, run_class: request.RequestClass) -> int:
         """Return the slots that a class may take at once."""
         free = self.limit - self.in_flight[SHORT] - self.in_flight[LONG]
@@ -182,11 +221,7 @@
     @property
     def waiting(self) -> int:
         """Return the number of requests that wait for a slot."""
-        return sum(
-            len(queue)
-            for service in self._services.values()
-            for queue in service.queues.values()
-        )
+        return sum(len(service.fair) for service in self._services.values())
 
     @property
     def in_flight(self) -> int:
@@ -220,8 +255,7 @@
             else:
                 service.record = service_record
         for service in self._services.values():
-            for queue in service.queues.values():
-                queue.set_weights(self._weights)
+            service.fair.set_weights(self._weights)
         effects: list[effect.Effect] = []
         for known in self._table.values():
             self._attach(known)
@@ -256,9 +290,10 @@
         del now
         wanted = {}
         for name, service in self._services.items():
-            present = sum(service.in_flight.values()) + sum(
-                len(queue) for queue in service.queues.values()
-            )
+            # Short work asks for its reserve, and long work for a slot each.
+            long = service.in_flight[LONG] + service.queues[LONG].count
+            short = service.in_flight[SHORT] + service.queues[SHORT].count
+            present = long + max(short, service.reserve if service.load[SHORT] else 0)
             service.demand = max(float(present), DEMAND_DECAY * service.demand)
             wanted[name] = service.demand
         held = tuple(
@@ -344,6 +379,7 @@
             and asked.request_id not in self._entries
         ):
             self._entries[asked.request_id] = entry
+            service.fair.charge(entry, weight)
             return [self._dispatch(service, entry, now)]
         return self._enqueue(service, entry, weight, now)
 
@@ -384,8 +420,11 @@
         service = self._services[entry.asked.service]
         self._release(service, known)
         run_s = now - known.sent_at
-        known.target.note_run(run_s / entry.run.mean_s if entry.run.count > 8 else 1.0)
+        if entry.run.count > runtime.FIRST_RUNS:
+            service.note_ratio(known.target, run_s / entry.run.mean_s)
+        known.target.failures = 0
         entry.run.note(run_s, service.record.short_run_s)
+        service.fair.correct(entry, run_s)
         service.answer_bytes += 0.05 * (answer_bytes - service.answer_bytes)
         service.retries.succeed()
         service.hedges.succeed()
@@ -424,7 +463,7 @@
             self._refuse(entry, code, effects)
         else:
             weight = self._weights.get(entry.asked.account, 1.0)
-            service.queues[entry.run_class].push(entry, weight, first=True)
+            service.fair.push(entry, weight, first=True)
         self._pump(service, now, effects)
         return effects
 
@@ -491,7 +530,7 @@
             self._refuse(entry, code, effects)
             return effects
         self._entries[asked.request_id] = entry
-        queue.push(entry, weight)
+        service.fair.push(entry, weight)
         self._pump(service, now, effects)
         return effects
 
@@ -511,8 +550,7 @@
         slots = max(slots, 1)
         if not account:
             return queue.work_s / slots
-        ahead_s = queue.account_work_s(account)
-        return ahead_s / (slots * queue.share(account, weight))
+        return service.fair.wait_s(run_class, account, weight, slots)
 
     def _spill(
         self, service: _Service, entry: fair.Entry, limit_s: float, now: float
@@ -569,6 +607,10 @@
         entry.tries += 1
         chosen.in_flight += 1
         service.in_flight[entry.run_class] += 1
+        if entry.run_class is SHORT and entry.tries == 1:
+            service.shorts += 1
+            if now - entry.queued_at > LATE_WAIT * entry.run.high_s:
+                service.late += 1
         if chosen.in_flight >= chosen.limit:
             service.set_free(chosen)
         announced = chosen.announcement
@@ -589,22 +631,27 @@
         """Dispatch what waits while there are free slots."""
         short, long = service.queues[SHORT], service.queues[LONG]
         while service.free:
-            if short.count:
-                entry = short.pop()
-            elif long.count and service.in_flight[LONG] < service.long_limit:
-                entry = long.pop()
+            long_ready = long.count and service.in_flight[LONG] < service.long_limit
+            if short.count and not (
+                long_ready
+                and service.fair.lag(LONG) + SHORT_LEAD < service.fair.lag(SHORT)
+            ):
+                entry = service.fair.pop(SHORT)
+            elif long_ready:
+                entry = service.fair.pop(LONG)
             else:
                 return
             if entry.asked.deadline - 0.5 * entry.cost_s < now:
                 code = errors.ErrorCode.DEADLINE_EXCEEDED
                 self._refuse(entry, code, effects)
                 continue
+            service.fair.charge(entry, self._weights.get(entry.asked.account, 1.0))
             effects.append(self._dispatch(service, entry, now))
 
     def _release(self, service: _Service, attempt: _Attempt) -> None:
         del self._attempts[attempt.number]
         del attempt.entry.attempts[attempt.number]
-        service.in_flight[attempt.entry.run_class] -= 1
+        service.in_flight[attempt.run_class] -= 1
         chosen = attempt.target
         chosen.in_flight -= 1
         if chosen.free_index < 0:
@@ -623,12 +670,12 @@
                 continue
             self._release(service, attempt)
             entry.sent = True
-            if entry.run.count > 8:
+            if entry.run.count > runtime.FIRST_RUNS:
                 # The run time is at least this, which slow targets would hide
                 # if cancelled attempts did not count.
                 ratio = (now - attempt.sent_at) / entry.run.mean_s
                 if ratio > attempt.target.slowness:
-                    attempt.target.note_run(ratio)
+                    service.note_ratio(attempt.target, ratio)
             effects.append(effect.Cancel(entry.asked.request_id, attempt.number))
 
     def _drop(
@@ -639,7 +686,7 @@
         effects: list[effect.Effect],
     ) -> None:
         if entry.waiting:
-            service.queues[entry.run_class].remove(entry)
+            service.fair.remove(entry)
         self._cancel_attempts(service, entry, now, effects)
         self._entries.pop(entry.asked.request_id, None)
 
@@ -708,14 +755,17 @@
                 gain = 0.7 if present > before else 0.2
                 service.load[run_class] = before + gain * (present - before)
                 service.arrived_s[run_class] = 0.0
+            service.adapt_reserve()
 
     def _scan(self, now: float, effects: list[effect.Effect]) -> None:
         late = []
         for entry in self._entries.values():
             if entry.asked.deadline <= now:
                 late.append(entry)
-            elif len(entry.attempts) == 1 and not entry.answering:
-                self._hedge(entry, now, effects)
+            elif entry.attempts and entry.run_class is SHORT:
+                self._reclassify(entry, now)
+                if len(entry.attempts) == 1 and not entry.answering:
+                    self._hedge(entry, now, effects)
         for entry in late:
             service = self._services[entry.asked.service]
             if entry.waiting:
@@ -724,15 +774,20 @@
             self._refuse(entry, errors.ErrorCode.DEADLINE_EXCEEDED, effects)
             self._pump(service, now, effects)
 
+    def _reclassify(self, entry: fair.Entry, now: float) -> None:
+        """Count what overruns as long work, so that queued long work makes room."""
+        service = self._services[entry.asked.service]
+        limit_s = min(OVERRUN_FACTOR * entry.run.high_s, service.record.short_run_s)
+        for attempt in entry.attempts.values():
+            if attempt.run_class is SHORT and now - attempt.sent_at > limit_s:
+                attempt.run_class = LONG
+                service.in_flight[SHORT] -= 1
+                service.in_flight[LONG] += 1
+
     def _hedge(
         self, entry: fair.Entry, now: float, effects: list[effect.Effect]
     ) -> None:
-        if (
-            entry.hedged
-            or entry.run_class is LONG
-            or not entry.asked.repeatable
-            or entry.run.count < 20
-        ):
+        if entry.hedged or not entry.asked.repeatable or entry.run.count < 20:
             return
         (attempt,) = entry.attempts.values()
         limit_s = max(HEDGE_FACTOR * entry.run.high_s, HEDGE_MIN_S)
