End the gang driver when its cancellation meets a wake-up

The driver waits with asyncio.timeout now, as the other loops do. The test failed before with the cancellation right after the wake-up and passes now.

--- a/marjoramusher/workers/driver.py
+++ b/marjoramusher/workers/driver.py
@@ -158,8 +158,11 @@
         self._running.clear()
 
     async def _wait(self) -> None:
+        # asyncio.wait_for of Python 3.11 drops a cancellation that arrives together
+        # with the result, and the driver would never end.
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._kick.wait(), TICK_S)
+            async with asyncio.timeout(TICK_S):
+                await self._kick.wait()
         await asyncio.sleep(BATCH_S)
         self._kick.clear()
 
