Add storms and domain losses, and judge refusals by attempt

The table lacked overlapping faults, the loss of a whole domain or of all processes, and diskless instances. A refusal is now judged against every attempt that can have caused a run, since error answers carry no request id.

--- a/faults/cases.py
+++ b/faults/cases.py
@@ -14,8 +14,9 @@
 from . import cluster as clusters
 from . import history
 
-ELECTION_S = 3.0  # A new leader takes about 2 s.
 LEASE_S = 4.04
+STORM_S = 10.0
+DISKLESS = ("fd-a-2", "fd-b-2", "fd-c-2")
 
 
 class Context(msgspec.Struct, frozen=True):
@@ -34,6 +35,7 @@
 
     name: str
     run: Callable[[Context], Awaitable[None]]
+    diskless: tuple[str, ...] = ()
 
 
 async def _kill_and_restart(context: Context, name: str, down_s: float) -> None:
@@ -218,11 +220,96 @@
             await asyncio.sleep(1.0)
 
 
+async def lose_domain(context: Context) -> None:
+    """Kill both instances of a failure domain at once, and restart them."""
+    domain = context.random.choice(sorted(context.cluster.domains))
+    names = [instance.name for instance in context.cluster.of_domain(domain)]
+    await _kill_together(context, names, 6.0)
+
+
+async def lose_all(context: Context) -> None:
+    """Kill all instances at once, and restart them."""
+    await _kill_together(context, sorted(context.cluster.instances), 1.0)
+
+
+async def storm(context: Context) -> None:
+    """Overlap faults of every kind at random times, several on some processes.
+
+    Only one data folder is lost, since the loss of two voters' folders needs an
+    operator's recovery.
+    """
+    cluster, generator = context.cluster, context.random
+    locks: dict[str, asyncio.Lock] = {}
+
+    async def instance_fault(name: str, kind: str, after_s: float, for_s: float):
+        await asyncio.sleep(after_s)
+        async with locks.setdefault(name, asyncio.Lock()):
+            context.mark("fault", f"{kind} {name} for {for_s:.1f} s")
+            if kind == "pause":
+                await cluster.pause(name, for_s)
+            elif kind == "cut":
+                await cluster.cut([name], generator.choice(["silent", "refuse"]))
+                await asyncio.sleep(for_s)
+                await cluster.heal([name])
+            else:
+                await cluster.kill(name)
+                if kind == "erase":
+                    cluster.erase(name)
+                await asyncio.sleep(for_s)
+                await cluster.restart(name)
+
+    async def standin_fault(name: str, kind: str, after_s: float, for_s: float):
+        await asyncio.sleep(after_s)
+        process = cluster.runners.get(name) or cluster.workers[name]
+        async with locks.setdefault(name, asyncio.Lock()):
+            context.mark("fault", f"{kind} {name} for {for_s:.1f} s")
+            if kind == "pause":
+                process.pause()
+                await asyncio.sleep(for_s)
+                process.resume()
+            else:
+                await process.kill()
+                await asyncio.sleep(for_s)
+                await process.start()
+
+    def timing() -> tuple[float, float]:
+        return generator.uniform(0, STORM_S), generator.uniform(0.3, 6.0)
+
+    kinds = ["kill", "kill", "pause", "pause", "cut", "cut", "kill"]
+    kinds += ["erase"] if generator.random() < 0.5 else []
+    faults = [
+        instance_fault(generator.choice(sorted(cluster.instances)), kind, *timing())
+        for kind in kinds
+    ]
+    faults += [
+        standin_fault(
+            generator.choice(sorted(cluster.runners | cluster.workers)), kind, *timing()
+        )
+        for kind in ("kill", "kill", "pause", "pause")
+    ]
+    await asyncio.gather(*faults, silent_connections(context))
+
+
+async def kill_diskless(context: Context) -> None:
+    """Kill one diskless instance after another; each comes back without memory."""
+    for name in context.random.sample(DISKLESS, 2):
+        await _kill_and_restart(context, name, 1.0)
+        await asyncio.sleep(2.0)
+
+
 async def quiet(context: Context) -> None:
     """Break nothing: operators race and callers resend all the same."""
     await asyncio.sleep(8.0)
 
 
+async def _kill_together(context: Context, names: list[str], down_s: float) -> None:
+    context.mark("fault", f"kill {', '.join(names)}")
+    await asyncio.gather(*(context.cluster.kill(name) for name in names))
+    await asyncio.sleep(down_s)
+    context.mark("heal", "restart them")
+    await asyncio.gather(*(context.cluster.restart(name) for name in names))
+
+
 CASES: tuple[Case, ...] = (
     Case("quiet", quiet),
     Case("kill-entry", kill_entry),
@@ -242,6 +329,10 @@
     Case("drain-instance", drain_instance),
     Case("drain-runner", drain_runner),
     Case("rolling-restart", rolling_restart),
+    Case("lose-domain", lose_domain),
+    Case("lose-all", lose_all),
+    Case("kill-diskless", kill_diskless, DISKLESS),
+    Case("storm", storm),
 )
 
 
--- a/faults/checker.py
+++ b/faults/checker.py
@@ -148,7 +148,9 @@
                 )
             if event.state in FINAL_STATES:
                 final.setdefault(event.job_id, event)
-    for job_id in sorted(accepted.keys() - known):
+    # Without the stage nothing was read at the end, which `check_progress` reports.
+    unread = accepted.keys() - known if settled < float("inf") else set()
+    for job_id in sorted(unread):
         yield Violation(
             Rule.JOB_LOST,
             accepted[job_id].at,
@@ -256,10 +258,6 @@
     for run in _of(events, history.RunStarted):
         by_request.setdefault(run.request_id, run)
         by_token[run.token].append(run)
-    attempts: dict[str, list[str]] = defaultdict(list)
-    refused: dict[str, history.RequestRefused] = {}
-    for event in sent.values():
-        attempts[event.token].append(event.attempt)
     for refusal in _of(events, history.RequestRefused):
         if refusal.outcome not in OUTCOMES:
             yield Violation(
@@ -277,7 +275,6 @@
             )
         if refusal.outcome != "not_run":
             continue
-        refused[refusal.attempt] = refusal
         run = by_request.get(refusal.request_id) if refusal.request_id else None
         if run is not None:
             yield Violation(
@@ -287,21 +284,55 @@
                 f"{refusal.code} says not run, but {run.runner} ran request "
                 f"{refusal.request_id}",
             )
-    never_sent = {
-        event.attempt
-        for event in _of(events, history.RequestBroken)
-        if not event.connected
-    }
-    for token, names in attempts.items():
-        real = [name for name in names if name not in never_sent]
-        if real and by_token[token] and all(name in refused for name in real):
-            run = by_token[token][0]
-            yield Violation(
-                Rule.REFUSAL_FALSE,
-                refused[real[0]].at,
-                token,
-                f"every attempt was refused as not run, but {run.runner} ran it",
-            )
+    yield from _unexplained_runs(events, sent, by_token)
+
+
+def _unexplained_runs(
+    events: Sequence[history.Event],
+    sent: dict[str, history.RequestSent],
+    by_token: dict[str, list[history.RunStarted]],
+) -> Iterator[Violation]:
+    """Find runs that only attempts with the outcome "not run" can have caused."""
+    ends: dict[str, history.Event] = {}
+    for event in events:
+        if isinstance(
+            event,
+            history.RequestAnswered | history.RequestRefused | history.RequestBroken,
+        ):
+            ends[event.attempt] = event
+    attempts: dict[str, list[history.RequestSent]] = defaultdict(list)
+    for event in sent.values():
+        attempts[event.token].append(event)
+    for token, runs in by_token.items():
+        for run in runs:
+            before = [each for each in attempts[token] if each.at <= run.at]
+            if any(_explains(each, ends.get(each.attempt), run.at) for each in before):
+                continue
+            refused = [
+                end
+                for each in before
+                if isinstance(end := ends.get(each.attempt), history.RequestRefused)
+            ]
+            if refused:
+                yield Violation(
+                    Rule.REFUSAL_FALSE,
+                    refused[-1].at,
+                    refused[-1].attempt,
+                    f"{refused[-1].code} says not run, but {run.runner} ran {token}, "
+                    "and no other attempt can have caused that",
+                )
+
+
+def _explains(
+    attempt: history.RequestSent, end: history.Event | None, run_at: float
+) -> bool:
+    """Tell whether an attempt can truthfully have caused a run."""
+    if isinstance(end, history.RequestBroken):
+        return end.connected
+    if isinstance(end, history.RequestRefused):
+        return end.outcome != "not_run"
+    # A second copy of a repeatable request may start after the answer of the first.
+    return end is None or attempt.repeatable or end.at >= run_at
 
 
 def check_answers(
@@ -439,13 +470,30 @@
     accepted: list[history.RecordAccepted] = []
     reachable: dict[str, float | None] = {}
     highest: dict[str, int] = {}
+    voters: tuple[str, ...] = ()
+    # Without a majority of the records group's voters nobody can tell what is
+    # committed. Once it is back, the voters elect a leader first.
+    majority_since: float | None = 0.0
     for event in events:
         if isinstance(event, history.RecordAccepted):
             accepted.append(event)
-        elif isinstance(event, history.InstanceReachable):
-            reachable[event.instance] = event.at
-        elif isinstance(event, history.InstanceUnreachable):
-            reachable[event.instance] = None
+        elif isinstance(
+            event,
+            history.InstanceReachable
+            | history.InstanceUnreachable
+            | history.VotersSeen,
+        ):
+            if isinstance(event, history.InstanceReachable):
+                reachable[event.instance] = event.at
+            elif isinstance(event, history.InstanceUnreachable):
+                reachable[event.instance] = None
+            else:
+                voters = event.instances
+            up = sum(reachable.get(voter) is not None for voter in voters)
+            if voters and 2 * up <= len(voters):
+                majority_since = None
+            elif majority_since is None:
+                majority_since = event.at + limits.election_s
         elif isinstance(event, history.ConfigurationSeen):
             before = highest.get(event.instance, 0)
             if event.revision < before:
@@ -457,13 +505,14 @@
                 )
             highest[event.instance] = max(before, event.revision)
             since = reachable.get(event.instance)
-            if since is None:
+            if since is None or majority_since is None:
                 continue
+            counted = max(since, majority_since)
             due = max(
                 (
                     record.revision
                     for record in accepted
-                    if event.at - max(record.at, since) > limits.configuration_s
+                    if event.at - max(record.at, counted) > limits.configuration_s
                 ),
                 default=0,
             )
@@ -517,7 +566,8 @@
                     f"{event.instance} has version {event.version}, although "
                     f"{latest[event.name]} was accepted",
                 )
-    for name in sorted(latest.keys() - read):
+    unread = latest.keys() - read if settled < float("inf") else set()
+    for name in sorted(unread):
         yield Violation(
             Rule.RECORD_LOST,
             settled,
--- a/faults/cluster.py
+++ b/faults/cluster.py
@@ -155,6 +155,7 @@
         seeds: str,
         directory: pathlib.Path,
         recorder: history.Recorder,
+        diskless: bool = False,
     ) -> None:
         self.failure_domain = failure_domain
         self.region = region
@@ -169,7 +170,7 @@
             f"--listen=127.0.0.1:{ports[0]}",
             f"--peer-listen={self.peer}",
             f"--seeds={seeds}",
-            f"--data-dir={self.data_dir}",
+            "--diskless" if diskless else f"--data-dir={self.data_dir}",
             "--bootstrap-expect=6",
             f"--operator-token-file={directory / 'operator-token'}",
             f"--instance-token-file={directory / 'instance-token'}",
@@ -185,10 +186,16 @@
     ----------
     directory : pathlib.Path
         Folder of the case for data, logs and histories.
+    diskless : tuple of str
+        Instances without a data folder.
     """
 
     def __init__(
-        self, directory: pathlib.Path, seed: int, recorder: history.Recorder
+        self,
+        directory: pathlib.Path,
+        seed: int,
+        recorder: history.Recorder,
+        diskless: tuple[str, ...] = (),
     ) -> None:
         self.directory = directory
         self.recorder = recorder
@@ -203,7 +210,14 @@
         seeds = ",".join(f"127.0.0.1:{peer}" for _, peer in ports)
         self.instances = {
             name: Instance(
-                name, domain, self.domains[domain], pair, seeds, directory, recorder
+                name,
+                domain,
+                self.domains[domain],
+                pair,
+                seeds,
+                directory,
+                recorder,
+                name in diskless,
             )
             for (name, domain), pair in zip(names, ports, strict=True)
         }
@@ -422,3 +436,11 @@
 def revision_of(status: dict[str, Any] | None) -> int | None:
     """Return the configuration revision in force from an instance's status."""
     return None if status is None else status.get("revision")
+
+
+def voters_of(status: dict[str, Any] | None) -> tuple[str, ...]:
+    """Return the instances that vote in the records group, as an instance sees it."""
+    if status is None:
+        return ()
+    config = status.get("groups", {}).get(RECORDS, {}).get("config") or {}
+    return tuple(sorted(voter["instance"] for voter in config.get("voters", ())))
--- a/faults/history.py
+++ b/faults/history.py
@@ -214,6 +214,12 @@
     instance: str
 
 
+class VotersSeen(Base, frozen=True, tag="voters_seen"):
+    """The voters of the records group."""
+
+    instances: tuple[str, ...]
+
+
 class RecordAccepted(Base, frozen=True, tag="record_accepted"):
     """An operator was told that a write is accepted."""
 
@@ -265,6 +271,7 @@
     | ProcessFault
     | InstanceReachable
     | InstanceUnreachable
+    | VotersSeen
     | RecordAccepted
     | RecordSeen
     | ConfigurationSeen
--- a/faults/load.py
+++ b/faults/load.py
@@ -19,7 +19,7 @@
     ("acct-c", "fd-c"),
     ("acct-d", "fd-a"),
 )
-CALLERS = 2  # for each client account
+CALLERS = 3  # for each client account
 OPERATORS = 2
 RACED_RECORDS = ("raced-1", "raced-2", "raced-3")
 ATTEMPTS = 4  # of one request or operation
--- a/faults/main.py
+++ b/faults/main.py
@@ -48,7 +48,7 @@
     failures: list[str] = []
     with (directory / "history.jsonl").open("w") as file:
         recorder = history.Recorder(file)
-        cluster = clusters.Cluster(directory, seed, recorder)
+        cluster = clusters.Cluster(directory, seed, recorder, case.diskless)
         monitor = asyncio.create_task(_monitor(cluster))
         try:
             await _drive(case, cluster, seed)
@@ -115,8 +115,10 @@
 
 async def _monitor(cluster: clusters.Cluster) -> None:
     """Read the configuration in force at every ready instance, again and again."""
+    known: tuple[str, ...] = ()
 
     async def watch(name: str) -> None:
+        nonlocal known
         while True:
             await asyncio.sleep(MONITOR_S)
             if not cluster.instances[name].running:
@@ -124,7 +126,12 @@
             if not await cluster.is_ready(name):
                 continue
             asked = time.time()
-            revision = clusters.revision_of(await cluster.status(name))
+            status = await cluster.status(name)
+            voters = clusters.voters_of(status)
+            if voters and voters != known and name in cluster.reachable:
+                known = voters
+                cluster.recorder.record(history.VotersSeen(time.time(), voters))
+            revision = clusters.revision_of(status)
             if revision is not None:
                 cluster.recorder.record(
                     history.ConfigurationSeen(asked, name, revision)
