--- a/faults/cases.py
+++ b/faults/cases.py
@@ -182,16 +182,14 @@
     context.mark("fault", f"kill {killed}, pause {paused}")
     await context.cluster.workers[killed].kill()
     context.cluster.workers[paused].pause()
-    await asyncio.sleep(LEASE_S + 3.0)
+    await asyncio.sleep(context.random.uniform(LEASE_S - 0.5, LEASE_S + 3.0))
     context.mark("heal", f"resume {paused}, restart {killed}")
     context.cluster.workers[paused].resume()
     await context.cluster.workers[killed].start()
     await asyncio.sleep(2.0)
 
 
-async def drain_instance(context: Context) -> None:
-    """Shut an instance down gracefully under load."""
-    name = context.random.choice(context.cluster.reachable)
+async def _drain(context: Context, name: str) -> None:
     context.mark("fault", f"drain {name}")
     context.cluster.mark_unreachable(name)
     code = await context.cluster.instances[name].terminate(15.0)
@@ -202,6 +200,12 @@
     await context.cluster.restart(name)
 
 
+async def drain_instance(context: Context) -> None:
+    """Shut an instance down gracefully under load."""
+    name = context.random.choice(context.cluster.reachable)
+    await _drain(context, name)
+
+
 async def drain_runner(context: Context) -> None:
     """Shut a runner down gracefully under load."""
     name = context.random.choice(sorted(context.cluster.runners))
@@ -290,6 +294,27 @@
     await asyncio.gather(*faults, silent_connections(context))
 
 
+async def relay_faults(context: Context) -> None:
+    """Drain, kill and cut off instances that serve another domain's requests."""
+    empty, other, third = context.random.sample(sorted(context.cluster.domains), 3)
+    context.mark("fault", f"drain the runners of {empty}")
+    leaving = [name for name in context.cluster.runners if f"-{empty}-" in name]
+    for name in leaving:
+        await context.cluster.runners[name].terminate(15.0)
+    await asyncio.sleep(2.0)
+    await _drain(context, context.cluster.of_domain(other)[0].name)
+    await _kill_and_restart(context, context.cluster.of_domain(third)[0].name, 1.0)
+    name = context.cluster.of_domain(other)[1].name
+    context.mark("fault", f"cut {name} off")
+    await context.cluster.cut([name])
+    await asyncio.sleep(3.0)
+    context.mark("heal", f"reconnect {name}, restart the runners of {empty}")
+    await context.cluster.heal([name])
+    for name in leaving:
+        await context.cluster.runners[name].start()
+    await asyncio.sleep(2.0)
+
+
 async def kill_diskless(context: Context) -> None:
     """Kill one diskless instance after another; each comes back without memory."""
     for name in context.random.sample(DISKLESS, 2):
@@ -331,6 +356,7 @@
     Case("rolling-restart", rolling_restart),
     Case("lose-domain", lose_domain),
     Case("lose-all", lose_all),
+    Case("relay-faults", relay_faults),
     Case("kill-diskless", kill_diskless, DISKLESS),
     Case("storm", storm),
 )
--- a/faults/load.py
+++ b/faults/load.py
@@ -299,10 +299,10 @@
             job_id = await self._submit(
                 self._any_instance(generator),
                 account,
-                generator.choice([1, 1, 2, 2, 3, 4]),
-                generator.choice([1, 2, 4]),
+                generator.choice([1, 2, 2, 3, 4, 6]),
+                generator.choice([1, 1, 2, 4]),
                 generator.choice(["urgent", "normal", "best_effort"]),
-                generator.uniform(0.5, 3.0),
+                generator.uniform(0.3, 2.5),
                 generator.random() < 0.8,
             )
             if job_id is not None:
@@ -314,7 +314,7 @@
                 )
                 watches.add(task)
                 task.add_done_callback(watches.discard)
-            await self._pause(generator.uniform(1.0, 2.0))
+            await self._pause(generator.uniform(0.5, 1.2))
         await asyncio.gather(*watches)
 
     async def _submit(
--- a/faults/main.py
+++ b/faults/main.py
@@ -144,7 +144,9 @@
     word = "pass" if result.passed else "FAIL"
     click.echo(
         f"{word} {result.case} seed={result.seed} {result.duration_s:.1f} s, "
-        f"{result.events} events, {len(result.violations)} violations"
+        f"{result.events} events, {result.counts.get('RequestAnswered', 0)} answers, "
+        f"{result.counts.get('TaskStarted', 0)} task starts, "
+        f"{len(result.violations)} violations"
     )
     for failure in result.failures:
         click.echo(f"    {failure}")
