Measure six real processes and print all measures as JSON lines

The design names targets for idle processor time, memory, control traffic, configuration changes and claims, and nothing measured them. bench.main runs every module of measures; bench.process_bench starts six instances with their runners and workers.

--- /dev/null
+++ b/bench/main.py
@@ -0,0 +1,94 @@
+"""Run the measures and print one JSON line for each."""
+
+import importlib
+import os
+import sys
+from collections.abc import Callable, Iterator, Sequence
+
+import click
+import msgspec
+
+from bench import measure
+
+# Measures of each module, so that `--only` starts no more than it must.
+MODULES = {
+    "routing_bench": (
+        "hol_short_p99_ratio",
+        "crest_goodput_ratio",
+        "crest_worst_account_share",
+        "crest_recovery_s",
+        "request_doubled",
+        "refusal_false",
+        "route_decision_us",
+    ),
+    "claims_bench": (
+        "claim_refused_share_cut",
+        "claim_added_p50_ms",
+        "claim_added_p99_ms",
+    ),
+    "placement_bench": (
+        "job_completion_mean_ratio",
+        "job_completion_p99_ratio",
+        "fragmentation_share",
+        "urgent_start_p99_s",
+        "reclaim_p99_s",
+        "guarantee_broken",
+        "gang_partial",
+        "job_lost",
+        "worker_bad_quarantine_s",
+        "placement_decision_us",
+    ),
+    "process_bench": (
+        "instance_idle_cpu_share",
+        "instance_control_kb_s",
+        "instance_rss_mb",
+        "instance_requests_per_s",
+        "instance_request_cpu_ms",
+        "instance_claimed_request_cpu_ms",
+        "instance_peak_cpu_share",
+        "config_in_force_p99_s",
+        "config_in_force_p50_s",
+        "claim_added_p50_ms",
+        "claim_added_p99_ms",
+    ),
+}
+
+
+def run(
+    only: Sequence[str], seeds: Sequence[int], quick: bool
+) -> Iterator[measure.Measure]:
+    """Yield the measures of all modules, or those whose module or name is asked."""
+    for module, names in MODULES.items():
+        if only and module not in only and not set(names) & set(only):
+            continue
+        measures: Callable[..., Iterator[measure.Measure]] = importlib.import_module(
+            f"bench.{module}"
+        ).measures
+        options = {"quick": quick} if module == "process_bench" else {}
+        for found in measures(seeds, **options):
+            name = found.measure.partition("/")[0]
+            if not only or module in only or name in only:
+                yield found
+
+
+@click.command()
+@click.option("--only", multiple=True, help="Module or measure; may be repeated.")
+@click.option("--seeds", default="1,2,3", show_default=True)
+@click.option("--quick", is_flag=True, help="One seed, and short runs of processes.")
+def main(only: tuple[str, ...], seeds: str, quick: bool) -> None:
+    """Print all measures; exit with 1 if one misses its target."""
+    known = {*MODULES, *(name for names in MODULES.values() for name in names)}
+    unknown = set(only) - known
+    if unknown:
+        raise click.BadParameter(f"unknown: {', '.join(sorted(unknown))}")
+    numbers = [int(seed) for seed in seeds.split(",")]
+    missed = 0
+    for found in run(only, numbers[:1] if quick else numbers, quick):
+        click.echo(msgspec.json.encode(found))
+        missed += found.met is False
+    click.echo(f"load average {os.getloadavg()[0]:.1f}, missed {missed}", err=True)
+    sys.exit(1 if missed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -58,6 +58,10 @@
             )
         self._running.append((name, process))
 
+    def pid(self, name: str) -> int:
+        """Return the process id of a running process."""
+        return next(process.pid for known, process in self._running if known == name)
+
     def check(self) -> None:
         """Raise if a process has ended."""
         for name, process in self._running:
