Wake the gang driver by events while it does not lead

Each instance drives two or three domain groups and looked at each every 100 ms with two turns of the loop, which was 42 waits a second and about half of the processor time of an idle instance. Without the lead it now waits for a role change or an applied entry, and looks once a second besides; an elected leader that has lost its fresh quorum still looks every 100 ms.

--- a/marjoramusher/workers/driver.py
+++ b/marjoramusher/workers/driver.py
@@ -1,10 +1,10 @@
 """Drive gangs while this instance leads its failure domain."""
 
 import asyncio
-import contextlib
 from collections.abc import Callable
 from typing import Any, Protocol
 
+from ..consensus import message
 from ..core import announcement, clock, errors, record, resource
 from ..core import job as model
 from ..groups import composite
@@ -15,6 +15,7 @@
 from . import client, gang
 
 TICK_S = 0.1
+IDLE_S = 1.0  # without the lead; a new role or a commit wakes the driver earlier
 BATCH_S = 0.005  # events of a burst share one plan
 BARRIER_TIMEOUT_S = 2.0
 PROPOSE_TIMEOUT_S = 2.0
@@ -67,6 +68,7 @@
         self._metrics = values
         self._core: gang.GangCore | None = None
         self._revision = -1
+        self._elected = group.is_leader
         self._generation = 0
         self._running: set[asyncio.Task[None]] = set()
         self._kick = asyncio.Event()
@@ -96,7 +98,8 @@
             while True:
                 if self._group.is_leader:
                     await self._lead()
-                await self._wait()
+                # An elected leader may get its fresh quorum back without a new role.
+                await self._wait(TICK_S if self._elected else IDLE_S)
         finally:
             self._resign()
             roles.dispose()
@@ -143,7 +146,7 @@
                     self._revision = configuration.revision
                     self._step(gang.Configured(configuration))
                 self._step(gang.Ticked())
-                await self._wait()
+                await self._wait(TICK_S)
         finally:
             self._resign()
             log.state_change("jobs.resigned", failure_domain=self._jobs.failure_domain)
@@ -157,22 +160,25 @@
             task.cancel()
         self._running.clear()
 
-    async def _wait(self) -> None:
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._kick.wait(), TICK_S)
+    async def _wait(self, longest_s: float) -> None:
+        try:
+            async with asyncio.timeout(longest_s):
+                await self._kick.wait()
+        except TimeoutError:
+            return
         await asyncio.sleep(BATCH_S)
         self._kick.clear()
 
-    def _role_changed(self, role: Any) -> None:
-        del role
+    def _role_changed(self, role: message.RoleChanged) -> None:
+        self._elected = role.role is message.Role.LEADER
         self._generation += 1
         self._kick.set()
 
     def _applied(self, index: int) -> None:
         del index
-        if self._core is not None:
-            self._step(gang.Applied())
-            self._kick.set()
+        self._step(gang.Applied())
+        # A new leader has a fresh quorum once its first entry is applied.
+        self._kick.set()
 
     def _step(self, event: gang.Event) -> list[gang.Effect]:
         core = self._core
