Let renewals of targets and free capacity share a frame

Both are soft state and each left in a frame of its own, which costs a turn of the loop and a call of the kernel at both ends. They now wait up to 250 ms for a message to travel with; a leaving target is still told at once.

--- a/marjoramusher/daemon/spread.py
+++ b/marjoramusher/daemon/spread.py
@@ -14,6 +14,7 @@
 TARGETS = "targets"
 CAPACITY = "capacity"
 CAPACITY_S = 1.0
+DELAY_S = 0.25  # a renewal waits so long for a message to travel with
 
 
 class Spreader:
@@ -62,6 +63,8 @@
         """Take over an announcement and pass it to all that may use the target."""
         self._take(announced)
         body = codec.pack(announced)
+        serving = announced.state is announcement.TargetState.SERVING
+        delay_s = DELAY_S if serving else 0.0
         receivers = {
             found.instance_id for found in self._directory.others(self._failure_domain)
         }
@@ -70,7 +73,7 @@
         if leader is not None:
             receivers.add(leader)
         for receiver in receivers:
-            self._peers.client.send(receiver, TARGETS, body)
+            self._peers.client.send(receiver, TARGETS, body, delay_s)
 
     def _take(self, announced: announcement.TargetAnnouncement) -> None:
         if announced.failure_domain == self._failure_domain:
@@ -97,5 +100,5 @@
             if free:
                 body = codec.pack(free)
                 for found in self._directory.outside(self._failure_domain):
-                    self._peers.client.send(found.instance_id, CAPACITY, body)
+                    self._peers.client.send(found.instance_id, CAPACITY, body, DELAY_S)
             await asyncio.sleep(CAPACITY_S)
--- a/marjoramusher/instances/client.py
+++ b/marjoramusher/instances/client.py
@@ -95,11 +95,19 @@
         """Cut exactly these links in both directions; for tests and fault trials."""
         self._links.cut(instance_ids, mode)
 
-    def send(self, instance_id: str, method: str, body: bytes) -> None:
-        """Send a one-way message; it may be lost, and the oldest are dropped first."""
+    def send(
+        self, instance_id: str, method: str, body: bytes, delay_s: float = 0.0
+    ) -> None:
+        """Send a one-way message; it may be lost, and the oldest are dropped first.
+
+        Parameters
+        ----------
+        delay_s : float
+            How long the message may wait for another one to share its frame.
+        """
         address = self._addresses.get(instance_id)
         if address is not None:
-            self.send_to(address, method, body)
+            self.send_to(address, method, body, delay_s)
 
     def send_to(
         self, address: str, method: str, body: bytes, delay_s: float = 0.0
