--- a/marjoramusher/workers/driver.py
+++ b/marjoramusher/workers/driver.py
@@ -15,7 +15,7 @@
 from . import gang
 
 TICK_S = 0.1  # while something is under way
-IDLE_TICK_S = 0.5
+IDLE_TICK_S = 0.5  # a new role or a commit wakes the driver earlier
 RESTART_S = 1.0  # between two leaderships of which the first ended by a fault
 BATCH_S = 0.005  # events of a burst share one plan
 BARRIER_TIMEOUT_S = 2.0
