Cancel the driver test with a real role change

Cause: the test sent None as a role change, which the merged driver reads. Change: the test sends a RoleChanged message; what it checks is the same. Figures: 1 failed before, passes after. Conclusion: the check stays as strict.

--- a/marjoramusher/workers/driver_cancel_test.py
+++ b/marjoramusher/workers/driver_cancel_test.py
@@ -4,6 +4,7 @@
 
 import reactivex
 
+from marjoramusher.consensus import message
 from marjoramusher.core import clock
 from marjoramusher.jobs import machine
 from marjoramusher.telemetry import metrics
@@ -31,7 +32,7 @@
     for turns in range(6):
         running = asyncio.create_task(made.run())
         await asyncio.sleep(0.01)
-        group.roles.on_next(None)
+        group.roles.on_next(message.RoleChanged(message.Role.FOLLOWER, 1, None))
         for _ in range(turns):
             await asyncio.sleep(0)
         running.cancel()
