--- a/marjoramusher/placement/gang.py
+++ b/marjoramusher/placement/gang.py
@@ -278,10 +278,7 @@
         """Block a demand that has no room, without an attempt for each lane."""
         waiting = lane.head()
         cells, each = lane.unit
-        view = ledger.free if waiting.job.spec.repeatable else ledger.solid_free
-        if self._counts is not None:
-            view = ledger.free
-        index = self._cells.index(each, view)
+        index = self._cells.index(each, ledger.free)
         if not index.has_room(cells, waiting.shape.adjacency):
             self._blocked[demand, ()] = self._ledger.releases
 
@@ -369,12 +366,14 @@
                 and self._counts.allows(waiting.shape)
             ):
                 found = self._cells.locate(waiting.shape, ledger.free, avoid)
+            if found is None and not spec.repeatable:
+                found = self._locate_vacated(waiting.shape, avoid)
             if found is None and self._quarantine.may_return(job_id, now):
                 doubtful = self._quarantine.avoided(now)
                 found = self._cells.locate(waiting.shape, ledger.solid_free, doubtful)
             if found is not None:
                 return [self._place(waiting, found, lane.rank, None, now)]
-            if not avoid or not self._fits(waiting.shape, spec.repeatable):
+            if not avoid or not self._fits(waiting.shape):
                 self._blocked[demand, ()] = releases
             elif not waiting.job.failed_on:
                 self._blocked[demand, binding] = releases
@@ -450,7 +449,7 @@
     ) -> list[decision.Decision] | None:
         """Start a gang on its reserved workers by stopping what was backfilled."""
         found = self._reserves.without_backfill(reservation)
-        if found is None or not waiting.job.spec.repeatable:
+        if found is None:
             return None
         amounts = ledger.spread(found, ledger.amounts_of(waiting.shape.each))
         victims = reclaim.choose_victims(
@@ -468,7 +467,9 @@
         victims: list[ledger.Holding],
         lane: queue.Lane,
         now: float,
-    ) -> list[decision.Decision]:
+    ) -> list[decision.Decision] | None:
+        if not waiting.job.spec.repeatable and not self._plan.vacate(amounts):
+            return None
         for victim in victims:
             self._moved[victim.job_id] = now
         reason = decision.StopReason.DEFRAGMENT
@@ -480,7 +481,7 @@
         self, waiting: queue.Waiting, ready_at: float, lane: queue.Lane, now: float
     ) -> list[decision.Decision] | None:
         """Start a waiting gang by moving smaller borrowers, if that is cheaper."""
-        if not waiting.job.spec.repeatable or "no_move" in self._options:
+        if "no_move" in self._options:
             return None
         wait_s = ready_at - now
         avoid = self._quarantine.avoided(now).union(waiting.job.failed_on)
@@ -492,9 +493,19 @@
         amounts = ledger.spread(move.workers, ledger.amounts_of(waiting.shape.each))
         return self._stop_for(waiting, move.workers, amounts, move.victims, lane, now)
 
-    def _fits(self, shape: resource.GangShape, is_repeatable: bool) -> bool:
-        view = ledger.free if is_repeatable else ledger.solid_free
-        return self._cells.locate(shape, view) is not None
+    def _fits(self, shape: resource.GangShape) -> bool:
+        return self._cells.locate(shape, ledger.free) is not None
+
+    def _locate_vacated(
+        self, shape: resource.GangShape, avoid: set[str]
+    ) -> tuple[str, ...] | None:
+        """Return free workers that unused guarantees can be planned away from."""
+        each = ledger.amounts_of(shape.each)
+        places = self._cells.candidates(shape, ledger.free, avoid)
+        for workers in reclaim.first(places, MAX_CANDIDATES):
+            if self._plan.vacate(ledger.spread(workers, each)):
+                return workers
+        return None
 
     def _never_fits(self, lane: queue.Lane, waiting: queue.Waiting, now: float) -> bool:
         if self._settled_at is None or now < self._settled_at:
@@ -625,6 +636,10 @@
         claim = reclaim.Claim(job_id, workers, amounts, rank, entry, now)
         self._claims[job_id] = claim
         self._ledger.set_aside(amounts, 1)
+        if entry is None and not waiting.job.spec.repeatable:
+            # The plan must not count on this room while the claimant waits for it.
+            claim.is_firm = True
+            self._ledger.set_firm(amounts, 1)
         if entry is not None:
             self._plan.use(entry, job_id)
         return [
@@ -643,7 +658,7 @@
                 self._drop_claim(claim, now)
             elif claim.is_ready(self._ledger):
                 del self._claims[job_id]
-                self._ledger.set_aside(claim.amounts, -1)
+                self._unclaim(claim)
                 yield self._hold(
                     self._jobs[job_id], claim.workers, claim.rank, claim.entry, now
                 )
@@ -672,10 +687,16 @@
             if other.rank < 3 and other.amounts.keys() & claim.amounts.keys():
                 self._drop_claim(other, now)
 
+    def _unclaim(self, claim: reclaim.Claim) -> None:
+        """Give up what was set aside for a claimant."""
+        self._ledger.set_aside(claim.amounts, -1)
+        if claim.is_firm:
+            self._ledger.set_firm(claim.amounts, -1)
+
     def _drop_claim(self, claim: reclaim.Claim, now: float) -> None:
         """Give up a claim's workers and queue its job again."""
         del self._claims[claim.job_id]
-        self._ledger.set_aside(claim.amounts, -1)
+        self._unclaim(claim)
         self._plan.finish(claim.job_id)
         known = self._jobs.get(claim.job_id)
         if known is not None:
@@ -820,7 +841,7 @@
         rank = reclaim.rank_of(known.spec.job_class)
         claim = self._claims.pop(known.job_id, None)
         if claim is not None:
-            self._ledger.set_aside(claim.amounts, -1)
+            self._unclaim(claim)
             self._plan.finish(known.job_id)
         if allocation.guarantee is not None and self._plan.adopt(
             allocation.guarantee, known.job_id, workers, self._shape(known)
@@ -833,7 +854,7 @@
         self._queue.remove(job_id)
         claim = self._claims.pop(job_id, None)
         if claim is not None:
-            self._ledger.set_aside(claim.amounts, -1)
+            self._unclaim(claim)
             self._plan.finish(job_id)
         is_done = known.state is job.JobState.DONE
         if is_done:
--- a/marjoramusher/placement/guarantee.py
+++ b/marjoramusher/placement/guarantee.py
@@ -1,6 +1,6 @@
 """The plan that makes room for each unused guaranteed gang."""
 
-from collections.abc import Collection, Iterable, Iterator, Sequence
+from collections.abc import Collection, Iterable, Iterator, Mapping, Sequence
 from typing import Protocol
 
 from ..core import record, resource
@@ -268,6 +268,41 @@
         self._restore(before)
         return False
 
+    def vacate(self, amounts: Mapping[str, ledger.Amounts]) -> bool:
+        """Plan unused entries away from room that a job is to keep.
+
+        Returns
+        -------
+        bool
+            False if there is no such arrangement; then nothing changes.
+        """
+        self._ledger.set_firm(amounts, 1)
+        touched = [
+            entry
+            for worker_id in amounts
+            for entry in self._by_worker.get(worker_id, ())
+            if entry.job_id is None
+            and min(ledger.firm_free(self._ledger.worker(worker_id))) < 0
+        ]
+        everything = sorted(
+            (e for e in self.waiting_entries() if e.is_planned), key=_by_size
+        )
+        is_kept = False
+        for unused in (list(dict.fromkeys(touched)), everything[: self.MAX_REPACK]):
+            before = {entry: entry.workers for entry in unused}
+            for entry in unused:
+                self.unassign(entry)
+            self._fill(unused)
+            is_kept = all(entry.is_planned for entry in unused) and all(
+                min(ledger.firm_free(self._ledger.worker(worker))) >= 0
+                for worker in amounts
+            )
+            if is_kept:
+                break
+            self._restore(before)
+        self._ledger.set_firm(amounts, -1)
+        return is_kept
+
     def _restore(self, before: dict[Entry, tuple[str, ...]]) -> None:
         for entry in before:
             self.unassign(entry)
--- a/marjoramusher/placement/reclaim.py
+++ b/marjoramusher/placement/reclaim.py
@@ -9,7 +9,7 @@
 class Claim:
     """A job whose workers are set aside until the borrowers there have stopped."""
 
-    __slots__ = ("amounts", "entry", "job_id", "rank", "since", "workers")
+    __slots__ = ("amounts", "entry", "is_firm", "job_id", "rank", "since", "workers")
 
     def __init__(
         self,
@@ -25,6 +25,7 @@
         self.amounts = amounts
         self.rank = rank
         self.entry = entry
+        self.is_firm = False
         self.since = now
 
     def is_ready(self, book: ledger.Ledger) -> bool:
