--- a/bench/routing_bench.py
+++ b/bench/routing_bench.py
@@ -90,20 +90,26 @@
 def _head_of_line(
     deployment: routing_load.Deployment, seed: int
 ) -> Iterator[measure.Measure]:
-    def ratio(make: routing_driver.MakePolicy) -> float:
+    def run(make: routing_driver.MakePolicy) -> tuple[float, float]:
         loads = {"long_load": deployment.blocking_load, "until_s": HOL_S}
         mixed = _run(deployment, make, seed, **loads)
         alone = _run(deployment, make, seed, **(loads | {"long_load": 0.0}))
-        return _short_p99(mixed) / _short_p99(alone)
+        long = [o for o in mixed if o.arrival.long]
+        refused = sum(o.error is not None for o in long) / len(long)
+        return _short_p99(mixed) / _short_p99(alone), refused
 
-    yield measure.Measure(
-        f"hol_short_p99_ratio/{deployment.name}",
-        ratio(make_router(deployment)),
-        "ratio",
-        "<= 1.3",
-        ratio(make_baseline),
-        seed,
-    )
+    ours, theirs = run(make_router(deployment)), run(make_baseline)
+    for index, (name, target) in enumerate(
+        (("hol_short_p99_ratio", "<= 1.3"), ("hol_long_refused_share", ""))
+    ):
+        yield measure.Measure(
+            f"{name}/{deployment.name}",
+            ours[index],
+            "ratio",
+            target,
+            theirs[index],
+            seed,
+        )
 
 
 def _crest(deployment: routing_load.Deployment, seed: int) -> Iterator[measure.Measure]:
--- a/marjoramusher/routing/baseline.py
+++ b/marjoramusher/routing/baseline.py
@@ -53,6 +53,8 @@
         self._attempts: dict[int, _Attempt] = {}
         self._by_request: dict[str, int] = {}
         self._next_attempt = 0
+        # Targets that refused since the last tick, unless a request ended there.
+        self._full: set[str] = set()
 
     @property
     def waiting(self) -> int:
@@ -128,7 +130,9 @@
         del answer_bytes
         if attempt not in self._attempts:
             return []
-        return self._pump(self._end(attempt).asked.service, now)
+        known = self._end(attempt)
+        self._full.discard(known.target)
+        return self._pump(known.asked.service, now)
 
     def failed(
         self, attempt: int, kind: request.FailureKind, now: float
@@ -146,8 +150,7 @@
             queue[known.asked.request_id] = (known.asked, tries, sent)
             queue.move_to_end(known.asked.request_id, last=False)
             if kind is request.FailureKind.NOT_STARTED:
-                # Tried again when a request ends or at the next tick.
-                return []
+                self._full.add(known.target)
             return self._pump(known.asked.service, now)
         refusal = _refusal(known.asked, errors.ErrorCode.TARGET_FAILED, sent)
         return [refusal, *self._pump(known.asked.service, now)]
@@ -155,6 +158,7 @@
     def tick(self, now: float) -> list[effect.Effect]:
         """Forget silent targets and try again."""
         self._table.expire(now)
+        self._full.clear()
         return self._pump_all(now)
 
     def _end(self, attempt: int) -> _Attempt:
@@ -178,6 +182,7 @@
             known
             for known in self._table.values()
             if known.announcement.service == service
+            and known.announcement.id not in self._full
             and known.in_flight < known.announcement.slots
             and known.announcement.state is announcement.TargetState.SERVING
         ]
