--- a/marjoramusher/placement/gang.py
+++ b/marjoramusher/placement/gang.py
@@ -183,8 +183,10 @@
 
     def task_failed(self, job_id: str, worker: str, now: float) -> None:
         """Note that a task failed on a worker."""
-        if job_id in self._jobs:
-            self._quarantine.failed(job_id, worker, now)
+        known = self._jobs.get(job_id)
+        if known is not None:
+            spec = known.spec
+            self._quarantine.failed(job_id, spec.account, spec.contract, worker, now)
 
     def task_used(
         self, job_id: str, task_id: str, usage: resource.Resources, now: float
@@ -415,12 +417,18 @@
         if self._standby_at != self._ledger.end:
             self._standby_at = self._ledger.end
             self._standby_set = set()
-            each = (self._largest[0], 0, 0)
-            if each[0] and "no_standby" not in self._options:
-                index = self._cells.index(each, ledger.yielding_free)
-                wanted = int(len(self._ledger.workers) * STANDBY_SHARE)
-                if index.total <= wanted:
-                    self._standby_set = set(index.workers())
+            wanted = int(len(self._ledger.workers) * STANDBY_SHARE)
+            if "no_standby" in self._options:
+                wanted = 0
+            # Whole workers first; if guarantees have taken those, halves.
+            for part in (1, 2):
+                size = self._largest[0] // part
+                if not size or not wanted:
+                    break
+                index = self._cells.index((size, 0, 0), ledger.yielding_free)
+                if index.total > wanted * part:
+                    break
+                self._standby_set.update(index.workers())
         return self._standby_set
 
     def _may_overstay(self, waiting: queue.Waiting, rank: int, now: float) -> bool:
@@ -565,7 +573,7 @@
             )
             if victims is None:
                 continue
-            cost = (reclaim.lost_work(victims, now), len(victims))
+            cost = (reclaim.stop_cost(victims, now), len(victims))
             if best is None or cost < best[0]:
                 best = (cost, entry, planned, workers, amounts, victims)
         if best is None:
@@ -593,7 +601,7 @@
             )
             if victims is None:
                 continue
-            cost = (reclaim.lost_work(victims, now), len(victims))
+            cost = (reclaim.stop_cost(victims, now), len(victims))
             if best is None or cost < best[0]:
                 best = (cost, workers, amounts, victims)
         if best is None:
@@ -713,6 +721,7 @@
             now,
         )
         holding.progress_s = known.progress_s
+        holding.stops = known.epoch
         holding.estimate_s = self._estimate(known, 0.5)
         holding.moved_at = self._moved.get(known.job_id, holding.moved_at)
         if rank < 2 and self._reserves.touches(known.job_id, holding.amounts):
