--- a/marjoramusher/placement/reserve.py
+++ b/marjoramusher/placement/reserve.py
@@ -22,7 +22,7 @@
 class Reservation:
     """Workers that a gang is expected to get at a time."""
 
-    __slots__ = ("job_id", "next_try", "ready_at", "waiting", "workers")
+    __slots__ = ("job_id", "next_try", "order", "ready_at", "waiting", "workers")
 
     def __init__(
         self, waiting: queue.Waiting, workers: frozenset[str], ready_at: float
@@ -32,6 +32,7 @@
         self.workers = workers
         self.ready_at = ready_at
         self.next_try = 0.0
+        self.order = 0
 
 
 class Reserves:
@@ -42,6 +43,7 @@
         self._cells = cells
         self._made: dict[str, Reservation] = {}
         self._next_want = 0.0
+        self._order = 0
 
     def want(self, waiting: queue.Waiting, now: float) -> None:
         """Reserve workers for a gang that could not be placed."""
@@ -51,6 +53,8 @@
         self._next_want = now + WANT_S
         reservation = self._choose(waiting, now)
         if reservation is not None:
+            self._order += 1
+            reservation.order = self._order
             self._made[job_id] = reservation
 
     def is_due(self, waiting: queue.Waiting, now: float) -> bool:
@@ -98,6 +102,7 @@
                 if not is_sooner:
                     reservation.workers, reservation.ready_at = made.workers, same[0]
             reservation.next_try = made.next_try
+            reservation.order = made.order
             self._made[job_id] = reservation
 
     def get(self, job_id: str) -> Reservation | None:
@@ -133,11 +138,18 @@
         return tuple(found)
 
     def binding(self, job_id: str, ends_at: float) -> tuple[str, ...]:
-        """Return the reservations that a job ending at a time must respect."""
+        """Return the reservations that a job ending at a time must respect.
+
+        A gang that has a reservation respects only older ones. Two gangs with
+        overlapping reservations would otherwise keep each other off for good.
+        """
+        own = self._made.get(job_id)
         return tuple(
             made.job_id
             for made in self._made.values()
-            if made.job_id != job_id and ends_at > made.ready_at
+            if made.job_id != job_id
+            and ends_at > made.ready_at
+            and (own is None or made.order < own.order)
         )
 
     def all_workers(self) -> set[str]:
