Keep claims in packed rows and bound their number

A claim with a 300-byte answer took 1.3 KB and nothing bounded the number of keys, while an instance has about 12 MB for them. A key takes a packed row of 37 bytes behind a digest of account and key; answers are bounded to 8 MiB with the objects that hold them, keys to 65,536 and open claims to 4,096. A new key beyond that is refused with overloaded and outcome not_run, after what is past retention is forgotten.

--- a/marjoramusher/callers/requests.py
+++ b/marjoramusher/callers/requests.py
@@ -324,6 +324,11 @@
         errors.Outcome.NOT_RUN,
         "the key belongs to a different request",
     ),
+    command.State.FULL: (
+        errors.ErrorCode.OVERLOADED,
+        errors.Outcome.NOT_RUN,
+        "the home of the client account keeps as many keys as it can",
+    ),
     command.State.UNKNOWN: (
         errors.ErrorCode.OUTCOME_UNKNOWN,
         errors.Outcome.UNKNOWN,
--- a/marjoramusher/claims/command.py
+++ b/marjoramusher/claims/command.py
@@ -114,6 +114,7 @@
     EXPIRED = "expired"
     UNKNOWN = "unknown"
     REUSED = "reused"
+    FULL = "full"
     MISSING = "missing"
     APPLIED = "applied"
 
--- a/marjoramusher/claims/machine.py
+++ b/marjoramusher/claims/machine.py
@@ -1,36 +1,70 @@
-"""Replicated claims of idempotency keys with their recorded answers."""
+"""Replicated claims of idempotency keys with their recorded answers.
 
-import collections
+An instance has about 12 MB for this state, so a key takes one packed row, and the
+rows, the open claims and the bodies are bounded each.
+"""
+
+import hashlib
+import math
+import struct
+import sys
 
 import msgspec
 
-from ..core import codec
-from . import command
+from ..core import codec, errors
+from . import command, rows
 
 RETENTION_S = 24 * 3600.0
 MAX_ANSWER_BYTES = 64 * 1024
-MAX_ANSWERS_BYTES = 64 * 1024 * 1024
+MAX_ANSWERS_BYTES = 8 * 1024 * 1024
+MAX_KEYS = 65_536
+MAX_OPEN = 4096  # about 0.25 KB each; the slots of a domain are some hundreds
+BODY_OVERHEAD_BYTES = 160  # objects that hold a body, so that empty ones count too
+SNAPSHOT_VERSION = 2
 
 State = command.State
-Key = tuple[str, str]
 
+_ROW = struct.Struct("<16s8s8sIB")
+"""Key digest, fingerprint, owner, time of the claim in whole seconds, and state.
+
+The owner is the number of the body of an answered key, and the digest of the holder
+of an unknown one, which may still record its answer.
+"""
+_OPEN, _UNKNOWN, _ANSWERED, _NOT_KEPT = range(4)
+_NO_OWNER = bytes(8)
+_MAX_AT = 2**32 - 1
+_NEVER = math.inf
+
+
+class _Kept(msgspec.Struct, frozen=True, array_like=True):
+    """What is kept of an answer; encoded, since one bytes object is the smallest."""
+
+    status: int
+    content_type: str
+    body: bytes
 
-class _Entry(msgspec.Struct, array_like=True):
-    account: str
-    key: str
+
+class _Row(msgspec.Struct):
+    digest: bytes
     fingerprint: bytes
-    holder: command.Holder
-    at: float
-    state: command.State = State.OPEN
-    status: int = 0
-    content_type: str = ""
-    body: bytes = b""
+    owner: bytes
+    at: int
+    state: int
+
+
+class _Version(msgspec.Struct, array_like=True):
+    """Read the first field of a snapshot of any version."""
+
+    version: int
 
 
 class _Snapshot(msgspec.Struct, array_like=True):
+    version: int
     recovered_at: float | None
-    entries: list[_Entry]
-    answered: list[tuple[str, str]]
+    rows: bytes
+    holders: list[tuple[bytes, command.Holder]]
+    bodies: list[tuple[int, bytes]]
+    next_body: int
 
 
 class ClaimsMachine:
@@ -39,32 +73,49 @@
     Parameters
     ----------
     max_answers_bytes : int
-        Bound on the bodies kept; the oldest are dropped first and their keys stay.
+        Bound on the answers kept; the oldest are dropped first and their keys stay.
+    max_keys : int
+        Bound on the keys. A new one is refused when no other is past its retention,
+        since a key that is forgotten early could run twice.
+    max_open : int
+        Bound on the claims without an outcome.
     """
 
-    def __init__(self, max_answers_bytes: int = MAX_ANSWERS_BYTES) -> None:
+    def __init__(
+        self,
+        max_answers_bytes: int = MAX_ANSWERS_BYTES,
+        max_keys: int = MAX_KEYS,
+        max_open: int = MAX_OPEN,
+    ) -> None:
         self._max_answers_bytes = max_answers_bytes
-        self._entries: dict[Key, _Entry] = {}
-        self._answered: collections.deque[Key] = collections.deque()
-        self._answers_bytes = 0
+        self._max_keys = max_keys
+        self._max_open = max_open
         self._recovered_at: float | None = None
+        self._rows = rows.Rows(_ROW.size)
+        self._holders: dict[bytes, command.Holder] = {}  # of open claims, by digest
+        self._bodies: dict[int, bytes] = {}
+        self._next_body = 0
+        self._oldest_body = 0
+        self._answers_bytes = 0
+        # No closed claim is older, so a full machine need not search for one.
+        self._oldest_at = _NEVER
 
     def __len__(self) -> int:
-        return len(self._entries)
+        return len(self._rows)
 
     @property
     def answers_bytes(self) -> int:
-        """Return the size of the bodies kept."""
+        """Return the size of the answers kept, with the objects that hold them."""
         return self._answers_bytes
 
     def state(self, account: str, key: str) -> command.Result:
         """Return what is known of a key, without a claim."""
-        entry = self._entries.get((account, key))
-        return command.Result(State.MISSING) if entry is None else _result(entry)
+        found = self._find(_digest(account, key))
+        return command.Result(State.MISSING) if found is None else self._result(found)
 
     def holders(self) -> set[command.Holder]:
         """Return the processes that hold open claims."""
-        return {e.holder for e in self._entries.values() if e.state is State.OPEN}
+        return set(self._holders.values())
 
     def apply(self, index: int, data: bytes) -> bytes:
         """Apply a batch of commands and return their results."""
@@ -76,17 +127,40 @@
         """Return the whole state."""
         return codec.pack(
             _Snapshot(
-                self._recovered_at, list(self._entries.values()), list(self._answered)
+                SNAPSHOT_VERSION,
+                self._recovered_at,
+                self._rows.data(),
+                list(self._holders.items()),
+                list(self._bodies.items()),
+                self._next_body,
             )
         )
 
     def restore(self, data: bytes) -> None:
-        """Replace the state by one that `snapshot` gave."""
+        """Replace the state by one that `snapshot` gave.
+
+        Raises
+        ------
+        MarjoramusherError
+            With code ``store_corrupt`` if the snapshot has another version.
+        """
+        if codec.unpack(data, _Version).version != SNAPSHOT_VERSION:
+            raise errors.MarjoramusherError(
+                errors.ErrorCode.STORE_CORRUPT,
+                f"the claims snapshot does not have version {SNAPSHOT_VERSION}",
+            )
         state = codec.unpack(data, _Snapshot)
+        self._rows = rows.Rows(_ROW.size, state.rows)
         self._recovered_at = state.recovered_at
-        self._entries = {(e.account, e.key): e for e in state.entries}
-        self._answered = collections.deque(state.answered)
-        self._answers_bytes = sum(len(e.body) for e in state.entries)
+        self._holders = {digest: _interned(held) for digest, held in state.holders}
+        self._bodies = dict(state.bodies)
+        self._next_body = state.next_body
+        self._oldest_body = min(self._bodies, default=state.next_body)
+        self._answers_bytes = sum(map(_cost, self._bodies.values()))
+        self._oldest_at = min(
+            (at for *_, at, kind in _ROW.iter_unpack(state.rows) if kind != _OPEN),
+            default=_NEVER,
+        )
 
     def _apply(self, item: command.Command) -> command.Result:
         match item:
@@ -106,27 +180,58 @@
                 self._recover(item.at)
         return command.Result(State.APPLIED)
 
+    def _find(self, digest: bytes) -> _Row | None:
+        data = self._rows.get(digest)
+        return None if data is None else _Row(*_ROW.unpack(data))
+
+    def _put(self, row: _Row) -> None:
+        self._rows.put(
+            _ROW.pack(row.digest, row.fingerprint, row.owner, row.at, row.state)
+        )
+        if row.state != _OPEN:
+            self._oldest_at = min(self._oldest_at, row.at)
+
     def _claim(self, item: command.Claim) -> command.Result:
-        key = (item.account, item.key)
-        entry = self._entries.get(key)
-        if entry is not None:
-            if entry.fingerprint != item.fingerprint:
+        digest = _digest(item.account, item.key)
+        row = self._find(digest)
+        if row is not None:
+            if row.fingerprint != _short(item.fingerprint):
                 return command.Result(State.REUSED)
+            held = self._holders.get(digest)
             if (
-                entry.state is State.OPEN
-                and entry.holder.instance == item.holder.instance
-                and entry.holder.process != item.holder.process
+                held is not None
+                and held.instance == item.holder.instance
+                and held.process != item.holder.process
             ):
                 # The instance runs one process at a time, so the holder has ended.
-                entry.state = State.UNKNOWN
-            return _result(entry)
+                self._lose(row)
+            return self._result(row)
+        lost = self._may_be_lost(item)
+        if not self._has_room(item.at, not lost):
+            # The answer on a lost key stays true without a row.
+            return command.Result(State.UNKNOWN if lost else State.FULL)
         # A lost key is kept as unknown, so that later resends get the same answer.
-        state = State.UNKNOWN if self._may_be_lost(item) else State.OPEN
-        self._entries[key] = _Entry(
-            item.account, item.key, item.fingerprint, item.holder, item.at, state
+        # Rounded up, since a key is never forgotten early.
+        row = _Row(
+            digest,
+            _short(item.fingerprint),
+            _NO_OWNER,
+            min(max(math.ceil(item.at), 0), _MAX_AT),
+            _UNKNOWN if lost else _OPEN,
         )
-        granted = State.GRANTED if state is State.OPEN else state
-        return command.Result(granted)
+        if lost:
+            row.owner = _holder_digest(item.holder)
+        else:
+            self._holders[digest] = _interned(item.holder)
+        self._put(row)
+        return command.Result(State.UNKNOWN if lost else State.GRANTED)
+
+    def _has_room(self, at: float, opens: bool) -> bool:
+        if opens and len(self._holders) >= self._max_open:
+            return False
+        if len(self._rows) >= self._max_keys:
+            self._expire(at)
+        return len(self._rows) < self._max_keys
 
     def _may_be_lost(self, item: command.Claim) -> bool:
         """Tell whether an earlier claim of a missing key may have been forgotten."""
@@ -140,82 +245,133 @@
 
     def _held(
         self, account: str, key: str, holder: command.Holder
-    ) -> tuple[_Entry | None, command.Result | None]:
-        entry = self._entries.get((account, key))
-        if entry is None or entry.holder != holder:
-            return None, command.Result(State.MISSING)
-        if entry.state not in (State.OPEN, State.UNKNOWN):
-            return None, _result(entry)
-        return entry, None
+    ) -> tuple[_Row | None, command.Result]:
+        """Return the row of a claim without an outcome, or why there is none."""
+        digest = _digest(account, key)
+        row = self._find(digest)
+        if row is not None:
+            if row.state == _OPEN and self._holders[digest] == holder:
+                return row, self._result(row)
+            if row.state == _UNKNOWN and row.owner == _holder_digest(holder):
+                return row, self._result(row)
+            if row.state in (_ANSWERED, _NOT_KEPT):
+                # Who held the key is no longer known, and nothing changes for it.
+                return None, self._result(row)
+        return None, command.Result(State.MISSING)
 
     def _record(self, item: command.Record) -> command.Result:
-        entry, refused = self._held(item.account, item.key, item.holder)
-        if entry is None:
+        row, refused = self._held(item.account, item.key, item.holder)
+        if row is None:
             return refused
-        entry.status = item.status
-        entry.content_type = item.content_type
+        self._holders.pop(row.digest, None)
+        row.state, row.owner = _NOT_KEPT, _NO_OWNER
         if item.kept and len(item.body) <= MAX_ANSWER_BYTES:
-            entry.state = State.ANSWERED
-            entry.body = item.body
-            self._answers_bytes += len(item.body)
-            self._answered.append((item.account, item.key))
-            self._drop_oldest()
-        else:
-            entry.state = State.NOT_KEPT
+            row.state = _ANSWERED
+            row.owner = self._next_body.to_bytes(8, "little")
+            kept = codec.pack(_Kept(item.status, item.content_type, item.body))
+            self._bodies[self._next_body] = kept
+            self._next_body += 1
+            self._answers_bytes += _cost(kept)
+        self._put(row)
+        while self._answers_bytes > self._max_answers_bytes:
+            self._drop(self._oldest_body)
+            self._oldest_body += 1
         return command.Result(State.APPLIED)
 
-    def _drop_oldest(self) -> None:
-        while self._answers_bytes > self._max_answers_bytes:
-            entry = self._entries.get(self._answered.popleft())
-            if entry is not None and entry.state is State.ANSWERED:
-                self._answers_bytes -= len(entry.body)
-                entry.body = b""
-                entry.state = State.EXPIRED
+    def _drop(self, number: int) -> None:
+        body = self._bodies.pop(number, None)
+        if body is not None:
+            self._answers_bytes -= _cost(body)
+
+    def _lose(self, row: _Row) -> None:
+        """Turn an open claim into an unknown outcome."""
+        holder = self._holders.pop(row.digest, None)
+        if holder is not None:
+            row.state, row.owner = _UNKNOWN, _holder_digest(holder)
+            self._put(row)
 
     def _unknown(self, item: command.Unknown) -> command.Result:
-        entry, refused = self._held(item.account, item.key, item.holder)
-        if entry is None:
+        row, refused = self._held(item.account, item.key, item.holder)
+        if row is None:
             return refused
-        entry.state = State.UNKNOWN
+        self._lose(row)
         return command.Result(State.APPLIED)
 
     def _release(self, item: command.Release) -> command.Result:
-        entry, refused = self._held(item.account, item.key, item.holder)
-        if entry is None:
+        row, refused = self._held(item.account, item.key, item.holder)
+        if row is None:
             return refused
-        del self._entries[item.account, item.key]
+        self._holders.pop(row.digest, None)
+        self._rows.remove(row.digest)
         return command.Result(State.APPLIED)
 
     def _abandon(self, item: command.Abandon) -> None:
-        for entry in self._entries.values():
-            if (
-                entry.state is State.OPEN
-                and entry.holder.instance == item.instance
-                and item.process in ("", entry.holder.process)
+        for digest, holder in list(self._holders.items()):
+            if holder.instance == item.instance and item.process in (
+                "",
+                holder.process,
             ):
-                entry.state = State.UNKNOWN
+                self._lose(self._find(digest))
 
     def _expire(self, at: float) -> None:
-        # Entries are in the order of their claims, but proposers' clocks differ, so
-        # the search doesn't stop at the first young one.
-        for key, entry in list(self._entries.items()):
-            if entry.at < at - RETENTION_S and entry.state is not State.OPEN:
-                self._answers_bytes -= len(entry.body)
-                del self._entries[key]
-        self._answered = collections.deque(
-            key
-            for key in self._answered
-            if key in self._entries and self._entries[key].state is State.ANSWERED
-        )
+        # Proposers' clocks differ, so rows are not in the order of their times.
+        before = at - RETENTION_S
+        if self._oldest_at >= before:
+            return
+        kept = bytearray()
+        self._oldest_at = _NEVER
+        for start in range(0, len(self._rows) * _ROW.size, _ROW.size):
+            data = self._rows.read(start)
+            _, _, owner, claimed_at, state = _ROW.unpack(data)
+            if state != _OPEN and claimed_at < before:
+                if state == _ANSWERED:
+                    self._drop(int.from_bytes(owner, "little"))
+                continue
+            kept += data
+            if state != _OPEN:
+                self._oldest_at = min(self._oldest_at, claimed_at)
+        if len(kept) < len(self._rows) * _ROW.size:
+            self._rows = rows.Rows(_ROW.size, kept)
 
     def _recover(self, at: float) -> None:
         self._recovered_at = at
-        for entry in self._entries.values():
-            if entry.state is State.OPEN:
-                entry.state = State.UNKNOWN
+        for digest in list(self._holders):
+            self._lose(self._find(digest))
+
+    def _result(self, row: _Row) -> command.Result:
+        if row.state == _OPEN:
+            return command.Result(State.OPEN, holder=self._holders[row.digest])
+        if row.state == _UNKNOWN:
+            return command.Result(State.UNKNOWN)
+        if row.state == _NOT_KEPT:
+            return command.Result(State.NOT_KEPT)
+        body = self._bodies.get(int.from_bytes(row.owner, "little"))
+        if body is None:
+            return command.Result(State.EXPIRED)
+        kept = codec.unpack(body, _Kept)
+        return command.Result(State.ANSWERED, kept.status, kept.content_type, kept.body)
+
+
+def _digest(account: str, key: str) -> bytes:
+    name = account.encode()
+    data = len(name).to_bytes(4, "little") + name + key.encode()
+    return hashlib.blake2b(data, digest_size=16).digest()
+
+
+def _short(fingerprint: bytes) -> bytes:
+    return fingerprint[:8].ljust(8, b"\0")
+
+
+def _holder_digest(holder: command.Holder) -> bytes:
+    return hashlib.blake2b(codec.pack(holder), digest_size=8).digest()
+
+
+def _interned(holder: command.Holder) -> command.Holder:
+    """Return a holder that shares its strings with those of the same process."""
+    return command.Holder(
+        sys.intern(holder.instance), sys.intern(holder.process), holder.serial
+    )
 
 
-def _result(entry: _Entry) -> command.Result:
-    if entry.state is State.OPEN:
-        return command.Result(State.OPEN, holder=entry.holder)
-    return command.Result(entry.state, entry.status, entry.content_type, entry.body)
+def _cost(body: bytes) -> int:
+    return len(body) + BODY_OVERHEAD_BYTES
--- /dev/null
+++ b/marjoramusher/claims/rows.py
@@ -0,0 +1,120 @@
+"""Table of packed rows that are found by their first bytes."""
+
+import array
+
+DIGEST_BYTES = 16
+_EMPTY = 2**32 - 1
+_LEAST_SLOTS = 256
+
+
+class Rows:
+    """Keep rows of one size in one buffer, with an index over their digests.
+
+    A dict takes about 100 bytes for each digest, the index at most 16. The order of the
+    rows follows from the calls alone and is part of snapshots; the places in the index
+    depend on the hash seed of the process, which keeps callers from choosing keys
+    that collide, and decide nothing.
+
+    Parameters
+    ----------
+    row_bytes : int
+        Size of a row; its first `DIGEST_BYTES` identify it.
+    data : bytes, optional
+        Rows to begin with.
+    """
+
+    __slots__ = ("_data", "_index", "_mask", "_row_bytes")
+
+    def __init__(self, row_bytes: int, data: bytes | bytearray = b"") -> None:
+        if len(data) % row_bytes:
+            raise ValueError("the rows end within a row")
+        self._row_bytes = row_bytes
+        self._data = bytearray(data)
+        self._reindex()
+
+    def __len__(self) -> int:
+        return len(self._data) // self._row_bytes
+
+    def data(self) -> bytes:
+        """Return all rows in their order."""
+        return bytes(self._data)
+
+    def read(self, start: int) -> bytes:
+        """Return the row at an offset."""
+        return bytes(self._data[start : start + self._row_bytes])
+
+    def get(self, digest: bytes) -> bytes | None:
+        """Return the row of a digest."""
+        number = self._index[self._slot(digest)]
+        return None if number == _EMPTY else self.read(number * self._row_bytes)
+
+    def put(self, row: bytes) -> None:
+        """Add a row or replace the one with the same digest."""
+        slot = self._slot(row[:DIGEST_BYTES])
+        number = self._index[slot]
+        if number != _EMPTY:
+            start = number * self._row_bytes
+            self._data[start : start + self._row_bytes] = row
+            return
+        self._index[slot] = len(self)
+        self._data += row
+        if 2 * len(self) > len(self._index):
+            self._reindex()
+
+    def remove(self, digest: bytes) -> None:
+        """Remove a row; the last one takes its place."""
+        slot = self._slot(digest)
+        number = self._index[slot]
+        if number == _EMPTY:
+            return
+        last = len(self) - 1
+        if number != last:
+            moved = self.read(last * self._row_bytes)
+            self._index[self._slot(moved[:DIGEST_BYTES])] = number
+            start = number * self._row_bytes
+            self._data[start : start + self._row_bytes] = moved
+        self._close_gap(slot)
+        del self._data[last * self._row_bytes :]
+
+    def _close_gap(self, gap: int) -> None:
+        """Empty a place and move later ones back, so that searches still reach them."""
+        index, mask = self._index, self._mask
+        slot = gap
+        while True:
+            slot = (slot + 1) & mask
+            number = index[slot]
+            if number == _EMPTY:
+                break
+            wanted = hash(self._digest(number)) & mask
+            if (slot - wanted) & mask >= (slot - gap) & mask:
+                index[gap] = number
+                gap = slot
+        index[gap] = _EMPTY
+
+    def _digest(self, number: int) -> bytes:
+        start = number * self._row_bytes
+        return bytes(self._data[start : start + DIGEST_BYTES])
+
+    def _slot(self, digest: bytes) -> int:
+        """Return the place of a digest, or the empty one where it belongs."""
+        index, mask, data, size = self._index, self._mask, self._data, self._row_bytes
+        slot = hash(digest) & mask
+        while (number := index[slot]) != _EMPTY:
+            start = number * size
+            if data[start : start + DIGEST_BYTES] == digest:
+                break
+            slot = (slot + 1) & mask
+        return slot
+
+    def _reindex(self) -> None:
+        slots = _LEAST_SLOTS
+        while slots < 2 * len(self) + 2:
+            slots *= 2
+        self._mask = slots - 1
+        self._index = array.array("I", [_EMPTY]) * slots
+        index, mask = self._index, self._mask
+        for number in range(len(self)):
+            slot = hash(self._digest(number)) & mask
+            while index[slot] != _EMPTY:
+                slot = (slot + 1) & mask
+            index[slot] = number
