Tell members of an old epoch that the group was recovered

After a recovery with loss, two returned members of the old epoch led it on beside the new one: the new epoch had other voters, so its leader never spoke to them, and what they sent was ignored. Six instances showed two leaders of domain:fd-a 40 s later. A member now answers messages of a lower epoch with a stale BootReply, and the sender discards its store.

The older recovery test names the old store before it starts, since the store is now replaced at once.

--- a/marjoramusher/consensus/node.py
+++ b/marjoramusher/consensus/node.py
@@ -213,7 +213,13 @@
 
     def _receive(self, received: message.AnyMessage, now: float) -> None:
         own = self._replica
-        if received.receiver != own.own or received.epoch < own.epoch:
+        if received.receiver != own.own:
+            return
+        if received.epoch < own.epoch:
+            if own.members.current is not None:
+                # Members that were counted as lost are back. The new epoch may not
+                # have them as members, so its leader would never tell them.
+                own.send(message.BootReply, received.sender, 0, True)
             return
         if received.epoch > own.epoch:
             if own.members.current is None:
@@ -221,7 +227,8 @@
             else:
                 # The group was recovered with loss without this store, so its log
                 # may differ from the group's below its commit index.
-                if isinstance(received, _FROM_LEADER):
+                told = isinstance(received, message.BootReply) and received.stale
+                if told or isinstance(received, _FROM_LEADER):
                     self._discard()
                 return
         match received:
--- a/marjoramusher/consensus/node_test.py
+++ b/marjoramusher/consensus/node_test.py
@@ -495,11 +495,11 @@
     pump.start(survivor)
     pump.run(3)
     assert pump.leader().name == survivor and len(pump.committed) > len(before)
+    old = pump[gone[0]].own
     pump.start(gone[0])
     pump.run(3)
     assert pump.leader().name == survivor and pump[gone[0]].node.epoch == 0
-    old = pump[gone[0]].own
-    pump.change(pump.leader(), message.AddLearner, old)
+    pump.change(pump.leader(), message.AddLearner, pump[gone[0]].own)
     pump.repair = True
     pump.run(3)
     assert pump.stale == [old], "a store of the old epoch may hold other entries"
@@ -509,6 +509,23 @@
     assert pump.machines[gone[0]] == pump.machines[survivor]
 
 
+def test_lost_majority_that_is_back_does_not_lead_beside_the_new_epoch():
+    pump = started()
+    survivor, *gone = NAMES
+    old = [pump[name].own for name in gone]
+    for name in NAMES:
+        pump.crash(name)
+    given = recovery.recover_with_loss(pump[survivor].loaded(), pump[survivor].own)
+    pump[survivor].persist(given.persist)
+    pump.start(survivor)
+    pump.run(3)
+    for name in gone:
+        pump.start(name)
+    pump.run(5)  # `Pump.leader` refuses two leaders with a fresh quorum.
+    assert pump.leader().name == survivor
+    assert sorted(pump.stale) == old
+
+
 def test_failed_store_neither_leads_nor_votes():
     pump = started()
     failed = pump.leader()
--- a/marjoramusher/groups/manager_test.py
+++ b/marjoramusher/groups/manager_test.py
@@ -326,6 +326,25 @@
     await cluster.instances["i5"].group().propose(b"d", PATIENCE_S)
 
 
+async def test_members_counted_as_lost_do_not_lead_beside_the_new_epoch(cluster):
+    await form(cluster)
+    lost = [cluster.instances.pop(name) for name in ("i1", "i2")]
+    for made in lost:
+        await made.stop()
+    survivor = cluster.instances["i3"]
+    await until(lambda: survivor.group().leader is None)
+    survivor.manager.recover_with_loss("records")
+    await survivor.group().propose(b"new", PATIENCE_S)
+    cluster.seeds = [survivor.address]
+    # Both come back at once, so that they are a majority of the old epoch.
+    for made, domain in zip(lost, ("d1", "d2"), strict=True):
+        await cluster.add(made.name, domain, 3, files=made.files)
+    for made in lost:
+        back = cluster.instances[made.name]
+        await until(lambda back=back: b"new" in back.commands())
+        assert back.group().config.epoch == 1
+
+
 async def test_group_with_a_leader_is_not_recovered(cluster):
     leader = await form(cluster)
     await leader.group().propose(b"a", PATIENCE_S)
