--- a/marjoramusher/consensus/node.py
+++ b/marjoramusher/consensus/node.py
@@ -213,7 +213,13 @@
 
     def _receive(self, received: message.AnyMessage, now: float) -> None:
         own = self._replica
-        if received.receiver != own.own or received.epoch < own.epoch:
+        if received.receiver != own.own:
+            return
+        if received.epoch < own.epoch:
+            if own.members.current is not None:
+                # Members that were counted as lost are back. The new epoch may not
+                # have them as members, so its leader would never tell them.
+                own.send(message.BootReply, received.sender, 0, True)
             return
         if received.epoch > own.epoch:
             # The group was recovered with loss; this node may hold entries that it
