--- a/bench/placement_bench.py
+++ b/bench/placement_bench.py
@@ -94,9 +94,9 @@
     yield make("fragmentation_share_any_wait", shares[0], "1", "reported", shares[1])
     for name in ("urgent_start", "reclaim", "reclaim_silent"):
         values = [getattr(one, f"{name}_s") for one in (ours, theirs)]
-        yield make(
-            f"{name}_p99_s", p99(values[0], 99), "s", "<= 5.5", p99(values[1], 99)
-        )
+        against = p99(values[1], 99) if values[1] else None
+        yield make(f"{name}_p99_s", p99(values[0], 99), "s", "<= 5.5", against)
+        yield make(f"{name}_count", len(values[0]), "count", "reported")
     yield make("guarantee_broken", ours.broken, "count", "== 0")
     yield make("shortfall_false", ours.shortfall_false, "count", "reported")
     yield make("gang_partial", ours.partial, "count", "== 0", theirs.partial)
