--- /dev/null
+++ b/marjoramusher/groups/forward.py
@@ -0,0 +1,181 @@
+"""Reach the leader of a group from any instance."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import TypeAlias
+
+import msgspec
+
+from ..core import clock, codec, errors
+from ..instances import client
+from . import courier
+
+BACKOFF_S = 0.05
+MAX_BACKOFF_S = 0.4  # an election takes one to two seconds
+PROPOSE = courier.PROPOSE
+BARRIER = "barrier"
+LEADER = "leader"
+FIND_S = 0.5
+
+_RETRIED = frozenset(
+    {
+        errors.ErrorCode.NOT_LEADER,
+        errors.ErrorCode.NO_QUORUM,
+        errors.ErrorCode.NOT_FOUND,
+        errors.ErrorCode.STORE_FAILED,
+        errors.ErrorCode.PEER_UNREACHABLE,
+        errors.ErrorCode.DRAINING,
+    }
+)
+
+Local: TypeAlias = Callable[[str, bytes, float], Awaitable[bytes]]
+
+
+class Forwarded(msgspec.Struct, frozen=True, array_like=True):
+    """A barrier for the leader of a group."""
+
+    group: str
+    timeout_s: float
+
+
+class Forwarder:
+    """Carry calls to the leader of one group, following hints.
+
+    Parameters
+    ----------
+    candidates : callable
+        Gives the instances that may know the leader, best first.
+    local : callable
+        ``local(method, command, timeout_s)`` runs a call at this instance.
+    """
+
+    __slots__ = (
+        "_candidates",
+        "_clock",
+        "_courier",
+        "_group",
+        "_hint",
+        "_local",
+        "_own",
+        "_peers",
+        "_rng",
+    )
+
+    def __init__(
+        self,
+        group: str,
+        own: str,
+        peers: client.PeerClient,
+        time: clock.Clock,
+        candidates: Callable[[], list[str]],
+        local: Local,
+        rng: random.Random,
+    ) -> None:
+        self._group = group
+        self._own = own
+        self._peers = peers
+        self._courier = courier.Courier(group, peers)
+        self._clock = time
+        self._candidates = candidates
+        self._local = local
+        self._rng = rng
+        self._hint: str | None = None
+
+    @property
+    def leader(self) -> str | None:
+        """Return the instance that last took a call as leader."""
+        return self._hint
+
+    async def call(
+        self,
+        method: str,
+        command: bytes,
+        timeout_s: float,
+        leader: Callable[[], str | None] | None = None,
+    ) -> bytes:
+        """Call the leader; a call that was not run is tried again until the deadline.
+
+        The call is sent only to an instance that is said to lead. Sent to one that is
+        cut off, it would be lost and its outcome unknown.
+
+        Parameters
+        ----------
+        leader : callable or None
+            Gives the leader that this instance knows as a member of the group;
+            without it, the instance that took the last call is tried first.
+
+        Raises
+        ------
+        NoQuorumError
+            With outcome ``not_run`` if no leader took the call before the deadline,
+            ``unknown`` if the answer was lost.
+        """
+        deadline_s = self._clock.monotonic() + timeout_s
+        backoff_s = BACKOFF_S
+        redirect: str | None = None
+        attempt = 0
+        asked = 0
+        while (left_s := deadline_s - self._clock.monotonic()) > 0:
+            target = redirect
+            # Every other attempt asks others, since what is known may be old.
+            if target is None and attempt % 2 == 0:
+                target = leader() if leader else self._hint
+            if target is None:
+                target = await self._find(asked, left_s)
+                asked += 1
+                left_s = deadline_s - self._clock.monotonic()
+            redirect = None
+            attempt += 1
+            if target is not None and left_s > 0:
+                try:
+                    answer = await self._ask(target, method, command, left_s)
+                except errors.MarjoramusherError as error:
+                    self._check(error)
+                    self._hint = None
+                    redirect = _redirect(error, target)
+                    if redirect is not None and attempt % 4:
+                        continue
+                else:
+                    self._hint = target
+                    return answer
+            left_s = max(deadline_s - self._clock.monotonic(), 0)
+            await asyncio.sleep(min(left_s, backoff_s * self._rng.uniform(0.5, 1.0)))
+            backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
+        raise errors.NoQuorumError(f"no leader of {self._group} was found in time")
+
+    async def _find(self, turn: int, left_s: float) -> str | None:
+        """Ask one instance, each in its turn, who leads the group."""
+        candidates = self._candidates()
+        if not candidates:
+            return None
+        asked = candidates[turn % len(candidates)]
+        try:
+            answer = await self._peers.call(
+                asked, LEADER, self._group.encode(), min(left_s, FIND_S)
+            )
+        except errors.MarjoramusherError:
+            return None
+        return answer.decode() or None
+
+    async def _ask(
+        self, target: str, method: str, command: bytes, left_s: float
+    ) -> bytes:
+        if target == self._own:
+            return await self._local(method, command, left_s)
+        if method == PROPOSE:
+            return await self._courier.propose(target, command, left_s)
+        body = codec.pack(Forwarded(self._group, left_s))
+        return await self._peers.call(target, method, body, left_s)
+
+    def _check(self, error: errors.MarjoramusherError) -> None:
+        """Raise unless the call was certainly not run and may be tried again."""
+        if error.code not in _RETRIED:
+            raise error
+        if error.outcome is not errors.Outcome.NOT_RUN:
+            raise errors.NoQuorumError(error.message, error.outcome) from error
+
+
+def _redirect(error: errors.MarjoramusherError, target: str) -> str | None:
+    leader = error.details.get("leader") or None
+    return leader if leader != target else None
