--- a/faults/checker.py
+++ b/faults/checker.py
@@ -579,13 +579,29 @@
 def check_runner_slots(
     events: Sequence[history.Event], limits: Limits
 ) -> Iterator[Violation]:
-    """Find runners with more requests at a time than slots."""
+    """Find runners that got more requests at a time than they have slots.
+
+    A runner refuses what exceeds its slots. After a fault this is legitimate, since
+    an abandoned connection hides whether its request still runs.
+    """
+    undisturbed = True
     slots: dict[str, int] = {}
     running: dict[str, set[str]] = defaultdict(set)
     for event in events:
         if isinstance(event, history.RunnerStarted):
             slots[event.runner] = event.slots
             running[event.runner].clear()
+        elif isinstance(event, history.ProcessFault):
+            undisturbed = False
+        elif isinstance(event, history.CaseMarked):
+            undisturbed = undisturbed and event.stage != "fault"
+        elif isinstance(event, history.RunRefused) and undisturbed:
+            yield Violation(
+                Rule.RUNNER_OVERCOMMITTED,
+                event.at,
+                event.runner,
+                f"request {event.request_id} reached the runner without a free slot",
+            )
         elif isinstance(event, history.RunEnded):
             running[event.runner].discard(event.run)
         elif isinstance(event, history.RunStarted):
--- a/faults/checker_test.py
+++ b/faults/checker_test.py
@@ -264,6 +264,10 @@
         Rule.RUNNER_OVERCOMMITTED,
         [H.RunnerStarted(0.0, "r1", 1), run(1.0, "k1"), run(1.1, "k2", "y", "q2")],
     ),
+    "request refused for lack of a slot before any fault": (
+        Rule.RUNNER_OVERCOMMITTED,
+        [H.RunRefused(1.0, "r1", "q1")],
+    ),
     "more accelerators than there are": (
         Rule.WORKER_OVERCOMMITTED,
         [
@@ -313,6 +317,7 @@
     H.ConfigurationSeen(16.6, "i1", 8),
     # A lost worker: its gang stops after the lease and starts again elsewhere.
     H.ProcessFault(10.0, "w2", "killed"),
+    H.RunRefused(10.1, "r1", "q7"),
     end(14.9, "t1"),
     start(15.0, "t1", 2),
     start(15.1, "t2", 2, "w3"),
--- a/faults/load.py
+++ b/faults/load.py
@@ -418,7 +418,8 @@
                     "service",
                     name,
                     version,
-                    {"deadline_s": generator.randrange(1, 10_000) / 10},
+                    # No two operations write the same, so each makes a version.
+                    {"deadline_s": 1.0 + 1000 * number + count},
                 )
             ]
             for _ in range(ATTEMPTS):
--- a/faults/standin.py
+++ b/faults/standin.py
@@ -14,7 +14,7 @@
 
 SERVICE = "svc"
 PER_DOMAIN = 2
-SLOTS = 8
+SLOTS = 2  # few, so that callers wait for slots
 ACCELERATORS = 8
 
 
