--- a/marjoramusher/callers/slots.py
+++ b/marjoramusher/callers/slots.py
@@ -26,10 +26,19 @@
         self._broker: grants.SlotBroker | None = None
         self._announced: dict[str, announcement.TargetAnnouncement] = {}
 
-    def lead(self, process: str) -> None:
-        """Start to grant; `process` is new for each leadership."""
+    def lead(self, process: str, instances: frozenset[str] = frozenset()) -> None:
+        """Start to grant.
+
+        Parameters
+        ----------
+        process : str
+            Id of this leadership, for example the instance id with the term.
+        instances : frozenset of str
+            Instances of the failure domain by the settings, alive or not. If they
+            are not known, nothing new is granted for the time of a lease.
+        """
         now = self._time.monotonic()
-        self._broker = grants.SlotBroker(process, now)
+        self._broker = grants.SlotBroker(process, now, instances)
         for announced in self._announced.values():
             self._broker.announce(announced, now)
 
@@ -95,6 +104,7 @@
         """Report once and take over the reply."""
         try:
             reply = await self._call_leader(codec.pack(self._engine.demand()))
+            granted = codec.unpack(reply, grants.Grants)
         except errors.NotLeaderError:
             self._engine.leader_known(False)
             return
@@ -102,4 +112,4 @@
             self._engine.leader_known(True)
             return
         self._engine.leader_known(True)
-        self._engine.grant(codec.unpack(reply, grants.Grants))
+        self._engine.grant(granted)
--- a/marjoramusher/daemon/instance.py
+++ b/marjoramusher/daemon/instance.py
@@ -427,7 +427,8 @@
         while True:
             self._supervise_domains()
             self._connect_domains()
-            await asyncio.sleep(SUPERVISE_S)
+            now = self._clock.monotonic()
+            await asyncio.sleep(clock.until_point(now, SUPERVISE_S))
 
     def _supervise_domains(self) -> None:
         """Start the duties of each domain group that this instance is a member of."""
@@ -472,7 +473,10 @@
         return {
             "instance": self._settings.instance_id,
             "revision": self._in_force.current.revision,
-            "members": status.members,
+            "members": [
+                {**msgspec.structs.asdict(view.member), "status": view.status}
+                for view in status.members
+            ],
             "groups": {group.name: group for group in status.groups},
             "boot": status.boot,
             "store_failure": status.store_failure,
--- a/marjoramusher/placement/reserve.py
+++ b/marjoramusher/placement/reserve.py
@@ -22,7 +22,7 @@
 class Reservation:
     """Workers that a gang is expected to get at a time."""
 
-    __slots__ = ("job_id", "next_try", "ready_at", "waiting", "workers")
+    __slots__ = ("job_id", "next_try", "order", "ready_at", "waiting", "workers")
 
     def __init__(
         self, waiting: queue.Waiting, workers: frozenset[str], ready_at: float
@@ -32,6 +32,7 @@
         self.workers = workers
         self.ready_at = ready_at
         self.next_try = 0.0
+        self.order = 0
 
 
 class Reserves:
@@ -42,8 +43,9 @@
         self._cells = cells
         self._made: dict[str, Reservation] = {}
         self._next_want = 0.0
+        self._order = 0
 
-    def want(self, waiting: queue.Waiting, rank: int, now: float) -> None:
+    def want(self, waiting: queue.Waiting, now: float) -> None:
         """Reserve workers for a gang that could not be placed."""
         job_id = waiting.job.job_id
         if job_id in self._made or not self._is_wanted(waiting, now):
@@ -51,10 +53,14 @@
         self._next_want = now + WANT_S
         reservation = self._choose(waiting, now)
         if reservation is not None:
+            self._order += 1
+            reservation.order = self._order
             self._made[job_id] = reservation
 
     def is_due(self, waiting: queue.Waiting, now: float) -> bool:
         """Tell whether trying a gang again may give or use a reservation."""
+        if waiting.shape.accelerators < MIN_ACCELERATORS:
+            return False
         made = self._made.get(waiting.job.job_id)
         if made is not None:
             return made.next_try <= now
@@ -79,18 +85,24 @@
         often would let long jobs in everywhere.
         """
         for job_id, made in list(self._made.items()):
+            group = [self._ledger.worker(worker) for worker in sorted(made.workers)]
+            cells, each = cell.unit_of(made.waiting.shape)
+            same = None
+            if all(worker.is_open for worker in group):
+                same = self._ready(group, cells, each, now)
+            if same is not None and same[0] <= made.ready_at:
+                made.ready_at = same[0]
+                continue
             del self._made[job_id]
             reservation = self._choose(made.waiting, now)
             if reservation is None:
                 continue
-            group = [self._ledger.worker(worker) for worker in sorted(made.workers)]
-            cells, each = cell.unit_of(made.waiting.shape)
-            same = self._ready(group, cells, each, now)
-            if same is not None and all(worker.is_open for worker in group):
+            if same is not None:
                 is_sooner = reservation.ready_at - now < CHANGE_SHARE * (same[0] - now)
                 if not is_sooner:
                     reservation.workers, reservation.ready_at = made.workers, same[0]
             reservation.next_try = made.next_try
+            reservation.order = made.order
             self._made[job_id] = reservation
 
     def get(self, job_id: str) -> Reservation | None:
@@ -126,11 +138,18 @@
         return tuple(found)
 
     def binding(self, job_id: str, ends_at: float) -> tuple[str, ...]:
-        """Return the reservations that a job ending at a time must respect."""
+        """Return the reservations that a job ending at a time must respect.
+
+        A gang that has a reservation respects only older ones. Two gangs with
+        overlapping reservations would otherwise keep each other off for good.
+        """
+        own = self._made.get(job_id)
         return tuple(
             made.job_id
             for made in self._made.values()
-            if made.job_id != job_id and ends_at > made.ready_at
+            if made.job_id != job_id
+            and ends_at > made.ready_at
+            and (own is None or made.order < own.order)
         )
 
     def all_workers(self) -> set[str]:
@@ -149,7 +168,11 @@
             racks += sorted(self._ledger.racks - set(racks))[: MAX_RACKS - len(racks)]
         members: dict[str, list[ledger.Worker]] = {}
         for rack in racks[-MAX_RACKS:]:
-            members[rack] = self._ledger.open_in(rack)
+            members[rack] = [
+                worker
+                for worker in self._ledger.open_in(rack)
+                if worker.id not in waiting.job.failed_on
+            ]
         if waiting.shape.adjacency is resource.Adjacency.NONE:
             groups = [[w for rack in members for w in members[rack]]]
         else:
--- a/marjoramusher/routing/baseline.py
+++ b/marjoramusher/routing/baseline.py
@@ -2,6 +2,7 @@
 
 import collections
 import random
+from typing import TypeAlias
 
 from ..core import announcement, errors, record
 from . import effect, grants, request, target
@@ -22,6 +23,9 @@
         self.tries = tries
 
 
+_Queue: TypeAlias = collections.OrderedDict[str, tuple[request.Request, int, bool]]
+
+
 class FifoRouter:
     """Route without classes, fairness, shedding, grants, hedges or spill.
 
@@ -45,12 +49,12 @@
         self._rng = rng
         self._configuration = record.Configuration()
         self._table = target.TargetTable()
-        self._queues: dict[
-            str, collections.deque[tuple[request.Request, int, bool]]
-        ] = {}
+        self._queues: dict[str, _Queue] = {}
         self._attempts: dict[int, _Attempt] = {}
         self._by_request: dict[str, int] = {}
         self._next_attempt = 0
+        # Targets that refused since the last tick, unless a request ended there.
+        self._full: set[str] = set()
 
     @property
     def waiting(self) -> int:
@@ -95,10 +99,10 @@
 
     def submit(self, asked: request.Request, now: float) -> list[effect.Effect]:
         """Queue a request."""
-        queue = self._queues.setdefault(asked.service, collections.deque())
+        queue = self._queues.setdefault(asked.service, collections.OrderedDict())
         if len(queue) >= MAX_QUEUED:
             return [_refusal(asked, errors.ErrorCode.OVERLOADED, False)]
-        queue.append((asked, 0, False))
+        queue[asked.request_id] = (asked, 0, False)
         return self._pump(asked.service, now)
 
     def withdraw(self, request_id: str, now: float) -> list[effect.Effect]:
@@ -111,10 +115,7 @@
                 *self._pump(known.asked.service, now),
             ]
         for queue in self._queues.values():
-            for item in queue:
-                if item[0].request_id == request_id:
-                    queue.remove(item)
-                    return []
+            queue.pop(request_id, None)
         return []
 
     def started(self, attempt: int, now: float) -> list[effect.Effect]:
@@ -129,7 +130,9 @@
         del answer_bytes
         if attempt not in self._attempts:
             return []
-        return self._pump(self._end(attempt).asked.service, now)
+        known = self._end(attempt)
+        self._full.discard(known.target)
+        return self._pump(known.asked.service, now)
 
     def failed(
         self, attempt: int, kind: request.FailureKind, now: float
@@ -143,10 +146,11 @@
             known.tries < MAX_TRIES and (known.asked.repeatable or not sent)
         ):
             tries = known.tries + (kind is not request.FailureKind.NOT_STARTED)
-            self._queues[known.asked.service].appendleft((known.asked, tries, sent))
+            queue = self._queues[known.asked.service]
+            queue[known.asked.request_id] = (known.asked, tries, sent)
+            queue.move_to_end(known.asked.request_id, last=False)
             if kind is request.FailureKind.NOT_STARTED:
-                # Tried again when a request ends or at the next tick.
-                return []
+                self._full.add(known.target)
             return self._pump(known.asked.service, now)
         refusal = _refusal(known.asked, errors.ErrorCode.TARGET_FAILED, sent)
         return [refusal, *self._pump(known.asked.service, now)]
@@ -154,6 +158,7 @@
     def tick(self, now: float) -> list[effect.Effect]:
         """Forget silent targets and try again."""
         self._table.expire(now)
+        self._full.clear()
         return self._pump_all(now)
 
     def _end(self, attempt: int) -> _Attempt:
@@ -177,11 +182,12 @@
             known
             for known in self._table.values()
             if known.announcement.service == service
+            and known.announcement.id not in self._full
             and known.in_flight < known.announcement.slots
             and known.announcement.state is announcement.TargetState.SERVING
         ]
         while queue and free:
-            asked, tries, sent = queue.popleft()
+            _, (asked, tries, sent) = queue.popitem(last=False)
             chosen = self._rng.choice(free)
             chosen.in_flight += 1
             if chosen.in_flight >= chosen.announcement.slots:
--- a/marjoramusher/workers/gang.py
+++ b/marjoramusher/workers/gang.py
@@ -18,8 +18,11 @@
 
 RECLAIM_GRACE_S = 1.0  # checkpoint time of a gang that gives way
 MISSING_S = 2.0  # an announcement may have left before a call and arrive after it
+MISSING_COUNT = 2  # a single one may have been delayed for longer
 RETRY_S = 0.5
+SILENT_RETRY_S = 5.0
 SETTLE_S = 1.5  # every live worker announces itself once within it
+RECOVERY_S = 60.0  # far above a lease and the difference of two clocks
 REJECT_AFTER_S = 10.0  # a job may only seem too large while workers are coming back
 
 
@@ -35,11 +38,6 @@
     STOPPING = "stopping"
 
 
-RENEWED_PHASES = frozenset(
-    {Phase.RECONCILING, Phase.PREPARING, Phase.STARTING, Phase.RUNNING, Phase.GRACE}
-)
-
-
 class TaskStatus(enum.Enum):
     """What the leader knows of a task.
 
@@ -64,6 +62,14 @@
 LIVE = (announcement.TaskState.PREPARED, announcement.TaskState.RUNNING)
 
 
+RAN = (
+    announcement.TaskState.RUNNING,
+    announcement.TaskState.DONE,
+    announcement.TaskState.FAILED,
+)
+"""States that show a start; a stopped task may only have been prepared."""
+
+
 class Method(enum.Enum):
     """Calls that a worker serves."""
 
@@ -140,13 +146,15 @@
     ----------
     report : TaskReport or None
         The task after the call; ``None`` if the call failed.
-    refused : bool
-        True if the worker answered that it won't, False if it did not answer.
+    code : ErrorCode or None
+        ``stale_epoch`` if the worker does not hold the task at this epoch,
+        ``target_failed`` if it refuses for another reason, ``peer_unreachable`` if it
+        did not answer.
     """
 
     call: Call
     report: announcement.TaskReport | None = None
-    refused: bool = False
+    code: errors.ErrorCode | None = None
     message: str = ""
 
 
@@ -178,6 +186,7 @@
     """One task of a gang."""
 
     __slots__ = (
+        "absences",
         "checkpoint",
         "confirmed_at",
         "index",
@@ -198,6 +207,7 @@
         self.status = TaskStatus.PREPARING
         self.started = False  # a start may have reached the worker
         self.confirmed_at = 0.0
+        self.absences = 0  # announcements in a row that do not name the task
         self.checkpoint = ""
         self.progress_s = 0.0
         self.saved = False  # has answered the checkpoint of this stop
@@ -265,6 +275,8 @@
         Operators' records in force.
     now : float
         Instant of the election on the monotonic clock.
+    at : float
+        The same instant in seconds since the Unix epoch.
     """
 
     def __init__(
@@ -273,9 +285,10 @@
         policy: placer.Placer,
         configuration: record.Configuration,
         now: float,
+        at: float,
     ) -> None:
         self._now = now
-        self._at = 0.0
+        self._at = at
         self._jobs = jobs
         self._placer = policy
         self._configuration = configuration
@@ -287,6 +300,11 @@
         self._refreshes: list[tuple[float, str]] = []
         self._expiring: dict[str, float] = {}
         self._gate_open = False
+        self._recovered_at = jobs.recovered_at
+        # Gangs of lost commands may run anywhere, also on workers that are silent.
+        self._is_lossy = (
+            jobs.recovered_at is not None and abs(at - jobs.recovered_at) < RECOVERY_S
+        )
         self._awaited = set(jobs.ledger.workers())
         jobs.drain_changes()
         policy.configure(configuration, now)
@@ -312,6 +330,26 @@
         """Tell whether reconciliation with the workers is complete."""
         return self._gate_open
 
+    @property
+    def is_busy(self) -> bool:
+        """Tell whether a step may be due soon without a further event."""
+        return bool(
+            self._active
+            or self._retries
+            or self._refreshes
+            or not self._gate_open
+            or self._jobs.queued_count
+        )
+
+    @property
+    def is_outdated(self) -> bool:
+        """Tell whether a recovery with loss has made the gangs unknown.
+
+        The caller must go on with a new core, which waits until no task of a lost
+        command can run.
+        """
+        return self._jobs.recovered_at != self._recovered_at
+
     def shortfalls(self, now: float) -> Iterable[placer.Shortfall]:
         """Return the guarantees that can't be honoured."""
         return self._placer.shortfalls(now) if self._gate_open else ()
@@ -355,6 +393,9 @@
         self._now = now
         self._at = at
         self._effects = []
+        # Committed changes come first, so that a cancelled job is not started by the
+        # answer that completes its preparation.
+        self._take_changes()
         match event:
             case Announced():
                 self._announced(event.announcement)
@@ -369,7 +410,6 @@
                 self._placer.configure(event.configuration, now)
             case Ticked():
                 self._ticked()
-        self._take_changes()
         return self._effects
 
     # Committed changes.
@@ -426,9 +466,6 @@
             self._call(gang, task, Method.PREPARE)
 
     def _start(self, gang: Gang) -> None:
-        current = self._jobs.job(gang.job_id)
-        if current is None or current.state is not model.JobState.ALLOCATED:
-            return  # cancelled meanwhile
         gang.phase = Phase.STARTING
         for task in gang.tasks.values():
             task.status = TaskStatus.STARTING
@@ -439,7 +476,7 @@
         call = event.call
         known = self._table.worker(call.worker)
         if known is not None:
-            answered = event.report is not None or event.refused
+            answered = event.code is not errors.ErrorCode.PEER_UNREACHABLE
             known.called(answered, self._now)
             if not answered:
                 self._close(call.worker, known)
@@ -478,8 +515,8 @@
             self._start_failed(gang, task, event)
 
     def _start_failed(self, gang: Gang, task: Task, event: Answered) -> None:
-        if event.refused:
-            # Silence says nothing about the job, which must not be blamed for it.
+        # Silence or a restart of the worker says nothing about the job.
+        if event.code is errors.ErrorCode.TARGET_FAILED:
             self._task_failed(gang, task, event.message)
         self._want_stop(gang, command.StopCause.START_FAILED)
 
@@ -511,11 +548,14 @@
             if report.epoch != gang.epoch:
                 continue  # its lease is not renewed; the calls carry a higher epoch
             seen.add(report.task_id)
-            touched[job_id] = gang
+            task.absences = 0
+            before = task.status
             self._take_report(gang, task, report)
-            if gang.phase in RENEWED_PHASES and (
-                gang.cause is None or gang.phase is Phase.GRACE
-            ):
+            if task.status is not before or gang.phase is not Phase.RUNNING:
+                touched[job_id] = gang
+            # A gang that stops soon is not renewed, so that a worker that answers no
+            # call is free when its lease is over.
+            if gang.cause is None or gang.phase is Phase.GRACE:
                 self._table.renew(task.task_id, self._now)
                 renewals.append(
                     announcement.LeaseRenewal(
@@ -526,8 +566,9 @@
         for holding in self._jobs.ledger.holdings(said.id):
             gang = self._gangs.get(holding.job_id)
             if gang is not None and holding.task_id not in seen:
-                touched[holding.job_id] = gang
                 self._take_absence(gang, gang.tasks[holding.task_id], restarted)
+                if gang.cause is not None or gang.phase is Phase.RECONCILING:
+                    touched[holding.job_id] = gang
         self._worker_known(known, arrival, has_strays)
         self._effects.append(Reply(tuple(renewals), tuple(stop)))
         for gang in touched.values():
@@ -556,7 +597,7 @@
     def _take_report(
         self, gang: Gang, task: Task, report: announcement.TaskReport
     ) -> None:
-        if report.state is not announcement.TaskState.PREPARED:
+        if report.state in RAN:
             task.started = True
         if report.checkpoint and gang.phase is not Phase.CHECKPOINTING:
             task.checkpoint = report.checkpoint
@@ -602,9 +643,12 @@
             return
         if task.status is TaskStatus.UNSEEN:
             task.status = TaskStatus.MISSING
-        elif task.status in (TaskStatus.PREPARED, TaskStatus.RUNNING) and (
-            restarted or self._now > task.confirmed_at + MISSING_S
-        ):
+            return
+        if task.status not in (TaskStatus.PREPARED, TaskStatus.RUNNING):
+            return
+        task.absences += 1
+        late = self._now <= task.confirmed_at + MISSING_S
+        if restarted or (task.absences >= MISSING_COUNT and not late):
             task.status = TaskStatus.MISSING
             self._want_stop(gang, command.StopCause.WORKER_LOST)
 
@@ -663,7 +707,9 @@
     def _stop_answered(self, task: Task, event: Answered) -> None:
         report = event.report
         if report is None:
-            task.stop_due_at = self._now + RETRY_S
+            # Calls to a dead rack must not crowd out others; its leases end anyway.
+            silent = self._table.is_silent(task.worker, self._now)
+            task.stop_due_at = self._now + (SILENT_RETRY_S if silent else RETRY_S)
             if not task.started:
                 # It was never told to start, and the higher epoch keeps a late
                 # prepare of it from mattering.
@@ -843,7 +889,8 @@
         if not self._gate_open:
             settled = self._now >= self._table.elected_at + SETTLE_S
             over = self._now >= self._table.elected_at + table.LEASE_OVER_S
-            self._gate_open = settled and (over or not self._awaited)
+            heard = not self._awaited and not self._is_lossy
+            self._gate_open = settled and (over or heard)
         if self._gate_open:
             self._plan()
 
@@ -885,7 +932,10 @@
                 self._place(item)
             case decision.Stop():
                 gang = self._gangs.get(item.job_id)
-                if gang is not None:
+                if gang is not None and (
+                    gang.job.spec.repeatable
+                    or item.reason is not decision.StopReason.DEFRAGMENT
+                ):
                     self._want_stop(gang, _CAUSES[item.reason])
                     self._advance(gang)
                 else:
