Read histograms without the library's iterators

Reading the metrics of 240 client accounts with four histograms each took 12.0 s of processor time in one turn of the loop, longer than an election timeout, and the histograms took 26.8 MB. Quantiles are now read from the counts at once, the sum is kept beside them, and a counter has four bytes.

--- a/bench/main.py
+++ b/bench/main.py
@@ -46,6 +46,8 @@
         "instance_request_cpu_ms",
         "instance_claimed_request_cpu_ms",
         "instance_peak_cpu_share",
+        "worker_announcement_cpu_ms",
+        "worker_announcements_per_s",
         "config_in_force_p99_s",
         "config_in_force_p50_s",
         "claim_added_p50_ms",
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -6,9 +6,20 @@
 import click
 import msgspec
 
-from bench import consensus_slopes, domain_slopes, role_slopes, sweep
-
-SWEEPS = domain_slopes.SWEEPS + consensus_slopes.SWEEPS + role_slopes.SWEEPS
+from bench import (
+    consensus_slopes,
+    domain_slopes,
+    role_slopes,
+    sweep,
+    telemetry_slopes,
+)
+
+SWEEPS = (
+    domain_slopes.SWEEPS
+    + consensus_slopes.SWEEPS
+    + role_slopes.SWEEPS
+    + telemetry_slopes.SWEEPS
+)
 
 
 @click.command()
--- a/marjoramusher/telemetry/metrics.py
+++ b/marjoramusher/telemetry/metrics.py
@@ -1,5 +1,7 @@
 """Counters, gauges and histograms of one process."""
 
+import bisect
+import itertools
 from collections.abc import Iterator
 
 import hdrh.histogram
@@ -9,6 +11,7 @@
 HIGHEST_US = 3_600_000_000
 DIGITS = 2
 QUANTILES = (50.0, 90.0, 99.0, 99.9)
+WORD_BYTES = 4  # four billion values a bucket, at half the memory of the default
 
 Labels = tuple[tuple[str, str], ...]
 
@@ -39,10 +42,45 @@
     histograms: list[HistogramSummary]
 
 
+class _Histogram:
+    """Histogram that is read without a walk through the library's iterators.
+
+    The library takes 13 ms for mean and quantiles, and there is a histogram for each
+    client account, so a reader of all of them would stall the process for seconds.
+    """
+
+    __slots__ = ("_counts", "_sum_us")
+
+    def __init__(self) -> None:
+        self._counts = hdrh.histogram.HdrHistogram(
+            LOWEST_US, HIGHEST_US, DIGITS, word_size=WORD_BYTES
+        )
+        self._sum_us = 0
+
+    def record(self, value_us: int) -> None:
+        self._counts.record_value(value_us)
+        self._sum_us += value_us
+
+    def summarize(self, name: str, labels: dict[str, str]) -> HistogramSummary:
+        counts = self._counts
+        total = counts.get_total_count()
+        reached = list(itertools.accumulate(counts.counts))
+        quantiles = {}
+        for percent in QUANTILES:
+            target = counts.get_target_count_at_percentile(percent)
+            index = bisect.bisect_left(reached, target)
+            value_us = counts.get_highest_equivalent_value(
+                counts.get_value_from_index(index)
+            )
+            quantiles[f"{percent / 100:g}"] = value_us / 1e6
+        mean_s = self._sum_us / total / 1e6
+        return HistogramSummary(name, labels, total, mean_s, quantiles)
+
+
 class Metrics:
     """Collect values; histograms are made when first used.
 
-    A histogram takes 28 KB with two digits, so labels are limited to the client
+    A histogram takes 14 KB with two digits, so labels are limited to the client
     account and the class.
     """
 
@@ -51,7 +89,7 @@
     def __init__(self) -> None:
         self._counters: dict[tuple[str, Labels], float] = {}
         self._gauges: dict[tuple[str, Labels], float] = {}
-        self._histograms: dict[tuple[str, Labels], hdrh.histogram.HdrHistogram] = {}
+        self._histograms: dict[tuple[str, Labels], _Histogram] = {}
 
     def increment(self, name: str, amount: float = 1, **labels: str) -> None:
         """Add to a counter."""
@@ -77,9 +115,8 @@
         key = (name, (("account", account), ("class", job_class)))
         histogram = self._histograms.get(key)
         if histogram is None:
-            histogram = hdrh.histogram.HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
-            self._histograms[key] = histogram
-        histogram.record_value(min(max(int(seconds * 1e6), LOWEST_US), HIGHEST_US))
+            histogram = self._histograms[key] = _Histogram()
+        histogram.record(min(max(int(seconds * 1e6), LOWEST_US), HIGHEST_US))
 
     def counter(self, name: str, **labels: str) -> float:
         """Return the value of a counter, 0 if never incremented."""
@@ -91,7 +128,7 @@
             counters=_values(self._counters),
             gauges=_values(self._gauges),
             histograms=[
-                _summarize(name, dict(labels), histogram)
+                histogram.summarize(name, dict(labels))
                 for (name, labels), histogram in sorted(
                     self._histograms.items(), key=lambda item: item[0]
                 )
@@ -137,21 +174,6 @@
     ]
 
 
-def _summarize(
-    name: str, labels: dict[str, str], histogram: hdrh.histogram.HdrHistogram
-) -> HistogramSummary:
-    return HistogramSummary(
-        name=name,
-        labels=labels,
-        count=histogram.get_total_count(),
-        mean_s=histogram.get_mean_value() / 1e6,
-        quantiles_s={
-            f"{q / 100:g}": histogram.get_value_at_percentile(q) / 1e6
-            for q in QUANTILES
-        },
-    )
-
-
 def _label_text(labels: dict[str, str]) -> str:
     if not labels:
         return ""
