Keep the open claims apart from the answered ones

The leader of a domain group asks for the holders of open claims every second, which walked over all claims of 24 hours: 19 ms at 64,000 claims. Open claims are kept in a table of their own: 0.015 ms at 64,000.

--- a/marjoramusher/claims/machine.py
+++ b/marjoramusher/claims/machine.py
@@ -47,6 +47,8 @@
         self._entries: dict[Key, _Entry] = {}
         self._answered: collections.deque[Key] = collections.deque()
         self._answers_bytes = 0
+        # Open claims are few; the leader looks at their holders every second.
+        self._open: dict[Key, _Entry] = {}
         self._recovered_at: float | None = None
 
     def __len__(self) -> int:
@@ -64,7 +66,7 @@
 
     def holders(self) -> set[command.Holder]:
         """Return the processes that hold open claims."""
-        return {e.holder for e in self._entries.values() if e.state is State.OPEN}
+        return {entry.holder for entry in self._open.values()}
 
     def apply(self, index: int, data: bytes) -> bytes:
         """Apply a batch of commands and return their results."""
@@ -87,6 +89,7 @@
         self._entries = {(e.account, e.key): e for e in state.entries}
         self._answered = collections.deque(state.answered)
         self._answers_bytes = sum(len(e.body) for e in state.entries)
+        self._open = {k: e for k, e in self._entries.items() if e.state is State.OPEN}
 
     def _apply(self, item: command.Command) -> command.Result:
         match item:
@@ -119,12 +122,15 @@
             ):
                 # The instance runs one process at a time, so the holder has ended.
                 entry.state = State.UNKNOWN
+                del self._open[key]
             return _result(entry)
         # A lost key is kept as unknown, so that later resends get the same answer.
         state = State.UNKNOWN if self._may_be_lost(item) else State.OPEN
-        self._entries[key] = _Entry(
+        made = self._entries[key] = _Entry(
             item.account, item.key, item.fingerprint, item.holder, item.at, state
         )
+        if state is State.OPEN:
+            self._open[key] = made
         granted = State.GRANTED if state is State.OPEN else state
         return command.Result(granted)
 
@@ -152,6 +158,7 @@
         entry, refused = self._held(item.account, item.key, item.holder)
         if entry is None:
             return refused
+        self._open.pop((item.account, item.key), None)
         entry.status = item.status
         entry.content_type = item.content_type
         if item.kept and len(item.body) <= MAX_ANSWER_BYTES:
@@ -176,6 +183,7 @@
         entry, refused = self._held(item.account, item.key, item.holder)
         if entry is None:
             return refused
+        self._open.pop((item.account, item.key), None)
         entry.state = State.UNKNOWN
         return command.Result(State.APPLIED)
 
@@ -183,17 +191,18 @@
         entry, refused = self._held(item.account, item.key, item.holder)
         if entry is None:
             return refused
+        self._open.pop((item.account, item.key), None)
         del self._entries[item.account, item.key]
         return command.Result(State.APPLIED)
 
     def _abandon(self, item: command.Abandon) -> None:
-        for entry in self._entries.values():
-            if (
-                entry.state is State.OPEN
-                and entry.holder.instance == item.instance
-                and item.process in ("", entry.holder.process)
+        for key, entry in list(self._open.items()):
+            if entry.holder.instance == item.instance and item.process in (
+                "",
+                entry.holder.process,
             ):
                 entry.state = State.UNKNOWN
+                del self._open[key]
 
     def _expire(self, at: float) -> None:
         # Entries are in the order of their claims, but proposers' clocks differ, so
@@ -210,9 +219,9 @@
 
     def _recover(self, at: float) -> None:
         self._recovered_at = at
-        for entry in self._entries.values():
-            if entry.state is State.OPEN:
-                entry.state = State.UNKNOWN
+        for entry in self._open.values():
+            entry.state = State.UNKNOWN
+        self._open.clear()
 
 
 def _result(entry: _Entry) -> command.Result:
