--- a/marjoramusher/groups/manager_test.py
+++ b/marjoramusher/groups/manager_test.py
@@ -11,7 +11,7 @@
 
 from marjoramusher.consensus import message, state
 from marjoramusher.core import codec, errors
-from marjoramusher.groups import manager, runner
+from marjoramusher.groups import formation, manager, runner
 from marjoramusher.instances import peers
 from marjoramusher.storage import memory
 from marjoramusher.telemetry import metrics
@@ -195,6 +195,19 @@
             assert answer == command.upper()
 
 
+async def test_failure_domain_that_appears_later_gets_its_own_group(cluster):
+    await form(cluster)
+    for name in ("i4", "i5"):
+        await cluster.add(name, "d4", 3, disk=name == "i4")
+    made = cluster.instances["i5"]
+    assert await made.group("domain:d4").propose(b"a", PATIENCE_S) == b"A"
+    await until(lambda: made.manager.formed)
+    voters = [v.instance for v in made.group("domain:d4").config.voters]
+    assert voters[:2] == ["i4", "i5"]
+    assert len(voters) == 3
+    await until(lambda: cluster.instances["i4"].commands("domain:d4") == [b"a"])
+
+
 async def test_faulty_command_is_answered_and_the_group_goes_on(cluster):
     leader = await form(cluster)
     with pytest.raises(errors.MarjoramusherError) as caught:
@@ -259,6 +272,27 @@
     assert made.commands() == [*(str(n).encode() for n in range(30)), b"again"]
 
 
+async def test_state_survives_the_restart_of_all_instances_at_once(cluster):
+    leader = await form(cluster, (True, True, False))
+    for n in range(30):
+        await leader.group().propose(str(n).encode(), PATIENCE_S)
+    old = cluster.instances["i3"].manager.own.store_id
+    cluster_id = leader.manager.own.cluster_id
+    stopped = list(cluster.instances.values())
+    for made in stopped:
+        if made.files is not None:
+            made.files.lose_unsynced()
+        await made.stop()
+    cluster.instances, cluster.seeds = {}, []
+    for made in stopped:
+        domain, _, expect, limits = made._arguments
+        disk = made.files is not None
+        await cluster.add(made.name, domain, expect, disk, made.files, limits)
+    made = await replaced(cluster, "i3", old)
+    assert made.commands() == [*(str(n).encode() for n in range(30)), b"again"]
+    assert made.manager.own.cluster_id == cluster_id
+
+
 async def test_damaged_store_is_refused_and_replaced(cluster):
     leader = await form(cluster)
     for n in range(5):
@@ -288,7 +322,8 @@
     assert made.commands() == [b"a", b"again"]
 
 
-async def test_full_disk_of_the_leader_moves_leadership_and_heals(cluster):
+async def test_full_disk_of_the_leader_moves_leadership_and_heals(cluster, monkeypatch):
+    monkeypatch.setattr(manager, "REOPEN_S", 0.5)
     leader = await form(cluster)
     await leader.group().propose(b"a", PATIENCE_S)
     leader.files.fail("sync")
@@ -313,6 +348,8 @@
     survivor = cluster.instances["i3"]
     with pytest.raises(errors.NoQuorumError):
         await survivor.group().propose(b"b", 0.3)
+    # Recovery is refused until the survivor has noticed that its leader is gone.
+    await until(lambda: survivor.group().leader is None)
     config = survivor.manager.recover_with_loss("records")
     assert (len(config.voters), config.epoch) == (1, 1)
     await survivor.group().propose(b"c", PATIENCE_S)
@@ -324,6 +361,17 @@
     await cluster.instances["i5"].group().propose(b"d", PATIENCE_S)
 
 
+async def test_group_with_a_leader_is_not_recovered(cluster):
+    leader = await form(cluster)
+    await leader.group().propose(b"a", PATIENCE_S)
+    for running in cluster.instances.values():
+        await running.group().barrier(PATIENCE_S)
+        before = running.group().config
+        with pytest.raises(errors.BadRequestError):
+            running.manager.recover_with_loss("records")
+        assert running.group().config == before
+
+
 async def test_role_and_applied_streams_report_changes(cluster):
     made = await cluster.add("i1", "d1", 1)
     roles, applied = [], []
@@ -337,6 +385,33 @@
     assert applied[-1] == made.group().applied_index
 
 
+@pytest.mark.parametrize("reached", [(), ("i2",)])
+async def test_cluster_is_formed_by_one_plan_over_a_crash(cluster, reached):
+    """Guards against two clusters, or a group without its first members."""
+    first = await cluster.add("i1", "d1", 3)
+
+    async def invite_some():
+        for invited in formation.members(first.manager._plan):
+            if invited.instance in reached:
+                assert await first.manager._invite_one(invited)
+        raise errors.NoQuorumError("the process dies here")
+
+    first.manager._invite = invite_some
+    for name, domain in (("i2", "d2"), ("i3", "d3")):
+        await cluster.add(name, domain, 3)
+    await until(lambda: first.manager.own.cluster_id)
+    cluster_id = first.manager.own.cluster_id
+    for name in ("i2", "i3"):  # they hear of the cluster before they are invited
+        await until(lambda name=name: cluster.instances[name].manager.own.cluster_id)
+    await cluster.restart("i1")
+    await until(lambda: all(i.manager.formed for i in cluster.instances.values()))
+    for made in cluster.instances.values():
+        assert made.manager.own.cluster_id == cluster_id
+        await made.group("domain:d3").propose(made.name.encode(), PATIENCE_S)
+        config = made.group().config
+        assert [voter.instance for voter in config.voters] == ["i1", "i2", "i3"]
+
+
 async def test_invitation_for_another_store_is_refused(cluster):
     made = await cluster.add("i1", "d1", 2)
     other = await cluster.add("i2", "d2", 2)
--- a/marjoramusher/instances/client.py
+++ b/marjoramusher/instances/client.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import contextlib
+import enum
 from collections.abc import AsyncIterator, Iterable
 
 import grpclib.client
@@ -21,6 +22,9 @@
 RECONNECT_S = 0.25
 QUEUE_MESSAGES = 4096
 QUEUE_BYTES = 32 * 1024 * 1024
+# An answer that its caller does not read must not stop the other calls.
+CONNECTION_WINDOW_BYTES = 64 * 1024 * 1024
+STREAM_WINDOW_BYTES = 256 * 1024
 MAX_STREAM_BYTES = 256 * 1024 * 1024
 
 _BROKEN = (
@@ -38,7 +42,7 @@
 
 
 class PeerClient:
-    """Call other instances over one connection each.
+    """Call other instances over one connection each, and one for streamed answers.
 
     Parameters
     ----------
@@ -203,7 +207,12 @@
         peer = self._peers.get(address)
         if peer is None:
             peer = _Peer(
-                address, self._instance_id, self._token, self._clock, self._metrics
+                address,
+                self._ids,
+                self._instance_id,
+                self._token,
+                self._clock,
+                self._metrics,
             )
             self._peers[address] = peer
         return peer
@@ -238,7 +247,13 @@
     def __init__(self, address: str, now: float) -> None:
         host, _, port = address.rpartition(":")
         self.channel = grpclib.client.Channel(
-            host.strip("[]"), int(port), codec=frame.RawCodec()
+            host.strip("[]"),
+            int(port),
+            codec=frame.RawCodec(),
+            config=grpclib.config.Configuration(
+                http2_connection_window_size=CONNECTION_WINDOW_BYTES,
+                http2_stream_window_size=STREAM_WINDOW_BYTES,
+            ),
         )
         self.opened_s = now
         self.progress_s = now
@@ -263,23 +278,36 @@
             self.channel.close()
 
 
+class _Use(enum.Enum):
+    """What a connection carries.
+
+    Large answers have a connection of their own, since messages queue behind them in
+    the buffers of a slow link for longer than an election timeout.
+    """
+
+    CONTROL = "control"
+    ANSWERS = "answers"
+
+
 class _Peer:
-    """Connection and queue of one-way messages to one address."""
+    """Connections and queue of one-way messages to one address."""
 
     def __init__(
         self,
         address: str,
+        ids: dict[str, str],
         instance_id: str,
         token: bytes,
         time: clock.Clock,
         values: metrics.Metrics,
     ) -> None:
         self._address = address
+        self._ids = ids
         self._instance_id = instance_id
         self._token = token
         self._clock = time
         self._metrics = values
-        self._connection: _Connection | None = None
+        self._connections: dict[_Use, _Connection] = {}
         self._queue: collections.deque[tuple[str, bytes]] = collections.deque()
         self._queued_bytes = 0
         self._wake: asyncio.Event = asyncio.Event()
@@ -290,6 +318,11 @@
         self._failed_s = -RECONNECT_S
         self._carrier: _Connection | None = None  # carries the stream of batches
 
+    @property
+    def _label(self) -> str:
+        """Return the instance id for counters, or the address until it is known."""
+        return self._ids.get(self._address, self._address)
+
     def send(self, method: str, body: bytes, delay_s: float = 0.0) -> None:
         """Queue a message for the next turn of the loop, or for a later one."""
         self._queue.append((method, body))
@@ -299,7 +332,7 @@
         ):
             _, dropped = self._queue.popleft()
             self._queued_bytes -= len(dropped)
-            self._metrics.increment("peer_dropped_messages", peer=self._address)
+            self._metrics.increment("peer_dropped_messages", peer=self._label)
         self._check_silence()
         if not delay_s:
             self._flush()
@@ -318,7 +351,7 @@
     async def call(self, instance_id: str, envelope: bytes, timeout_s: float) -> bytes:
         """Make a unary call and return the encoded reply."""
         started_s = self._clock.monotonic()
-        connection = await self._connect(instance_id, timeout_s)
+        connection = await self._connect(_Use.CONTROL, instance_id, timeout_s)
         remaining_s = timeout_s - (self._clock.monotonic() - started_s)
         with connection.use():
             try:
@@ -343,7 +376,7 @@
         if data is None:
             raise errors.PeerUnreachableError(instance_id)
         connection.progress_s = self._clock.monotonic()
-        self._metrics.increment("peer_received_bytes", len(data), peer=self._address)
+        self._metrics.increment("peer_received_bytes", len(data), peer=self._label)
         return data
 
     async def stream(
@@ -351,7 +384,7 @@
     ) -> AsyncIterator[bytes]:
         """Make a call whose reply is a stream of encoded chunks."""
         started_s = self._clock.monotonic()
-        connection = await self._connect(instance_id, progress_s)
+        connection = await self._connect(_Use.ANSWERS, instance_id, progress_s)
         with connection.use():
             try:
                 async with connection.channel.request(
@@ -370,7 +403,7 @@
                             return
                         started_s = connection.progress_s = self._clock.monotonic()
                         self._metrics.increment(
-                            "peer_received_bytes", len(data), peer=self._address
+                            "peer_received_bytes", len(data), peer=self._label
                         )
                         yield data
             except TimeoutError as error:
@@ -390,14 +423,17 @@
         if self._sender is not None:
             self._sender.cancel()
             self._sender = None
-        if self._connection is not None:
-            self._connection.channel.close()
-            self._connection = None
-
-    async def _connect(self, instance_id: str, timeout_s: float) -> _Connection:
-        if self._connection is None:
-            self._connection = _Connection(self._address, self._clock.monotonic())
-        connection = self._connection
+        for connection in self._connections.values():
+            connection.channel.close()
+        self._connections.clear()
+
+    async def _connect(
+        self, use: _Use, instance_id: str, timeout_s: float
+    ) -> _Connection:
+        connection = self._connections.get(use)
+        if connection is None:
+            connection = _Connection(self._address, self._clock.monotonic())
+            self._connections[use] = connection
         try:
             async with asyncio.timeout(min(timeout_s, CONNECT_S)):
                 await connection.channel.__connect__()
@@ -410,21 +446,23 @@
 
     def _lose(self, connection: _Connection) -> None:
         connection.abandon()
-        if self._connection is connection:
-            self._connection = None
+        for use, current in tuple(self._connections.items()):
+            if current is connection:
+                del self._connections[use]
 
     def _abandon_if_silent(self, connection: _Connection, since_s: float) -> None:
         """Abandon a connection on which nothing has arrived since a call began."""
-        if connection.progress_s <= since_s and self._connection is connection:
+        current = connection in self._connections.values()
+        if connection.progress_s <= since_s and current:
             self._lose(connection)
-            self._metrics.increment("peer_silent_connections", peer=self._address)
+            self._metrics.increment("peer_silent_connections", peer=self._label)
 
     def _check_silence(self) -> None:
         if not self._unacknowledged:
             return
         since_s = max(self._unacknowledged[0][1], self._acknowledged_s)
         if self._clock.monotonic() - since_s > SILENCE_S:
-            self._metrics.increment("peer_silent_connections", peer=self._address)
+            self._metrics.increment("peer_silent_connections", peer=self._label)
             log.state_change("peer.connection_silent", address=self._address)
             if self._sender is not None:
                 self._sender.cancel()
@@ -441,7 +479,7 @@
             self._drop_queue()
             return
         try:
-            connection = await self._connect(self._address, CONNECT_S)
+            connection = await self._connect(_Use.CONTROL, self._address, CONNECT_S)
             self._carrier = connection
             with connection.use():
                 async with connection.channel.request(
@@ -501,7 +539,7 @@
                 while self._unacknowledged and self._unacknowledged[0][0] <= count:
                     self._unacknowledged.popleft()
         except (*_BROKEN, errors.BadRequestError):
-            self._metrics.increment("peer_broken_streams", peer=self._address)
+            self._metrics.increment("peer_broken_streams", peer=self._label)
         finally:
             self._wake.set()
 
@@ -524,4 +562,4 @@
         self._queued_bytes = 0
 
     def _count_sent(self, data: bytes) -> None:
-        self._metrics.increment("peer_sent_bytes", len(data), peer=self._address)
+        self._metrics.increment("peer_sent_bytes", len(data), peer=self._label)
--- a/marjoramusher/placement/fragmentation.py
+++ b/marjoramusher/placement/fragmentation.py
@@ -1,12 +1,12 @@
 """How much free capacity a gang can't use, and moves that make it usable."""
 
+from collections.abc import Collection
+
 from ..core import resource
 from . import cell, ledger, reclaim
 
 # Accelerator seconds of waiting that a move must save for each one that it costs.
 GAIN_FACTOR = 2.0
-# Checkpoint, grace and start of a moved job.
-RESTART_S = 2.0
 MAX_CANDIDATES = 4
 MAX_MOVED = 16
 # A job that was moved runs at least this long before it is moved again.
@@ -60,6 +60,7 @@
     shape: resource.GangShape,
     rank: int,
     wait_s: float,
+    avoid: Collection[str],
     now: float,
 ) -> Move | None:
     """Weigh moving borrowers against waiting until they end.
@@ -79,15 +80,13 @@
         )
 
     gain = max(1, shape.accelerators) * wait_s
-    for workers in reclaim.first(cells.candidates(shape, movable_free), MAX_CANDIDATES):
+    places = cells.candidates(shape, movable_free, avoid)
+    for workers in reclaim.first(places, MAX_CANDIDATES):
         amounts = ledger.spread(workers, each)
         victims = reclaim.choose_victims(book, amounts, may_move, now)
         if not victims or len(victims) > MAX_MOVED:
             continue
-        cost = sum(
-            victim.lost_work(now) + RESTART_S * max(1, victim.accelerators)
-            for victim in victims
-        )
+        cost = reclaim.stop_cost(victims, now)
         if GAIN_FACTOR * cost > gain or (best is not None and cost >= best[0]):
             continue
         if _fit_elsewhere(book, cells, victims, set(amounts)):
--- a/marjoramusher/workers/driver.py
+++ b/marjoramusher/workers/driver.py
@@ -12,11 +12,11 @@
 from ..jobs import command, machine
 from ..placement import placer
 from ..telemetry import log, metrics
-from . import client, gang
+from . import gang
 
-TICK_S = 0.1
-CALM_TICK_S = 0.25  # with no gang between two states; silence counts in seconds
-IDLE_S = 1.0  # without the lead; a new role or a commit wakes the driver earlier
+TICK_S = 0.1  # while something is under way
+IDLE_TICK_S = 0.5  # a new role or a commit wakes the driver earlier
+RESTART_S = 1.0  # between two leaderships of which the first ended by a fault
 BATCH_S = 0.005  # events of a burst share one plan
 BARRIER_TIMEOUT_S = 2.0
 PROPOSE_TIMEOUT_S = 2.0
@@ -69,8 +69,8 @@
         self._metrics = values
         self._core: gang.GangCore | None = None
         self._revision = -1
-        self._elected = group.is_leader
         self._generation = 0
+        self._is_elected = False
         self._running: set[asyncio.Task[None]] = set()
         self._kick = asyncio.Event()
 
@@ -98,9 +98,12 @@
         try:
             while True:
                 if self._group.is_leader:
-                    await self._lead()
-                # An elected leader may get its fresh quorum back without a new role.
-                await self._wait(TICK_S if self._elected else IDLE_S)
+                    try:
+                        await self._lead()
+                    except Exception as error:
+                        self._failed(error)
+                        await asyncio.sleep(RESTART_S)
+                await self._wait()
         finally:
             self._resign()
             roles.dispose()
@@ -136,18 +139,22 @@
             return
         configuration = self._configuration()
         self._revision = configuration.revision
-        self._core = gang.GangCore(
-            self._jobs, self._make_placer(), configuration, elected_at
+        self._core = core = gang.GangCore(
+            self._jobs,
+            self._make_placer(),
+            configuration,
+            elected_at,
+            self._time.utcnow().timestamp(),
         )
         log.state_change("jobs.leading", failure_domain=self._jobs.failure_domain)
         try:
-            while self._leads(generation):
+            while self._leads(generation) and not core.is_outdated:
                 configuration = self._configuration()
                 if configuration.revision != self._revision:
                     self._revision = configuration.revision
                     self._step(gang.Configured(configuration))
                 self._step(gang.Ticked())
-                await self._wait(TICK_S if self._core.is_busy else self._calm_s())
+                await self._wait()
         finally:
             self._resign()
             log.state_change("jobs.resigned", failure_domain=self._jobs.failure_domain)
@@ -161,36 +168,43 @@
             task.cancel()
         self._running.clear()
 
-    def _calm_s(self) -> float:
-        return clock.until_point(self._time.monotonic(), CALM_TICK_S)
-
-    async def _wait(self, longest_s: float) -> None:
-        try:
-            async with asyncio.timeout(longest_s):
-                await self._kick.wait()
-        except TimeoutError:
-            return
-        await asyncio.sleep(BATCH_S)
+    async def _wait(self) -> None:
+        # A node that has just been elected has a fresh quorum a little later.
+        busy = self._is_elected if self._core is None else self._core.is_busy
+        loop = asyncio.get_running_loop()
+        due_at = loop.time() + (TICK_S if busy else IDLE_TICK_S)
+        timer = loop.call_at(due_at, self._kick.set)
+        await self._kick.wait()
+        timer.cancel()
+        if loop.time() < due_at:
+            await asyncio.sleep(BATCH_S)
         self._kick.clear()
 
-    def _role_changed(self, role: message.RoleChanged) -> None:
-        self._elected = role.role is message.Role.LEADER
+    def _role_changed(self, change: message.RoleChanged) -> None:
+        self._is_elected = change.role is message.Role.LEADER
         self._generation += 1
         self._kick.set()
 
     def _applied(self, index: int) -> None:
+        # Each step takes the changes first. Taking them here would let a fault of the
+        # placer reach the group.
         del index
-        self._step(gang.Applied())
-        # A new leader has a fresh quorum once its first entry is applied.
-        self._kick.set()
+        if self._core is not None:
+            self._kick.set()
 
     def _step(self, event: gang.Event) -> list[gang.Effect]:
         core = self._core
         if core is None:
             return []
-        effects = core.step(
-            event, self._time.monotonic(), self._time.utcnow().timestamp()
-        )
+        try:
+            effects = core.step(
+                event, self._time.monotonic(), self._time.utcnow().timestamp()
+            )
+        except errors.MarjoramusherError:
+            raise  # the event is refused
+        except Exception as error:
+            self._failed(error)
+            raise
         for effect in effects:
             if isinstance(effect, gang.Call):
                 self._spawn(self._call(core, effect))
@@ -201,7 +215,19 @@
     def _spawn(self, work: Any) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._running.add(task)
-        task.add_done_callback(self._running.discard)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self._running.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self._failed(error)
+
+    def _failed(self, error: BaseException) -> None:
+        """Begin anew from the committed state after a fault of the program."""
+        self._metrics.increment("gang_driver_faults")
+        log.state_change("jobs.driver_fault", error=repr(error))
+        self._generation += 1
+        self._kick.set()
 
     async def _call(self, core: gang.GangCore, call: gang.Call) -> None:
         if not self._group.is_leader:
@@ -213,8 +239,7 @@
             event = gang.Answered(call, report)
         except errors.MarjoramusherError as error:
             self._metrics.increment("task_call_failures", method=method)
-            refused = isinstance(error, client.Refusal)
-            event = gang.Answered(call, None, refused, error.message)
+            event = gang.Answered(call, None, error.code, error.message)
         if self._core is core:
             self._step(event)
             self._kick.set()
@@ -235,6 +260,18 @@
 
     def _note(self, item: model.Job) -> None:
         self._metrics.increment("job_changes", state=item.state.value)
+        if item.started_at is not None:
+            spec = item.spec
+            if item.state is model.JobState.RUNNING and item.attempts == 1:
+                waited_s = item.started_at - item.submitted_at
+                self._metrics.observe(
+                    "job_wait", waited_s, spec.account, spec.job_class.value
+                )
+            elif item.state is model.JobState.DONE and item.ended_at is not None:
+                taken_s = item.ended_at - item.submitted_at
+                self._metrics.observe(
+                    "job_completion", taken_s, spec.account, spec.job_class.value
+                )
         log.state_change(
             "job.state",
             job_id=item.job_id,
--- a/marjoramusher/workers/gang_test.py
+++ b/marjoramusher/workers/gang_test.py
@@ -7,13 +7,16 @@
 import collections
 import contextlib
 import datetime
+import random
 
+import msgspec
 import pytest
 
 from marjoramusher.core import announcement, errors, record, resource
 from marjoramusher.core import job as model
 from marjoramusher.jobs import command, machine
 from marjoramusher.placement import baseline, decision
+from marjoramusher.placement import gang as placement
 from marjoramusher.workers import gang, table
 
 RUNNING, STATES = announcement.TaskState.RUNNING, model.JobState
@@ -22,51 +25,82 @@
 NO_QUORUM = errors.ErrorBody(errors.ErrorCode.NO_QUORUM, errors.Outcome.UNKNOWN, "")
 
 
+class FakeTask:
+    """A task at its worker; `progress_s` is what the checkpoint holds."""
+
+    def __init__(self, epoch, lease_until, checkpoint="", progress_s=0.0):
+        self.epoch = epoch
+        self.state = announcement.TaskState.PREPARED
+        self.lease_until = lease_until
+        self.run_until = 0.0
+        self.run_s = 0.0
+        self.checkpoint = checkpoint
+        self.progress_s = progress_s
+
+    def start(self, now, run_s):
+        self.state = RUNNING
+        self.run_s = max(run_s, self.progress_s)
+        self.run_until = now + self.run_s - self.progress_s
+
+    def save(self, now, name):
+        self.checkpoint = name
+        self.progress_s = round(self.run_s - max(0.0, self.run_until - now), 3)
+
+    def expire(self, now):
+        if self.state in gang.LIVE and now >= self.lease_until:
+            self.state = announcement.TaskState.STOPPED
+        elif self.state is RUNNING and now >= self.run_until:
+            self.state = announcement.TaskState.DONE
+
+    def report(self, task_id):
+        return announcement.TaskReport(
+            task_id, self.epoch, self.state, self.checkpoint, self.progress_s
+        )
+
+
 class FakeWorker:
     """Start whatever is given, under leases, and fence by epoch."""
 
-    def __init__(self, name):
+    def __init__(self, name, starts):
         self.name = name
+        self.starts = starts  # epochs by job id, of all workers
         self.incarnation = 1
         self.alive = True
-        self.tasks = {}  # task id -> [epoch, state, lease end, run end]
+        self.deaf = False  # announces itself but answers no call
+        self.tasks = {}
         self.seen = {}
 
     def expire(self, now):
         for task in self.tasks.values():
-            if task[1] in (announcement.TaskState.PREPARED, RUNNING):
-                if now >= task[2]:
-                    task[1] = announcement.TaskState.STOPPED
-                elif task[1] is RUNNING and now >= task[3]:
-                    task[1] = announcement.TaskState.DONE
+            task.expire(now)
 
     def call(self, call, now, run_s):
-        epoch = call.order.epoch
+        epoch, order = call.order.epoch, call.order
         if epoch < self.seen.get(call.task_id, 0):
             return None
         fresh = epoch > self.seen.get(call.task_id, 0)
         self.seen[call.task_id] = epoch
         task = self.tasks.get(call.task_id)
         if call.method is gang.Method.PREPARE and fresh:
-            lease_until = now + call.order.lease_s
-            task = [epoch, announcement.TaskState.PREPARED, lease_until, 0]
+            until = now + order.lease_s
+            task = FakeTask(epoch, until, order.checkpoint, order.progress_s)
             self.tasks[call.task_id] = task
         elif call.method is gang.Method.STOP:
-            if task and task[1] is not announcement.TaskState.DONE:
-                task[1] = announcement.TaskState.STOPPED
-        elif task is None or task[0] != epoch or task[1].value == "stopped":
+            if task and task.state is not announcement.TaskState.DONE:
+                task.state = announcement.TaskState.STOPPED
+        elif task is None or task.epoch != epoch or task.state.value == "stopped":
             return None
-        elif call.method is gang.Method.START and task[1].value == "prepared":
-            task[1:] = [RUNNING, task[2], now + run_s]
-        state = task[1] if task else announcement.TaskState.STOPPED
-        checkpoint = call.order.checkpoint
-        return announcement.TaskReport(call.task_id, epoch, state, checkpoint, 1.0)
+        elif call.method is gang.Method.START and task.state.value == "prepared":
+            task.start(now, run_s)
+            self.starts[call.job_id].add(epoch)
+        elif call.method is gang.Method.CHECKPOINT:
+            task.save(now, order.checkpoint)
+        if task is None:
+            state = announcement.TaskState.STOPPED
+            return announcement.TaskReport(call.task_id, epoch, state)
+        return task.report(call.task_id)
 
     def announcement(self):
-        reports = tuple(
-            announcement.TaskReport(task_id, task[0], task[1])
-            for task_id, task in self.tasks.items()
-        )
         return announcement.WorkerAnnouncement(
             self.name,
             f"http://{self.name}",
@@ -74,31 +108,52 @@
             "r1",
             self.incarnation,
             resource.Resources(8, 64, 1000),
-            reports,
+            tuple(task.report(task_id) for task_id, task in self.tasks.items()),
         )
 
     def replied(self, reply, now):
         for renewal in reply.renewals:
             task = self.tasks[renewal.task_id]
-            if task[0] == renewal.epoch:
-                task[2] = now + renewal.lease_s
+            if task.epoch == renewal.epoch:
+                task.lease_until = now + renewal.lease_s
         for task_id in reply.stop:
             self.tasks.pop(task_id, None)
 
 
+class Scripted(baseline.Baseline):
+    """Return scripted decisions after those of the baseline; note what it is told."""
+
+    def __init__(self):
+        super().__init__("fd-a")
+        self.extra = ()
+        self.told = []
+
+    def plan(self, now):
+        extra, self.extra = self.extra, ()
+        return [*super().plan(now), *extra]
+
+    def worker_quarantined(self, worker, now):
+        self.told.append(worker)
+
+    def task_used(self, job_id, task_id, usage, now):
+        self.told.append((task_id, usage.cores))
+
+
 class Session:
     """One failure domain in virtual time; `fault` may bend each effect."""
 
-    def __init__(self, workers=4, run_s=3.0, fault=None):
+    def __init__(self, workers=4, run_s=3.0, fault=None, make_placer=None):
         self.now = 0.0
+        self.make_placer = make_placer or Scripted
         self.run_s = run_s
         self.fault = fault or (lambda session, effect: None)
-        self.workers = {f"w{i}": FakeWorker(f"w{i}") for i in range(workers)}
+        self.starts = collections.defaultdict(set)
+        names = [f"w{i}" for i in range(workers)]
+        self.workers = {name: FakeWorker(name, self.starts) for name in names}
         self.jobs = machine.JobsMachine("fd-a")
         self.configuration = record.Configuration()
         self.steps = 0
         self.trace = []
-        self.starts = collections.defaultdict(set)
         self.queue = collections.deque()
         self.later = []
         self.elect()
@@ -106,8 +161,9 @@
     def elect(self):
         """Let a new leader take over; what the old one had under way is lost."""
         self.queue.clear()
+        self.policy = self.make_placer()
         self.core = gang.GangCore(
-            self.jobs, baseline.make_placer("fd-a"), self.configuration, self.now
+            self.jobs, self.policy, self.configuration, self.now, self.at
         )
 
     @property
@@ -149,20 +205,27 @@
         self.trace.append(f"{self.now:.1f} {effect.worker} {name}")
         worker = self.workers[effect.worker]
         report = None
-        if worker.alive and effect.url and bent not in ("lost", "refused"):
-            started = worker.tasks.get(effect.task_id, [0, None])[1]
+        if (
+            worker.alive
+            and not worker.deaf
+            and effect.url
+            and bent not in ("lost", "refused")
+        ):
+            final = self.jobs.job(effect.job_id).state in model.FINAL_STATES
+            before = set(self.starts[effect.job_id])
             report = worker.call(effect, self.now, self.run_s)
-            if report is not None and effect.method is gang.Method.START:
-                state = self.jobs.job(effect.job_id).state
-                assert started is RUNNING or state not in model.FINAL_STATES
-                self.starts[effect.job_id].add(effect.gang_epoch)
+            assert not final or self.starts[effect.job_id] == before
         if bent == "answer lost":
             report = None
-        refused = bent == "refused"
-        if report is None and not refused and worker.alive and bent is None:
-            refused = True  # by its epoch
-        answer = gang.Answered(effect, report, refused, "no answer")
-        if report is None and not refused:
+        code = None
+        if bent == "refused":
+            code = errors.ErrorCode.TARGET_FAILED
+        elif report is None and worker.alive and not worker.deaf and not bent:
+            code = errors.ErrorCode.STALE_EPOCH
+        elif report is None:
+            code = errors.ErrorCode.PEER_UNREACHABLE
+        answer = gang.Answered(effect, report, code)
+        if code is errors.ErrorCode.PEER_UNREACHABLE:
             tries = 1 if effect.method is gang.Method.STOP else 2
             self.later.append((self.now + tries * 1.0, self.core, answer))
         else:
@@ -192,7 +255,11 @@
         for name, worker in self.workers.items():
             held = {h.task_id: h.epoch for h in self.jobs.ledger.holdings(name)}
             worker.expire(self.now)
-            running = {t: v[0] for t, v in worker.tasks.items() if v[1] is RUNNING}
+            running = {
+                task_id: task.epoch
+                for task_id, task in worker.tasks.items()
+                if task.state is RUNNING
+            }
             assert running.items() <= held.items(), (self.now, name, running, held)
 
     def until_ended(self, job_id, limit_s=60.0):
@@ -234,6 +301,11 @@
     session.workers[name].incarnation += 1
 
 
+def _forget(session, effect):
+    name = effect.worker if isinstance(effect, gang.Call) else "w1"
+    session.workers[name].tasks.clear()
+
+
 def _depose(session, effect):
     session.now += 1.5
     session.elect()
@@ -256,6 +328,7 @@
     _lose_answer,
     _kill,
     _restart,
+    _forget,
     _depose,
     _depose_after,
 ]
@@ -274,7 +347,9 @@
     job_id = session.submit(repeatable=repeatable)
     item = session.until_ended(job_id)
     assert session.steps >= step
-    if repeatable:
+    blamed = fault is _refuse and 1 < step < 8
+    assert bool(item.failed_on) == blamed  # silence is not the job's fault
+    if repeatable or (step <= 4 and fault not in (_depose, _depose_after)):
         assert item.state is STATES.DONE
     else:
         assert len(session.starts[job_id]) <= 1
@@ -330,7 +405,7 @@
     session.submit()
     session.advance(3.0)
     for worker in session.workers.values():
-        worker.alive = worker.name == "w3"
+        worker.alive = worker.name == "w0"
     session.elect()
     waiting = session.submit(tasks=1)
     session.advance(table.LEASE_OVER_S - TICK_S)
@@ -342,20 +417,41 @@
 def test_tasks_that_the_machine_does_not_know_keep_a_worker_out():
     """After a recovery with loss, workers may run gangs of lost commands."""
     session = Session(workers=1)
-    lost = [5, RUNNING, 1e9, 1e9]
-    session.workers["w0"].tasks["job-fd-a-77.0"] = lost
+    worker = session.workers["w0"]
+    worker.tasks["job-fd-a-77.0"] = FakeTask(5, 1e9)
+    worker.tasks["job-fd-a-77.0"].start(0.0, 1e9)
+    worker.replied = lambda reply, now: stops.append(reply.stop)
     session.check = lambda: None
-    first = session.step(gang.Announced(session.workers["w0"].announcement()))
-    assert first[0].stop == ("job-fd-a-77.0",)
+    stops = []
     job_id = session.submit(tasks=1)
-    session.workers["w0"].alive = False
-    session.advance(2.0)
+    session.advance(4.0)
+    assert stops == [("job-fd-a-77.0",)] * 4
     assert session.jobs.job(job_id).state is STATES.QUEUED
-    del session.workers["w0"].tasks["job-fd-a-77.0"], session.check
-    session.workers["w0"].alive = True
+    worker.tasks.clear()
+    del worker.replied, session.check
     assert session.until_ended(job_id).state is STATES.DONE
 
 
+def test_cancel_is_seen_before_the_answer_that_would_start_the_gang():
+    session = Session()
+    job_id = session.submit(tasks=1)
+    session.fault = lambda session, effect: (
+        "dropped"
+        if isinstance(effect, gang.Call) and held.append(effect) is None
+        else None
+    )
+    held = []
+    session.advance(2.0)
+    prepare = held[0]
+    cancel = command.encode(command.CancelJob(session.at, job_id))
+    session.jobs.apply(0, cancel)
+    report = announcement.TaskReport(
+        prepare.task_id, 1, announcement.TaskState.PREPARED
+    )
+    effects = session.step(gang.Answered(prepare, report))
+    assert [e.method for e in effects] == [gang.Method.STOP]
+
+
 def test_late_reports_and_answers_of_old_epochs_change_nothing():
     session = Session(run_s=60.0)
     calls = []
@@ -376,17 +472,18 @@
         for state in announcement.TaskState:
             report = announcement.TaskReport(call.task_id, 1, state, "old", 9.0)
             session.step(gang.Answered(call, report))
-        session.step(gang.Answered(call, None, True, "late"))
-    stale = session.workers["w0"].announcement()
-    reports = tuple(
-        announcement.TaskReport(task.task_id, 1, announcement.TaskState.FAILED)
-        for task in tasks
-    )
-    stale = announcement.WorkerAnnouncement(
-        *(getattr(stale, name) for name in stale.__struct_fields__[:-1]), reports
-    )
+        session.step(gang.Answered(call, None, errors.ErrorCode.TARGET_FAILED))
+    task = item.allocation.tasks[0]
+    stale = session.workers[task.worker].announcement()
+    reports = (announcement.TaskReport(task.task_id, 1, announcement.TaskState.FAILED),)
+    stale = msgspec.structs.replace(stale, tasks=reports)
     effects = session.step(gang.Announced(stale))
-    assert effects[-1].renewals == ()
+    assert effects == [gang.Reply((), ())]
+    older = msgspec.structs.replace(
+        session.workers[task.worker].announcement(), incarnation=0
+    )
+    with pytest.raises(errors.MarjoramusherError):
+        session.step(gang.Announced(older))
     session.advance(TICK_S)
     assert session.jobs.snapshot() == before
 
@@ -398,6 +495,17 @@
     session.step(gang.Configured(session.configuration))
 
 
+def test_gang_that_loses_a_worker_in_its_grace_stops_at_once():
+    session = Session(run_s=60.0)
+    _with_contract(session, 4.0, 30.0)
+    job_id = session.submit()
+    session.advance(5.0)
+    lost = session.jobs.job(job_id).allocation.tasks[0].worker
+    session.workers[lost].alive = False
+    assert session.until_ended(job_id).state is STATES.FAILED
+    assert session.now < 5.0 + table.LEASE_OVER_S + 1.0
+
+
 @pytest.mark.parametrize("deposed", [False, True])
 def test_expired_contract_gives_grace_then_stops_with_a_checkpoint(deposed):
     session = Session(run_s=60.0)
@@ -432,24 +540,6 @@
     assert not session.starts
 
 
-class _Scripted(baseline.Baseline):
-    """Return scripted decisions after those of the baseline."""
-
-    extra = ()
-
-    def plan(self, now):
-        extra, self.extra = self.extra, ()
-        return [*super().plan(now), *extra]
-
-
-def _scripted(session):
-    policy = _Scripted("fd-a")
-    session.core = gang.GangCore(
-        session.jobs, policy, session.configuration, session.now
-    )
-    return policy
-
-
 @pytest.mark.parametrize("fault", [None, _lose, _refuse, _kill, _depose])
 def test_reclaimed_gang_resumes_from_its_checkpoint(fault):
     """A checkpoint that not every task confirms must not be resumed from."""
@@ -462,10 +552,9 @@
         return None
 
     session = Session(workers=3, run_s=60.0, fault=bend)
-    policy = _scripted(session)
     job_id = session.submit()
     session.advance(3.0)
-    policy.extra = (decision.Stop(job_id, decision.StopReason.RECLAIM),)
+    session.policy.extra = (decision.Stop(job_id, decision.StopReason.RECLAIM),)
     session.advance(TICK_S)
     while session.jobs.job(job_id).state is not STATES.QUEUED:
         assert session.now < 12.0
@@ -473,10 +562,44 @@
     item = session.jobs.job(job_id)
     complete = fault in (None, _depose)  # the next leader asks again
     assert item.checkpoint == (f"{job_id}@1" if complete else "")
+    assert item.progress_s >= 1.5 if complete else item.progress_s == 0.0
     if fault is None:
         assert session.now <= 3.0 + gang.RECLAIM_GRACE_S + 3 * TICK_S
 
 
+def test_incomplete_checkpoint_keeps_the_one_before():
+    session = Session(workers=3, run_s=60.0)
+    job_id = session.submit()
+    session.advance(3.0)
+    for _ in range(2):
+        session.policy.extra = (decision.Stop(job_id, decision.StopReason.RECLAIM),)
+        session.advance(3.1)
+        session.workers["w1"].deaf = True
+    session.advance(2.0)
+    item = session.jobs.job(job_id)
+    assert (item.epoch, item.checkpoint) == (4, f"{job_id}@1")
+
+
+def test_deaf_worker_is_waited_out_by_its_lease():
+    """A worker that announces itself but answers no call must not hold its gang."""
+    session = Session(run_s=60.0)
+    job_id = session.submit()
+    session.advance(3.0)
+    worker = session.jobs.job(job_id).allocation.tasks[1].worker
+    session.workers[worker].deaf = True
+    session.policy.extra = (decision.Stop(job_id, decision.StopReason.RECLAIM),)
+    session.advance(table.LEASE_OVER_S + 3 * TICK_S)
+    assert session.jobs.job(job_id).epoch >= 2
+
+
+def test_deaf_worker_gets_new_gangs_ever_more_rarely():
+    session = Session(run_s=60.0)
+    session.workers["w1"].deaf = True
+    session.submit(tasks=1)  # the baseline asks for w1 again and again
+    session.advance(59.0)
+    assert 3 <= sum("w1 prepare" in line for line in session.trace) <= 6
+
+
 def test_rejections_wait_until_the_workers_are_back():
     session = Session(workers=2)
     job_id = session.submit(tasks=5)
@@ -489,32 +612,132 @@
 
 def test_quarantine_and_throttle_are_carried_out_in_spite_of_a_lost_proposal():
     session = Session(run_s=60.0)
-    policy = _scripted(session)
     job_id = session.submit()
     session.advance(3.0)
     task = session.jobs.job(job_id).allocation.tasks[0]
     session.fault = lambda session, effect: (
         "lost" if isinstance(effect, gang.Propose) and session.now < 4.0 else None
     )
-    policy.extra = (
+    session.policy.extra = (
         decision.QuarantineWorker("w3", "fails everything"),
         decision.Throttle(job_id, task.task_id, task.worker),
     )
     session.advance(2.0)
     assert session.jobs.quarantines == {"w3": "fails everything"}
     assert any("throttle" in line for line in session.trace)
-    policy.extra = (decision.ReleaseWorker("w3"),)
+    used = announcement.TaskReport(
+        task.task_id, 1, RUNNING, usage=resource.Resources(8, 99)
+    )
+    said = session.workers[task.worker].announcement()
+    session.step(gang.Announced(msgspec.structs.replace(said, tasks=(used,))))
+    assert session.policy.told[-1] == (task.task_id, 99)
+    session.elect()
+    assert session.policy.told == ["w3"]
+    session.advance(2.0)
+    session.policy.extra = (decision.ReleaseWorker("w3"),)
     session.advance(1.0)
     assert session.jobs.quarantines == {}
 
 
+@pytest.mark.parametrize("elect_again", [False, True])
+def test_recovery_with_loss_waits_for_tasks_that_nobody_reports(elect_again):
+    session = Session(workers=6, run_s=60.0)
+    job_id = session.submit(tasks=2)
+    session.advance(3.0)
+    silent = session.jobs.job(job_id).allocation.tasks[0].worker
+    session.workers[silent].alive = False
+    session.apply(command.RecoverWithLoss(session.at, session.at))
+    assert session.core.is_outdated
+    session.elect()
+    epochs = set()
+
+    def check():
+        now_running = {
+            task.epoch
+            for worker in session.workers.values()
+            for task_id, task in worker.tasks.items()
+            if task.state is RUNNING
+        }
+        assert len(now_running) <= 1
+        epochs.update(now_running)
+
+    session.check = check
+    session.advance(1.0)
+    if elect_again:
+        session.elect()
+    session.advance(6.0)
+    assert epochs == {1, machine.RECOVERY_EPOCHS + 2}
+
+
+def _chaos(session, generator):
+    """Do one random thing that may go wrong in a failure domain."""
+    worker = generator.choice(list(session.workers.values()))
+    jobs = session.jobs.jobs()
+    match generator.randrange(12):
+        case 0:
+            worker.alive = not worker.alive
+        case 1:
+            worker.deaf = not worker.deaf
+        case 2:
+            _restart(session, gang.Call("", "", 0, worker.name, "", None, None))
+        case 3:
+            session.elect()
+        case 4 | 5 if jobs:
+            chosen = generator.choice(jobs).job_id
+            session.apply(command.CancelJob(session.at, chosen))
+        case 6:
+            session.run_s = generator.uniform(0.05, 8.0)
+        case _:
+            session.submit(
+                generator.randint(1, 4),
+                generator.choice([1, 4, 8]),
+                repeatable=generator.random() < 0.7,
+            )
+
+
+def _make_gang_placer():
+    offset_s = START.timestamp()
+    return placement.make_placer(random.Random(1), "fd-a", offset_s)
+
+
+@pytest.mark.parametrize("make_placer", [Scripted, _make_gang_placer])
+@pytest.mark.parametrize("seed", range(8))
+def test_random_faults_lose_and_double_no_job(seed, make_placer):
+    generator = random.Random(seed)
+    faults = [_lose, _refuse, _lose_answer, _depose, _depose_after]
+
+    def bend(session, effect):
+        if generator.random() < 0.03:
+            return generator.choice(faults)(session, effect)
+        return None
+
+    session = Session(workers=5, fault=bend, make_placer=make_placer)
+    while session.now < 60.0:
+        session.advance(TICK_S)
+        if generator.random() < 0.15:
+            _chaos(session, generator)
+    session.fault = lambda session, effect: None
+    for worker in session.workers.values():
+        worker.alive, worker.deaf = True, False
+    while session.jobs.jobs():
+        assert session.now < 400.0, session.jobs.jobs()
+        session.advance(TICK_S)
+    done = session.jobs.jobs(*model.FINAL_STATES)
+    assert {item.state for item in done} >= {STATES.DONE, STATES.CANCELLED}
+    for item in done:
+        starts = session.starts[item.job_id]
+        assert item.state is not STATES.DONE or item.epoch in starts
+        assert item.spec.repeatable or len(starts) <= 1
+        not_run = item.error and item.error.outcome is errors.Outcome.NOT_RUN
+        assert not (not_run and starts)
+
+
 def test_life_of_a_gang(snapshot):
     """The order of proposals and calls of a whole life is the interface to workers."""
     session = Session(run_s=20.0)
-    policy = _scripted(session)
     job_id = session.submit()
     session.advance(3.0)
-    policy.extra = (decision.Stop(job_id, decision.StopReason.RECLAIM),)
+    session.policy.extra = (decision.Stop(job_id, decision.StopReason.RECLAIM),)
     session.advance(3.0)
     session.workers["w1"].alive = False
     session.until_ended(job_id)
