Issue idempotency keys that carry their home

Change: POST /v1/idempotency-keys issues up to 100 signed keys of the instance's failure domain; their claims go there. Keys of the caller's own choice stay with the account's home. The leader also tells the slot server which instances may hold slots, so that it need not wait for a grant lease when all of them have reported. Conclusion: both ways are kept. Issued keys cost one call for each batch of keys.

--- a/marjoramusher/callers/requests.py
+++ b/marjoramusher/callers/requests.py
@@ -6,14 +6,14 @@
 
 from aiohttp import web
 
-from ..claims import command, home
+from ..claims import command
 from ..core import clock, errors, record
 from ..http import body
 from ..routing import request as routed
 from ..targets import dispatch
 from ..telemetry import metrics
 from . import answer as answers
-from . import claiming, engine, limits
+from . import claiming, engine, keys, limits
 
 MAX_DEADLINE_MS = 3_600_000
 KEPT_BYTES = 64 * 1024
@@ -53,6 +53,8 @@
         Routes and dispatches.
     claims : ClaimClient
         Claims the keys of non-repeatable requests.
+    homes : Keys
+        Finds the home of a key.
     configuration : callable
         Returns the records in force.
     time : Clock
@@ -67,6 +69,7 @@
         self,
         runs: engine.Engine,
         claims: claiming.ClaimClient,
+        homes: keys.Keys,
         configuration: Callable[[], record.Configuration],
         time: clock.Clock,
         values: metrics.Metrics,
@@ -74,6 +77,7 @@
     ) -> None:
         self._engine = runs
         self._claims = claims
+        self._homes = homes
         self._configuration = configuration
         self._time = time
         self._metrics = values
@@ -181,9 +185,10 @@
                 errors.ErrorCode.UNKNOWN_SERVICE,
                 f"service {asked.service} has no record",
             )
-        owner = home.of_account(self._configuration(), asked.account)
+        found = self._homes.home_of(asked.account, call.key, call.issued_at)
+        owner = found.failure_domain
         began_at = self._time.monotonic()
-        result, holder = await self._claim(owner, call)
+        result, holder = await self._claim(found, call)
         self._metrics.increment("claims", state=result.state.value)
         self._metrics.observe(
             "request_claim", self._time.monotonic() - began_at, asked.account
@@ -231,7 +236,7 @@
                 await self._claims.unknown(owner, account, key, holder)
 
     async def _claim(
-        self, owner: str, call: _Call
+        self, found: keys.Home, call: _Call
     ) -> tuple[command.Result, command.Holder]:
         """Claim the key; wait for the answer if another process holds it."""
         asked = call.asked
@@ -241,7 +246,7 @@
         pause_s = FIRST_POLL_S
         while True:
             result, holder = await self._claims.claim(
-                owner, asked.account, call.key, digest, call.issued_at
+                found.failure_domain, asked.account, call.key, digest, found.issued_at
             )
             if result.state is not command.State.OPEN:
                 return result, holder
--- a/marjoramusher/claims/home.py
+++ b/marjoramusher/claims/home.py
@@ -1,7 +1,7 @@
 """Home failure domain of an idempotency key.
 
-The daemon uses ownership by client account. The signed id is the alternative that
-`bench` compares it with.
+A key of the caller's own choice belongs to the home of its client account. A signed id
+carries its home; `bench` compares the two.
 """
 
 import hashlib
@@ -60,6 +60,7 @@
     body, _, tag = text.rpartition(".")
     if not hmac.compare_digest(_tag(body, key).encode(), tag.encode()):
         raise errors.BadRequestError("the request id is not signed by this system")
+    # What this system has signed is well formed.
     failure_domain, issued_at_ms, nonce = body.rsplit(".", 2)
     signed = SignedId(failure_domain, int(issued_at_ms), nonce)
     if now - signed.issued_at_ms / 1000 > ID_LIFETIME_S:
--- a/marjoramusher/daemon/domain.py
+++ b/marjoramusher/daemon/domain.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from ..callers import slots
@@ -40,6 +40,8 @@
         Returns the records in force.
     members : callable
         Returns the known instances; tells which processes have ended.
+    voters : callable
+        Returns the instances that vote in the group.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         rng: random.Random,
         configuration: Callable[[], record.Configuration],
         members: Callable[[], tuple[member.MemberView, ...]],
+        voters: Callable[[], Iterable[str]],
         values: metrics.Metrics,
     ) -> None:
         self._group = group
@@ -60,6 +63,7 @@
         self._clock = time
         self._rng = rng
         self._members = members
+        self._voters = voters
         self._metrics = values
         self._slots = slots.SlotServer(time)
         self._driver = driver.GangDriver(
@@ -146,11 +150,25 @@
         if leads and not self._leading:
             self._terms += 1
             started = int(self._clock.utcnow().timestamp() * 1000)
-            self._slots.lead(f"{self._instance}/{started}/{self._terms}")
+            process = f"{self._instance}/{started}/{self._terms}"
+            self._slots.lead(process, self._local_instances())
         elif self._leading and not leads:
             self._slots.step_down()
         self._leading = leads
 
+    def _local_instances(self) -> frozenset[str]:
+        """Return the instances that may hold slots, whether they are heard or not.
+
+        A voter that is not known yet may be one of them.
+        """
+        domains = {
+            view.member.instance_id: view.member.failure_domain
+            for view in self._members()
+        }
+        unknown = {voter for voter in self._voters() if voter not in domains}
+        local = {i for i, domain in domains.items() if domain == self.failure_domain}
+        return frozenset(local | unknown)
+
     async def _tidy(self) -> None:
         at = self._clock.utcnow().timestamp()
         commands: list[claims_command.Command] = [
--- a/marjoramusher/daemon/instance.py
+++ b/marjoramusher/daemon/instance.py
@@ -1,6 +1,7 @@
 """One instance: all parts wired together."""
 
 import asyncio
+import functools
 import os
 import random
 from collections.abc import AsyncIterator
@@ -9,7 +10,7 @@
 import msgspec
 from aiohttp import web
 
-from ..callers import claiming, engine, forwarding, requests, slots
+from ..callers import claiming, engine, forwarding, keys, requests, slots
 from ..callers import jobs as caller_jobs
 from ..claims import command as claims_command
 from ..core import announcement, clock, codec, errors, record
@@ -248,9 +249,17 @@
         claims = claiming.ClaimClient(
             self._propose_claims, settings.instance_id, process, self._clock
         )
+        self._keys = keys.Keys(
+            settings.failure_domain,
+            settings.instance_token or b"",
+            self._configuration,
+            self._clock,
+            self._rng,
+        )
         self._requests = requests.RequestHandlers(
             self._engine,
             claims,
+            self._keys,
             self._configuration,
             self._clock,
             values,
@@ -305,6 +314,7 @@
             )
         )
         application.add_routes(self._requests.routes())
+        application.add_routes(self._keys.routes())
         application.add_routes(self._jobs.routes())
         application.add_routes(
             announcing.TargetHandlers(
@@ -444,6 +454,7 @@
                 self._rng,
                 self._configuration,
                 self._manager.members,
+                functools.partial(self._voters, name),
                 self._metrics,
             )
             self._domains[name] = duty
@@ -451,6 +462,13 @@
             self._peers.server.register(f"workers/{name}", _worker_method(duty))
             duty.start()
 
+    def _voters(self, failure_domain: str) -> list[str]:
+        name = bootstrap.domain_group(failure_domain)
+        for group in self._manager.status.groups:
+            if group.name == name and group.config is not None:
+                return [voter.instance for voter in group.config.voters]
+        return []
+
     def _connect_domains(self) -> None:
         """Tell the router of each failure domain that requests may spill to."""
         own = self._manager.own
