--- a/bench/domain_load.py
+++ b/bench/domain_load.py
@@ -92,7 +92,7 @@
                 for name in self._accounts
             },
         )
-        return gang.GangCore(self.jobs, policy, configuration, self._now)
+        return gang.GangCore(self.jobs, policy, configuration, self._now, self._now)
 
     def take_over(self) -> None:
         """Lead anew, as a leader elected after another was lost."""
--- a/bench/domain_slopes.py
+++ b/bench/domain_slopes.py
@@ -112,7 +112,11 @@
 
 def _rack_lost(domain: domain_load.Domain) -> sweep.Values:
     """Lose one rack and wait until no gang stops or starts any more."""
-    lost = [f"w{n:04}" for n in range(RACK)]
+    # The rack that holds tasks of the largest gang.
+    largest = max(domain.core.gangs, key=lambda one: len(one.tasks))
+    first = min(int(task.worker[1:]) for task in largest.tasks.values())
+    first -= first % RACK
+    lost = [f"w{n:04}" for n in range(first, first + RACK)]
     hit = {
         holding.job_id
         for worker in lost
