Store the marks of a recovery together with its new epoch

Cause: after a forced recovery the marks that make lost claims and jobs count as possibly run were proposed a moment later. A resend of a lost key could be claimed, and run a second time, in between. Change: the marks are entries behind the configuration of the new epoch, synced in the same append. Calls to other instances move from instance.py into links.py. Conclusion: no command can precede the marks.

--- a/marjoramusher/daemon/instance.py
+++ b/marjoramusher/daemon/instance.py
@@ -22,25 +22,17 @@
 from ..instances import peers as transport
 from ..jobs import command as jobs_command
 from ..operators import routes, watch
-from ..routing import request as routed
 from ..routing import router
 from ..targets import announcing, dispatch
 from ..telemetry import log, metrics
 from ..workers import client as tasks
 from ..workers import handlers as worker_handlers
 from ..workers import service
-from . import accounts, configuration, domain, frames, machines, peers, spread
+from . import accounts, configuration, domain, frames, links, machines, peers, spread
 from .settings import Settings
 
-REQUEST = "request"
 READY_WAIT_S = 5.0
 SUPERVISE_S = 0.5
-CLAIM_TIMEOUT_S = 2.0
-GRANT_TIMEOUT_S = 1.0
-ANNOUNCE_TIMEOUT_S = 1.0
-WATCH_TIMEOUT_S = service.MAX_WAIT_S + 5.0
-FORWARD_PROGRESS_S = 10.0
-RECOVER_TIMEOUT_S = 10.0
 SAME_REGION_S = 0.0015
 OTHER_REGION_S = 0.030
 REGION_LINK_BYTES_PER_S = 15e6 / 8
@@ -105,6 +97,9 @@
         self._directory = peers.Directory(
             self._manager.members, settings.instance_id, rng
         )
+        self._links = links.Links(
+            self._manager, self._directory, self._peers.client, time
+        )
         self._task_client = tasks.TaskClient(
             (settings.instance_token or b"").decode("utf-8", "replace")
         )
@@ -233,7 +228,7 @@
             dispatch.HttpDispatcher(),
             self._clock,
             values,
-            self._forward,
+            self._links.forward_request,
         )
         self._in_force.changes.subscribe(on_next=self._engine.configure)
         self._engine.configure(self._in_force.current)
@@ -247,7 +242,7 @@
         )
         self._slot_client = slots.SlotClient(self._engine, self._exchange_grants)
         claims = claiming.ClaimClient(
-            self._propose_claims, settings.instance_id, process, self._clock
+            self._links.propose_claims, settings.instance_id, process, self._clock
         )
         self._keys = keys.Keys(
             settings.failure_domain,
@@ -271,15 +266,15 @@
             self._machines.domain(settings.failure_domain).jobs,
             self._configuration,
             self._clock,
-            self._propose_jobs,
-            self._ask_domain,
+            self._links.propose,
+            self._links.ask_domain,
             self._infeasible,
         )
         self._jobs = caller_jobs.JobHandlers(
             accounts.AccountJobs(self._service), self._configuration
         )
         server = self._peers.server
-        server.register_stream(REQUEST, self._answer_request)
+        server.register_stream(links.REQUEST, self._answer_request)
         server.register(service.METHOD, self._answer_jobs)
         self._supervise_domains()
 
@@ -328,8 +323,8 @@
             lambda: self._domains,
             self._announce_worker,
             settings.advertise_url,
-            self._leader_url,
-            self._forward_worker,
+            self._links.leader_url,
+            self._links.forward_worker,
             lambda request: http_token.check(
                 request, settings.instance_token, self._metrics, "instance"
             ),
@@ -340,17 +335,6 @@
 
     # Calls to other instances.
 
-    async def _forward(
-        self, failure_domain: str, asked: routed.Request, sent: dispatch.TargetRequest
-    ) -> AsyncIterator[bytes]:
-        chosen = self._directory.pick(failure_domain)
-        if not chosen:
-            raise errors.PeerUnreachableError(failure_domain, errors.Outcome.NOT_RUN)
-        body = forwarding.encode(asked, sent, self._clock.monotonic())
-        chunks = self._peers.client.stream(chosen[0], REQUEST, body, FORWARD_PROGRESS_S)
-        async for frame in frames.split(chunks):
-            yield frame
-
     async def _answer_request(self, sender: str, body: bytes) -> AsyncIterator[bytes]:
         del sender
         if self._draining:
@@ -366,35 +350,7 @@
         duty = self._domains.get(failure_domain)
         if duty is not None and self._own_group.is_leader:
             return await duty.slots.handle(self._settings.instance_id, demand)
-        return await peers.call_leader(
-            self._manager,
-            self._peers.client,
-            bootstrap.domain_group(failure_domain),
-            f"grants/{failure_domain}",
-            demand,
-            GRANT_TIMEOUT_S,
-        )
-
-    async def _propose_claims(self, home: str, batch: bytes) -> bytes:
-        group = self._manager.group(bootstrap.domain_group(home))
-        data = composite.part_command(machines.CLAIMS_PART, batch)
-        return await group.propose(data, CLAIM_TIMEOUT_S)
-
-    async def _propose_jobs(
-        self, failure_domain: str, data: bytes, timeout_s: float
-    ) -> bytes:
-        group = self._manager.group(bootstrap.domain_group(failure_domain))
-        return await group.propose(data, timeout_s)
-
-    async def _ask_domain(self, failure_domain: str, method: str, body: bytes) -> bytes:
-        return await peers.call_domain(
-            self._directory,
-            self._peers.client,
-            failure_domain,
-            method,
-            body,
-            WATCH_TIMEOUT_S,
-        )
+        return await self._links.report_demand(failure_domain, demand)
 
     async def _answer_jobs(self, sender: str, body: bytes) -> bytes:
         del sender
@@ -414,23 +370,6 @@
             raise errors.NotLeaderError(None)
         return duty.announce(said)
 
-    def _leader_url(self, failure_domain: str) -> str:
-        group = self._manager.group(bootstrap.domain_group(failure_domain))
-        return self._directory.url(group.leader)
-
-    async def _forward_worker(
-        self, said: announcement.WorkerAnnouncement
-    ) -> announcement.WorkerReply:
-        reply = await peers.call_leader(
-            self._manager,
-            self._peers.client,
-            bootstrap.domain_group(said.failure_domain),
-            f"workers/{said.failure_domain}",
-            codec.pack(said),
-            ANNOUNCE_TIMEOUT_S,
-        )
-        return codec.unpack(reply, announcement.WorkerReply)
-
     # Domain groups.
 
     async def _supervise(self) -> None:
@@ -458,8 +397,10 @@
                 self._metrics,
             )
             self._domains[name] = duty
-            self._peers.server.register(f"grants/{name}", duty.slots.handle)
-            self._peers.server.register(f"workers/{name}", _worker_method(duty))
+            self._peers.server.register(links.grants_method(name), duty.slots.handle)
+            self._peers.server.register(
+                links.workers_method(name), _worker_method(duty)
+            )
             duty.start()
 
     def _voters(self, failure_domain: str) -> list[str]:
@@ -508,19 +449,20 @@
         }
 
     async def _recover(self, name: str) -> dict[str, Any]:
-        config = self._manager.recover_with_loss(name)
-        if name.startswith(bootstrap.DOMAIN_PREFIX):
-            await self._mark_recovered(name)
+        config = self._manager.recover_with_loss(name, self._recovery_marks(name))
         return {"group": name, "epoch": config.epoch, "voters": config.voters}
 
-    async def _mark_recovered(self, name: str) -> None:
-        """Have claims and jobs treat what may be lost as possibly run."""
+    def _recovery_marks(self, name: str) -> tuple[bytes, ...]:
+        """Return commands that have what may be lost treated as possibly run."""
+        if not name.startswith(bootstrap.DOMAIN_PREFIX):
+            return ()
         at = self._clock.utcnow().timestamp()
-        group = self._manager.group(name)
         claims = claims_command.batch([claims_command.Recover(at)])
         jobs = jobs_command.encode(jobs_command.RecoverWithLoss(at, at))
-        for part, data in ((machines.CLAIMS_PART, claims), (jobs_command.PART, jobs)):
-            await group.propose(composite.part_command(part, data), RECOVER_TIMEOUT_S)
+        return (
+            composite.part_command(machines.CLAIMS_PART, claims),
+            composite.part_command(jobs_command.PART, jobs),
+        )
 
     async def _cut(self, request: web.Request) -> web.Response:
         asked = await http_body.read_json(request, CutRequest)
--- a/marjoramusher/daemon/peers.py
+++ b/marjoramusher/daemon/peers.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable, Iterator, Sequence
 
 from ..core import errors
-from ..groups import manager
 from ..instances import client
 from ..membership import member
 
@@ -105,24 +104,3 @@
             if error.outcome is not errors.Outcome.NOT_RUN:
                 raise
     raise last
-
-
-async def call_leader(
-    domain: manager.GroupManager,
-    peers: client.PeerClient,
-    group: str,
-    method: str,
-    body: bytes,
-    timeout_s: float,
-) -> bytes:
-    """Call the leader of a group that is known here.
-
-    Raises
-    ------
-    NotLeaderError
-        If no leader is known.
-    """
-    leader = domain.group(group).leader
-    if leader is None:
-        raise errors.NotLeaderError(None)
-    return await peers.call(leader, method, body, timeout_s)
--- a/marjoramusher/groups/manager.py
+++ b/marjoramusher/groups/manager.py
@@ -188,9 +188,16 @@
         """Tell the others whether this instance is leaving."""
         self._describe(draining=draining)
 
-    def recover_with_loss(self, name: str) -> message.GroupConfig:
+    def recover_with_loss(
+        self, name: str, commands: tuple[bytes, ...] = ()
+    ) -> message.GroupConfig:
         """Restart a group from this instance alone after a permanent loss.
 
+        Parameters
+        ----------
+        commands : tuple of bytes
+            First commands of the new epoch.
+
         Raises
         ------
         MarjoramusherError
@@ -210,7 +217,7 @@
                 {"leader": running.leader},
             )
         log.state_change("group.recovered_with_loss", group=name)
-        return running.recover_with_loss()
+        return running.recover_with_loss(commands)
 
     async def start(self) -> None:
         """Open the data folder, take part in the groups and find the others.
--- a/marjoramusher/groups/recovery.py
+++ b/marjoramusher/groups/recovery.py
@@ -7,12 +7,19 @@
 def recover_with_loss(
     kept: store.Store,
     survivor: message.VoterId,
+    commands: tuple[bytes, ...] = (),
 ) -> message.GroupConfig:
     """Make the survivor the only voter of a new group epoch, durably.
 
     The node of the group must not be running. Entries that the old majority had
     committed elsewhere are lost; what the survivor holds is kept.
 
+    Parameters
+    ----------
+    commands : tuple of bytes
+        First commands of the new epoch. They are stored together with it, so that no
+        other command can come before them.
+
     Raises
     ------
     StoreFailedError
@@ -20,8 +27,16 @@
     """
     result = recovery.recover_with_loss(node_state(kept.load()), survivor)
     persist = result.persist
+    last = persist.entries[-1]
+    first = tuple(
+        message.Entry(index, last.term, message.EntryKind.COMMAND, command)
+        for index, command in enumerate(commands, last.index + 1)
+    )
     kept.append(
-        persist.hard_state, persist.truncate_from, persist.entries, persist.boots
+        persist.hard_state,
+        persist.truncate_from,
+        persist.entries + first,
+        persist.boots,
     )
     return result.config
 
--- a/marjoramusher/groups/runner.py
+++ b/marjoramusher/groups/runner.py
@@ -274,13 +274,15 @@
         self._machine.restore(self._empty)
         self._applied_index = 0
 
-    def recover_with_loss(self) -> message.GroupConfig:
+    def recover_with_loss(
+        self, commands: tuple[bytes, ...] = ()
+    ) -> message.GroupConfig:
         """Go on as the only voter after the permanent loss of the others."""
         kept, membership = self._store, self._membership
         if kept is None or membership is None:
             raise errors.NoQuorumError(f"{self._name} has no state at this instance")
         self.stop()
-        config = recovery.recover_with_loss(kept, membership.own)
+        config = recovery.recover_with_loss(kept, membership.own, commands)
         self.start(kept, membership)
         return config
 
