Transfer the leadership of a group to a chosen voter

A leader that stops or should not lead left its group to an election timeout.

TransferLeadership makes the leader refuse proposals as NOT_LEADER, wait until the successor holds its whole log, give up its lease and send TimeoutNow. The successor asks for real votes; a voter in lease grants one only if it has seen no heartbeat round after the one named by TimeoutNow. A leader that resumes after an election timeout starts a new round, so a majority that confirms its lease again refuses the vote, however late TimeoutNow or the request arrives. A voter that restarted within the last election timeout may have forgotten such a round and grants nothing.

--- a/marjoramusher/consensus/election.py
+++ b/marjoramusher/consensus/election.py
@@ -34,7 +34,9 @@
         "_pre_vote",
         "_replica",
         "_rng",
+        "_seen",
         "_settings",
+        "_started_s",
         "_term",
         "due_s",
     )
@@ -50,6 +52,8 @@
         self._settings = settings
         self._rng = rng
         self._contact_s = now
+        self._started_s = now
+        self._seen = (0, 0)  # Term and highest round of the leader heard last.
         self._granted: set[message.VoterId] = set()
         self._pre_vote = False
         self._term = 0  # Term of the open ballot, 0 if none is open.
@@ -67,8 +71,9 @@
             )
         )
 
-    def leader_heard(self, now: float) -> None:
+    def leader_heard(self, heard_round: int, now: float) -> None:
         """Note that the leader of this term is alive."""
+        self._seen = max(self._seen, (self._replica.term, heard_round))
         self._contact_s = now
         self._term = 0
         self.reset_timeout(now)
@@ -77,6 +82,21 @@
         """Tell whether a leader may still rely on this node's vote."""
         return now - self._contact_s < self._settings.election_min_s
 
+    def allows_transfer(self, transfer: int | None, now: float) -> bool:
+        """Tell whether the leader of this term relies on no answer of this node.
+
+        It has given up what was answered up to the round `transfer`. An answer to a
+        later round may be forgotten in a restart, so the node waits for its lease to
+        run out then.
+        """
+        term, seen = self._seen
+        return (
+            transfer is not None
+            and term == self._replica.term
+            and seen <= transfer
+            and now - self._started_s >= self._settings.election_min_s
+        )
+
     def cancel(self) -> None:
         """Close the open ballot."""
         self._term = 0
@@ -86,6 +106,13 @@
         self.reset_timeout(now)
         return self._open(self._replica.term + 1, pre_vote=True)
 
+    def take_over(self, transfer: int, now: float) -> Step:
+        """Ask for real votes as the successor that the leader has chosen."""
+        self.reset_timeout(now)
+        own = self._replica
+        own.set_term(own.term + 1, own.own)
+        return self._open(own.term, pre_vote=False, transfer=transfer)
+
     def answered(self, reply: message.VoteReply) -> Step:
         """Count a vote."""
         if (
@@ -124,7 +151,7 @@
             request.pre_vote,
         )
 
-    def _open(self, term: int, pre_vote: bool) -> Step:
+    def _open(self, term: int, pre_vote: bool, transfer: int | None = None) -> Step:
         own = self._replica
         self._term = term
         self._pre_vote = pre_vote
@@ -141,6 +168,7 @@
                     own.log.last_index,
                     own.log.last_term,
                     pre_vote,
+                    transfer,
                 )
         return Step.NOTHING if pre_vote else Step.CANDIDATE
 
--- a/marjoramusher/consensus/message.py
+++ b/marjoramusher/consensus/message.py
@@ -85,11 +85,18 @@
 
 
 class VoteRequest(Message, frozen=True, tag=True):
-    """Ask for a vote; with `pre_vote`, ask whether one would be given."""
+    """Ask for a vote; with `pre_vote`, ask whether one would be given.
+
+    Parameters
+    ----------
+    transfer : int or None
+        Round of the `TimeoutNow` that the leader of the term before has sent.
+    """
 
     last_index: int
     last_term: int
     pre_vote: bool
+    transfer: int | None = None
 
 
 class VoteReply(Message, frozen=True, tag=True):
@@ -179,6 +186,19 @@
     stale: bool
 
 
+class TimeoutNow(Message, frozen=True, tag=True):
+    """Have a voter that holds the whole log campaign at once.
+
+    Parameters
+    ----------
+    round : int
+        Last heartbeat round before the leader gave up its lease. A voter that has
+        seen a later one knows that the leader has resumed.
+    """
+
+    round: int
+
+
 AnyMessage: TypeAlias = (
     VoteRequest
     | VoteReply
@@ -188,6 +208,7 @@
     | SnapshotReply
     | BootRegister
     | BootReply
+    | TimeoutNow
 )
 
 
@@ -253,6 +274,18 @@
     learner: VoterId
 
 
+class TransferLeadership(msgspec.Struct, frozen=True):
+    """Hand the leadership over; ignored by a node that doesn't lead.
+
+    Parameters
+    ----------
+    target : VoterId or None
+        The voter that shall lead, ``None`` for any that holds the whole log.
+    """
+
+    target: VoterId | None = None
+
+
 class ReadBarrier(msgspec.Struct, frozen=True):
     """Ask for an index from which a linearizable read can be served."""
 
@@ -278,6 +311,7 @@
     | Propose
     | ProposeBatch
     | Change
+    | TransferLeadership
     | ReadBarrier
     | Compacted
     | StoreFailed
--- a/marjoramusher/consensus/node.py
+++ b/marjoramusher/consensus/node.py
@@ -132,10 +132,16 @@
         timeout_s = self._elections.due_s if self._may_campaign() else float("inf")
         return min(timeout_s, self._boots.due_s)
 
+    @property
+    def transferring(self) -> bool:
+        """Tell whether this node leads and is handing the leadership over."""
+        return self._leadership is not None and self._leadership.transferring
+
     def has_fresh_quorum(self, now: float) -> bool:
         """Tell whether this node leads and a majority confirmed it recently."""
         return (
             self._leadership is not None
+            and self._leadership.handed_over is None
             and now - self._leadership.confirmed_s(now) <= self._settings.lease_s
         )
 
@@ -189,6 +195,9 @@
                 else:
                     refused = message.ReadRefused(read_id, self._leader)
                     self._replica.outbox.emit(refused)
+            case message.TransferLeadership(target=target):
+                if self._leadership:
+                    self._leadership.transfer(target, now)
             case message.Compacted(index=index, data=data):
                 self._replica.compact(index, data, self._settings.tail_bytes)
             case message.StoreFailed():
@@ -263,6 +272,18 @@
             case message.SnapshotReply():
                 if self._leadership:
                     self._leadership.chunk_answered(received, now)
+            case message.TimeoutNow():
+                self._take_over(received, now)
+
+    def _take_over(self, received: message.TimeoutNow, now: float) -> None:
+        """Campaign at once, unless the leader has resumed since it asked for that."""
+        if (
+            self._leader == received.sender
+            and self._may_campaign()
+            and self._elections.allows_transfer(received.round, now)
+        ):
+            self._follow(None)
+            self._elect(self._elections.take_over(received.round, now), now)
 
     def _obey(self, received: _FROM_LEADER, now: float) -> bool:
         """Follow the sender; tell whether its entries may be acknowledged."""
@@ -272,7 +293,7 @@
                 f"group {self._replica.group}: {received.sender} leads term "
                 f"{received.term} as well",
             )
-        self._elections.leader_heard(now)
+        self._elections.leader_heard(received.round, now)
         self._follow(received.sender)
         self._boots.heard_from(received.sender)
         if not self._boots.registered:
@@ -289,13 +310,25 @@
         if request.term < own.term:
             self._elections.asked(request, now)
             return
-        if self._leadership or self._elections.in_lease(now):
+        if self._refuses_vote(request, now):
             return
         if not request.pre_vote and request.term > own.term:
             own.set_term(request.term, None)
             self._follow(None)
         self._elections.asked(request, now)
 
+    def _refuses_vote(self, request: message.VoteRequest, now: float) -> bool:
+        """Tell whether a leader may rely on the vote of this node, or it leads."""
+        successor = not request.pre_vote and request.term == self._replica.term + 1
+        if self._leadership:
+            handed_over = self._leadership.handed_over
+            return (
+                not successor or handed_over is None or request.transfer != handed_over
+            )
+        return self._elections.in_lease(now) and not (
+            successor and self._elections.allows_transfer(request.transfer, now)
+        )
+
     def _elect(self, step: election.Step, now: float) -> None:
         if step is election.Step.CANDIDATE:
             self._role = message.Role.CANDIDATE
--- a/marjoramusher/consensus/node_test.py
+++ b/marjoramusher/consensus/node_test.py
@@ -11,6 +11,7 @@
 
 NAMES = ("a", "b", "c")
 FAULTS = ["crash", "torn", "cut", "mute", "heal", "compact", "wipe", "old", "remove"]
+FAULTS += ["transfer", "late"]
 
 
 class Instance:
@@ -55,7 +56,7 @@
 
     def __init__(self, seed, names=NAMES, loss=0.0, duplicate=0.0, **settings):
         self.rng, self.now, self.queue = random.Random(seed), 0.0, []
-        self.loss, self.duplicate = loss, duplicate
+        self.loss, self.duplicate, self.delay_s = loss, duplicate, {}
         self.settings = state.Settings(**settings)
         self.instances = {name: Instance(name) for name in names}
         self.cut, self.sequence, self.diskless = set(), itertools.count(), ()
@@ -127,6 +128,7 @@
             return
         for _ in range(1 + (self.rng.random() < self.duplicate)):
             at = self.now + self.rng.uniform(0.001, 0.03)
+            at += self.delay_s.get(type(sent), 0.0)
             heapq.heappush(self.queue, (at, next(self.sequence), receiver, sent))
 
     def on_Commit(self, instance, effect):
@@ -202,6 +204,9 @@
         self.step(leader.name, kind(number, *members))
         return self.refused.get(number)
 
+    def transfer(self, leader, target=None):
+        self.step(leader.name, message.TransferLeadership(target))
+
     def run(self, seconds):
         end, next_client = self.now + seconds, self.now + self.client_s
         while True:
@@ -227,7 +232,7 @@
     def heal(self):
         """End all faults; every instance must then hold all that was committed."""
         self.loss = self.duplicate = 0.0
-        self.cut = set()
+        self.cut, self.delay_s = set(), {}
         for each in self.instances.values():
             if not each.node:
                 self.start(each.name)
@@ -305,6 +310,11 @@
             pump.start(name)
         elif fault == "compact" and instance.node:
             pump.compact(name)
+        elif fault == "transfer" and fresh:
+            pump.transfer(fresh, rng.choice([None, instance.own]))
+        elif fault == "late":
+            kind = rng.choice([message.TimeoutNow, message.VoteRequest])
+            pump.delay_s = {kind: rng.uniform(0.0, 3.0)}
         else:
             pump.cut = set()
             for each in names:
@@ -589,6 +599,97 @@
     assert pump["c"].own not in {m.sender for m in registers}
 
 
+def transferred(kind, seed):
+    """Transfer under a fault; return the pump, the old leader and the target."""
+    pump = started(seed)
+    pump.client_s = 0.02
+    old = pump.leader()
+    target, other = (pump[name] for name in others(pump, old.name))
+    if kind == "message loss":
+        pump.loss = 0.3
+    elif kind == "target crash":
+        pump.crash(target.name)
+    elif kind == "stale target":
+        isolate(pump, target.name)
+        pump.run(0.3)
+    elif kind == "target behind":
+        isolate(pump, target.name)
+        pump.run(0.3)
+        pump.cut = set()
+    elif kind == "other voter crash":
+        pump.crash(other.name)
+    elif kind == "membership change":
+        pump.change(old, message.RemoveVoter, other.own)
+    elif kind == "late order":
+        pump.delay_s = {message.TimeoutNow: 2.5}
+    elif kind == "late votes":
+        pump.delay_s = {message.VoteRequest: 2.5}
+    pump.transfer(old, None if kind == "any voter" else target.own)
+    return pump, old, target
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize(
+    "kind, outcome",
+    [
+        ("no fault", "moved"),
+        ("any voter", "moved"),
+        ("target behind", "moved"),
+        ("other voter crash", "moved"),
+        ("membership change", "moved"),
+        ("target crash", "resumed"),
+        ("stale target", "resumed"),
+        ("late order", "resumed"),
+        ("message loss", "either"),
+        ("late votes", "either"),
+    ],
+)
+def test_transfer_of_leadership_loses_nothing(kind, outcome, seed):
+    """Guards against two fresh quorums, and against a group that stays leaderless."""
+    pump, old, target = transferred(kind, seed)
+    term, number = old.node.term, next(pump.sequence)
+    assert old.node.transferring
+    pump.step(old.name, message.Propose(number, b"refused"))
+    assert pump.refused[number] is errors.ErrorCode.NOT_LEADER
+    if outcome == "moved":
+        pump.run(0.5)
+        new = pump.leader()
+        assert new is not old and new.node.term == term + 1
+        assert kind == "any voter" or new is target
+    pump.run(4)
+    if outcome == "resumed":
+        assert pump.leader() is old and old.node.term == term
+    before, pump.delay_s, pump.loss = len(pump.committed), {}, 0.0
+    pump.client_s, pump.repair = 0.05, True
+    pump.run(4)
+    assert len(pump.committed) > before
+    pump.heal()
+    assert all(b"refused" not in commands for commands in pump.machines.values())
+
+
+def test_lease_is_given_up_before_the_successor_campaigns():
+    pump = started()
+    pump.client_s = float("inf")
+    pump.run(1)
+    old = pump.leader()
+    target = pump[others(pump, old.name)[0]]
+    effects = old.node.step(message.TransferLeadership(target.own), pump.now)
+    assert sends(effects, message.TimeoutNow)
+    assert not old.node.has_fresh_quorum(pump.now)
+    (refused,) = old.node.step(message.ReadBarrier(-1), pump.now)
+    assert isinstance(refused, message.ReadRefused)
+    heartbeats = old.node.step(message.Tick(), pump.now + 0.5)
+    assert {m.round for m in sends(heartbeats, message.Append)} == {0}
+
+
+@pytest.mark.parametrize("target", [None, message.VoterId("x", "x0")])
+def test_transfer_to_nobody_is_ignored(target):
+    pump = started(names=("a",) if target is None else NAMES)
+    leader = pump.leader()
+    pump.transfer(leader, target)
+    assert not leader.node.transferring and pump.run(2) is leader
+
+
 A, B, C, D = (message.VoterId(name, f"{name}0") for name in "abcd")
 
 
@@ -632,6 +733,33 @@
         assert granted == [True] * votes
 
 
+@pytest.mark.parametrize(
+    "transfer, term, at, grants",
+    [
+        pytest.param(5, 3, 1.2, True, id="from the leader of the present term"),
+        pytest.param(None, 3, 1.2, False, id="no transfer"),
+        pytest.param(4, 3, 1.2, False, id="leader has resumed"),
+        pytest.param(5, 4, 1.2, False, id="from a leader not heard of"),
+        pytest.param(5, 3, 0.6, False, id="may have forgotten a later round"),
+        pytest.param(4, 3, 2.9, True, id="lease has run out"),
+    ],
+)
+def test_vote_in_a_lease_is_given_only_to_the_chosen_successor(
+    transfer, term, at, grants
+):
+    made = member()
+    append = message.Append("g", A, B, 1, 2, 1, 1, (), 1, 5)
+    made.step(message.Receive(append), min(at, 1.1))
+    request = message.VoteRequest("g", C, B, 1, term, 1, 1, False, transfer)
+    replies = sends(made.step(message.Receive(request), at), message.VoteReply)
+    assert [each.granted for each in replies] == [True] * grants
+    order = message.TimeoutNow("g", A, B, 1, 2, transfer or 0)
+    campaign = sends(made.step(message.Receive(order), at), message.VoteRequest)
+    expected = not grants and transfer == 5 and at > 1
+    assert bool(campaign) is expected
+    assert all(each.transfer == 5 and each.term == 3 for each in campaign)
+
+
 def test_entry_of_an_older_term_is_not_committed_by_counting_copies():
     """A later leader could still replace it; Raft paper, figure 8."""
     made = member()
--- a/marjoramusher/consensus/replication.py
+++ b/marjoramusher/consensus/replication.py
@@ -1,7 +1,7 @@
 """What a leader does: replication, commit, reads, configuration changes."""
 
 from ..core import codec, errors
-from . import config, message, progress, replica, state
+from . import config, handover, message, progress, replica, state
 
 NO_CONFIG = message.GroupConfig(())
 RETRY_S = 0.5  # A snapshot chunk unanswered for this long is sent again.
@@ -20,6 +20,7 @@
 
     __slots__ = (
         "_flush_due_s",
+        "_handover",
         "_heartbeat_due_s",
         "_members",
         "_noop_index",
@@ -45,6 +46,7 @@
         self._flush_due_s = float("inf")
         self._reads: list[int] = []  # Not yet part of a heartbeat round.
         self._reading: tuple[int, int, list[int]] | None = None
+        self._handover: handover.Handover | None = None
         self._noop_index = own.log.last_index + 1
         self._update_members(self._noop_index)
         self._append([(message.EntryKind.NOOP, b"")], now)
@@ -53,7 +55,18 @@
     @property
     def due_s(self) -> float:
         """Return when `tick` has something to do."""
-        return min(self._heartbeat_due_s, self._flush_due_s)
+        deadline_s = self._handover.deadline_s if self._handover else float("inf")
+        return min(self._heartbeat_due_s, self._flush_due_s, deadline_s)
+
+    @property
+    def transferring(self) -> bool:
+        """Tell whether the leadership is being handed over."""
+        return self._handover is not None
+
+    @property
+    def handed_over(self) -> int | None:
+        """Return the last round before the lease was given up, if it was."""
+        return self._handover.round if self._handover else None
 
     @property
     def established(self) -> bool:
@@ -88,6 +101,8 @@
 
     def quorum_lost(self, now: float) -> bool:
         """Tell whether no majority has answered for an election timeout."""
+        if self.handed_over is not None:
+            return False  # No answer is asked for until the leader resumes.
         return now - self._contact_s(now) >= self._settings.election_min_s
 
     def catch_up_done(self, member: message.VoterId, now: float) -> bool:
@@ -103,6 +118,8 @@
 
     def tick(self, now: float) -> None:
         """Send heartbeats and commit indexes that are due."""
+        if self._handover and now >= self._handover.deadline_s:
+            self._resume(now)
         if now >= self._heartbeat_due_s:
             self._heartbeat(now)
         if now >= self._flush_due_s:
@@ -111,6 +128,10 @@
     def propose(self, proposals: tuple[message.Propose, ...], now: float) -> None:
         """Append commands."""
         own = self._replica
+        if self._handover:
+            for proposal in proposals:
+                self._refuse(proposal.proposal_id)
+            return
         room = own.commit + self._settings.max_uncommitted - own.log.last_index
         fresh = now - self._contact_s(now) <= self._settings.lease_s
         taken = proposals[: max(room, 0)] if fresh else ()
@@ -128,6 +149,9 @@
 
     def change(self, wanted: message.Change, now: float) -> None:
         """Append a new configuration, or refuse the change."""
+        if self._handover:
+            self._refuse(wanted.proposal_id)
+            return
         own = self._replica
         target = config.changed(own.members.current, wanted)
         code = None
@@ -144,9 +168,22 @@
 
     def read(self, read_id: int, now: float) -> None:
         """Confirm leadership for a read."""
+        if self._handover:
+            self._replica.outbox.emit(message.ReadRefused(read_id, None))
+            return
         self._reads.append(read_id)
         self._start_reads(now)
 
+    def transfer(self, target: message.VoterId | None, now: float) -> None:
+        """Take no more proposals and hand over once all is replicated."""
+        voters = self._replica.members.current.voters
+        successors = [voter for voter in voters if voter != self._replica.own]
+        wanted = target in successors if target else bool(successors)
+        if self._handover is None and wanted:
+            deadline_s = now + self._settings.election_min_s
+            self._handover = handover.Handover(target, deadline_s)
+            self._hand_over(now)
+
     def end(self) -> None:
         """Refuse the open reads."""
         opened = [*(self._reading[2] if self._reading else ()), *self._reads]
@@ -172,6 +209,7 @@
         if reply.sender in self._members:
             self._fill(reply.sender, known, now)
         self._finish_reads(now)
+        self._hand_over(now)
 
     def member_started(self, member: message.VoterId, now: float) -> None:
         """Probe a member that has registered its boot.
@@ -197,6 +235,38 @@
                 self._send_chunk(reply.sender, known, now)
         self._finish_reads(now)
 
+    def _hand_over(self, now: float) -> None:
+        """Give up the lease and have the successor campaign, if it holds all."""
+        own, open_ = self._replica, self._handover
+        last = own.log.last_index
+        if open_ is None or open_.round is not None:
+            return
+        if own.commit < last or not self.established or own.members.needs_repeat:
+            return
+        target = open_.choose(own.members.current, self._members, last)
+        if target is None:
+            return
+        self.end()
+        self._reading, self._reads = None, []
+        # Answers to rounds up to this one count for nothing from here on.
+        self._round_sent_s.clear()
+        for known in self._members.values():
+            known.heard_s = float("-inf")
+        open_.target, open_.round = target, self._round
+        open_.deadline_s = now + self._settings.election_min_s
+        own.send(message.TimeoutNow, target, open_.round)
+
+    def _resume(self, now: float) -> None:
+        """Lead on, since the successor has not taken over in time."""
+        if self.handed_over is not None:
+            self._started_s = now
+        self._handover = None
+        self._heartbeat(now)
+
+    def _refuse(self, proposal_id: int) -> None:
+        code = errors.ErrorCode.NOT_LEADER
+        self._replica.outbox.emit(message.ProposalRefused(proposal_id, code, None))
+
     def _contact_s(self, now: float) -> float:
         return max(self._started_s, self.confirmed_s(now))
 
@@ -292,15 +362,22 @@
         )
 
     def _heartbeat(self, now: float) -> None:
-        self._next_round(now)
         self._heartbeat_due_s = now + self._settings.heartbeat_s
+        number = 0  # Answers to no round count while the lease is given up.
+        if self.handed_over is None:
+            self._next_round(now)
+            number = self._round
+        else:
+            # The first one may be lost.
+            own, successor = self._replica, self._handover.target
+            own.send(message.TimeoutNow, successor, self._handover.round)
         voters = self._replica.members.voters(self._replica.commit)
         idle_s = self._settings.learner_heartbeat_s
         last = self._replica.log.last_index
         for member, known in self._members.items():
             catching_up = known.match < last and now - known.heard_s < 2 * idle_s
             if member in voters or catching_up or now - known.sent_s >= idle_s:
-                self._send_heartbeat(member, known, self._round, now)
+                self._send_heartbeat(member, known, number, now)
 
     def _next_round(self, now: float) -> None:
         self._round += 1
