Hand groups over at a drain, and back to local voters

A graceful stop left each led group to an election, and a domain group whose third voter had become leader kept it, so its commits crossed failure domains.

GroupManager.hand_over transfers each led group to a voter that is alive, not draining and holds the log, those of the group's own domain first, and waits at most 2 s. Instance.drain calls it once the requests in progress are done.

--- a/marjoramusher/consensus/replication.py
+++ b/marjoramusher/consensus/replication.py
@@ -248,10 +248,8 @@
             return
         self.end()
         self._reading, self._reads = None, []
-        # Answers to rounds up to this one count for nothing from here on.
-        self._round_sent_s.clear()
-        for known in self._members.values():
-            known.heard_s = float("-inf")
+        # The lease ends here. When the leader resumes, an election timeout later, the
+        # answers to the rounds up to this one are older than a lease lasts.
         open_.target, open_.round = target, self._round
         open_.deadline_s = now + self._settings.election_min_s
         own.send(message.TimeoutNow, target, open_.round)
--- a/marjoramusher/daemon/instance.py
+++ b/marjoramusher/daemon/instance.py
@@ -171,7 +171,7 @@
         )
 
     async def drain(self) -> bool:
-        """Refuse new work and wait for what is in progress.
+        """Refuse new work, wait for what is in progress and hand over the groups.
 
         Returns
         -------
@@ -190,6 +190,8 @@
         except TimeoutError:
             self._metrics.increment("drain_timeouts")
             return False
+        finally:
+            await self._manager.hand_over()
         return True
 
     async def stop(self) -> None:
--- /dev/null
+++ b/marjoramusher/groups/handover_test.py
@@ -0,0 +1,52 @@
+"""Guards against groups that are handed to a wrong voter, or back and forth."""
+
+import pytest
+
+from marjoramusher.consensus import message
+from marjoramusher.groups import handover
+from marjoramusher.membership import member
+
+A, B, C = (message.VoterId(name, f"{name}0") for name in "abc")
+CONFIG = message.GroupConfig((A, B, C))
+ALIVE = member.Status.ALIVE
+
+
+def view(name, domain, status=ALIVE, draining=False, store=None):
+    own = member.Member(
+        name, domain, "r1", "", "", store or f"{name}0", True, "c", 1, 0, 0, draining
+    )
+    return member.MemberView(own, status)
+
+
+@pytest.mark.parametrize(
+    "a, b, behind, all_ready, local_ready",
+    [
+        pytest.param({}, {}, (), [A, B], [A], id="local first"),
+        pytest.param({"status": member.Status.SUSPECT}, {}, (), [B], [], id="silent"),
+        pytest.param({"draining": True}, {}, (), [B], [], id="leaving"),
+        pytest.param({"store": "a1"}, {}, (), [B], [], id="replaced store"),
+        pytest.param({}, {}, (A,), [B, A], [], id="behind"),
+    ],
+)
+def test_only_a_voter_that_can_lead_gets_the_group(
+    a, b, behind, all_ready, local_ready
+):
+    others = [view("a", "d1", **a), view("b", "d2", **b), view("x", "d1")]
+
+    def holds_all(voter):
+        return voter not in behind
+
+    arguments = ("domain:d1", CONFIG, others, holds_all)
+    assert handover.successors(*arguments) == all_ready
+    assert handover.local_successors(*arguments) == local_ready
+
+
+def test_lead_is_returned_to_a_settled_voter_and_at_most_once_in_the_interval():
+    returns = handover.Returns()
+    given = {}
+    for step in range(80):  # 40 s; the voter is away from 15 s to 20 s
+        now = step / 2
+        ready = [] if 15 <= now < 20 else [A]
+        if (voter := returns.due("domain:d1", ready, now)) is not None:
+            given[now] = voter
+    assert given == {3.0: A, 13.0: A, 23.0: A, 33.0: A}
--- a/marjoramusher/groups/manager.py
+++ b/marjoramusher/groups/manager.py
@@ -19,6 +19,7 @@
     formation,
     forward,
     group,
+    handover,
     remote,
     replacement,
     runner,
@@ -32,6 +33,7 @@
 INVITE_S = 2.0
 CHANGE_S = 5.0
 REMOTE_PATIENCE_S = 2.0  # two elections of the local voters
+HANDOVER_S = 2.0  # of a group that is handed over; an election takes as long
 TICK_S = 0.5  # how late a silent instance may be noticed
 HEARTBEAT_DELAY_S = 0.25  # a heartbeat waits so long for a message to travel with
 
@@ -113,6 +115,7 @@
         self._tasks: list[asyncio.Task] = []
         self._changing: dict[str, asyncio.Task] = {}
         self._reopen_s = 0.0
+        self._returns = handover.Returns()
         self._domains_seen_s: dict[str, float] = {}
         self._entered: topology.Groups = {}
         self._store_failure = ""
@@ -236,8 +239,28 @@
             loop.create_task(self._run_duties()),
         ]
 
+    async def hand_over(self) -> None:
+        """Have others lead the groups that this instance leads, before `stop`.
+
+        A group that no other voter takes over in time is left to an election.
+        """
+        wanted = {}
+        for running in self._groups.values():
+            if running.is_leader and running.config is not None:
+                ready = handover.successors(
+                    running.name, running.config, self._others(), running.holds_all
+                )
+                if ready:
+                    wanted[running] = ready[0]
+        moved = await asyncio.gather(
+            *(running.transfer(to, HANDOVER_S) for running, to in wanted.items())
+        )
+        for running, done in zip(wanted, moved, strict=True):
+            name = "group_handovers" if done else "group_handover_errors"
+            self._metrics.increment(name, group=running.name)
+
     async def stop(self) -> None:
-        """Stop all groups; the others elect new leaders after a timeout."""
+        """Stop all groups; what is led here is left to an election."""
         tasks = [*self._tasks, *self._changing.values()]
         for task in tasks:
             task.cancel()
@@ -460,6 +483,7 @@
         self._enter_domains()
         for running in self._groups.values():
             self._change_members(running)
+            self._return_lead(running)
         self._reopen_failed()
 
     def _note_surplus(self) -> None:
@@ -630,6 +654,25 @@
                 self._change(running, wanted)
             )
 
+    def _return_lead(self, running: runner.RaftGroup) -> None:
+        """Let a local voter lead a domain group of another failure domain."""
+        own = bootstrap.domain_group(self._settings.failure_domain)
+        if running.name in (bootstrap.RECORDS, own) or running.config is None:
+            return
+        ready: list[message.VoterId] = []
+        if running.is_leader:
+            ready = handover.local_successors(
+                running.name, running.config, self._others(), running.holds_all
+            )
+        target = self._returns.due(running.name, ready, self._clock.monotonic())
+        if target is not None:
+            self._metrics.increment("group_returns", group=running.name)
+            running.start_transfer(target)
+
+    def _others(self) -> list[member.MemberView]:
+        own = self._settings.instance_id
+        return [v for v in self._joined() if v.member.instance_id != own]
+
     def _joined(self) -> list[member.MemberView]:
         cluster_id = self._identity.cluster_id
         return [v for v in self._table.views if v.member.cluster_id == cluster_id]
--- a/marjoramusher/groups/manager_test.py
+++ b/marjoramusher/groups/manager_test.py
@@ -11,7 +11,7 @@
 
 from marjoramusher.consensus import message, state
 from marjoramusher.core import codec, errors
-from marjoramusher.groups import formation, manager, runner
+from marjoramusher.groups import formation, handover, manager, runner
 from marjoramusher.instances import peers
 from marjoramusher.storage import memory
 from marjoramusher.telemetry import metrics
@@ -424,3 +424,52 @@
     with pytest.raises(errors.BadRequestError.__base__):
         await other.peers.client.call("i1", "bootstrap", body, PATIENCE_S)
     assert made.manager.own.cluster_id != "c9"
+
+
+async def test_leader_that_stops_hands_over_without_an_election_timeout(cluster):
+    """Guards against a group without a leader, and a proposal lost on the way."""
+    leader = await form(cluster)
+    other = next(made for made in cluster.instances.values() if made is not leader)
+    await other.group().propose(b"before", PATIENCE_S)
+    term = leader.group().status.term
+    leading = [n for n in leader.machines if leader.group(n).is_leader]
+    proposals = [
+        asyncio.create_task(other.group().propose(str(n).encode(), PATIENCE_S))
+        for n in range(20)
+    ]
+    await leader.manager.hand_over()
+    assert "records" in leading
+    for name in leading:
+        assert not leader.group(name).is_leader
+        assert leader.group(name).leader not in (None, leader.name)
+    await asyncio.gather(*proposals)
+    await leader.stop()
+    del cluster.instances[leader.name]
+    await other.group().propose(b"after", PATIENCE_S)
+    await other.group().barrier(PATIENCE_S)
+    assert other.group().status.term == term + 1, "one election, by the successor"
+    wanted = [b"before", *(str(n).encode() for n in range(20)), b"after"]
+    assert sorted(other.commands()) == sorted(wanted)
+
+
+async def test_stop_of_the_last_instance_waits_for_nobody(cluster):
+    made = await cluster.add("i1", "d1", 1)
+    await made.group().propose(b"a", PATIENCE_S)
+    await made.manager.hand_over()
+    assert made.group().is_leader
+
+
+async def test_remote_voter_returns_the_lead_to_a_local_one(cluster, monkeypatch):
+    monkeypatch.setattr(handover, "SETTLED_S", 0.2)
+    monkeypatch.setattr(handover, "RETURN_INTERVAL_S", PATIENCE_S)
+    for name, domain in (("i1", "d1"), ("i2", "d1"), ("i3", "d2")):
+        await cluster.add(name, domain, 3)
+    group = "domain:d1"
+    local = await until(lambda: cluster.leader(group))
+    assert local.name != "i3"
+    remote = cluster.instances["i3"].group(group)
+    voter = next(v for v in remote.config.voters if v.instance == "i3")
+    await until(lambda: local.group(group).holds_all(voter))
+    assert await local.group(group).transfer(voter, PATIENCE_S)
+    await until(lambda: cluster.leader(group) not in (None, cluster.instances["i3"]))
+    await local.group(group).propose(b"a", PATIENCE_S)
--- a/marjoramusher/groups/runner.py
+++ b/marjoramusher/groups/runner.py
@@ -338,6 +338,30 @@
         self._schedule()
         await self._await_proposal(proposal, timeout_s)
 
+    def start_transfer(self, target: message.VoterId) -> None:
+        """Have another voter lead, if this instance does."""
+        if self._node is not None:
+            self._events.append(message.TransferLeadership(target))
+            self._schedule()
+
+    async def transfer(self, target: message.VoterId, timeout_s: float) -> bool:
+        """Have another voter lead; tell whether one did before the deadline."""
+        future = asyncio.get_running_loop().create_future()
+
+        def note(change: message.RoleChanged) -> None:
+            if change.role is not message.Role.LEADER and change.leader is not None:
+                _resolve(future, None)
+
+        subscription = self._roles.subscribe(note)
+        self.start_transfer(target)
+        try:
+            await self._await(future, timeout_s)
+        except errors.NoQuorumError:
+            return False
+        finally:
+            subscription.dispose()
+        return True
+
     async def barrier_here(self, timeout_s: float) -> bytes:
         """Confirm leadership and return the packed index to wait for."""
         if self._node is None:
@@ -359,6 +383,12 @@
             learner, self._clock.monotonic()
         )
 
+    def holds_all(self, voter: message.VoterId) -> bool:
+        """Tell, at the leader, whether a voter holds all that is committed."""
+        if self._node is None:
+            return False
+        return self._node.match.get(voter, 0) >= self._node.commit_index
+
     @property
     def change_pending(self) -> bool:
         """Tell whether a change of members is not committed yet."""
