--- a/marjoramusher/groups/bootstrap.py
+++ b/marjoramusher/groups/bootstrap.py
@@ -12,6 +12,7 @@
 DOMAIN_PREFIX = "domain:"
 MAX_RECORDS_VOTERS = 5
 DOMAIN_VOTERS = 3
+LOCAL_VOTERS = 2  # of a domain's own voters, a majority when the domain is cut off
 SETTLE_S = 5.0  # how long a new domain's group waits for a second instance
 
 
@@ -126,7 +127,7 @@
 def records_voters(members: Iterable[member.Member]) -> list[member.Member]:
     """Choose one voter in each failure domain, at most five and an odd number."""
     best: dict[str, member.Member] = {}
-    for candidate in sorted(members, key=_disk_first):
+    for candidate in sorted(members, key=disk_first):
         best.setdefault(candidate.failure_domain, candidate)
     order = sorted(best.values(), key=lambda m: (not m.has_disk, m.failure_domain))
     return _largest(order, MAX_RECORDS_VOTERS)
@@ -143,7 +144,7 @@
         Number of other domains that each instance already votes for.
     """
     members = tuple(members)
-    local = sorted((m for m in members if m.failure_domain == domain), key=_disk_first)
+    local = sorted((m for m in members if m.failure_domain == domain), key=disk_first)
     regions = {m.region for m in local}
     remote = sorted(
         (m for m in members if m.failure_domain != domain and m.has_disk),
@@ -153,7 +154,7 @@
             m.instance_id,
         ),
     )
-    for split in (2, 1):
+    for split in (LOCAL_VOTERS, 1):
         chosen = local[:split] + remote[: DOMAIN_VOTERS - split]
         if len(chosen) == DOMAIN_VOTERS and is_durable(chosen):
             return chosen
@@ -187,5 +188,6 @@
     return tuple(voter_id(m) for m in members)
 
 
-def _disk_first(described: member.Member) -> tuple[bool, str]:
+def disk_first(described: member.Member) -> tuple[bool, str]:
+    """Return a sort key that puts instances with a disk first."""
     return not described.has_disk, described.instance_id
--- a/marjoramusher/groups/replacement_test.py
+++ b/marjoramusher/groups/replacement_test.py
@@ -24,6 +24,10 @@
 THREE = message.GroupConfig((A, B, C))
 UNCHANGED = [view("a"), view("b"), view("c")]
 B2 = voter("b", "2")
+X1, X2 = voter("x1"), voter("x2")
+REMOTE = message.GroupConfig((X1, A, B), (), 1)
+REMOTE_VIEWS = [view("x1", domain="x"), view("a"), view("b")]
+LOCAL = message.GroupConfig((X1, X2, A), (), 1)
 
 CASES = {
     "nothing to do": ("records", THREE, UNCHANGED, set(), None),
@@ -125,6 +129,87 @@
         set(),
         None,
     ),
+    "survivor without a disk grows": (
+        "domain:x",
+        message.GroupConfig((X1,), (A,), 1),
+        [view("x1", domain="x", disk=False), view("a"), view("b")],
+        {A},
+        message.AddVoter(0, A),
+    ),
+    "returned local instance learns": (
+        "domain:x",
+        REMOTE,
+        [*REMOTE_VIEWS, view("x2", domain="x")],
+        set(),
+        message.AddLearner(0, X2),
+    ),
+    "returned local instance that is behind waits": (
+        "domain:x",
+        message.GroupConfig(REMOTE.voters, (X2,), 1),
+        [*REMOTE_VIEWS, view("x2", domain="x")],
+        set(),
+        None,
+    ),
+    "returned local instance takes a remote voter's place": (
+        "domain:x",
+        message.GroupConfig(REMOTE.voters, (X2,), 1),
+        [*REMOTE_VIEWS, view("x2", domain="x", disk=False)],
+        {X2},
+        message.ReplaceVoter(0, A, X2),
+    ),
+    "the remote voter that is down goes": (
+        "domain:x",
+        message.GroupConfig(REMOTE.voters, (X2,), 1),
+        [REMOTE_VIEWS[0], view("a"), view("b", status=DOWN), view("x2", domain="x")],
+        {X2},
+        message.ReplaceVoter(0, B, X2),
+    ),
+    "a second local voter without a disk would leave a majority without one": (
+        "domain:x",
+        message.GroupConfig(REMOTE.voters, (X2,), 1),
+        [
+            view("x1", domain="x", disk=False),
+            *REMOTE_VIEWS[1:],
+            view("x2", domain="x", disk=False),
+        ],
+        {X2},
+        None,
+    ),
+    "a local voter that is down keeps its place": (
+        "domain:x",
+        LOCAL,
+        [
+            *REMOTE_VIEWS,
+            view("x2", domain="x", status=DOWN),
+            view("x3", domain="x"),
+        ],
+        {voter("x3")},
+        None,
+    ),
+    "a voter that is not known counts as local": (
+        "domain:x",
+        LOCAL,
+        [view("x1", domain="x"), view("a"), view("x3", domain="x")],
+        {voter("x3")},
+        None,
+    ),
+    "complete domain group drops a learner that is left over": (
+        "domain:x",
+        message.GroupConfig(LOCAL.voters, (B,), 1),
+        [*REMOTE_VIEWS, view("x2", domain="x")],
+        {B},
+        message.RemoveLearner(0, B),
+    ),
+    "a replacement that is briefly away stays a learner": (
+        "domain:x",
+        message.GroupConfig(LOCAL.voters, (voter("x2", "2"),), 1),
+        [
+            *REMOTE_VIEWS,
+            view("x2", "2", status=member.Status.SUSPECT, domain="x"),
+        ],
+        set(),
+        None,
+    ),
 }
 
 
