Split the gang placer into modules by task

Change: state shared by the parts is in state.py; each part is a module: account, profile, holder, claimant, charge, clearing, standby, attempt, dispatch, lifecycle. gang.py keeps the events. The bench renames measures by a copy.

--- a/bench/placement_bench.py
+++ b/bench/placement_bench.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable, Iterable, Iterator
 
+import msgspec
 import numpy as np
 
 from bench import measure, placement_driver, placement_load, placement_scale
@@ -68,11 +69,14 @@
             ours = drive(make_gang(seed), seed, deployment)
             theirs = drive(make_baseline(seed), seed, deployment)
             for found in _compare(ours, theirs, seed):
-                found.measure = f"{found.measure}[{deployment}]"
-                yield found
+                yield _renamed(found, deployment)
         yield from _scale(seed)
 
 
+def _renamed(found: measure.Measure, case: str) -> measure.Measure:
+    return msgspec.structs.replace(found, measure=f"{found.measure}[{case}]")
+
+
 def _compare(
     ours: placement_driver.Verdict, theirs: placement_driver.Verdict, seed: int
 ) -> Iterator[measure.Measure]:
@@ -135,8 +139,7 @@
         for name, maker in cases.items():
             ours = drive(maker(seed), seed, "A")
             for found in _compare(ours, theirs, seed):
-                found.measure = f"{found.measure}[{name}]"
-                yield found
+                yield _renamed(found, name)
         # With many jobs that can't be stopped the sums are no longer enough.
         for name, option in (("cells", ""), ("counts", "count_plan")):
             ours = drive(make_gang(seed, None, option), seed, "A", MANY_SINGLE_RUNS)
--- /dev/null
+++ b/marjoramusher/placement/charge.py
@@ -0,0 +1,161 @@
+"""Jobs charged to guaranteed gangs."""
+
+from collections.abc import Iterator, Sequence
+from typing import NamedTuple
+
+from . import claimant, decision, guarantee, holder, ledger, queue, reclaim, state
+
+# Time after which a small job may use up a larger guaranteed gang.
+SMALL_CHARGE_S = 5.0
+# Places that are compared; more rarely give a better one.
+MAX_CANDIDATES = 4
+
+
+class Option(NamedTuple):
+    """A guaranteed gang, where it would be planned, and the job's workers there."""
+
+    entry: guarantee.Entry
+    planned: tuple[str, ...]
+    workers: tuple[str, ...]
+    amounts: dict[str, ledger.Amounts]
+
+
+class Charger:
+    """Start jobs in guaranteed gangs."""
+
+    def __init__(
+        self,
+        shared: state.State,
+        holdings: holder.Holder,
+        claimants: claimant.Claimants,
+    ) -> None:
+        self._state = shared
+        self._holder = holdings
+        self._claimants = claimants
+
+    def charge(
+        self, name: str, waiting: queue.Waiting, rank: int, now: float
+    ) -> list[decision.Decision] | None:
+        """Start a job in a guaranteed gang, or make room for it."""
+        entries = self._state.plan.unused(name)
+        if not entries or self._waits(entries[0], waiting, rank, now):
+            return None
+        avoid = self._state.quarantine.avoided(now).union(waiting.job.failed_on)
+        own = [e for e in entries if not avoid.intersection(e.workers)]
+        if not own and self._state.plan.relocate(entries[0], avoid):
+            own = [entries[0]]
+        options = [
+            self._option(entry, entry.workers, waiting)
+            for entry in own[:MAX_CANDIDATES]
+        ]
+        made = self._start(options, (own or entries)[0], waiting, avoid, now)
+        if made is not None:
+            return [made]
+        options += self._others((own or entries)[0], waiting, avoid)
+        if not options:
+            # Every place has a worker that is avoided; a doubtful one is better
+            # than none.
+            options = [
+                self._option(entry, entry.workers, waiting)
+                for entry in entries[:MAX_CANDIDATES]
+            ]
+        return self._reclaim(options, waiting, now)
+
+    def _waits(
+        self, entry: guarantee.Entry, waiting: queue.Waiting, rank: int, now: float
+    ) -> bool:
+        """Tell whether a job is too small to use up a gang yet."""
+        outer = entry.guarantee.shape
+        is_small = 2 * waiting.shape.accelerators <= outer.accelerators
+        if not is_small or outer == waiting.shape or rank >= 2:
+            return False
+        return (
+            now - waiting.since < SMALL_CHARGE_S
+            or self._state.cells.locate(waiting.shape, ledger.free) is not None
+        )
+
+    def _option(
+        self, entry: guarantee.Entry, planned: tuple[str, ...], waiting: queue.Waiting
+    ) -> Option:
+        workers = guarantee.seats(entry.guarantee.shape, waiting.shape, planned)
+        each = ledger.amounts_of(waiting.shape.each)
+        return Option(entry, planned, workers, ledger.spread(workers, each))
+
+    def _others(
+        self, entry: guarantee.Entry, waiting: queue.Waiting, avoid: set[str]
+    ) -> Iterator[Option]:
+        """Yield places where a guaranteed gang might be planned instead."""
+        shape = entry.guarantee.shape
+        places = self._state.cells.candidates(shape, ledger.firm_free, avoid)
+        for planned in reclaim.first(places, MAX_CANDIDATES):
+            yield self._option(entry, planned, waiting)
+
+    def _start(
+        self,
+        options: Sequence[Option],
+        entry: guarantee.Entry,
+        waiting: queue.Waiting,
+        avoid: set[str],
+        now: float,
+    ) -> decision.Place | None:
+        """Start a job where nothing has to stop.
+
+        Workers that a waiting gang has reserved are taken only if no others are free.
+        """
+        reserved = self._state.reserves.all_workers()
+        free_now = [
+            option
+            for option in options
+            if reclaim.room_for(self._state.ledger, option.amounts)
+        ]
+        for option in free_now:
+            if reserved.isdisjoint(option.workers):
+                return self._place(option, waiting, now)
+        shape = entry.guarantee.shape
+        elsewhere = self._state.cells.locate(shape, ledger.solid_free, avoid | reserved)
+        if elsewhere is None and not free_now and reserved:
+            elsewhere = self._state.cells.locate(shape, ledger.solid_free, avoid)
+        if elsewhere is not None:
+            return self._place(self._option(entry, elsewhere, waiting), waiting, now)
+        return self._place(free_now[0], waiting, now) if free_now else None
+
+    def _place(
+        self, option: Option, waiting: queue.Waiting, now: float
+    ) -> decision.Place:
+        self._plan_on(option)
+        return self._holder.place(
+            waiting, option.workers, ledger.CHARGED, option.entry, now
+        )
+
+    def _reclaim(
+        self, options: Sequence[Option], waiting: queue.Waiting, now: float
+    ) -> list[decision.Decision] | None:
+        """Stop the borrowers of the cheapest place."""
+        best = None
+        for option in options:
+            victims = reclaim.choose_victims(
+                self._state.ledger, option.amounts, reclaim.victims_of(3), now
+            )
+            if victims is None:
+                continue
+            cost = (reclaim.stop_cost(victims, now), len(victims))
+            if best is None or cost < best[0]:
+                best = (cost, option, victims)
+        if best is None:
+            return None
+        _, option, victims = best
+        self._plan_on(option)
+        return self._claimants.claim(
+            waiting,
+            option.workers,
+            option.amounts,
+            ledger.CHARGED,
+            option.entry,
+            victims,
+            now,
+        )
+
+    def _plan_on(self, option: Option) -> None:
+        if option.planned != option.entry.workers:
+            self._state.plan.unassign(option.entry)
+            self._state.plan.assign(option.entry, option.planned)
