--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -9,6 +9,7 @@
 from bench import (
     consensus_slopes,
     domain_slopes,
+    peer_slopes,
     role_slopes,
     sweep,
     telemetry_slopes,
@@ -19,6 +20,7 @@
     + consensus_slopes.SWEEPS
     + role_slopes.SWEEPS
     + telemetry_slopes.SWEEPS
+    + peer_slopes.SWEEPS
 )
 
 
