Let a best effort gang move normal jobs

Cause: a best effort gang of a whole rack waits as long as any normal job runs on each rack, although there is room for that job elsewhere.

Change: a move is allowed whatever the gang's rank, unless the borrower is urgent. The borrower still must fit elsewhere at once. A table test covers who may be moved.

--- a/marjoramusher/placement/clearing.py
+++ b/marjoramusher/placement/clearing.py
@@ -62,7 +62,6 @@
             self._state.ledger,
             self._state.cells,
             waiting.shape,
-            lane.rank,
             wait_s,
             avoid,
             now,
--- a/marjoramusher/placement/fragmentation.py
+++ b/marjoramusher/placement/fragmentation.py
@@ -58,23 +58,23 @@
     book: ledger.Ledger,
     cells: cell.Cells,
     shape: resource.GangShape,
-    rank: int,
     wait_s: float,
     avoid: Collection[str],
     now: float,
 ) -> Move | None:
     """Weigh moving borrowers against waiting until they end.
 
-    A borrower is moved only if it is smaller than the gang, not of higher rank, and
-    fits elsewhere at once. Since only smaller jobs are moved, a moved job never
-    moves the gang in return, so moves can't go in a circle.
+    A borrower is moved only if it is smaller than the gang, not urgent, and fits
+    elsewhere at once. Since only smaller jobs are moved, a moved job never moves the
+    gang in return, so moves can't go in a circle. A best effort gang may move normal
+    jobs, since they only change their place.
     """
     each = ledger.amounts_of(shape.each)
     best: tuple[float, Move] | None = None
 
     def may_move(holding: ledger.Holding) -> bool:
         return (
-            holding.rank <= min(rank, 1)
+            holding.rank <= 1
             and holding.accelerators < max(2, shape.accelerators)
             and now - holding.moved_at >= MOVE_PAUSE_S
         )
