Stop backfilled jobs and move others for one gang

Cause: a waiting gang started either by stopping what was backfilled or by moving others. With some of both on its workers it did neither.

Change: a move may also stop what was backfilled; that part is not counted as a loss and need not fit elsewhere.

--- a/marjoramusher/placement/fragmentation.py
+++ b/marjoramusher/placement/fragmentation.py
@@ -67,7 +67,8 @@
     A borrower is moved only if it is smaller than the gang, not urgent, and fits
     elsewhere at once. Since only smaller jobs are moved, a moved job never moves the
     gang in return, so moves can't go in a circle. A best effort gang may move normal
-    jobs, since they only change their place.
+    jobs, since they only change their place. What was backfilled is stopped in any
+    case when the gang can start, so it is neither spared nor counted as a loss.
     """
     each = ledger.amounts_of(shape.each)
     best: tuple[float, Move] | None = None
@@ -76,7 +77,7 @@
         return (
             holding.rank <= 1
             and holding.accelerators < max(2, shape.accelerators)
-            and now - holding.moved_at >= MOVE_PAUSE_S
+            and (holding.backfilled or now - holding.moved_at >= MOVE_PAUSE_S)
         )
 
     gain = max(1, shape.accelerators) * wait_s
@@ -86,10 +87,12 @@
         victims = reclaim.choose_victims(book, amounts, may_move, now)
         if not victims or len(victims) > MAX_MOVED:
             continue
-        cost = reclaim.stop_cost(victims, now)
+        # What was backfilled runs on borrowed time and need not fit elsewhere.
+        moved = [victim for victim in victims if not victim.backfilled]
+        cost = reclaim.stop_cost(moved, now)
         if GAIN_FACTOR * cost > gain or (best is not None and cost >= best[0]):
             continue
-        if _fit_elsewhere(book, cells, victims, set(amounts)):
+        if _fit_elsewhere(book, cells, moved, set(amounts)):
             best = (cost, Move(workers, victims))
     return best[1] if best is not None else None
 
--- a/marjoramusher/placement/fragmentation_test.py
+++ b/marjoramusher/placement/fragmentation_test.py
@@ -31,6 +31,8 @@
         (0, {"moved_at": NOW - 10.0}, 4, False),
         (0, {"moved_at": NOW - 40.0}, 4, True),
         (0, {}, 0, False),
+        (0, {"backfilled": True}, 0, True),
+        (0, {"backfilled": True, "moved_at": NOW - 10.0}, 0, True),
     ],
 )
 def test_a_borrower_moves_only_if_it_loses_little(rank, fields, elsewhere, is_moved):
