--- a/bench/measure.py
+++ b/bench/measure.py
@@ -32,6 +32,8 @@
         sign, bound = self.target.split()
         if sign == "<=":
             return self.value <= float(bound)
+        if sign == "<":
+            return self.value < float(bound)
         if sign == ">=":
             return self.value >= float(bound)
         return self.value == float(bound)
--- a/bench/measure_test.py
+++ b/bench/measure_test.py
@@ -10,6 +10,8 @@
     [
         ("<= 1.3", 1.3, True),
         ("<= 1.3", 1.31, False),
+        ("< 1", 0.9, True),
+        ("< 1", 1.0, False),
         (">= 0.9", 0.89, False),
         ("== 0", 0, True),
         ("== 0", 1, False),
