--- a/bench/main.py
+++ b/bench/main.py
@@ -2,6 +2,7 @@
 
 import importlib
 import os
+import re
 import sys
 from collections.abc import Callable, Iterator, Sequence
 
@@ -30,6 +31,16 @@
         "job_completion_mean_ratio",
         "job_completion_p99_ratio",
         "fragmentation_share",
+        "fragmentation_share_any_wait",
+        "placement_idle_us",
+        "placement_decision_slope",
+        "reclaim_silent_p99_s",
+        "reclaim_silent_count",
+        "reclaim_count",
+        "urgent_start_count",
+        "shortfall_false",
+        "job_refused_wrongly",
+        "worker_quarantined_wrongly",
         "urgent_start_p99_s",
         "reclaim_p99_s",
         "guarantee_broken",
@@ -46,6 +57,8 @@
         "instance_request_cpu_ms",
         "instance_claimed_request_cpu_ms",
         "instance_peak_cpu_share",
+        "worker_announcement_cpu_ms",
+        "worker_announcements_per_s",
         "config_in_force_p99_s",
         "config_in_force_p50_s",
         "claim_added_p50_ms",
@@ -66,7 +79,7 @@
         ).measures
         options = {"quick": quick} if module == "process_bench" else {}
         for found in measures(seeds, **options):
-            name = found.measure.partition("/")[0]
+            name = re.split(r"[/\[]", found.measure, maxsplit=1)[0]
             if not only or module in only or name in only:
                 yield found
 
