--- a/marjoramusher/placement/fragmentation.py
+++ b/marjoramusher/placement/fragmentation.py
@@ -10,7 +10,7 @@
 MAX_CANDIDATES = 4
 MAX_MOVED = 16
 # A job that was moved runs at least this long before it is moved again.
-MOVE_PAUSE_S = 120.0
+MOVE_PAUSE_S = 30.0
 
 
 def stranded_share(book: ledger.Ledger, shape: resource.GangShape) -> float:
@@ -58,25 +58,26 @@
     book: ledger.Ledger,
     cells: cell.Cells,
     shape: resource.GangShape,
-    rank: int,
     wait_s: float,
     avoid: Collection[str],
     now: float,
 ) -> Move | None:
     """Weigh moving borrowers against waiting until they end.
 
-    A borrower is moved only if it is smaller than the gang, not of higher rank, and
-    fits elsewhere at once. Since only smaller jobs are moved, a moved job never
-    moves the gang in return, so moves can't go in a circle.
+    A borrower is moved only if it is smaller than the gang, not urgent, and fits
+    elsewhere at once. Since only smaller jobs are moved, a moved job never moves the
+    gang in return, so moves can't go in a circle. A best effort gang may move normal
+    jobs, since they only change their place. What was backfilled is stopped in any
+    case when the gang can start, so it is neither spared nor counted as a loss.
     """
     each = ledger.amounts_of(shape.each)
     best: tuple[float, Move] | None = None
 
     def may_move(holding: ledger.Holding) -> bool:
         return (
-            holding.rank <= min(rank, 1)
+            holding.rank <= 1
             and holding.accelerators < max(2, shape.accelerators)
-            and now - holding.moved_at >= MOVE_PAUSE_S
+            and (holding.backfilled or now - holding.moved_at >= MOVE_PAUSE_S)
         )
 
     gain = max(1, shape.accelerators) * wait_s
@@ -86,10 +87,12 @@
         victims = reclaim.choose_victims(book, amounts, may_move, now)
         if not victims or len(victims) > MAX_MOVED:
             continue
-        cost = reclaim.stop_cost(victims, now)
+        # What was backfilled runs on borrowed time and need not fit elsewhere.
+        moved = [victim for victim in victims if not victim.backfilled]
+        cost = reclaim.stop_cost(moved, now)
         if GAIN_FACTOR * cost > gain or (best is not None and cost >= best[0]):
             continue
-        if _fit_elsewhere(book, cells, victims, set(amounts)):
+        if _fit_elsewhere(book, cells, moved, set(amounts)):
             best = (cost, Move(workers, victims))
     return best[1] if best is not None else None
 
