Split the gang core into modules of one job each

The class GangCore stays in gang.py and only dispatches events. Its parts share domain.Domain and live in modules of their own: rpc (calls to workers), exchange (events and effects), attempt (state of a gang), lifecycle, stop, report, answer, presence (announcements, leases and silence), gate (start of placement), expiry (contracts), plan (decisions of the placer) and proposal. The driver, the client, the benches and the tests import the types from their new modules.

The tests keep their assertions, and the golden file is unchanged.

--- a/bench/domain_load.py
+++ b/bench/domain_load.py
@@ -10,7 +10,7 @@
 from marjoramusher.core import announcement, codec, errors, job, record, resource
 from marjoramusher.jobs import command, machine
 from marjoramusher.placement import gang as placement
-from marjoramusher.workers import gang
+from marjoramusher.workers import attempt, exchange, gang, rpc
 
 DOMAIN = placement_load.DOMAIN
 TASKS_PER_WORKER = 33_000 / 5_800
@@ -19,11 +19,11 @@
 USAGE = resource.Resources(1, 4, 3_900)
 
 _STATES = {
-    gang.Method.PREPARE: announcement.TaskState.PREPARED,
-    gang.Method.START: announcement.TaskState.RUNNING,
-    gang.Method.CHECKPOINT: announcement.TaskState.RUNNING,
-    gang.Method.THROTTLE: announcement.TaskState.RUNNING,
-    gang.Method.STOP: announcement.TaskState.STOPPED,
+    rpc.Method.PREPARE: announcement.TaskState.PREPARED,
+    rpc.Method.START: announcement.TaskState.RUNNING,
+    rpc.Method.CHECKPOINT: announcement.TaskState.RUNNING,
+    rpc.Method.THROTTLE: announcement.TaskState.RUNNING,
+    rpc.Method.STOP: announcement.TaskState.STOPPED,
 }
 
 
@@ -140,11 +140,11 @@
         self._commit(
             command.SubmitJob(self._now, spec, f"key-{self._serial}", "f" * 32)
         )
-        self.step(gang.Applied())
+        self.step(exchange.Applied())
 
     def end(self) -> int:
         """End one running job by itself and return its number of tasks."""
-        running = [one for one in self.core.gangs if one.phase is gang.Phase.RUNNING]
+        running = [one for one in self.core.gangs if one.phase is attempt.Phase.RUNNING]
         chosen = self._rng.choice(running)
         touched = set()
         for task in chosen.tasks.values():
@@ -175,11 +175,11 @@
             self._workers[worker], url="http://10.0.0.1:9000", tasks=tasks
         )
 
-    def announce(self, worker: str) -> list[gang.Effect]:
+    def announce(self, worker: str) -> list[exchange.Effect]:
         """Let a worker announce itself."""
         if worker in self._silent:
             return []
-        return self.step(gang.Announced(self.said(worker)))
+        return self.step(exchange.Announced(self.said(worker)))
 
     def announce_all(self) -> None:
         """Let every worker announce itself once."""
@@ -188,26 +188,26 @@
 
     def tick(self) -> None:
         """Let the driver's timer pass."""
-        self.step(gang.Ticked())
+        self.step(exchange.Ticked())
 
     def advance(self, seconds: float) -> None:
         """Let virtual time pass without events."""
         self._now += seconds
 
-    def step(self, event: gang.Event) -> list[gang.Effect]:
+    def step(self, event: exchange.Event) -> list[exchange.Effect]:
         """Take one event and carry out all that follows from it."""
         first = self._step(event)
         queue = collections.deque(first)
         while queue:
             effect = queue.popleft()
-            if isinstance(effect, gang.Propose):
+            if isinstance(effect, exchange.Propose):
                 error = self._commit(effect.command)
-                queue.extend(self._step(gang.Proposed(effect.command, error)))
-            elif isinstance(effect, gang.Call):
+                queue.extend(self._step(exchange.Proposed(effect.command, error)))
+            elif isinstance(effect, rpc.Call):
                 queue.extend(self._step(self._call(effect)))
         return first
 
-    def _step(self, event: gang.Event) -> list[gang.Effect]:
+    def _step(self, event: exchange.Event) -> list[exchange.Effect]:
         before = time.process_time()
         effects = self.core.step(event, self._now, self._now)
         self.cost.core_s += time.process_time() - before
@@ -226,21 +226,21 @@
             return error.body()
         return None
 
-    def _call(self, call: gang.Call) -> gang.Answered:
+    def _call(self, call: rpc.Call) -> exchange.Answered:
         self.cost.calls += 1
         self.cost.call_bytes += len(codec.to_json(call.order))
         if call.worker in self._silent:
-            return gang.Answered(call)
+            return exchange.Answered(call)
         state = _STATES[call.method]
         checkpoint = call.order.checkpoint
         report = announcement.TaskReport(
             call.task_id, call.gang_epoch, state, checkpoint, usage=USAGE
         )
-        if call.method is gang.Method.STOP:
+        if call.method is rpc.Method.STOP:
             self._held[call.worker].pop(call.task_id, None)
         else:
             self._held[call.worker][call.task_id] = report
-        return gang.Answered(call, report)
+        return exchange.Answered(call, report)
 
 
 def make_shape(tasks: int, accelerators: int) -> resource.GangShape:
--- a/bench/domain_slopes.py
+++ b/bench/domain_slopes.py
@@ -5,7 +5,7 @@
 from bench import domain_load, sweep
 from marjoramusher.core import announcement, codec
 from marjoramusher.jobs import machine
-from marjoramusher.workers import gang
+from marjoramusher.workers import exchange
 
 ROUNDS = 200
 ANNOUNCED = 2000
@@ -45,7 +45,7 @@
     domain.cost = domain_load.Cost()
     for name in names:
         for effect in domain.announce(name):
-            if isinstance(effect, gang.Reply):
+            if isinstance(effect, exchange.Reply):
                 reply = announcement.WorkerReply("", effect.renewals, effect.stop)
                 replies.append(codec.to_json(reply))
     return {
@@ -128,8 +128,8 @@
     began = domain.now
     worst_s = busy_until = 0.0
     fed_s = 0.0
-    for step in range(120):
-        if step % 10 == 0:
+    for tick in range(120):
+        if tick % 10 == 0:
             before_s = cost.core_s
             domain.announce_all()
             fed_s += cost.core_s - before_s
--- a/bench/telemetry_slopes.py
+++ b/bench/telemetry_slopes.py
@@ -8,7 +8,7 @@
 
 from bench import sweep
 from marjoramusher.telemetry import metrics
-from marjoramusher.workers import client, gang
+from marjoramusher.workers import client, rpc
 
 CALLS = 300
 HISTOGRAMS = (
@@ -51,14 +51,14 @@
 async def _calls(together: int) -> sweep.Values:
     port, stop = _start_worker()
     tasks = client.TaskClient("")
-    call = gang.Call(
+    call = rpc.Call(
         "job-d1-1",
         "job-d1-1.0",
         1,
         "w1",
         f"http://127.0.0.1:{port}",
-        gang.Method.START,
-        gang.Order(1),
+        rpc.Method.START,
+        rpc.Order(1),
     )
     await tasks.call(call)
     before = time.thread_time()
--- a/marjoramusher/workers/client.py
+++ b/marjoramusher/workers/client.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from ..core import announcement, codec, errors
-from . import gang
+from . import rpc
 
 CALL_TIMEOUT_S = 1.0
 TRIES = 2
@@ -17,7 +17,7 @@
 MAX_STOPS = 64  # apart, so that stops of a dead rack don't delay the start of others
 MAX_ANSWER_BYTES = 64 * 1024
 
-TRIES_OF = {gang.Method.STOP: 1, gang.Method.THROTTLE: 1}
+TRIES_OF = {rpc.Method.STOP: 1, rpc.Method.THROTTLE: 1}
 """A stop is repeated by the core until the lease of the task is over."""
 
 
@@ -37,7 +37,7 @@
         self._stops = asyncio.Semaphore(MAX_STOPS)
         self._session: aiohttp.ClientSession | None = None
 
-    async def call(self, order: gang.Call) -> announcement.TaskReport:
+    async def call(self, order: rpc.Call) -> announcement.TaskReport:
         """Make one call and return the task as the worker describes it then.
 
         Raises
@@ -48,7 +48,7 @@
         PeerUnreachableError
             If it did not answer; the call may still have arrived.
         """
-        is_stop = order.method is gang.Method.STOP
+        is_stop = order.method is rpc.Method.STOP
         async with self._stops if is_stop else self._calls:
             last: Exception | None = None
             for _ in range(TRIES_OF.get(order.method, TRIES)):
@@ -64,7 +64,7 @@
             await self._session.close()
             self._session = None
 
-    async def _once(self, order: gang.Call) -> announcement.TaskReport:
+    async def _once(self, order: rpc.Call) -> announcement.TaskReport:
         if self._session is None:
             # Calls are rare. A connection for each can't have gone silent before it.
             connector = aiohttp.TCPConnector(
@@ -93,7 +93,7 @@
             ) from error
 
 
-def _refusal(order: gang.Call, status: int, body: bytes) -> errors.MarjoramusherError:
+def _refusal(order: rpc.Call, status: int, body: bytes) -> errors.MarjoramusherError:
     text = body[:200].decode("utf-8", "replace")
     code = (
         errors.ErrorCode.STALE_EPOCH
--- a/marjoramusher/workers/driver.py
+++ b/marjoramusher/workers/driver.py
@@ -12,7 +12,7 @@
 from ..jobs import command, machine
 from ..placement import placer
 from ..telemetry import log, metrics
-from . import gang
+from . import exchange, gang, rpc
 
 TICK_S = 0.1  # while something is under way
 IDLE_TICK_S = 0.5  # a new role or a commit wakes the driver earlier
@@ -25,7 +25,7 @@
 class Caller(Protocol):
     """Call one worker."""
 
-    async def call(self, order: gang.Call) -> announcement.TaskReport:
+    async def call(self, order: rpc.Call) -> announcement.TaskReport:
         """Make one call; see `client.TaskClient`."""
 
 
@@ -122,9 +122,9 @@
         core = self._core
         if core is None or not self._group.is_leader:
             raise errors.NotLeaderError(self._group.leader)
-        effects = self._step(gang.Announced(said))
+        effects = self._step(exchange.Announced(said))
         for effect in effects:
-            if isinstance(effect, gang.Reply):
+            if isinstance(effect, exchange.Reply):
                 return announcement.WorkerReply("", effect.renewals, effect.stop)
         raise AssertionError("an announcement is always answered")
 
@@ -152,8 +152,8 @@
                 configuration = self._configuration()
                 if configuration.revision != self._revision:
                     self._revision = configuration.revision
-                    self._step(gang.Configured(configuration))
-                self._step(gang.Ticked())
+                    self._step(exchange.Configured(configuration))
+                self._step(exchange.Ticked())
                 await self._wait()
         finally:
             self._resign()
@@ -192,7 +192,7 @@
         if self._core is not None:
             self._kick.set()
 
-    def _step(self, event: gang.Event) -> list[gang.Effect]:
+    def _step(self, event: exchange.Event) -> list[exchange.Effect]:
         core = self._core
         if core is None:
             return []
@@ -206,9 +206,9 @@
             self._failed(error)
             raise
         for effect in effects:
-            if isinstance(effect, gang.Call):
+            if isinstance(effect, rpc.Call):
                 self._spawn(self._call(core, effect))
-            elif isinstance(effect, gang.Propose):
+            elif isinstance(effect, exchange.Propose):
                 self._spawn(self._propose(core, effect.command))
         return effects
 
@@ -229,17 +229,17 @@
         self._generation += 1
         self._kick.set()
 
-    async def _call(self, core: gang.GangCore, call: gang.Call) -> None:
+    async def _call(self, core: gang.GangCore, call: rpc.Call) -> None:
         if not self._group.is_leader:
             return
         method = call.method.value
         self._metrics.increment("task_calls", method=method)
         try:
             report = await self._tasks.call(call)
-            event = gang.Answered(call, report)
+            event = exchange.Answered(call, report)
         except errors.MarjoramusherError as error:
             self._metrics.increment("task_call_failures", method=method)
-            event = gang.Answered(call, None, error.code, error.message)
+            event = exchange.Answered(call, None, error.code, error.message)
         if self._core is core:
             self._step(event)
             self._kick.set()
@@ -255,7 +255,7 @@
             error = failure.body()
             self._metrics.increment("job_proposals_refused", code=error.code.value)
         if self._core is core:
-            self._step(gang.Proposed(value, error))
+            self._step(exchange.Proposed(value, error))
             self._kick.set()
 
     def _note(self, item: model.Job) -> None:
--- a/marjoramusher/workers/driver_test.py
+++ b/marjoramusher/workers/driver_test.py
@@ -17,7 +17,7 @@
 from marjoramusher.jobs import command, machine
 from marjoramusher.placement import baseline
 from marjoramusher.telemetry import metrics
-from marjoramusher.workers import client, driver, gang, handlers, table
+from marjoramusher.workers import client, driver, handlers, rpc, table
 from standins import worker as standin
 
 STATES = model.JobState
@@ -217,14 +217,14 @@
 
 
 async def _call(domain, method, epoch, task_id="job-fd-a-9.0", **fields):
-    call = gang.Call(
+    call = rpc.Call(
         "job-fd-a-9",
         task_id,
         epoch,
         "w0",
         domain.workers[0].url,
-        gang.Method(method),
-        gang.Order(epoch, **fields),
+        rpc.Method(method),
+        rpc.Order(epoch, **fields),
     )
     try:
         return (await domain.tasks.call(call)).state.value
--- a/marjoramusher/workers/gang_test.py
+++ b/marjoramusher/workers/gang_test.py
@@ -17,7 +17,7 @@
 from marjoramusher.jobs import command, machine
 from marjoramusher.placement import baseline, decision
 from marjoramusher.placement import gang as placement
-from marjoramusher.workers import gang, table
+from marjoramusher.workers import attempt, exchange, gang, plan, rpc, stop, table
 
 RUNNING, STATES = announcement.TaskState.RUNNING, model.JobState
 START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
@@ -47,7 +47,7 @@
         self.progress_s = round(self.run_s - max(0.0, self.run_until - now), 3)
 
     def expire(self, now):
-        if self.state in gang.LIVE and now >= self.lease_until:
+        if self.state in attempt.LIVE and now >= self.lease_until:
             self.state = announcement.TaskState.STOPPED
         elif self.state is RUNNING and now >= self.run_until:
             self.state = announcement.TaskState.DONE
@@ -81,19 +81,19 @@
         fresh = epoch > self.seen.get(call.task_id, 0)
         self.seen[call.task_id] = epoch
         task = self.tasks.get(call.task_id)
-        if call.method is gang.Method.PREPARE and fresh:
+        if call.method is rpc.Method.PREPARE and fresh:
             until = now + order.lease_s
             task = FakeTask(epoch, until, order.checkpoint, order.progress_s)
             self.tasks[call.task_id] = task
-        elif call.method is gang.Method.STOP:
+        elif call.method is rpc.Method.STOP:
             if task and task.state is not announcement.TaskState.DONE:
                 task.state = announcement.TaskState.STOPPED
         elif task is None or task.epoch != epoch or task.state.value == "stopped":
             return None
-        elif call.method is gang.Method.START and task.state.value == "prepared":
+        elif call.method is rpc.Method.START and task.state.value == "prepared":
             task.start(now, run_s)
             self.starts[call.job_id].add(epoch)
-        elif call.method is gang.Method.CHECKPOINT:
+        elif call.method is rpc.Method.CHECKPOINT:
             task.save(now, order.checkpoint)
         if task is None:
             state = announcement.TaskState.STOPPED
@@ -173,7 +173,7 @@
     def apply(self, value):
         data = self.jobs.apply(0, command.encode(value))
         result = command.result(data)
-        self.step(gang.Applied())
+        self.step(exchange.Applied())
         return result
 
     def submit(self, tasks=3, accelerators=8, **fields):
@@ -183,7 +183,7 @@
 
     def step(self, event):
         effects = self.core.step(event, self.now, self.at)
-        self.queue.extend(e for e in effects if not isinstance(e, gang.Reply))
+        self.queue.extend(e for e in effects if not isinstance(e, exchange.Reply))
         return effects
 
     def carry_out(self, effect):
@@ -191,7 +191,7 @@
         bent = self.fault(self, effect)
         if bent == "dropped":
             return
-        if isinstance(effect, gang.Propose):
+        if isinstance(effect, exchange.Propose):
             self.trace.append(f"{self.now:.1f} propose {_show(effect.command)}")
             error = NO_QUORUM if bent else None
             if bent != "lost":
@@ -199,7 +199,7 @@
                     self.apply(effect.command)
                 except errors.MarjoramusherError as failure:
                     error = failure.body()
-            self.step(gang.Proposed(effect.command, error))
+            self.step(exchange.Proposed(effect.command, error))
             return
         name = f"{effect.method.value} {effect.task_id} epoch {effect.order.epoch}"
         self.trace.append(f"{self.now:.1f} {effect.worker} {name}")
@@ -224,9 +224,9 @@
             code = errors.ErrorCode.STALE_EPOCH
         elif report is None:
             code = errors.ErrorCode.PEER_UNREACHABLE
-        answer = gang.Answered(effect, report, code)
+        answer = exchange.Answered(effect, report, code)
         if code is errors.ErrorCode.PEER_UNREACHABLE:
-            tries = 1 if effect.method is gang.Method.STOP else 2
+            tries = 1 if effect.method is rpc.Method.STOP else 2
             self.later.append((self.now + tries * 1.0, self.core, answer))
         else:
             self.step(answer)
@@ -237,15 +237,15 @@
             for number, worker in enumerate(self.workers.values()):
                 worker.expire(self.now)
                 if worker.alive and round(self.now * 10) % 10 == number:
-                    for effect in self.step(gang.Announced(worker.announcement())):
-                        if isinstance(effect, gang.Reply):
+                    for effect in self.step(exchange.Announced(worker.announcement())):
+                        if isinstance(effect, exchange.Reply):
                             worker.replied(effect, self.now)
             due = [entry for entry in self.later if entry[0] <= self.now]
             self.later = [entry for entry in self.later if entry[0] > self.now]
             for _, core, answer in due:
                 if core is self.core:
                     self.step(answer)
-            self.step(gang.Ticked())
+            self.step(exchange.Ticked())
             while self.queue:
                 self.carry_out(self.queue.popleft())
                 self.check()
@@ -283,7 +283,7 @@
 
 
 def _refuse(session, effect):
-    return "refused" if isinstance(effect, gang.Call) else None
+    return "refused" if isinstance(effect, rpc.Call) else None
 
 
 def _lose_answer(session, effect):
@@ -291,18 +291,18 @@
 
 
 def _kill(session, effect):
-    name = effect.worker if isinstance(effect, gang.Call) else "w1"
+    name = effect.worker if isinstance(effect, rpc.Call) else "w1"
     session.workers[name].alive = False
 
 
 def _restart(session, effect):
-    name = effect.worker if isinstance(effect, gang.Call) else "w1"
+    name = effect.worker if isinstance(effect, rpc.Call) else "w1"
     session.workers[name].tasks.clear()
     session.workers[name].incarnation += 1
 
 
 def _forget(session, effect):
-    name = effect.worker if isinstance(effect, gang.Call) else "w1"
+    name = effect.worker if isinstance(effect, rpc.Call) else "w1"
     session.workers[name].tasks.clear()
 
 
@@ -314,7 +314,7 @@
 
 def _depose_after(session, effect):
     """Let the effect happen although the leader that wanted it is gone."""
-    if isinstance(effect, gang.Propose):
+    if isinstance(effect, exchange.Propose):
         with contextlib.suppress(errors.MarjoramusherError):
             session.apply(effect.command)
     else:
@@ -437,7 +437,7 @@
     job_id = session.submit(tasks=1)
     session.fault = lambda session, effect: (
         "dropped"
-        if isinstance(effect, gang.Call) and held.append(effect) is None
+        if isinstance(effect, rpc.Call) and held.append(effect) is None
         else None
     )
     held = []
@@ -448,15 +448,15 @@
     report = announcement.TaskReport(
         prepare.task_id, 1, announcement.TaskState.PREPARED
     )
-    effects = session.step(gang.Answered(prepare, report))
-    assert [e.method for e in effects] == [gang.Method.STOP]
+    effects = session.step(exchange.Answered(prepare, report))
+    assert [e.method for e in effects] == [rpc.Method.STOP]
 
 
 def test_late_reports_and_answers_of_old_epochs_change_nothing():
     session = Session(run_s=60.0)
     calls = []
     session.fault = lambda session, effect: (
-        calls.append(effect) if isinstance(effect, gang.Call) else None
+        calls.append(effect) if isinstance(effect, rpc.Call) else None
     )
     job_id = session.submit()
     session.advance(3.0)
@@ -471,19 +471,19 @@
     for call in [call for call in calls if call.gang_epoch == 1]:
         for state in announcement.TaskState:
             report = announcement.TaskReport(call.task_id, 1, state, "old", 9.0)
-            session.step(gang.Answered(call, report))
-        session.step(gang.Answered(call, None, errors.ErrorCode.TARGET_FAILED))
+            session.step(exchange.Answered(call, report))
+        session.step(exchange.Answered(call, None, errors.ErrorCode.TARGET_FAILED))
     task = item.allocation.tasks[0]
     stale = session.workers[task.worker].announcement()
     reports = (announcement.TaskReport(task.task_id, 1, announcement.TaskState.FAILED),)
     stale = msgspec.structs.replace(stale, tasks=reports)
-    effects = session.step(gang.Announced(stale))
-    assert effects == [gang.Reply((), ())]
+    effects = session.step(exchange.Announced(stale))
+    assert effects == [exchange.Reply((), ())]
     older = msgspec.structs.replace(
         session.workers[task.worker].announcement(), incarnation=0
     )
     with pytest.raises(errors.MarjoramusherError):
-        session.step(gang.Announced(older))
+        session.step(exchange.Announced(older))
     session.advance(TICK_S)
     assert session.jobs.snapshot() == before
 
@@ -492,7 +492,7 @@
     expires_at = START + datetime.timedelta(seconds=expires_s)
     contract = record.Contract("contract", "acct", "fd-a", expires_at, grace_s)
     session.configuration = record.Configuration(1, contracts={"contract": contract})
-    session.step(gang.Configured(session.configuration))
+    session.step(exchange.Configured(session.configuration))
 
 
 def test_gang_that_loses_a_worker_in_its_grace_stops_at_once():
@@ -545,7 +545,7 @@
     """A checkpoint that not every task confirms must not be resumed from."""
 
     def bend(session, effect):
-        call = isinstance(effect, gang.Call) and effect.method.value == "checkpoint"
+        call = isinstance(effect, rpc.Call) and effect.method.value == "checkpoint"
         if fault and call and effect.worker == "w1":
             session.fault = lambda session, effect: None
             return fault(session, effect)
@@ -564,7 +564,7 @@
     assert item.checkpoint == (f"{job_id}@1" if complete else "")
     assert item.progress_s >= 1.5 if complete else item.progress_s == 0.0
     if fault is None:
-        assert session.now <= 3.0 + gang.RECLAIM_GRACE_S + 3 * TICK_S
+        assert session.now <= 3.0 + stop.RECLAIM_GRACE_S + 3 * TICK_S
 
 
 def test_incomplete_checkpoint_keeps_the_one_before():
@@ -603,7 +603,7 @@
 def test_rejections_wait_until_the_workers_are_back():
     session = Session(workers=2)
     job_id = session.submit(tasks=5)
-    session.advance(gang.REJECT_AFTER_S - 1.0)
+    session.advance(plan.REJECT_AFTER_S - 1.0)
     assert session.jobs.job(job_id).state is STATES.QUEUED
     assert session.until_ended(job_id).error.code is errors.ErrorCode.JOB_INFEASIBLE
     shape = resource.GangShape(1, resource.Resources(9))
@@ -616,7 +616,7 @@
     session.advance(3.0)
     task = session.jobs.job(job_id).allocation.tasks[0]
     session.fault = lambda session, effect: (
-        "lost" if isinstance(effect, gang.Propose) and session.now < 4.0 else None
+        "lost" if isinstance(effect, exchange.Propose) and session.now < 4.0 else None
     )
     session.policy.extra = (
         decision.QuarantineWorker("w3", "fails everything"),
@@ -629,7 +629,7 @@
         task.task_id, 1, RUNNING, usage=resource.Resources(8, 99)
     )
     said = session.workers[task.worker].announcement()
-    session.step(gang.Announced(msgspec.structs.replace(said, tasks=(used,))))
+    session.step(exchange.Announced(msgspec.structs.replace(said, tasks=(used,))))
     assert session.policy.told[-1] == (task.task_id, 99)
     session.elect()
     assert session.policy.told == ["w3"]
@@ -679,7 +679,7 @@
         case 1:
             worker.deaf = not worker.deaf
         case 2:
-            _restart(session, gang.Call("", "", 0, worker.name, "", None, None))
+            _restart(session, rpc.Call("", "", 0, worker.name, "", None, None))
         case 3:
             session.elect()
         case 4 | 5 if jobs:
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -46,7 +46,7 @@
 
 
 class Order(msgspec.Struct):
-    """Body of a call; see `marjoramusher.workers.gang.Order`."""
+    """Body of a call; see `marjoramusher.workers.rpc.Order`."""
 
     epoch: int
     lease_s: float = 4.0
