Spare the cells that a guarantee lacks

Borrowers that can't be stopped took the last whole workers, and the shortfall lasted after the workers had returned.

Change: while a guarantee has no room, such a borrower takes no cell of its size, for at most 300 s of waiting. A test covers it.

Tried and not kept: an exhaustive search where the greedy plan fails.

--- a/marjoramusher/placement/attempt.py
+++ b/marjoramusher/placement/attempt.py
@@ -21,6 +21,9 @@
 # Workers announce themselves within this time; until then a job that fits nowhere
 # may fit a worker that is yet to come.
 SETTLE_S = 30.0
+# A job that can't be stopped waits at most this long for the sake of a guarantee that
+# has no room, since such a shortfall may last until operators change the guarantee.
+SPARE_S = 300.0
 # Places that are compared; more rarely give a better one.
 MAX_CANDIDATES = 4
 
@@ -130,12 +133,18 @@
         shape, is_repeatable = waiting.shape, waiting.job.spec.repeatable
         cells, counted = self._state.cells, self._state.counts
         found = cells.locate(shape, ledger.solid_free, avoid)
+        if (
+            found is not None
+            and not is_repeatable
+            and not self._keeps_cells(waiting, found, now)
+        ):
+            found = None
         if found is None and (
             is_repeatable or counted is not None and counted.allows(shape)
         ):
             found = cells.locate(shape, ledger.free, avoid)
         if found is None and not is_repeatable:
-            found = self._locate_vacated(shape, avoid)
+            found = self._locate_vacated(waiting, avoid, now)
         if found is None and self._state.quarantine.may_return(waiting.job.job_id, now):
             doubtful = self._state.quarantine.avoided(now)
             found = cells.locate(shape, ledger.solid_free, doubtful)
@@ -206,16 +215,27 @@
         return self._state.cells.locate(shape, ledger.free) is not None
 
     def _locate_vacated(
-        self, shape: resource.GangShape, avoid: set[str]
+        self, waiting: queue.Waiting, avoid: set[str], now: float
     ) -> tuple[str, ...] | None:
         """Return free workers that unused guarantees can be planned away from."""
-        each = ledger.amounts_of(shape.each)
-        places = self._state.cells.candidates(shape, ledger.free, avoid)
+        each = ledger.amounts_of(waiting.shape.each)
+        places = self._state.cells.candidates(waiting.shape, ledger.free, avoid)
         for workers in reclaim.first(places, MAX_CANDIDATES):
+            if not self._keeps_cells(waiting, workers, now):
+                continue
             if self._state.plan.vacate(ledger.spread(workers, each)):
                 return workers
         return None
 
+    def _keeps_cells(
+        self, waiting: queue.Waiting, workers: tuple[str, ...], now: float
+    ) -> bool:
+        """Tell whether a job that can't be stopped spares what a guarantee lacks."""
+        if now - waiting.since >= SPARE_S:
+            return True
+        each = ledger.amounts_of(waiting.shape.each)
+        return self._state.plan.keeps_cells(ledger.spread(workers, each))
+
     def _never_fits(self, lane: queue.Lane, waiting: queue.Waiting, now: float) -> bool:
         if self.settled_at is None or now < self.settled_at:
             return False
--- a/marjoramusher/placement/guarantee.py
+++ b/marjoramusher/placement/guarantee.py
@@ -303,6 +303,21 @@
         self._ledger.set_firm(amounts, -1)
         return is_kept
 
+    def keeps_cells(self, amounts: Mapping[str, ledger.Amounts]) -> bool:
+        """Tell whether a job that can't be stopped takes no cell from a shortfall.
+
+        An entry without workers has no room to defend, so without this check such
+        jobs would keep it from being planned when workers return.
+        """
+        units = {cell.unit_of(e.guarantee.shape)[1] for e in self._unplanned}
+        for worker_id, part in amounts.items():
+            have = ledger.firm_free(self._ledger.worker(worker_id))
+            left = (have[0] - part[0], have[1] - part[1], have[2] - part[2])
+            for each in units:
+                if ledger.count_slots(left, each) < ledger.count_slots(have, each):
+                    return False
+        return True
+
     def _restore(self, before: dict[Entry, tuple[str, ...]]) -> None:
         for entry in before:
             self.unassign(entry)
--- a/marjoramusher/placement/guarantee_test.py
+++ b/marjoramusher/placement/guarantee_test.py
@@ -218,3 +218,24 @@
     (stop,) = placer_test.of_kind(made, decision.Stop)
     assert stop.reason is decision.StopReason.DEFRAGMENT
     assert stop.on_behalf_of == "big"
+
+
+# The guaranteed pair has no room while r1 has lost a worker. A job that can't be
+# stopped may use up a broken cell, but not the last whole worker of r1.
+@pytest.mark.parametrize(("half_used", "is_placed"), [(False, False), (True, True)])
+def test_jobs_that_cannot_be_stopped_leave_a_shortfall_its_cells(half_used, is_placed):
+    placer = gang.make_placer(random.Random(1), "d")
+    placer.configure(placer_test.guaranteed(1, shape(2)), 0.0)
+    for name in ("w0", "w1"):
+        placer.worker_up(placer_test.worker(name, "r1"), 0.0)
+    if half_used:
+        placer.worker_up(placer_test.worker("w2", "r2", accelerators=7), 0.0)
+    placer.plan(0.0)
+    placer.worker_down("w1", 1.0)
+    placer.plan(1.0)
+    assert [s.missing_gangs for s in placer.shortfalls(1.0)] == [1]
+    placer.job_changed(queued("b", shape(1, 4), "b", repeatable=False), 2.0)
+    assert bool(placer_test.places(placer.plan(2.0))) is is_placed
+    placer.worker_up(placer_test.worker("w1", "r1", incarnation=2), 3.0)
+    placer.plan(3.0)
+    assert not list(placer.shortfalls(3.0))
