Plan guarantees again once a gang is unused or a claim is given up

Cause: a guarantee without room was planned again only after some amounts had changed. A job that ended and left its guaranteed gang whole changed none, though that gang may now be planned elsewhere. Shortfalls were named where there was room.

Change: the end of a charged job and a claim of an unstoppable job that is given up allow another rearrangement. A test covers the first.

--- a/marjoramusher/placement/claimant.py
+++ b/marjoramusher/placement/claimant.py
@@ -101,6 +101,7 @@
         self._state.ledger.set_aside(claim.amounts, -1)
         if claim.is_firm:
             self._state.ledger.set_firm(claim.amounts, -1)
+            self._state.plan.capacity_changed()
 
     def _drop(self, claim: reclaim.Claim, now: float) -> None:
         """Give up a claim's workers and queue its job again."""
--- a/marjoramusher/placement/guarantee.py
+++ b/marjoramusher/placement/guarantee.py
@@ -207,7 +207,8 @@
         usable = all(self._ledger.worker(w).is_open for w in entry.workers)
         if len(entry.workers) != shape.tasks or full != entry.amounts or not usable:
             self.unassign(entry)
-            self._is_repacked = False
+        # An unused entry can be moved, which may make room for another.
+        self._is_repacked = False
 
     def assign(
         self,
--- a/marjoramusher/placement/guarantee_test.py
+++ b/marjoramusher/placement/guarantee_test.py
@@ -239,3 +239,26 @@
     placer.worker_up(placer_test.worker("w1", "r1", incarnation=2), 3.0)
     placer.plan(3.0)
     assert not list(placer.shortfalls(3.0))
+
+
+# The pair has no room in r0 while a job uses the single gang there. Once that job is
+# over the single gang moves to r1; without another attempt the shortfall stays.
+def test_a_gang_that_is_no_longer_used_makes_room_for_another():
+    configuration = record.Configuration(
+        1,
+        guarantees={
+            name: record.GuaranteedShape(name, name, "d", 1, shape(tasks))
+            for name, tasks in (("single", 1), ("pair", 2))
+        },
+    )
+    placer = gang.make_placer(random.Random(1), "d")
+    placer.configure(configuration, 0.0)
+    placer.worker_up(placer_test.worker("w0", "r0"), 0.0)
+    _, running = submit(placer, queued("j", account="single"))
+    placer.worker_up(placer_test.worker("w1", "r0"), 1.0)
+    placer.worker_up(placer_test.worker("w2", "r1"), 1.0)
+    placer.plan(1.0)
+    assert [s.guarantee for s in placer.shortfalls(1.0)] == ["pair"]
+    placer.job_changed(after(running, job.JobState.DONE), 2.0)
+    placer.plan(2.0)
+    assert not list(placer.shortfalls(2.0))
