Discard only the stale group of an instance, not its whole store

Cause: after a recovery with loss each member that held dropped entries discarded its whole store. Two instances that did so at once cost every other group in which both vote its majority for good.

Change: StaleStore tells whether only the group is concerned (a newer epoch has dropped committed entries) or the folder is an old copy. In the first case the group alone gets a new store id and a folder of its own. The ids are kept in the identity file, changed before the old state is removed, and told to the others in the member description (additive fields with defaults), so that the leader replaces the vote in just that group. An old copy still discards everything, since all its groups are old.

The assertion on StaleStore in node_test.py now also demands group_only.

--- a/marjoramusher/consensus/message.py
+++ b/marjoramusher/consensus/message.py
@@ -402,7 +402,16 @@
 
 
 class StaleStore(msgspec.Struct, frozen=True):
-    """A peer has seen a later boot of this store: discard it and start anew."""
+    """The store is an old copy: discard it and start anew.
+
+    Parameters
+    ----------
+    group_only : bool
+        Only this group's state is to be discarded, since a recovery with loss has
+        dropped entries that are committed here.
+    """
+
+    group_only: bool = False
 
 
 Effect: TypeAlias = (
--- a/marjoramusher/consensus/node.py
+++ b/marjoramusher/consensus/node.py
@@ -305,7 +305,7 @@
         if not self._boots.registered:
             return False
         if self._follower.diverged(received):
-            self._discard()
+            self._discard(group_only=True)
         return not self._halted
 
     def _vote(self, request: message.VoteRequest, now: float) -> None:
@@ -400,9 +400,9 @@
         self._halted = True
         self._follow(None)
 
-    def _discard(self) -> None:
+    def _discard(self, group_only: bool = False) -> None:
         self._halt()
-        self._replica.outbox.emit(message.StaleStore())
+        self._replica.outbox.emit(message.StaleStore(group_only))
 
     def _report(self) -> None:
         """Emit changes of role, term, leader and members, once each."""
--- a/marjoramusher/consensus/node_test.py
+++ b/marjoramusher/consensus/node_test.py
@@ -854,6 +854,6 @@
     effects = made.step(message.Receive(append), 0.2)
     answers = [(m.success, m.match) for m in sends(effects, message.AppendReply)]
     assert answers == ([answer] if answer else [])
-    assert (message.StaleStore() in effects) is (answer is None)
+    assert (message.StaleStore(group_only=True) in effects) is (answer is None)
     campaign = sends(made.step(message.Tick(), 9.0), message.VoteRequest)
     assert campaign == [], "the members of the old epoch must not elect a leader"
--- a/marjoramusher/groups/bootstrap.py
+++ b/marjoramusher/groups/bootstrap.py
@@ -167,9 +167,9 @@
     return diskless <= (len(voters) - 1) // 2
 
 
-def voter_id(described: member.Member) -> message.VoterId:
-    """Return the id under which an instance votes."""
-    return message.VoterId(described.instance_id, described.store_id)
+def voter_id(described: member.Member, group: str = "") -> message.VoterId:
+    """Return the id under which an instance votes in a group."""
+    return message.VoterId(described.instance_id, described.store_of(group))
 
 
 def _largest(order: Sequence[member.Member], limit: int) -> list[member.Member]:
--- a/marjoramusher/groups/manager.py
+++ b/marjoramusher/groups/manager.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import random
 from collections.abc import Callable
 
@@ -121,6 +122,7 @@
         self._store_failure = ""
         self._duty_failure = ""
         self._stale = False
+        self._stale_groups: set[str] = set()
         self._surplus = False
         self._duties_due = asyncio.Event()
 
@@ -310,6 +312,7 @@
             int(self._clock.utcnow().timestamp() * 1000),
             0,
             self._revision.number,
+            stores=tuple(sorted(self._identity.stores.items())),
         )
         start_s = runner.next_point(self._clock.monotonic())
         self._table = table.Table(own, settings.seeds, start_s)
@@ -321,7 +324,7 @@
         }
         if self._files is not None:
             stored = identity.group_names(self._files, self._identity.store_id)
-            names.update(stored)
+            names.update(stored, self._identity.stores)
         for name in sorted(names):
             self._start_group(name)
 
@@ -340,23 +343,24 @@
                 self._clock,
                 self._rng,
                 self._metrics,
-                self._note_stale,
+                functools.partial(self._note_stale, name),
                 self._limits(name),
             )
             self._groups[name] = running
             if name == bootstrap.RECORDS:
                 running.applied.subscribe(lambda _: self._note_topology())
         current = self._identity
+        store_id = current.store_of(name)
         if self._files is None:
             kept: store.Store = self._memory.setdefault(name, store.MemoryStore())
             initial = self._initial.get(name)
         else:
-            folder = identity.group_folder(current.store_id, name)
+            folder = identity.group_folder(store_id, name)
             kept = store.DiskStore(self._files, folder)
             initial = formation.read_initial(
-                self._files, current.store_id, name, current.cluster_id
+                self._files, store_id, name, current.cluster_id
             )
-        own = message.VoterId(current.instance_id, current.store_id)
+        own = message.VoterId(current.instance_id, store_id)
         running.start(
             kept,
             runner.Membership(own, self._files is None, current.boot, initial),
@@ -394,9 +398,28 @@
         if self._table is None:
             self._make_table()
         else:
-            self._describe(store_id=self._identity.store_id)
+            self._describe(store_id=self._identity.store_id, stores=())
         self._open_groups()
         self._stale = False
+        self._stale_groups.clear()
+
+    def _discard_group(self, name: str) -> None:
+        """Become a replacement in one group; the votes in others are kept.
+
+        Several members of a recovered group discard at once. If each discarded its
+        whole store, another group could lose its majority for good.
+        """
+        self._groups[name].reset()
+        self._initial.pop(name, None)
+        self._memory.pop(name, None)
+        self._identity = identity.discard_group(
+            self._files, self._identity, name, self._rng
+        )
+        stores = self._identity.stores
+        log.state_change("group.discarded", group=name, store_id=stores[name])
+        self._describe(stores=tuple(sorted(stores.items())))
+        self._start_group(name)
+        self._stale_groups.discard(name)
 
     def _describe(self, **fields: object) -> None:
         own = msgspec.structs.replace(self._table.own, **fields)
@@ -404,8 +427,11 @@
 
         self._step_table(table.Tick())  # tells the others of a change at once
 
-    def _note_stale(self) -> None:
-        self._stale = True
+    def _note_stale(self, name: str, group_only: bool) -> None:
+        if group_only:
+            self._stale_groups.add(name)
+        else:
+            self._stale = True
         self._duties_due.set()
 
     # Membership.
@@ -478,6 +504,8 @@
     async def _do_duties(self) -> None:
         if self._stale:
             self._discard()
+        for name in sorted(self._stale_groups):
+            self._discard_group(name)
         self._join()
         if bootstrap.is_due(
             self._table.views, self._table.own, self._settings.bootstrap_expect
@@ -573,12 +601,13 @@
     def _write_initial(self, groups: topology.Groups, cluster_id: str = "") -> None:
         current = self._identity
         if self._files is not None:
-            formation.write_initial(
-                self._files,
-                current.store_id,
-                groups,
-                cluster_id or current.cluster_id,
-            )
+            for name, config in groups.items():
+                formation.write_initial(
+                    self._files,
+                    current.store_of(name),
+                    {name: config},
+                    cluster_id or current.cluster_id,
+                )
         self._initial.update(groups)
 
     def _set_cluster(self, cluster_id: str) -> None:
@@ -623,8 +652,8 @@
 
     def _enter_domains(self) -> None:
         """Start the domain groups that count on this store from the beginning."""
-        own = bootstrap.voter_id(self._table.own)
         for name, config in self._topology.groups.items():
+            own = bootstrap.voter_id(self._table.own, name)
             running = self._groups.get(name)
             if own in config.voters and (running is None or running.config is None):
                 self._write_initial({name: config})
@@ -720,7 +749,8 @@
 
     def _receive_raft(self, sender: str, body: bytes) -> None:
         received = codec.unpack(body, message.AnyMessage)
-        own = message.VoterId(self._identity.instance_id, self._identity.store_id)
+        current = self._identity
+        own = message.VoterId(current.instance_id, current.store_of(received.group))
         if received.sender.instance != sender or received.receiver != own:
             self._metrics.increment("raft_misdirected", peer=sender)
             return
--- a/marjoramusher/groups/manager_test.py
+++ b/marjoramusher/groups/manager_test.py
@@ -380,6 +380,42 @@
         assert back.group().config.epoch == 1
 
 
+async def test_member_of_a_recovered_group_keeps_its_votes_in_other_groups(cluster):
+    """Guards against a second group that loses its majority by the recovery."""
+    for name, domain in (("i1", "d1"), ("i2", "d1"), ("i3", "d2"), ("i4", "d2")):
+        await cluster.add(name, domain, 4)
+    made = cluster.instances
+    await until(lambda: all(m.manager.formed for m in made.values()))
+    await made["i1"].group("domain:d1").propose(b"a", PATIENCE_S)
+    await made["i2"].group("domain:d2").propose(b"kept", PATIENCE_S)
+    before = {name: m.manager.own.store_id for name, m in made.items()}
+    made["i1"].peers.cut({"i2", "i3", "i4"})
+    await until(lambda: made["i1"].group("domain:d1").leader is None)
+    for n in range(5):
+        await made["i2"].group("domain:d1").propose(str(n).encode(), PATIENCE_S)
+    made["i1"].manager.recover_with_loss("domain:d1")
+    await made["i1"].group("domain:d1").propose(b"new", PATIENCE_S)
+    made["i1"].peers.cut(set())
+
+    def recovered():
+        config = made["i1"].group("domain:d1").config
+        voters = {voter.instance for voter in config.voters}
+        return len(voters) == 3 and voters > {"i1", "i2"} and not config.learners
+
+    await until(recovered)
+    await made["i2"].group("domain:d1").propose(b"after", PATIENCE_S)
+    await made["i2"].group("domain:d1").barrier(PATIENCE_S)
+    assert made["i2"].commands("domain:d1") == [b"a", b"new", b"after"]
+    assert {name: m.manager.own.store_id for name, m in made.items()} == before
+    for name in ("i3", "i4"):
+        assert made[name].commands("domain:d2") == [b"kept"]
+    again = await cluster.restart("i2")
+    await again.group("domain:d1").propose(b"restarted", PATIENCE_S)
+    await again.group("domain:d1").barrier(PATIENCE_S)
+    assert again.commands("domain:d1") == [b"a", b"new", b"after", b"restarted"]
+    assert again.manager.own.stores, "the group's own store id is kept"
+
+
 async def test_group_with_a_leader_is_not_recovered(cluster):
     leader = await form(cluster)
     await leader.group().propose(b"a", PATIENCE_S)
--- a/marjoramusher/groups/replacement.py
+++ b/marjoramusher/groups/replacement.py
@@ -34,7 +34,7 @@
         if view.status is member.Status.ALIVE:
             alive[view.member.instance_id] = view.member
     return (
-        _replace(config, known, alive, caught_up)
+        _replace(group, config, known, alive, caught_up)
         or _grow(group, config, alive, caught_up)
         or _localize(group, config, known, alive, caught_up)
         or _learn(group, config, alive)
@@ -42,6 +42,7 @@
 
 
 def _replace(
+    group: str,
     config: message.GroupConfig,
     known: dict[str, member.Member],
     alive: dict[str, member.Member],
@@ -49,9 +50,9 @@
 ) -> message.Change | None:
     for old in config.voters:
         described = alive.get(old.instance)
-        if described is None or described.store_id == old.store:
+        if described is None or described.store_of(group) == old.store:
             continue
-        new = bootstrap.voter_id(described)
+        new = bootstrap.voter_id(described, group)
         if new in config.voters:
             continue
         if new not in config.learners:
@@ -94,7 +95,7 @@
     for candidate in wanted:
         if candidate.instance_id in present:
             continue
-        new = bootstrap.voter_id(candidate)
+        new = bootstrap.voter_id(candidate, group)
         if new not in config.learners:
             return message.AddLearner(0, new)
         after = [alive[instance] for instance in present] + [candidate]
@@ -140,7 +141,7 @@
         if m.failure_domain == domain and m.instance_id not in present
     ]
     for candidate in sorted(candidates, key=bootstrap.disk_first):
-        new = bootstrap.voter_id(candidate)
+        new = bootstrap.voter_id(candidate, group)
         for old in remote:
             if not _stays_durable(config, known, old, candidate):
                 continue
@@ -178,7 +179,7 @@
     known = {*config.voters, *config.learners}
     voting = {voter.instance for voter in config.voters}
     for described in alive.values():
-        new = bootstrap.voter_id(described)
+        new = bootstrap.voter_id(described, group)
         if new not in known and described.instance_id not in voting:
             return message.AddLearner(0, new)
     return None
--- a/marjoramusher/groups/runner.py
+++ b/marjoramusher/groups/runner.py
@@ -93,7 +93,8 @@
     forwarder : Forwarder
         Carries calls to the leader.
     on_stale : callable
-        Called when a peer shows that the store is an old copy.
+        Called when a peer shows that the store is an old copy, with whether only
+        this group's state is.
     """
 
     def __init__(
@@ -105,7 +106,7 @@
         time: clock.Clock,
         rng: random.Random,
         values: metrics.Metrics,
-        on_stale: Callable[[], None],
+        on_stale: Callable[[bool], None],
         limits: Limits | None = None,
     ) -> None:
         self._name = name
@@ -512,10 +513,10 @@
                     voters=[v.instance for v in config.voters],
                     learners=[v.instance for v in config.learners],
                 )
-            case message.StaleStore():
+            case message.StaleStore(group_only=group_only):
                 log.state_change("group.stale_store", group=self._name)
                 self._failure = "the store is an old copy"
-                self._on_stale()
+                self._on_stale(group_only)
 
     def _apply(self, entries: tuple[message.Entry, ...]) -> None:
         for entry in entries:
--- a/marjoramusher/membership/member.py
+++ b/marjoramusher/membership/member.py
@@ -28,6 +28,8 @@
         Raised with each change within one incarnation.
     records_revision : int
         Configuration revision in force; heartbeats carry it without a new version.
+    stores : tuple of (str, str)
+        Groups that were started anew on their own, and their store ids.
     """
 
     instance_id: str
@@ -42,12 +44,17 @@
     version: int = 0
     records_revision: int = 0
     draining: bool = False
+    stores: tuple[tuple[str, str], ...] = ()
 
     @property
     def stamp(self) -> tuple[int, int]:
         """Return what decides which of two descriptions is newer."""
         return self.incarnation, self.version
 
+    def store_of(self, group: str) -> str:
+        """Return the store id under which the instance votes in a group."""
+        return dict(self.stores).get(group, self.store_id)
+
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
     """Sign of life, with descriptions only where the receiver may lack them.
--- a/marjoramusher/storage/identity.py
+++ b/marjoramusher/storage/identity.py
@@ -22,12 +22,19 @@
         Number of process starts on this folder.
     cluster_id : str
         Empty until the instance has been bootstrapped or has joined.
+    stores : dict of str to str
+        Store ids of the groups that were started anew on their own.
     """
 
     instance_id: str
     store_id: str
     boot: int = 1
     cluster_id: str = ""
+    stores: dict[str, str] = {}
+
+    def store_of(self, group: str) -> str:
+        """Return the store id under which the instance votes in a group."""
+        return self.stores.get(group, self.store_id)
 
 
 def new(instance_id: str, rng: random.Random, cluster_id: str = "") -> Identity:
@@ -61,7 +68,7 @@
     else:
         current = msgspec.structs.replace(stored, boot=stored.boot + 1)
     document.write(files, PATH, current)
-    _sweep(files, current.store_id)
+    _sweep(files, current)
     return current
 
 
@@ -83,7 +90,36 @@
     """
     current = new(instance_id, rng, cluster_id)
     document.write(files, PATH, current)
-    _sweep(files, current.store_id)
+    _sweep(files, current)
+    return current
+
+
+def discard_group(
+    files: filesystem.FileSystem | None,
+    current: Identity,
+    group: str,
+    rng: random.Random,
+) -> Identity:
+    """Give one group a new store and remove the state of its old one.
+
+    The new store has a folder of its own, so that a process that dies in between
+    never finds the old state under the new id.
+
+    Parameters
+    ----------
+    files : FileSystem or None
+        ``None`` for a diskless instance.
+
+    Raises
+    ------
+    StoreFailedError
+        If the folder can't be changed.
+    """
+    stores = {**current.stores, group: rng.randbytes(STORE_ID_BYTES).hex()}
+    current = msgspec.structs.replace(current, stores=stores)
+    if files is not None:
+        document.write(files, PATH, current)
+        _sweep(files, current)
     return current
 
 
@@ -98,12 +134,20 @@
     return [name.replace("=", ":") for name in names]
 
 
-def _sweep(files: filesystem.FileSystem, store_id: str) -> None:
+def _sweep(files: filesystem.FileSystem, current: Identity) -> None:
+    """Remove what belongs to no store of the present identity."""
+    kept = {current.store_id, *current.stores.values()}
+    replaced = {name.replace(":", "=") for name in current.stores}
+    shared = f"{GROUPS}/{current.store_id}"
     try:
-        old = [name for name in files.names(GROUPS) if name != store_id]
-        for name in old:
-            files.remove(f"{GROUPS}/{name}")
-        if old:
-            files.sync_folder(GROUPS)
+        _remove(files, GROUPS, [n for n in files.names(GROUPS) if n not in kept])
+        _remove(files, shared, [n for n in files.names(shared) if n in replaced])
     except OSError as failure:
         raise error.StoreFailedError(str(failure)) from failure
+
+
+def _remove(files: filesystem.FileSystem, folder: str, names: list[str]) -> None:
+    for name in names:
+        files.remove(f"{folder}/{name}")
+    if names:
+        files.sync_folder(folder)
--- a/marjoramusher/storage/identity_test.py
+++ b/marjoramusher/storage/identity_test.py
@@ -39,6 +39,28 @@
     assert files.names(identity.GROUPS) == ([now.store_id] if kept else [])
 
 
+@pytest.mark.parametrize("operation", ["write", "rename", "sync_folder", "remove"])
+def test_interrupted_discard_of_a_group_never_shows_old_state_under_the_new_id(
+    operation,
+):
+    files = memory.MemoryFileSystem()
+    old = identity.boot(files, "i1", random.Random(1))
+    for name in ("domain:a", "domain:b"):
+        path = identity.group_folder(old.store_id, name)
+        document.write(files, f"{path}/log", 1)
+    files.fail(operation)
+    with pytest.raises(error.StoreFailedError):
+        identity.discard_group(files, old, "domain:a", random.Random(2))
+    files.heal()
+    files.lose_unsynced()
+    now = identity.boot(files, "i1", random.Random(3))
+    changed = now.store_of("domain:a") != old.store_id
+    kept = identity.group_names(files, old.store_id)
+    assert kept == (["domain:b"] if changed else ["domain:a", "domain:b"])
+    assert changed == bool(now.stores)
+    assert now.store_of("domain:b") == now.store_id == old.store_id
+
+
 CASES = {
     "damaged": lambda files: files.flip(identity.PATH, 30),
     "cut": lambda files: files.cut(identity.PATH, 10),
