Send no call to a leader that has fallen silent

Cause: a leader that is cut off steps down on its own timer. Its followers name it as leader until their own election timeouts, so a proposal went to the isolated instance, waited for the whole deadline and ended as unknown ('instance i1 did not answer'). A call that a cut link held back also stayed lost after the link was healed, unlike a TCP segment, which is sent again.

Change: calls go only to a leader of which one of the last heartbeats has arrived; otherwise the forwarder asks others and waits. A call held back by a swallowing cut goes on when the link is healed; one still held back at its deadline stays unknown.

The three new test cases fail without the change.

--- a/marjoramusher/consensus/election.py
+++ b/marjoramusher/consensus/election.py
@@ -71,6 +71,11 @@
             )
         )
 
+    @property
+    def contact_s(self) -> float:
+        """Return when the leader was last heard."""
+        return self._contact_s
+
     def leader_heard(self, heard_round: int, now: float) -> None:
         """Note that the leader of this term is alive."""
         self._seen = max(self._seen, (self._replica.term, heard_round))
--- a/marjoramusher/consensus/node.py
+++ b/marjoramusher/consensus/node.py
@@ -77,6 +77,10 @@
         """Return the known leader of this term."""
         return self._leader
 
+    def leader_silent_s(self, now: float) -> float:
+        """Return for how long nothing has come from the known leader."""
+        return 0.0 if self._leadership else now - self._elections.contact_s
+
     @property
     def config(self) -> message.GroupConfig | None:
         """Return the configuration in force, None if the node knows no group."""
--- a/marjoramusher/groups/manager.py
+++ b/marjoramusher/groups/manager.py
@@ -785,7 +785,7 @@
     async def _answer_leader(self, sender: str, body: bytes) -> bytes:
         del sender
         running = self._groups.get(body.decode(errors="replace"))
-        leader = running.leader if running is not None else None
+        leader = running.live_leader if running is not None else None
         return (leader or "").encode()
 
     async def _answer_status(self, sender: str, body: bytes) -> bytes:
--- a/marjoramusher/groups/manager_test.py
+++ b/marjoramusher/groups/manager_test.py
@@ -7,6 +7,7 @@
 import random
 import time
 
+import msgspec
 import pytest
 
 from marjoramusher.consensus import message, state
@@ -229,6 +230,21 @@
     assert other.commands()[-1] == b"after"
 
 
+async def test_call_is_not_sent_to_a_leader_that_has_fallen_silent(cluster):
+    """Guards against a lost call while followers still count on an isolated leader."""
+    slow = msgspec.structs.replace(FAST, election_min_s=2.0, election_max_s=2.5)
+    for name in ("i1", "i2", "i3"):
+        limits = runner.Limits(node=slow)
+        await cluster.add(name, name.replace("i", "d"), 3, limits=limits)
+    leader = await until(cluster.leader)
+    other = next(made for made in cluster.instances.values() if made is not leader)
+    await other.group().barrier(PATIENCE_S)
+    leader.peers.cut(set(cluster.instances) - {leader.name})
+    await asyncio.sleep(0.5)
+    assert other.group().leader == leader.name, "no election is due yet"
+    assert await other.group().propose(b"a", PATIENCE_S) == b"A"
+
+
 async def test_isolated_leader_tells_the_truth_and_rejoins(cluster):
     leader = await form(cluster)
     others = {name for name in cluster.instances if name != leader.name}
--- a/marjoramusher/groups/runner.py
+++ b/marjoramusher/groups/runner.py
@@ -27,6 +27,7 @@
 GRID_S = 0.25  # heartbeats of all groups of an instance leave in one wake-up
 ALIGN_S = 0.1  # what a leader has to do sooner than this is no heartbeat
 IDLE_S = 1.0
+SILENT_BEATS = 2.5  # one lost heartbeat does not keep calls from the leader
 MAX_COMMAND_BYTES = 2 * 1024 * 1024  # an entry has to fit into one peer message
 
 
@@ -164,6 +165,22 @@
         known = self._node.leader if self._node else None
         return known.instance if known else None
 
+    @property
+    def live_leader(self) -> str | None:
+        """Return the known leader, unless its last heartbeats have not arrived.
+
+        A call that is sent to a leader which has just been cut off is lost, and its
+        outcome unknown. One that waits for the next leader is not.
+        """
+        if self._node is None:
+            return None
+        limits = self._limits.node
+        beat_s = limits.heartbeat_s
+        if self._node.role is message.Role.LEARNER:
+            beat_s = max(beat_s, limits.learner_heartbeat_s)
+        silent_s = self._node.leader_silent_s(self._clock.monotonic())
+        return self.leader if silent_s <= SILENT_BEATS * beat_s else None
+
     @property
     def applied_index(self) -> int:
         """Return the index of the last applied entry."""
@@ -300,14 +317,14 @@
     async def propose(self, command: bytes, timeout_s: float) -> bytes:
         """Commit a command, here or at the leader, and return its result."""
         return await self._forwarder.call(
-            forward.PROPOSE, command, timeout_s, lambda: self.leader
+            forward.PROPOSE, command, timeout_s, lambda: self.live_leader
         )
 
     async def barrier(self, timeout_s: float) -> None:
         """Wait until the local machine holds all that was committed before."""
         deadline_s = self._clock.monotonic() + timeout_s
         answer = await self._forwarder.call(
-            forward.BARRIER, b"", timeout_s, lambda: self.leader
+            forward.BARRIER, b"", timeout_s, lambda: self.live_leader
         )
         index = codec.unpack(answer, int)
         if index > self._applied_index:
--- a/marjoramusher/instances/client.py
+++ b/marjoramusher/instances/client.py
@@ -138,7 +138,9 @@
         MarjoramusherError
             Error that the peer answered.
         """
+        started_s = self._clock.monotonic()
         address = await self._reach(instance_id, timeout_s)
+        timeout_s -= self._clock.monotonic() - started_s
         data = await self._peer(address).call(
             instance_id, self._envelope(method, body), timeout_s
         )
@@ -221,12 +223,10 @@
         return codec.pack(frame.Envelope(self._instance_id, self._token, method, body))
 
     async def _reach(self, instance_id: str, timeout_s: float) -> str:
-        address = self._addresses.get(instance_id)
-        mode = self._links.mode(instance_id)
-        if mode is cuts.CutMode.SWALLOW:
-            await asyncio.sleep(timeout_s)
+        if not await self._links.wait_carried(instance_id, timeout_s):
             raise errors.PeerUnreachableError(instance_id)
-        if address is None or mode is cuts.CutMode.REFUSE:
+        address = self._addresses.get(instance_id)
+        if address is None or self._links.mode(instance_id) is cuts.CutMode.REFUSE:
             raise errors.PeerUnreachableError(instance_id, errors.Outcome.NOT_RUN)
         return address
 
--- a/marjoramusher/instances/peer_test.py
+++ b/marjoramusher/instances/peer_test.py
@@ -370,3 +370,15 @@
     with pytest.raises(errors.PeerUnreachableError) as caught:
         await call
     assert caught.value.outcome is errors.Outcome.UNKNOWN
+
+
+@pytest.mark.parametrize("side", ["client", "server"])
+async def test_call_held_back_by_a_cut_link_runs_once_it_is_healed(pair, side):
+    """Guards against an unknown outcome of a call that was never sent."""
+    links = pair.client.links if side == "client" else pair.server._links
+    links.cut({"b" if side == "client" else "a"})
+    call = asyncio.create_task(pair.client.call("b", "echo", b"x", 30.0))
+    await asyncio.sleep(0.1)
+    assert not call.done()
+    links.cut(())
+    assert await call == b"a:x"
