Send X-Request-Id with error answers of callers

Cause: only answers of runners carried the id of the attempt, so a caller could not tell which attempt a refusal with outcome "not run" is about. Change: the handler stores the id in the request as soon as it is made, before the body is read, and the error middleware sends it. Refusals before that (draining, bad headers) have none.

--- a/marjoramusher/callers/requests.py
+++ b/marjoramusher/callers/requests.py
@@ -9,6 +9,7 @@
 from ..claims import command
 from ..core import clock, errors, record
 from ..http import body
+from ..http import errors as http_errors
 from ..routing import request as routed
 from ..targets import dispatch
 from ..telemetry import metrics
@@ -159,11 +160,13 @@
                 / 1000
             )
         issued_at = limits.issued_at(headers)
+        # Error answers name the request too; a caller judges "not run" by its id.
+        request_id = f"{self._prefix}-{next(self._serials)}"
+        request[http_errors.REQUEST_ID] = request_id
         # The deadline counts from the head of the request, so that a slow body
         # doesn't extend it.
         deadline = self._time.monotonic() + deadline_s
         payload = await body.read(request)
-        request_id = f"{self._prefix}-{next(self._serials)}"
         asked = routed.Request(
             request_id,
             account,
--- a/marjoramusher/callers/requests_test.py
+++ b/marjoramusher/callers/requests_test.py
@@ -66,6 +66,7 @@
             "i1-p1",
         )
         self.history = []
+        self.request_ids = []
 
     def keys_of(self, domain):
         rng = random.Random(3)
@@ -87,6 +88,7 @@
         names |= {k.replace("_", "-"): v for k, v in headers.items()}
         url = "/v1/services/echo/requests"
         async with self.http.post(url, data=body, headers=names) as response:
+            self.request_ids.append(response.headers.get("X-Request-Id"))
             return response.status, await response.json(content_type=None)
 
     def runs(self, event="started"):
@@ -252,6 +254,21 @@
         assert not stack.runs()
 
 
+async def test_error_answers_carry_the_id_of_their_own_attempt():
+    # A caller could not tell which attempt a "not run" is about.
+    async with running(1) as stack:
+        stack.runners[0]._slots = 0
+        _, refused = await stack.post({}, **ONCE, X_Deadline_Ms="300")
+        stack.runners[0]._slots = 2
+        await asyncio.sleep(0.1)
+        await stack.post({}, **ONCE)
+        _, reused = await stack.post({"echo": "other"}, **ONCE)
+        assert refused["error"]["outcome"] == reused["error"]["outcome"] == "not_run"
+        assert None not in stack.request_ids
+        assert len(set(stack.request_ids)) == 3
+        assert [one["request_id"] for one in stack.runs()] == [stack.request_ids[1]]
+
+
 async def test_claim_committed_after_its_timeout_does_not_block_the_resend():
     async with running() as stack:
         propose = stack.group.propose
--- a/marjoramusher/http/errors.py
+++ b/marjoramusher/http/errors.py
@@ -6,6 +6,9 @@
 from ..telemetry import log, metrics
 
 CONTENT_TYPE = "application/json"
+REQUEST_ID_HEADER = "X-Request-Id"
+# Under this key a handler puts the id into the request as soon as it is made.
+REQUEST_ID = web.RequestKey("request_id", str)
 
 _CODES = {
     401: errors.ErrorCode.UNAUTHORIZED,
@@ -18,7 +21,8 @@
     """Return the middleware that answers errors as ``{"error": ErrorBody}``.
 
     It should be the outermost one. A failure after the first byte of an answer
-    aborts the connection, so that a cut answer never looks complete.
+    aborts the connection, so that a cut answer never looks complete. An error answer
+    has the id that the handler put under `REQUEST_ID` into the request.
 
     Parameters
     ----------
@@ -99,4 +103,7 @@
         if request.transport is not None:
             request.transport.abort()
         raise ConnectionResetError("the answer was cut after its first byte")
-    return error_response(error, status)
+    response = error_response(error, status)
+    if REQUEST_ID in request:
+        response.headers[REQUEST_ID_HEADER] = request[REQUEST_ID]
+    return response
