Judge refusals by their own id and gangs by lost instances only

Cause: an attempt with a known id explained a run of any other id, and the loss of a worker gave a partial gang the 3 s that only an election needs. Change: an attempt explains a run only of its own id, if that is known; the added time needs an event of an instance. Three bad histories show it.

--- a/faults/checker.py
+++ b/faults/checker.py
@@ -306,7 +306,7 @@
     for token, runs in by_token.items():
         for run in runs:
             before = [each for each in attempts[token] if each.at <= run.at]
-            if any(_explains(each, ends.get(each.attempt), run.at) for each in before):
+            if any(_explains(each, ends.get(each.attempt), run) for each in before):
                 continue
             refused = [
                 end
@@ -324,15 +324,24 @@
 
 
 def _explains(
-    attempt: history.RequestSent, end: history.Event | None, run_at: float
+    attempt: history.RequestSent, end: history.Event | None, run: history.RunStarted
 ) -> bool:
-    """Tell whether an attempt can truthfully have caused a run."""
+    """Tell whether an attempt can truthfully have caused a run.
+
+    An attempt whose request id is known explains no run of another id.
+    """
     if isinstance(end, history.RequestBroken):
         return end.connected
+    if (
+        isinstance(end, history.RequestRefused | history.RequestAnswered)
+        and end.request_id
+        and end.request_id != run.request_id
+    ):
+        return False
     if isinstance(end, history.RequestRefused):
         return end.outcome != "not_run"
     # A second copy of a repeatable request may start after the answer of the first.
-    return end is None or attempt.repeatable or end.at >= run_at
+    return end is None or attempt.repeatable or end.at >= run.at
 
 
 def check_answers(
@@ -360,11 +369,17 @@
     A task that is done counts as present until the rest of its gang ends.
     """
     sizes = {event.job_id: event.tasks for event in _of(events, history.JobAccepted)}
+    instances = {event.instance for event in _of(events, history.InstanceReachable)}
+    # Without an instance there may be an election; the loss of a worker needs none.
     losses = [
         event.at
         for event in events
         if isinstance(event, history.InstanceUnreachable)
-        or (isinstance(event, history.ProcessFault) and event.kind != "resumed")
+        or (
+            isinstance(event, history.ProcessFault)
+            and event.kind != "resumed"
+            and event.process in instances
+        )
     ]
     for job_id, intervals in _by_job(events).items():
         size = sizes.get(job_id)
--- a/faults/checker_test.py
+++ b/faults/checker_test.py
@@ -18,8 +18,8 @@
     return H.RunStarted(at, runner, run_id, request_id, token)
 
 
-def answer(at, attempt, token, digest="d"):
-    return H.RequestAnswered(at, attempt, "q1", token, digest, "d", 10)
+def answer(at, attempt, token, digest="d", request_id="q1"):
+    return H.RequestAnswered(at, attempt, request_id, token, digest, "d", 10)
 
 
 def start(at, task, epoch=1, worker="w1", accelerators=4):
@@ -120,6 +120,26 @@
             H.RequestBroken(3.1, "a2", "refused", connected=False),
         ],
     ),
+    "refused attempt ran, and another attempt has an answer of its own": (
+        Rule.REFUSAL_FALSE,
+        [
+            SENT,
+            request(1.0, "a2", "k1"),
+            run(1.1, "k1", request_id="q9"),
+            H.RequestRefused(2.0, "a1", "overloaded", "not_run", "q9"),
+            answer(2.1, "a2", "k1"),
+        ],
+    ),
+    "run of an unknown id beside attempts of known ids": (
+        Rule.REFUSAL_FALSE,
+        [
+            SENT,
+            request(1.0, "a2", "k1"),
+            run(1.1, "k1", request_id="q9"),
+            H.RequestRefused(2.0, "a1", "overloaded", "not_run", "q2"),
+            answer(2.1, "a2", "k1"),
+        ],
+    ),
     "refusal says done of a request that never ran": (
         Rule.REFUSAL_FALSE,
         [SENT, H.RequestRefused(2.0, "a1", "answer_expired", "done", "q1")],
@@ -168,6 +188,19 @@
             KNOWN,
         ],
     ),
+    "one task of two stays as long as after a lost instance": (
+        Rule.GANG_PARTIAL,
+        [
+            H.InstanceReachable(0.0, "i1"),
+            JOB,
+            start(2.0, "t1"),
+            start(2.0, "t2", worker="w2"),
+            H.ProcessFault(10.0, "w2", "killed"),
+            end(17.0, "t1"),
+            SETTLED,
+            KNOWN,
+        ],
+    ),
     "failed task's gang goes on": (
         Rule.GANG_PARTIAL,
         [
@@ -335,7 +368,7 @@
     run(33.0, "k3", "u", "q5"),
     H.ProcessFault(33.5, "r1", "terminated"),
     H.RunEnded(34.0, "r1", "u"),
-    answer(34.1, "a5", "k3"),
+    answer(34.1, "a5", "k3", request_id="q5"),
     request(36.0, "a6", "k4"),
     H.RequestBroken(36.1, "a6", "refused", connected=False),
     SETTLED,
