Add fault cases of a recovery with loss and of a full disk

Cause: neither the recovery that an operator forces nor a failing disk was run on real processes. Change: recover-with-loss kills two of three voters for good, runs `group recover` as a process and restarts the two with empty folders; disk-full lets every write of the leader's process fail by RLIMIT_FSIZE, lifts the limit, and then kills another voter, so that the group needs the repaired one. Callers send the issue time of their keys. Only jobs of the recovered domain that were accepted before the loss and not seen on the survivor may be missing.

--- a/faults/cases.py
+++ b/faults/cases.py
@@ -8,6 +8,7 @@
 import random
 import time
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import msgspec
 
@@ -322,6 +323,71 @@
         await asyncio.sleep(2.0)
 
 
+async def recover_with_loss(context: Context) -> None:
+    """Lose two of a domain group's voters for good, and recover from the third."""
+    cluster = context.cluster
+    groups = await _voters(context)
+    choices = [
+        (domain, survivor)
+        for domain in sorted(cluster.domains)
+        for survivor in groups[f"domain:{domain}"]
+        if _keeps_others(groups, f"domain:{domain}", survivor)
+    ]
+    if not choices:
+        raise clusters.PreconditionError(f"no two voters lose one group only: {groups}")
+    domain, survivor = context.random.choice(choices)
+    group = f"domain:{domain}"
+    lost = [name for name in groups[group] if name != survivor]
+    context.mark("fault", f"kill {' and '.join(lost)} and remove their folders")
+    cluster.recorder.record(history.MajorityLost(time.time(), domain, survivor))
+    await asyncio.gather(*(cluster.kill(name) for name in lost))
+    for name in lost:
+        cluster.erase(name)
+    await asyncio.sleep(context.random.uniform(0.0, 3.0))
+    context.mark("heal", f"recover {group} at {survivor}")
+    await cluster.recover(survivor, group)
+    await asyncio.sleep(context.random.uniform(0.0, 2.0))
+    await asyncio.gather(*(cluster.restart(name) for name in lost))
+    local = {instance.name for instance in cluster.of_domain(domain)}
+
+    def repaired(status: dict[str, Any]) -> bool:
+        voters = clusters.voters_of(status, group)
+        return len(voters) == 3 and local <= set(voters)
+
+    await cluster.wait_status(
+        survivor, f"{group} has three voters, two of them local", repaired, 40.0
+    )
+
+
+async def disk_full(context: Context) -> None:
+    """Let the disk of a domain leader fail and heal, then that of the records leader.
+
+    After the repair another voter of the group is lost, so that the group depends on
+    the acknowledgements of the repaired one.
+    """
+    cluster = context.cluster
+    for group in (_domain_group(context), clusters.RECORDS):
+        name = await cluster.leader(group)
+        context.mark("fault", f"fill the disk of {name}, leader of {group}")
+        cluster.fill_disk(name)
+        await cluster.wait_status(
+            name, "it reports its disk", lambda status: status["store_failure"], 5.0
+        )
+        other = await cluster.leader(group)
+        await asyncio.sleep(context.random.uniform(3.0, 5.0))
+        status = await cluster.status(name)
+        if clusters.role_of(status, group) == "leader":
+            raise clusters.PreconditionError(f"{name} still leads {group}")
+        context.mark("heal", f"lift the limit of {name}")
+        await cluster.heal_disk(name)
+        await cluster.wait_caught_up(name, other, group)
+        voters = clusters.voters_of(await cluster.status(name), group)
+        if name not in voters:
+            raise clusters.PreconditionError(f"{name} no longer votes in {group}")
+        lost = context.random.choice([voter for voter in voters if voter != name])
+        await _kill_and_restart(context, lost, 5.0)
+
+
 async def quiet(context: Context) -> None:
     """Break nothing: operators race and callers resend all the same."""
     await asyncio.sleep(8.0)
@@ -358,6 +424,8 @@
     Case("lose-all", lose_all),
     Case("relay-faults", relay_faults),
     Case("kill-diskless", kill_diskless, DISKLESS),
+    Case("recover-with-loss", recover_with_loss),
+    Case("disk-full", disk_full),
     Case("storm", storm),
 )
 
@@ -366,5 +434,26 @@
     return [clusters.RECORDS, *(f"domain:{domain}" for domain in cluster.domains)]
 
 
+async def _voters(context: Context) -> dict[str, tuple[str, ...]]:
+    """Return the voters of each group."""
+    found = {}
+    for group in _groups(context.cluster):
+        leader = await context.cluster.leader(group)
+        found[group] = clusters.voters_of(await context.cluster.status(leader), group)
+    return found
+
+
+def _keeps_others(
+    groups: dict[str, tuple[str, ...]], group: str, survivor: str
+) -> bool:
+    """Tell whether all other groups keep a majority if only the survivor is kept."""
+    lost = set(groups[group]) - {survivor}
+    return all(
+        2 * len(lost & set(voters)) < len(voters)
+        for other, voters in groups.items()
+        if other != group
+    )
+
+
 def _domain_group(context: Context) -> str:
     return f"domain:{context.random.choice(sorted(context.cluster.domains))}"
--- a/faults/checker.py
+++ b/faults/checker.py
@@ -114,17 +114,19 @@
     """Find accepted jobs that are gone, and final states that changed."""
     settled = _settled_at(events)
     accepted = {event.job_id: event for event in _of(events, history.JobAccepted)}
+    losable = _losable_jobs(events)
     known: set[str] = set()
     final: dict[str, history.JobSeen] = {}
     for event in events:
         if isinstance(event, history.JobMissing) and event.job_id in accepted:
             if event.at >= settled:
-                yield Violation(
-                    Rule.JOB_LOST,
-                    event.at,
-                    event.job_id,
-                    f"accepted, but {event.instance} knows no such job",
-                )
+                if event.job_id not in losable:
+                    yield Violation(
+                        Rule.JOB_LOST,
+                        event.at,
+                        event.job_id,
+                        f"accepted, but {event.instance} knows no such job",
+                    )
                 known.add(event.job_id)
         elif isinstance(event, history.JobSeen):
             if event.at >= settled:
@@ -159,12 +161,47 @@
         )
 
 
+def _losable_jobs(events: Sequence[history.Event]) -> set[str]:
+    """Return the jobs that a recovery with loss may have forgotten.
+
+    These are the jobs of the group's failure domain that were accepted before its
+    majority was lost, that were not seen on the survivor, and that no instance has
+    answered for since then.
+    """
+    found: set[str] = set()
+    seen: set[tuple[str, str]] = set()
+    accepted: dict[str, set[str]] = defaultdict(set)
+    for event in events:
+        if isinstance(event, history.JobAccepted):
+            domain = event.job_id.removeprefix("job-").rpartition("-")[0]
+            accepted[domain].add(event.job_id)
+        elif isinstance(event, history.MajorityLost):
+            found |= {
+                job_id
+                for job_id in accepted[event.failure_domain]
+                if (event.survivor, job_id) not in seen
+            }
+        elif isinstance(event, history.JobSeen):
+            seen.add((event.instance, event.job_id))
+            found.discard(event.job_id)
+    return found
+
+
 def check_jobs_once(
     events: Sequence[history.Event], limits: Limits
 ) -> Iterator[Violation]:
     """Find jobs with two epochs at a time, run twice, or submitted twice."""
     by_key: dict[str, str] = {}
+    by_job: dict[str, str] = {}
     for event in _of(events, history.JobAccepted):
+        holder = by_job.setdefault(event.job_id, event.key)
+        if holder != event.key:
+            yield Violation(
+                Rule.JOB_DOUBLED,
+                event.at,
+                event.job_id,
+                f"accepted for key {holder} before, then for key {event.key}",
+            )
         first = by_key.setdefault(event.key, event.job_id) if event.key else ""
         if first and first != event.job_id:
             yield Violation(
@@ -698,6 +735,24 @@
         for job_id in late
         if job_id not in done
     ]
+    full: dict[str, float] = {}
+    served = [
+        (sent[event.attempt].instance, event.at)
+        for event in _of(events, history.RequestAnswered)
+    ]
+    for event in events:
+        if isinstance(event, history.DiskFull):
+            full[event.instance] = event.at
+        elif isinstance(event, history.DiskHealed):
+            began = full.pop(event.instance)
+            if not any(
+                name == event.instance and began + 1.0 < at < event.at
+                for name, at in served
+            ):
+                missing.append(
+                    f"{event.instance} answered no request while its disk was full"
+                )
+    missing += [f"the disk of {name} was not healed" for name in sorted(full)]
     if not any(_of(events, history.RecordAccepted)):
         missing.append("no write of a record was accepted")
     return missing
--- a/faults/checker_test.py
+++ b/faults/checker_test.py
@@ -34,6 +34,11 @@
     return H.RecordAccepted(at, operation, "svc", version, revision)
 
 
+def accepted(at, key="s1"):
+    return H.JobAccepted(at, "job-fd-a-1", 1, key=key)
+
+
+LOSS = H.MajorityLost(1.5, "fd-a", "i9")
 SETTLED = H.CaseMarked(100.0, "settled")
 LAST = H.CaseMarked(120.0, "end")
 JOB = H.JobAccepted(1.0, "j1", tasks=2)
@@ -52,6 +57,44 @@
         Rule.JOB_LOST,
         [JOB, H.JobSeen(50.0, "j1", "queued"), SETTLED],
     ),
+    "job accepted after the loss is gone": (
+        Rule.JOB_LOST,
+        [LOSS, accepted(2.0), SETTLED, H.JobMissing(101.0, "job-fd-a-1", "i1")],
+    ),
+    "job of another failure domain is gone": (
+        Rule.JOB_LOST,
+        [JOB, LOSS, SETTLED, H.JobMissing(101.0, "j1", "i1")],
+    ),
+    "job seen after the loss is gone": (
+        Rule.JOB_LOST,
+        [
+            accepted(1.0),
+            LOSS,
+            H.JobSeen(3.0, "job-fd-a-1", "queued", "i1"),
+            SETTLED,
+            H.JobMissing(101.0, "job-fd-a-1", "i1"),
+        ],
+    ),
+    "job seen on the survivor before the loss is gone": (
+        Rule.JOB_LOST,
+        [
+            accepted(1.0),
+            H.JobSeen(1.2, "job-fd-a-1", "queued", "i9"),
+            LOSS,
+            SETTLED,
+            H.JobMissing(101.0, "job-fd-a-1", "i1"),
+        ],
+    ),
+    "lost job's id given again": (
+        Rule.JOB_DOUBLED,
+        [
+            accepted(1.0),
+            LOSS,
+            accepted(2.0, "s2"),
+            SETTLED,
+            H.JobSeen(101.0, "job-fd-a-1", "done"),
+        ],
+    ),
     "final state changed": (
         Rule.JOB_LOST,
         [JOB, H.JobSeen(5.0, "j1", "done"), SETTLED, H.JobSeen(101.0, "j1", "queued")],
@@ -392,6 +435,29 @@
     assert checker.check(GOOD) == []
 
 
+def test_job_that_only_the_lost_voters_had_may_be_missing():
+    # Seen elsewhere before the loss, it need not have reached the survivor.
+    events = [
+        accepted(1.0),
+        H.JobSeen(1.2, "job-fd-a-1", "queued", "i1"),
+        LOSS,
+        SETTLED,
+        H.JobMissing(101.0, "job-fd-a-1", "i1"),
+    ]
+    assert checker.check(events) == []
+
+
+def test_instance_without_its_disk_has_to_answer():
+    full = [H.DiskFull(1.0, "i1"), H.DiskHealed(5.0, "i1")]
+    silent = "i1 answered no request while its disk was full"
+    assert silent in checker.check_progress([SENT, *full, SETTLED])
+    late = [SENT, *full, answer(6.0, "a1", "k1"), SETTLED]
+    assert silent in checker.check_progress(late)
+    served = [SENT, full[0], answer(3.0, "a1", "k1"), full[1], SETTLED]
+    assert silent not in checker.check_progress(served)
+    assert "the disk of i1 was not healed" in checker.check_progress([full[0], SETTLED])
+
+
 def test_cluster_that_does_nothing_is_not_a_pass():
     idle = [H.InstanceReachable(0.0, "i1"), SETTLED]
     assert len(checker.check_progress(idle)) == 4
--- a/faults/cluster.py
+++ b/faults/cluster.py
@@ -8,12 +8,13 @@
 import os
 import pathlib
 import random
+import resource
 import shutil
 import signal
 import socket
 import sys
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import aiohttp
@@ -125,6 +126,21 @@
                 f"{self.name} still runs {timeout_s:g} s after SIGTERM"
             ) from None
 
+    def limit_files(self, size_bytes: int) -> None:
+        """Let writes beyond a size fail in the running process (soft limit).
+
+        Raises
+        ------
+        PreconditionError
+            If the process does not run.
+        """
+        if not self.running:
+            raise PreconditionError(f"{self.name} does not run")
+        assert self._process is not None
+        kind, pid = resource.RLIMIT_FSIZE, self._process.pid
+        _, hard = resource.prlimit(pid, kind)
+        resource.prlimit(pid, kind, (size_bytes, hard))
+
     async def reap(self) -> None:
         """End the process at the end of a case, without an event."""
         if self._process is None or self._process.returncode is not None:
@@ -380,6 +396,93 @@
         """Remove the data folder of an ended instance."""
         shutil.rmtree(self.instances[name].data_dir, ignore_errors=True)
 
+    def fill_disk(self, name: str) -> None:
+        """Let every write of an instance to its disk fail."""
+        self.mark_unreachable(name)
+        self.recorder.record(history.DiskFull(time.time(), name))
+        self.instances[name].limit_files(0)
+
+    async def heal_disk(self, name: str) -> None:
+        """Let an instance write again, and wait until it has noticed that."""
+        self.instances[name].limit_files(resource.RLIM_INFINITY)
+        self.recorder.record(history.DiskHealed(time.time(), name))
+        await self.wait_status(
+            name, "its store works", lambda status: not status["store_failure"], 15.0
+        )
+        await self.wait_ready([name])
+
+    async def wait_status(
+        self,
+        name: str,
+        what: str,
+        accepts: Callable[[dict[str, Any]], bool],
+        timeout_s: float,
+    ) -> None:
+        """Wait until the status of an instance meets a condition.
+
+        Raises
+        ------
+        PreconditionError
+            Names the condition that is not met in time.
+        """
+        until = time.monotonic() + timeout_s
+        while time.monotonic() < until:
+            status = await self.status(name)
+            if status is not None and accepts(status):
+                return
+            await asyncio.sleep(POLL_S)
+        raise PreconditionError(f"{name}: not within {timeout_s:g} s: {what}")
+
+    async def wait_caught_up(self, name: str, leader: str, group: str) -> None:
+        """Wait until an instance has applied what the leader had committed.
+
+        Raises
+        ------
+        PreconditionError
+            If it has not caught up within 10 s.
+        """
+        status = await self.status(leader) or {}
+        due = status.get("groups", {}).get(group, {}).get("commit_index", 0)
+        await self.wait_status(
+            name,
+            f"{group} applied up to {due}",
+            lambda status: status["groups"][group]["applied_index"] >= due,
+            10.0,
+        )
+
+    async def recover(self, name: str, group: str, timeout_s: float = 20.0) -> None:
+        """Run `group recover --accept-loss` on a survivor until it is accepted.
+
+        It is refused while the survivor still believes in the old leader.
+
+        Raises
+        ------
+        PreconditionError
+            If it is not accepted in time.
+        """
+        until = time.monotonic() + timeout_s
+        while True:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "marjoramusher.cli.main",
+                f"--server={self.instances[name].url}",
+                f"--operator-token-file={self.directory / 'operator-token'}",
+                "group",
+                "recover",
+                f"--group={group}",
+                "--accept-loss",
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=asyncio.subprocess.STDOUT,
+            )
+            said, _ = await process.communicate()
+            if process.returncode == 0:
+                return
+            if time.monotonic() > until:
+                raise PreconditionError(f"recovery at {name}: {said.decode()}")
+            await asyncio.sleep(POLL_S)
+
     def copy_data(self, name: str) -> pathlib.Path:
         """Copy the data folder of an ended instance and return the copy."""
         copy = self.directory / f"copy-{name}"
@@ -433,14 +536,21 @@
     return status.get("groups", {}).get(group, {}).get("leader")
 
 
+def role_of(status: dict[str, Any] | None, group: str) -> str | None:
+    """Return the role of an instance in a group from its status."""
+    if status is None:
+        return None
+    return status.get("groups", {}).get(group, {}).get("role")
+
+
 def revision_of(status: dict[str, Any] | None) -> int | None:
     """Return the configuration revision in force from an instance's status."""
     return None if status is None else status.get("revision")
 
 
-def voters_of(status: dict[str, Any] | None) -> tuple[str, ...]:
-    """Return the instances that vote in the records group, as an instance sees it."""
+def voters_of(status: dict[str, Any] | None, group: str = RECORDS) -> tuple[str, ...]:
+    """Return the instances that vote in a group, as an instance sees it."""
     if status is None:
         return ()
-    config = status.get("groups", {}).get(RECORDS, {}).get("config") or {}
+    config = status.get("groups", {}).get(group, {}).get("config") or {}
     return tuple(sorted(voter["instance"] for voter in config.get("voters", ())))
--- a/faults/history.py
+++ b/faults/history.py
@@ -209,7 +209,32 @@
 
 
 class InstanceUnreachable(Base, frozen=True, tag="instance_unreachable"):
-    """The instance is down or cut off from some of the others."""
+    """The instance is down, cut off from some of the others, or without its disk."""
+
+    instance: str
+
+
+class MajorityLost(Base, frozen=True, tag="majority_lost"):
+    """Two of a domain group's three voters were lost with their folders, for good.
+
+    Parameters
+    ----------
+    survivor : str
+        Instance with the remaining copy.
+    """
+
+    failure_domain: str
+    survivor: str
+
+
+class DiskFull(Base, frozen=True, tag="disk_full"):
+    """Every write of an instance to its disk fails from now on."""
+
+    instance: str
+
+
+class DiskHealed(Base, frozen=True, tag="disk_healed"):
+    """The disk of an instance takes writes again."""
 
     instance: str
 
@@ -271,6 +296,9 @@
     | ProcessFault
     | InstanceReachable
     | InstanceUnreachable
+    | MajorityLost
+    | DiskFull
+    | DiskHealed
     | VotersSeen
     | RecordAccepted
     | RecordSeen
--- a/faults/load.py
+++ b/faults/load.py
@@ -50,6 +50,7 @@
         self._submissions = 0
         self._probes = 0
         self._jobs: dict[str, str] = {}
+        self._issued: dict[str, int] = {}
         self.revision = 0
 
     @property
@@ -197,6 +198,10 @@
         with contextlib.suppress(TimeoutError, asyncio.TimeoutError):
             await asyncio.wait_for(self._stopping.wait(), seconds)
 
+    def _issued_at(self, key: str) -> str:
+        """Return when a key was first used, in milliseconds."""
+        return str(self._issued.setdefault(key, int(time.time() * 1000)))
+
     def _any_instance(self, generator: random.Random) -> str:
         return generator.choice(sorted(self._cluster.instances))
 
@@ -243,7 +248,12 @@
         self._attempts += 1
         attempt = f"{request.token}-{self._attempts}"
         # The key of a repeatable request only names it in the runners' histories.
-        headers = {"X-Client-Account": account, "Idempotency-Key": request.token}
+        headers = {
+            "X-Client-Account": account,
+            "Idempotency-Key": request.token,
+            # Without it, a recovered group answers `outcome_unknown` for a day.
+            "Idempotency-Issued-At": self._issued_at(request.token),
+        }
         if not repeatable:
             headers["X-Non-Repeatable"] = "true"
         self._record(
@@ -482,7 +492,10 @@
             {"X-Client-Account": account} if account else self._cluster.operator_headers
         )
         if key:
-            headers = headers | {"Idempotency-Key": key}
+            headers = headers | {
+                "Idempotency-Key": key,
+                "Idempotency-Issued-At": self._issued_at(key),
+            }
         try:
             async with self._cluster.session.request(
                 method,
