Count jobs seen on a survivor of the group's own failure domain only

Cause: an instance of another failure domain answers for a job from a copy in the job's domain, so a sighting there does not show that the survivor has the job. Change: the event of the loss says whether the survivor is local; a good history shows it.

--- a/faults/cases.py
+++ b/faults/cases.py
@@ -339,7 +339,10 @@
     group = f"domain:{domain}"
     lost = [name for name in groups[group] if name != survivor]
     context.mark("fault", f"kill {' and '.join(lost)} and remove their folders")
-    cluster.recorder.record(history.MajorityLost(time.time(), domain, survivor))
+    local = {instance.name for instance in cluster.of_domain(domain)}
+    cluster.recorder.record(
+        history.MajorityLost(time.time(), domain, survivor, survivor in local)
+    )
     await asyncio.gather(*(cluster.kill(name) for name in lost))
     for name in lost:
         cluster.erase(name)
@@ -348,7 +351,6 @@
     await cluster.recover(survivor, group)
     await asyncio.sleep(context.random.uniform(0.0, 2.0))
     await asyncio.gather(*(cluster.restart(name) for name in lost))
-    local = {instance.name for instance in cluster.of_domain(domain)}
 
     def repaired(status: dict[str, Any]) -> bool:
         voters = clusters.voters_of(status, group)
--- a/faults/checker.py
+++ b/faults/checker.py
@@ -179,7 +179,7 @@
             found |= {
                 job_id
                 for job_id in accepted[event.failure_domain]
-                if (event.survivor, job_id) not in seen
+                if not event.is_local or (event.survivor, job_id) not in seen
             }
         elif isinstance(event, history.JobSeen):
             seen.add((event.instance, event.job_id))
--- a/faults/checker_test.py
+++ b/faults/checker_test.py
@@ -445,6 +445,10 @@
         H.JobMissing(101.0, "job-fd-a-1", "i1"),
     ]
     assert checker.check(events) == []
+    # An instance of another failure domain answers from a copy that is not its own.
+    events[1] = H.JobSeen(1.2, "job-fd-a-1", "queued", "i9")
+    events[2] = H.MajorityLost(1.5, "fd-a", "i9", is_local=False)
+    assert checker.check(events) == []
 
 
 def test_instance_without_its_disk_has_to_answer():
--- a/faults/history.py
+++ b/faults/history.py
@@ -221,10 +221,14 @@
     ----------
     survivor : str
         Instance with the remaining copy.
+    is_local : bool
+        Whether the survivor is of the group's failure domain, so that it answers for
+        jobs from its own copy; an instance of another one asks there.
     """
 
     failure_domain: str
     survivor: str
+    is_local: bool = True
 
 
 class DiskFull(Base, frozen=True, tag="disk_full"):
