--- a/marjoramusher/cli/overview.py
+++ b/marjoramusher/cli/overview.py
@@ -30,10 +30,18 @@
     "epoch",
     "state",
 )
+LEASE_COLUMNS = (
+    "failure domain",
+    "worker",
+    "silent s",
+    "tasks",
+    "shortest s",
+    "takes work",
+)
 SHORTFALL_COLUMNS = ("guarantee", "missing gangs", "reason")
 
 # Sections with a table of their own.
-_TABLES = ("server", "members", "groups", "shortfalls")
+_TABLES = ("server", "members", "groups", "leases", "shortfalls")
 
 
 def show_status(found: list[dict[str, Any]]) -> None:
@@ -48,6 +56,11 @@
         _show("members", MEMBER_COLUMNS, map(_member, one.get("members", ())))
         groups = one.get("groups", {}).values()
         _show("groups", GROUP_COLUMNS, map(_group, groups))
+        leases = [
+            [each.get(column.replace(" ", "_")) for column in LEASE_COLUMNS]
+            for each in one.get("leases", ())
+        ]
+        _show("leases", LEASE_COLUMNS, leases)
         shortfalls = [
             [each.get(name) for name in ("guarantee", "missing_gangs", "reason")]
             for each in one.get("shortfalls", ())
--- a/marjoramusher/cli/state.py
+++ b/marjoramusher/cli/state.py
@@ -1,6 +1,7 @@
 """Commands for the state of instances and groups."""
 
 import time
+from collections.abc import Iterable
 from typing import Any
 
 import click
@@ -19,10 +20,22 @@
         "  --server http://10.0.0.2:8420 status",
     ),
 )
+@click.option(
+    "--all", "everyone", is_flag=True, help="Ask every member that a server names."
+)
 @pass_session
-def status(current: session.Session) -> None:
-    """Show the status of each server."""
-    found = _ask_all(current, lambda to: calls.status(to))
+def status(current: session.Session, everyone: bool) -> None:
+    """Show the status of each server.
+
+    Leases and shortfalls are known to the leader of each failure domain.
+    """
+    found = _ask_all(current, current.servers)
+    if everyone:
+        asked = set(current.servers)
+        urls = {
+            member["http_url"] for one in found for member in one.get("members", ())
+        }
+        found += _ask_all(current, sorted(urls - asked))
     current.show(found, overview.show_status)
 
 
@@ -76,7 +89,7 @@
 @pass_session
 def group_status(current: session.Session) -> None:
     """Show the groups of each server."""
-    found = _ask_all(current, lambda to: calls.status(to))
+    found = _ask_all(current, current.servers)
     if current.json:
         found = [
             {"server": one["server"], **shown}
@@ -118,17 +131,17 @@
 COMMANDS = (status, top, group)
 
 
-def _ask_all(current: session.Session, call: Any) -> list[dict[str, Any]]:
+def _ask_all(current: session.Session, servers: Iterable[str]) -> list[dict[str, Any]]:
     found: list[dict[str, Any]] = []
     last = None
-    for server in current.servers:
+    for server in servers:
         try:
-            answer = current.run(f"asking {server}", call, server)
+            answer = current.run(f"asking {server}", calls.status, server)
         except errors.MarjoramusherError as error:
             last = error
             found.append({"server": server, "error": error.message})
         else:
             found.append({"server": server, **answer})
-    if last is not None and all("error" in one for one in found):
+    if last is not None and found and all("error" in one for one in found):
         raise last
     return found
--- a/marjoramusher/daemon/instance.py
+++ b/marjoramusher/daemon/instance.py
@@ -447,6 +447,14 @@
                 for duty in self._domains.values()
                 for shortfall in duty.driver.shortfalls()
             ],
+            "leases": [
+                {
+                    "failure_domain": duty.failure_domain,
+                    **msgspec.structs.asdict(lease),
+                }
+                for duty in self._domains.values()
+                for lease in duty.driver.leases()
+            ],
             "requests_in_progress": self._requests.in_progress,
         }
 
--- a/marjoramusher/workers/driver.py
+++ b/marjoramusher/workers/driver.py
@@ -12,7 +12,7 @@
 from ..jobs import command, machine
 from ..placement import placer
 from ..telemetry import log, metrics
-from . import exchange, gang, rpc
+from . import exchange, gang, rpc, table
 
 TICK_S = 0.1  # while something is under way
 IDLE_TICK_S = 0.5  # a new role or a commit wakes the driver earlier
@@ -91,6 +91,12 @@
             return []
         return list(self._core.shortfalls(self._time.monotonic()))
 
+    def leases(self) -> list[table.WorkerLeases]:
+        """Return the leases of workers; empty where not leading."""
+        if self._core is None:
+            return []
+        return list(self._core.workers.leases(self._time.monotonic()))
+
     async def run(self) -> None:
         """Drive gangs until cancelled."""
         roles = self._group.roles.subscribe(on_next=self._role_changed)
--- a/marjoramusher/workers/table.py
+++ b/marjoramusher/workers/table.py
@@ -1,6 +1,9 @@
 """Workers that have announced themselves, and the leases of their tasks."""
 
 import enum
+from collections.abc import Iterator
+
+import msgspec
 
 from ..core import announcement, errors, resource
 
@@ -74,6 +77,28 @@
         self.unanswered += 1
 
 
+class WorkerLeases(msgspec.Struct, frozen=True):
+    """Leases at one worker, for operators.
+
+    Parameters
+    ----------
+    silent_s : float
+        Time since the last announcement.
+    tasks : int
+        Tasks that the worker last reported.
+    shortest_s : float or None
+        When the first of their leases is over unless it is renewed.
+    takes_work : bool
+        Whether the placer may use the worker.
+    """
+
+    worker: str
+    silent_s: float
+    tasks: int
+    shortest_s: float | None
+    takes_work: bool
+
+
 class WorkerTable:
     """Soft state of the domain leader, built anew on each election.
 
@@ -170,6 +195,25 @@
         """Tell whether a task has stopped by itself on any clock within the bound."""
         return now >= self._renewed_at.get(task_id, self._elected_at) + LEASE_OVER_S
 
+    def leases(self, now: float) -> Iterator[WorkerLeases]:
+        """Yield the workers that hold tasks or are silent."""
+        for name, known in self._workers.items():
+            tasks = known.announcement.tasks
+            if not tasks and not self.is_silent(name, now):
+                continue
+            ends = [
+                self._renewed_at[task.task_id] + LEASE_OVER_S
+                for task in tasks
+                if task.task_id in self._renewed_at
+            ]
+            yield WorkerLeases(
+                name,
+                round(now - known.heard_at, 3),
+                len(tasks),
+                round(max(0.0, min(ends) - now), 3) if ends else None,
+                known.is_open,
+            )
+
     def forget(self, task_id: str) -> None:
         """Drop the lease of a task that is over."""
         self._renewed_at.pop(task_id, None)
