Leave a target alone only if it fails more than the others

Cause: where all targets cut a third of their answers, each was left alone in turn and the capacity was gone although no other target was better. Change: a target is a failing one only if more than half of its recent attempts failed and twice as many as at the service's targets on average.

--- a/marjoramusher/routing/allowance.py
+++ b/marjoramusher/routing/allowance.py
@@ -44,7 +44,10 @@
             # Full or about to leave; tried again once it may have changed.
             chosen.backoff_until = now + FULL_BACKOFF_S
         else:
-            chosen.note_failure(now, kind not in request.NOT_SENT)
+            was_sent = kind not in request.NOT_SENT
+            if was_sent:
+                service.note_outcome(failed=True)
+            chosen.note_failure(now, was_sent, service.failing_share)
         before = chosen.limit
         self._set_limit(chosen, now)
         service.limit += chosen.limit - before
--- a/marjoramusher/routing/router.py
+++ b/marjoramusher/routing/router.py
@@ -263,6 +263,7 @@
         if entry.run.count > runtime.FIRST_RUNS:
             service.note_ratio(known.target, run_s / entry.run.mean_s)
         known.target.note_success()
+        service.note_outcome(failed=False)
         entry.run.note(run_s, service.record.short_run_s)
         service.fair.correct(entry, run_s)
         service.answer_bytes += 0.05 * (answer_bytes - service.answer_bytes)
--- a/marjoramusher/routing/state.py
+++ b/marjoramusher/routing/state.py
@@ -15,6 +15,7 @@
 LATE_SHARE = 0.01  # the bound is on the 0.99 quantile
 HEDGE_SHARE = 0.02
 TYPICAL_GAIN = 0.005  # over some 200 runs, more than any one target has
+FAILING_GAIN = 0.01  # over some 100 attempts at all targets
 DEMAND_DECAY = 0.8
 
 
@@ -25,6 +26,7 @@
         "answer_bytes",
         "arrived_s",
         "demand",
+        "failing_share",
         "fair",
         "free",
         "hedges",
@@ -61,6 +63,7 @@
         self.long_limit = 0
         self.reserve = 0
         self.typical_log = 0.0
+        self.failing_share = 0.0
         self.sigmas = RESERVE_SIGMAS
         self.late = 0
         self.shorts = 0
@@ -69,6 +72,10 @@
         self.retries = budget.RetryBudget()
         self.hedges = budget.RetryBudget(HEDGE_SHARE, 5.0)
 
+    def note_outcome(self, failed: bool) -> None:
+        """Take in whether an attempt that was sent gave no answer."""
+        self.failing_share += FAILING_GAIN * (failed - self.failing_share)
+
     def set_limits(self) -> None:
         """Split the slots between the classes by the mix of what arrives."""
         total = self.limit
--- a/marjoramusher/routing/target.py
+++ b/marjoramusher/routing/target.py
@@ -11,6 +11,7 @@
 MAX_BACKOFF_S = 4.0
 FAILURE_GAIN = 0.15  # five failures in a row make a target a failing one
 FAILING_SHARE = 0.5
+OUTLIER_RATIO = 2.0  # where all targets fail alike, leaving one alone helps nobody
 SLOW_RATIO = 1.5  # below this the noise of run times looks like slowness
 SLOWNESS_GAIN = 0.05  # deviation of 0.1 at the usual spread of run times
 
@@ -99,15 +100,25 @@
         self.failures = 0
         self.failing_share -= FAILURE_GAIN * self.failing_share
 
-    def note_failure(self, now: float, was_sent: bool) -> None:
+    def note_failure(
+        self, now: float, was_sent: bool, typical_share: float = 0.0
+    ) -> None:
         """Keep work away for a time that doubles with each failure in a row.
 
         A target that can't be connected to gets none at once. After a failure on the
         way, that is done only if much of its recent work has failed: one lost
         answer in a hundred would otherwise take a fifth of the capacity at a peak.
+
+        Parameters
+        ----------
+        was_sent : bool
+            Whether the target may have got the request.
+        typical_share : float
+            Share of failures at all targets of the service.
         """
         self.failing_share += FAILURE_GAIN * (1.0 - self.failing_share)
-        if was_sent and self.failing_share <= FAILING_SHARE:
+        bound = max(FAILING_SHARE, OUTLIER_RATIO * typical_share)
+        if was_sent and self.failing_share <= bound:
             return
         self.failures += 1
         self.backoff_until = now + min(0.25 * 2**self.failures, MAX_BACKOFF_S)
--- a/marjoramusher/routing/target_test.py
+++ b/marjoramusher/routing/target_test.py
@@ -34,3 +34,16 @@
 def test_target_is_left_alone_only_if_it_is_failing(name):
     outcomes, limit = LIMITS[name]
     assert _after(outcomes) == limit
+
+
+def test_target_that_fails_like_all_others_keeps_its_work():
+    known = target.Target(announcement.TargetAnnouncement("r", "u", "d", "s", 1), 0.0)
+    known.granted, known.expires_at = 8, 100.0
+    for _ in range(6):
+        known.note_failure(0.0, was_sent=True, typical_share=0.35)
+    known.refresh_limit(0.1)
+    assert known.limit == 8
+    for _ in range(6):
+        known.note_failure(0.0, was_sent=True, typical_share=0.35)
+    known.refresh_limit(0.1)
+    assert known.limit == 0
