Move the callers that wait for a group out of its runner

groups/runner.py had 737 lines and kept the pending proposals, reads and waits for applied indexes among the effects of the node. They are now calls.Calls, which owns the futures and their answers; the runner has 628 lines. Behaviour is unchanged: the tests of groups and callers pass as they are.

--- a/marjoramusher/groups/runner.py
+++ b/marjoramusher/groups/runner.py
@@ -1,7 +1,6 @@
 """Run one member of a consensus group on a store and the peer transport."""
 
 import asyncio
-import collections
 import math
 import random
 from collections.abc import Callable, Iterator
@@ -16,7 +15,7 @@
 from ..storage import error as store_error
 from ..storage import store
 from ..telemetry import log, metrics
-from . import batch, forward, recovery
+from . import batch, calls, forward, recovery
 
 RAFT = "raft"
 SNAPSHOT_ENTRIES = 4096
@@ -70,12 +69,6 @@
     config: message.GroupConfig | None
 
 
-class _Proposal(msgspec.Struct):
-    proposal_id: int
-    result: asyncio.Future
-    accepted: bool = False
-
-
 class RaftGroup:
     """A member of a group: voter, learner, or one that waits for its leader.
 
@@ -133,13 +126,7 @@
         self._scheduled = False
         self._timer: asyncio.TimerHandle | None = None
         self._timer_s = float("inf")
-        self._next_id = 1
-        self._pending: dict[int, _Proposal] = {}
-        self._accepted: dict[int, tuple[int, _Proposal]] = {}
-        self._reads: dict[int, asyncio.Future] = {}
-        self._waiting: collections.deque[tuple[int, asyncio.Future]] = (
-            collections.deque()
-        )
+        self._calls = calls.Calls(name)
         self._applied: reactivex.Subject[int] = reactivex.subject.Subject()
         self._roles: reactivex.Subject[message.RoleChanged] = (
             reactivex.subject.Subject()
@@ -256,7 +243,7 @@
         self._drop_snapshot()
         self._events.clear()
         self._proposed.clear()
-        self._abandon("the group stops at this instance")
+        self._calls.abandon("the group stops at this instance")
         if self._node is not None:
             was = self._node.role
             self._node = None
@@ -310,9 +297,7 @@
         )
         index = codec.unpack(answer, int)
         if index > self._applied_index:
-            future = asyncio.get_running_loop().create_future()
-            self._waiting.append((index, future))
-            await self._await(future, deadline_s - self._clock.monotonic())
+            await self._calls.until_applied(index, deadline_s - self._clock.monotonic())
 
     async def propose_here(self, command: bytes, timeout_s: float) -> bytes:
         """Commit a command as leader.
@@ -326,19 +311,21 @@
         """
         if len(command) > MAX_COMMAND_BYTES:
             raise frame.BodyTooLargeError(len(command), MAX_COMMAND_BYTES)
-        proposal = self._proposal()
+        self._require_node()
+        proposal = self._calls.propose()
         self._proposed.append(message.Propose(proposal.proposal_id, command))
         self._schedule()
-        return await self._await_proposal(proposal, timeout_s)
+        return await self._calls.result(proposal, timeout_s)
 
     async def change(self, wanted: message.Change, timeout_s: float) -> None:
         """Commit a change of members as leader."""
-        proposal = self._proposal()
+        self._require_node()
+        proposal = self._calls.propose()
         self._events.append(
             msgspec.structs.replace(wanted, proposal_id=proposal.proposal_id)
         )
         self._schedule()
-        await self._await_proposal(proposal, timeout_s)
+        await self._calls.result(proposal, timeout_s)
 
     def start_transfer(self, target: message.VoterId) -> None:
         """Have another voter lead, if this instance does."""
@@ -352,12 +339,12 @@
 
         def note(change: message.RoleChanged) -> None:
             if change.role is not message.Role.LEADER and change.leader is not None:
-                _resolve(future, None)
+                calls.resolve(future, None)
 
         subscription = self._roles.subscribe(note)
         self.start_transfer(target)
         try:
-            await self._await(future, timeout_s)
+            await self._calls.wait(future, timeout_s)
         except errors.NoQuorumError:
             return False
         finally:
@@ -366,18 +353,11 @@
 
     async def barrier_here(self, timeout_s: float) -> bytes:
         """Confirm leadership and return the packed index to wait for."""
-        if self._node is None:
-            raise errors.NotLeaderError(None)
-        read_id = self._next_id
-        self._next_id += 1
-        future = asyncio.get_running_loop().create_future()
-        self._reads[read_id] = future
+        self._require_node()
+        read_id, future = self._calls.read()
         self._events.append(message.ReadBarrier(read_id))
         self._schedule()
-        try:
-            return codec.pack(await self._await(future, timeout_s))
-        finally:
-            self._reads.pop(read_id, None)
+        return codec.pack(await self._calls.read_index(read_id, future, timeout_s))
 
     def may_promote(self, learner: message.VoterId) -> bool:
         """Tell, at the leader, whether a learner has caught up."""
@@ -396,34 +376,9 @@
         """Tell whether a change of members is not committed yet."""
         return self._node is not None and self._node.change_pending
 
-    def _proposal(self) -> _Proposal:
+    def _require_node(self) -> None:
         if self._node is None:
             raise errors.NotLeaderError(None)
-        proposal = _Proposal(self._next_id, asyncio.get_running_loop().create_future())
-        self._next_id += 1
-        self._pending[proposal.proposal_id] = proposal
-        return proposal
-
-    async def _await_proposal(self, proposal: _Proposal, timeout_s: float) -> bytes:
-        try:
-            return await self._await(proposal.result, timeout_s)
-        except errors.NoQuorumError as failure:
-            if proposal.accepted and proposal.result.cancelled():
-                raise errors.NoQuorumError(
-                    failure.message, errors.Outcome.UNKNOWN
-                ) from failure
-            raise
-        finally:
-            self._pending.pop(proposal.proposal_id, None)
-
-    async def _await(self, future: asyncio.Future, timeout_s: float) -> object:
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await future
-        except TimeoutError as failure:
-            raise errors.NoQuorumError(
-                f"{self._name} did not answer in time"
-            ) from failure
 
     def _schedule(self) -> None:
         if not self._scheduled:
@@ -439,7 +394,9 @@
         self._events = []
         if self._proposed:
             # A proposal whose caller has given up is not made.
-            wanted = tuple(p for p in self._proposed if p.proposal_id in self._pending)
+            wanted = tuple(
+                p for p in self._proposed if self._calls.is_pending(p.proposal_id)
+            )
             self._proposed = []
             events.append(message.ProposeBatch(wanted))
         now = self._clock.monotonic()
@@ -483,17 +440,14 @@
                 self._send(sent.receiver.instance, RAFT, codec.pack(sent))
             case message.Commit(entries=entries):
                 self._apply(entries)
-            case message.ProposalAccepted(proposal_id=proposal_id):
-                proposal = self._pending.get(proposal_id)
-                if proposal is not None:
-                    proposal.accepted = True
-                    self._accepted[effect.index] = (effect.term, proposal)
+            case message.ProposalAccepted():
+                self._calls.accept(effect)
             case message.ProposalRefused():
-                self._refuse(effect)
-            case message.ReadReady(read_id=read_id, index=index):
-                _resolve(self._reads.get(read_id), index)
-            case message.ReadRefused(read_id=read_id, leader=leader):
-                _reject(self._reads.get(read_id), _not_leader(leader))
+                self._calls.refuse(effect)
+            case message.ReadReady():
+                self._calls.finish_read(effect)
+            case message.ReadRefused():
+                self._calls.refuse_read(effect)
             case message.RestoreSnapshot():
                 self._restore(effect)
             case message.RoleChanged():
@@ -527,18 +481,7 @@
             self._applied_index = entry.index
             self._entries_since += 1
             self._bytes_since += len(entry.payload) + ENTRY_BYTES
-            term, proposal = self._accepted.pop(entry.index, (0, None))
-            if proposal is None:
-                continue
-            if term != entry.term:
-                _reject(
-                    proposal.result,
-                    errors.NoQuorumError("a new leader dropped the command"),
-                )
-            elif isinstance(result, bytes):
-                _resolve(proposal.result, result)
-            else:
-                _reject(proposal.result, result)
+            self._calls.commit(entry, result)
         self._announce()
 
     def _apply_command(self, entry: message.Entry) -> bytes | errors.MarjoramusherError:
@@ -563,13 +506,7 @@
         return result
 
     def _announce(self) -> None:
-        still: collections.deque[tuple[int, asyncio.Future]] = collections.deque()
-        for index, future in self._waiting:
-            if index <= self._applied_index:
-                _resolve(future, None)
-            elif not future.done():
-                still.append((index, future))
-        self._waiting = still
+        self._calls.announce(self._applied_index)
         self._emit(self._applied, self._applied_index)
 
     def _emit(self, stream: reactivex.Subject, value: object) -> None:
@@ -589,9 +526,7 @@
             snapshot.index, snapshot.term, snapshot.config, snapshot.data
         )
         self._store.compact(snapshot.index)
-        for index in [i for i in self._accepted if i <= snapshot.index]:
-            _, proposal = self._accepted.pop(index)
-            _reject(proposal.result, _unknown("the log was replaced by a snapshot"))
+        self._calls.skip(snapshot.index)
         if snapshot.index > self._applied_index:
             self._machine.restore(snapshot.data)
             self._applied_index = snapshot.index
@@ -651,21 +586,6 @@
         if steps is not None and hasattr(steps, "close"):
             steps.close()
 
-    def _refuse(self, refused: message.ProposalRefused) -> None:
-        proposal = self._pending.get(refused.proposal_id)
-        if proposal is None:
-            return
-        match refused.error:
-            case errors.ErrorCode.NOT_LEADER:
-                error = _not_leader(refused.leader)
-            case errors.ErrorCode.NO_QUORUM:
-                error = errors.NoQuorumError(f"{self._name} has no fresh quorum")
-            case _:
-                error = errors.MarjoramusherError(
-                    refused.error, f"{self._name} refused the proposal"
-                )
-        _reject(proposal.result, error)
-
     def _fail(self, failure: errors.MarjoramusherError) -> None:
         """Take no more part: no vote, no acknowledgement, no leadership."""
         self._failure = failure.message
@@ -676,18 +596,7 @@
         for effect in self._node.step(message.StoreFailed(), now):
             if isinstance(effect, message.RoleChanged | message.ProposalRefused):
                 self._carry_out(effect)
-        self._abandon(failure.message)
-
-    def _abandon(self, reason: str) -> None:
-        """Answer all callers that wait."""
-        for proposal in self._pending.values():
-            if proposal.accepted:
-                _reject(proposal.result, _unknown(reason))
-            else:
-                _reject(proposal.result, errors.NotLeaderError(None))
-        self._accepted.clear()
-        for future in self._reads.values():
-            _reject(future, errors.NotLeaderError(None))
+        self._calls.abandon(failure.message)
 
     def _set_timer(self) -> None:
         now = self._clock.monotonic()
@@ -717,21 +626,3 @@
 def next_point(at_s: float) -> float:
     """Return the first point of the timer grid at or after an instant."""
     return math.ceil(at_s / GRID_S) * GRID_S
-
-
-def _resolve(future: asyncio.Future | None, value: object) -> None:
-    if future is not None and not future.done():
-        future.set_result(value)
-
-
-def _reject(future: asyncio.Future | None, error: Exception) -> None:
-    if future is not None and not future.done():
-        future.set_exception(error)
-
-
-def _unknown(reason: str) -> errors.NoQuorumError:
-    return errors.NoQuorumError(reason, errors.Outcome.UNKNOWN)
-
-
-def _not_leader(leader: message.VoterId | None) -> errors.NotLeaderError:
-    return errors.NotLeaderError(leader.instance if leader else None)
