--- a/marjoramusher/groups/runner.py
+++ b/marjoramusher/groups/runner.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 import msgspec
 import reactivex
@@ -15,14 +15,11 @@
 from ..storage import error as store_error
 from ..storage import store
 from ..telemetry import log, metrics
-from . import batch, calls, forward, recovery
+from . import batch, calls, forward, recovery, snapshots
 
 RAFT = "raft"
 SNAPSHOT_ENTRIES = 4096
 SNAPSHOT_BYTES = 8 * 1024 * 1024
-SNAPSHOT_SHARE = 0.25  # bounds the bytes written to four times those of the entries
-SNAPSHOT_PAUSE_S = 0.01
-ENTRY_BYTES = 64  # of an entry besides its payload
 GRID_S = 0.25  # heartbeats of all groups of an instance leave in one wake-up
 ALIGN_S = 0.1  # what a leader has to do sooner than this is no heartbeat
 IDLE_S = 1.0
@@ -117,10 +114,12 @@
         self._failure = ""
         self._may_reopen = False
         self._applied_index = 0
-        self._entries_since = 0
-        self._bytes_since = 0
-        self._snapshot_bytes = 0
-        self._writing: Iterator[None] | None = None
+        self._snapshots = snapshots.Snapshots(
+            self._limits.snapshot_entries,
+            self._limits.snapshot_bytes,
+            self._compacted,
+            self._store_failed,
+        )
         self._events: list[message.Event] = []
         self._proposed: list[message.Propose] = []
         self._scheduled = False
@@ -214,12 +213,12 @@
         self._membership = membership
         self._failure = ""
         self._may_reopen = False
-        self._snapshot_bytes = len(loaded.snapshot.data) if loaded.snapshot else 0
+        self._snapshots.note_snapshot(
+            len(loaded.snapshot.data) if loaded.snapshot else 0
+        )
         if loaded.snapshot and loaded.snapshot.index > self._applied_index:
             self._machine.restore(loaded.snapshot.data)
             self._applied_index = loaded.snapshot.index
-        self._entries_since = 0
-        self._bytes_since = 0
         self._node = node.make_node(
             self._name,
             membership.own,
@@ -240,7 +239,7 @@
             self._timer.cancel()
             self._timer = None
             self._timer_s = float("inf")
-        self._drop_snapshot()
+        self._snapshots.drop()
         self._events.clear()
         self._proposed.clear()
         self._calls.abandon("the group stops at this instance")
@@ -410,8 +409,7 @@
                     self._carry_out(effect)
             self._take_snapshot()
         except store_error.StoreFailedError as failure:
-            self._may_reopen = True
-            self._fail(failure)
+            self._store_failed(failure)
         except errors.MarjoramusherError as failure:
             # The stores of the group contradict each other: taking part any longer
             # could only spread it.
@@ -479,8 +477,7 @@
             if entry.kind is message.EntryKind.COMMAND:
                 result = self._apply_command(entry)
             self._applied_index = entry.index
-            self._entries_since += 1
-            self._bytes_since += len(entry.payload) + ENTRY_BYTES
+            self._snapshots.note_applied(entry)
             self._calls.commit(entry, result)
         self._announce()
 
@@ -520,8 +517,8 @@
             )
 
     def _restore(self, snapshot: message.RestoreSnapshot) -> None:
-        self._drop_snapshot()
-        self._snapshot_bytes = len(snapshot.data)
+        self._snapshots.drop()
+        self._snapshots.note_snapshot(len(snapshot.data))
         self._store.save_snapshot(
             snapshot.index, snapshot.term, snapshot.config, snapshot.data
         )
@@ -531,21 +528,9 @@
             self._machine.restore(snapshot.data)
             self._applied_index = snapshot.index
             self._announce()
-        self._entries_since = 0
-        self._bytes_since = 0
-
-    def _snapshot_due(self) -> bool:
-        if self._writing is not None:
-            return False
-        if self._bytes_since < self._snapshot_bytes * SNAPSHOT_SHARE:
-            return False
-        return (
-            self._entries_since >= self._limits.snapshot_entries
-            or self._bytes_since >= self._limits.snapshot_bytes
-        )
 
     def _take_snapshot(self) -> None:
-        if not self._snapshot_due():
+        if not self._snapshots.due:
             return
         index = self._applied_index
         term = self._node.term_at(index)
@@ -553,43 +538,21 @@
         if term is None or config is None:
             return
         data = self._machine.snapshot()
-        self._entries_since = 0
-        self._bytes_since = 0
-        self._snapshot_bytes = len(data)
-        steps = self._store.snapshot_in_steps(index, term, config, data)
-        self._writing = steps
-        self._write_snapshot(steps, index, data)
-
-    def _write_snapshot(self, steps: Iterator[None], index: int, data: bytes) -> None:
-        """Write one piece of a snapshot and leave the loop to others in between."""
-        if self._writing is not steps:
-            return
-        try:
-            for _ in steps:
-                asyncio.get_running_loop().call_later(
-                    SNAPSHOT_PAUSE_S, self._write_snapshot, steps, index, data
-                )
-                return
-            self._writing = None
-            self._store.compact(index)
-        except store_error.StoreFailedError as failure:
-            self._may_reopen = True
-            self._fail(failure)
-            return
+        self._snapshots.write(self._store, index, term, config, data)
+
+    def _compacted(self, index: int, data: bytes) -> None:
         self._metrics.increment("group_snapshots", group=self._name)
         self._events.append(message.Compacted(index, data))
         self._schedule()
 
-    def _drop_snapshot(self) -> None:
-        """Give up a snapshot that is being written; the old one stays in place."""
-        steps, self._writing = self._writing, None
-        if steps is not None and hasattr(steps, "close"):
-            steps.close()
+    def _store_failed(self, failure: store_error.StoreFailedError) -> None:
+        self._may_reopen = True
+        self._fail(failure)
 
     def _fail(self, failure: errors.MarjoramusherError) -> None:
         """Take no more part: no vote, no acknowledgement, no leadership."""
         self._failure = failure.message
-        self._drop_snapshot()
+        self._snapshots.drop()
         self._metrics.increment("group_failures", group=self._name)
         log.state_change("group.failed", group=self._name, error=failure.message)
         now = self._clock.monotonic()
