Require that an instance without its disk has left the group

Cause: an instance that no longer leads could still vote and acknowledge. Change: disk-full ends with an error unless the status of the group names a failure.

--- a/faults/cases.py
+++ b/faults/cases.py
@@ -380,6 +380,8 @@
         status = await cluster.status(name)
         if clusters.role_of(status, group) == "leader":
             raise clusters.PreconditionError(f"{name} still leads {group}")
+        if not clusters.failure_of(status, group):
+            raise clusters.PreconditionError(f"{name} still votes in {group}")
         context.mark("heal", f"lift the limit of {name}")
         await cluster.heal_disk(name)
         await cluster.wait_caught_up(name, other, group)
--- a/faults/cluster.py
+++ b/faults/cluster.py
@@ -543,6 +543,13 @@
     return status.get("groups", {}).get(group, {}).get("role")
 
 
+def failure_of(status: dict[str, Any] | None, group: str) -> str:
+    """Return why an instance takes no part in a group, empty if it does."""
+    if status is None:
+        return ""
+    return status.get("groups", {}).get(group, {}).get("failure", "")
+
+
 def revision_of(status: dict[str, Any] | None) -> int | None:
     """Return the configuration revision in force from an instance's status."""
     return None if status is None else status.get("revision")
