--- a/bench/main.py
+++ b/bench/main.py
@@ -2,6 +2,7 @@
 
 import importlib
 import os
+import re
 import sys
 from collections.abc import Callable, Iterator, Sequence
 
@@ -17,6 +18,9 @@
         "crest_goodput_ratio",
         "crest_worst_account_share",
         "crest_recovery_s",
+        "crest_goodput_silent",
+        "crest_goodput_cut",
+        "crest_goodput_cut_often",
         "request_doubled",
         "refusal_false",
         "route_decision_us",
@@ -30,6 +34,16 @@
         "job_completion_mean_ratio",
         "job_completion_p99_ratio",
         "fragmentation_share",
+        "fragmentation_share_any_wait",
+        "placement_idle_us",
+        "placement_decision_slope",
+        "reclaim_silent_p99_s",
+        "reclaim_silent_count",
+        "reclaim_count",
+        "urgent_start_count",
+        "shortfall_false",
+        "job_refused_wrongly",
+        "worker_quarantined_wrongly",
         "urgent_start_p99_s",
         "reclaim_p99_s",
         "guarantee_broken",
@@ -68,7 +82,7 @@
         ).measures
         options = {"quick": quick} if module == "process_bench" else {}
         for found in measures(seeds, **options):
-            name = found.measure.partition("/")[0]
+            name = re.split(r"[/\[]", found.measure, maxsplit=1)[0]
             if not only or module in only or name in only:
                 yield found
 
--- a/marjoramusher/callers/requests_test.py
+++ b/marjoramusher/callers/requests_test.py
@@ -254,6 +254,15 @@
         assert not stack.runs()
 
 
+async def test_full_home_refuses_before_anything_is_sent():
+    async with running() as stack:
+        stack.machine._max_keys = 0
+        status, body = await stack.post({}, **ONCE)
+        assert (status, body["error"]["code"]) == (429, "overloaded")
+        assert body["error"]["outcome"] == "not_run"
+        assert not stack.runs()
+
+
 async def test_error_answers_carry_the_id_of_their_own_attempt():
     # A caller could not tell which attempt a "not run" is about.
     async with running(1) as stack:
