Count each start of a group in one process as a start of its store

Cause: an instance that heard a message of a domain group before it had applied the entry that makes it a member started the group, registered its boot at a peer, and started it again with the same boot counter. The peer took the second start for an old copy of the folder, and the instance discarded its whole store. Ruled out: the epoch logic and the replacement rules; the traced state shows the discard coming from a group without any leader. Change: a group that starts again in the same process raises the boot counter first, as the reopening of a failed store already did.

--- a/marjoramusher/groups/manager.py
+++ b/marjoramusher/groups/manager.py
@@ -349,6 +349,8 @@
             self._groups[name] = running
             if name == bootstrap.RECORDS:
                 running.applied.subscribe(lambda _: self._note_topology())
+        else:
+            self._count_start()
         current = self._identity
         store_id = current.store_of(name)
         if self._files is None:
@@ -367,6 +369,18 @@
         )
         return running
 
+    def _count_start(self) -> None:
+        """Count the start of a group that has run in this process before.
+
+        The peers may know the present boot of the store, and would take a second start
+        with it for an old copy of the folder.
+        """
+        if self._files is None:
+            return
+        current = msgspec.structs.replace(self._identity, boot=self._identity.boot + 1)
+        document.write(self._files, identity.PATH, current)
+        self._identity = current
+
     def _limits(self, name: str) -> runner.Limits:
         """Return the limits of a group; the third voter of a domain leads last."""
         limits = self._settings.limits
@@ -727,10 +741,6 @@
         if not failed or self._files is None or now < self._reopen_s:
             return
         self._reopen_s = now + REOPEN_S
-        # The peers know this boot already, so the store counts as started again.
-        current = msgspec.structs.replace(self._identity, boot=self._identity.boot + 1)
-        document.write(self._files, identity.PATH, current)
-        self._identity = current
         for running in failed:
             try:
                 self._start_group(running.name)
--- a/marjoramusher/groups/manager_test.py
+++ b/marjoramusher/groups/manager_test.py
@@ -545,3 +545,17 @@
     assert await local.group(group).transfer(voter, PATIENCE_S)
     await until(lambda: cluster.leader(group) not in (None, cluster.instances["i3"]))
     await local.group(group).propose(b"a", PATIENCE_S)
+
+
+async def test_group_that_starts_again_in_one_process_is_no_old_copy(cluster):
+    """Guards the store of an instance that hears of a group before it enters it."""
+    await form(cluster)
+    made = cluster.instances["i1"]
+    stores = made.manager.own.store_id
+    for name in ("domain:d2", "records"):
+        made.manager._start_group(name)
+        await until(lambda name=name: made.group(name).status.registered)
+        await cluster.instances["i2"].group(name).propose(b"after", PATIENCE_S)
+        await until(lambda name=name: b"after" in made.commands(name))
+    assert made.manager.own.store_id == stores
+    assert not made.manager.own.stores
