--- a/marjoramusher/cli/main_test.py
+++ b/marjoramusher/cli/main_test.py
@@ -1,6 +1,7 @@
 """Guards the exit codes, the resending of writes and the output of the commands."""
 
 import asyncio
+import contextlib
 import json
 import threading
 
@@ -88,7 +89,9 @@
         hanging = asyncio.all_tasks(self._loop)
         for task in hanging:
             task.cancel()
-        self._loop.run_until_complete(asyncio.gather(*hanging, return_exceptions=True))
+        for task in hanging:
+            with contextlib.suppress(asyncio.CancelledError):
+                self._loop.run_until_complete(task)
 
     async def _start(self):
         counters = metrics.Metrics()
