Free only the own unconfirmed claims

After a cut a claim client frees claims whose commit it never learned; it recognised them by process id and serial. Process ids are start times in milliseconds, and fd-a-1 and fd-c-1 had the same one, so fd-c-1 released the running claim of fd-a-1. Ruled out: two leaders (no role change in the home's group), the packed rows, crossed replies of batched proposals. Change: the instance is compared as well.

--- a/marjoramusher/callers/claiming.py
+++ b/marjoramusher/callers/claiming.py
@@ -77,6 +77,8 @@
             if (
                 result.state is command.State.OPEN
                 and found is not None
+                # Instances that start in the same millisecond have the same process id.
+                and found.instance == self._instance
                 and found.process == self._process
                 and found.serial in self._unconfirmed
             ):
