Name the proposer and the wanted slots by the field's terms

Cause: courier and hungry are figures of speech. Change: groups/proposer.py with Proposer, Engine.slots_wanted; no behaviour changes.

--- a/marjoramusher/callers/engine.py
+++ b/marjoramusher/callers/engine.py
@@ -75,7 +75,7 @@
         self._pending: dict[str, _Pending] = {}
         self._background: set[asyncio.Task] = set()
         self._ticking: asyncio.Task | None = None
-        self._hungry = asyncio.Event()
+        self._slots_wanted = asyncio.Event()
 
     @property
     def in_progress(self) -> int:
@@ -83,9 +83,9 @@
         return len(self._pending)
 
     @property
-    def hungry(self) -> asyncio.Event:
+    def slots_wanted(self) -> asyncio.Event:
         """Return the event that is set when requests wait for slots."""
-        return self._hungry
+        return self._slots_wanted
 
     def start(self) -> None:
         """Start the periodic tick."""
@@ -223,7 +223,7 @@
             else:
                 self._spawn(pending, 0, self._relay(pending, item))
         if self._routing.waiting:
-            self._hungry.set()
+            self._slots_wanted.set()
 
     def _spawn(self, pending: _Pending, number: int, work) -> None:
         task = asyncio.get_running_loop().create_task(work)
--- a/marjoramusher/callers/slots.py
+++ b/marjoramusher/callers/slots.py
@@ -92,11 +92,11 @@
         while True:
             await self.exchange()
             await asyncio.sleep(LEAST_S)
-            self._engine.hungry.clear()
+            self._engine.slots_wanted.clear()
             pause_s = BUSY_S if self._engine.in_progress else IDLE_S
             try:
                 async with asyncio.timeout(pause_s):
-                    await self._engine.hungry.wait()
+                    await self._engine.slots_wanted.wait()
             except TimeoutError:
                 pass
 
--- a/marjoramusher/groups/forward.py
+++ b/marjoramusher/groups/forward.py
@@ -9,11 +9,11 @@
 
 from ..core import clock, codec, errors
 from ..instances import client
-from . import courier
+from . import proposer
 
 BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.4  # an election takes one to two seconds
-PROPOSE = courier.PROPOSE
+PROPOSE = proposer.PROPOSE
 BARRIER = "barrier"
 LEADER = "leader"
 FIND_S = 0.5
@@ -53,7 +53,7 @@
     __slots__ = (
         "_candidates",
         "_clock",
-        "_courier",
+        "_proposer",
         "_group",
         "_hint",
         "_local",
@@ -75,7 +75,7 @@
         self._group = group
         self._own = own
         self._peers = peers
-        self._courier = courier.Courier(group, peers)
+        self._proposer = proposer.Proposer(group, peers)
         self._clock = time
         self._candidates = candidates
         self._local = local
@@ -164,7 +164,7 @@
         if target == self._own:
             return await self._local(method, command, left_s)
         if method == PROPOSE:
-            return await self._courier.propose(target, command, left_s)
+            return await self._proposer.propose(target, command, left_s)
         body = codec.pack(Forwarded(self._group, left_s))
         return await self._peers.call(target, method, body, left_s)
 
--- a/marjoramusher/groups/manager.py
+++ b/marjoramusher/groups/manager.py
@@ -16,11 +16,11 @@
 from ..telemetry import log, metrics
 from . import (
     bootstrap,
-    courier,
     formation,
     forward,
     group,
     handover,
+    proposer,
     remote,
     replacement,
     runner,
@@ -777,7 +777,7 @@
 
     async def _answer_propose(self, sender: str, body: bytes) -> bytes:
         del sender
-        call = codec.unpack(body, courier.Proposals)
+        call = codec.unpack(body, proposer.Proposals)
         answers = await asyncio.gather(
             *(
                 self._propose_here(call.group, command, call.timeout_s)
--- a/marjoramusher/groups/proposer.py
+++ b/marjoramusher/groups/proposer.py
@@ -25,7 +25,7 @@
     answer: asyncio.Future
 
 
-class Courier:
+class Proposer:
     """Send proposals for one group.
 
     A unary call costs about a millisecond of processor time, which proposals that
