Remove a set of job states that nothing uses

Cause: the read-through found HOLDING_STATES with no reader. Change: the constant goes. Figures: formatter, linter, import rules and the tests of jobs and gangs pass. Conclusion: no behaviour changes.

--- a/marjoramusher/jobs/machine.py
+++ b/marjoramusher/jobs/machine.py
@@ -37,12 +37,6 @@
 )
 """Causes for which the gang checkpoints before it stops."""
 
-HOLDING_STATES = (
-    model.JobState.ALLOCATED,
-    model.JobState.RUNNING,
-    model.JobState.STOPPING,
-)
-
 
 class Stopping(msgspec.Struct, frozen=True, omit_defaults=True):
     """Why and until when a gang stops.
