--- a/bench/peer_slopes.py
+++ b/bench/peer_slopes.py
@@ -4,7 +4,7 @@
 import time
 
 from bench import sweep
-from marjoramusher.daemon import main as daemon
+from marjoramusher.daemon import system
 from marjoramusher.instances import peers
 from marjoramusher.telemetry import metrics
 
@@ -18,7 +18,7 @@
 
 
 async def _frames(per_s: int) -> sweep.Values:
-    clock = daemon.SystemClock()
+    clock = system.SystemClock()
     received: list[str] = []
     ends = [
         peers.make_peers(name, b"token", clock, metrics.Metrics())
--- a/marjoramusher/daemon/main.py
+++ b/marjoramusher/daemon/main.py
@@ -1,38 +1,22 @@
 """The daemon's command."""
 
 import asyncio
-import datetime
 import gc
 import signal
 import sys
-import time
 from typing import Any
 
 import click
 
 from ..core import errors
 from ..telemetry import log
-from . import instance, settings
+from . import instance, settings, system
 
 EXIT_BAD_SETTINGS = 2
 EXIT_START_FAILED = 1
 EXIT_DRAIN_TIMEOUT = 3
 
 
-class SystemClock:
-    """Clock of the operating system."""
-
-    __slots__ = ()
-
-    def monotonic(self) -> float:
-        """Return seconds of the monotonic clock."""
-        return time.monotonic()
-
-    def utcnow(self) -> datetime.datetime:
-        """Return the current instant."""
-        return datetime.datetime.now(datetime.UTC)
-
-
 @click.command(
     context_settings={"auto_envvar_prefix": settings.ENVIRONMENT_PREFIX},
     epilog="Every flag can be set by an environment variable, for example "
@@ -59,7 +43,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    running = instance.make_instance(checked, SystemClock())
+    running = instance.make_instance(checked, system.SystemClock())
     try:
         await running.start()
     except (errors.MarjoramusherError, OSError) as error:
--- /dev/null
+++ b/marjoramusher/executors/__init__.py
@@ -0,0 +1,1 @@
+"""Carry the placements of the leader out on workers."""
--- /dev/null
+++ b/marjoramusher/executors/health.py
@@ -0,0 +1,51 @@
+"""Workers that fail what they start, told apart from tasks that always fail."""
+
+import msgspec
+
+from ..workflows import workflow
+
+SUSPECT_FAILURES = 2  # in a row, of different workflows; one may be the task's fault
+QUARANTINE_S = 6.0  # a worker that fails everything costs a task an attempt each time
+
+
+class Verdict(msgspec.Struct, frozen=True):
+    """Whether a worker is used, and whether others are preferred."""
+
+    usable: bool = True
+    suspect: bool = False
+
+
+class _Record(msgspec.Struct):
+    failed: set[str] = set()
+    until_s: float = 0.0
+
+
+class Health:
+    """Failures in a row of each worker."""
+
+    __slots__ = ("_records",)
+
+    def __init__(self) -> None:
+        self._records: dict[str, _Record] = {}
+
+    def note(self, worker_id: str, end: workflow.End, now: float) -> bool:
+        """Take an end into account; tell whether the worker is now left alone."""
+        record = self._records.setdefault(worker_id, _Record())
+        if end.how is workflow.How.DONE:
+            record.failed = set()
+            record.until_s = 0.0
+            return False
+        if end.how is not workflow.How.FAILED:
+            return False
+        record.failed.add(end.task.workflow_id)
+        if len(record.failed) >= SUSPECT_FAILURES:
+            record.until_s = now + QUARANTINE_S
+            return True
+        return False
+
+    def judge(self, worker_id: str, now: float) -> Verdict:
+        """Return how a worker is to be used."""
+        record = self._records.get(worker_id)
+        if record is None:
+            return Verdict()
+        return Verdict(now >= record.until_s, bool(record.failed))
--- /dev/null
+++ b/marjoramusher/executors/port.py
@@ -0,0 +1,136 @@
+"""What the leader asks of a worker, whatever protocol the worker speaks."""
+
+import enum
+from typing import Protocol
+
+import msgspec
+
+from ..core import errors
+from ..workflows import workflow
+
+
+class StartOrder(msgspec.Struct, frozen=True):
+    """Start one run of a task.
+
+    Parameters
+    ----------
+    deadline_ms : int
+        End of the lease on the clock of the worker.
+    token : int
+        Fencing token; the worker does nothing for a lower one than it has seen.
+    """
+
+    task: workflow.TaskKey
+    run: int
+    payload: str
+    deadline_ms: int
+    token: int
+    checkpoint: str = ""
+
+
+class Refusal(enum.Enum):
+    """Why a worker has not started a run."""
+
+    FENCED = "fenced"  # a higher token was seen
+    OLD = "old"  # the run is not higher than one that ended there
+    LATE = "late"  # the lease was over on arrival
+    ROOM = "room"
+    TICKET = "ticket"
+    UNHEALTHY = "unhealthy"
+    INVALID = "invalid"
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """Answer to a start or stop.
+
+    Parameters
+    ----------
+    clock_ms : int or None
+        Clock of the worker when it answered.
+    refusal : Refusal or None
+        ``None`` if the order was carried out.
+    """
+
+    clock_ms: int | None
+    refusal: Refusal | None = None
+
+
+class Running(msgspec.Struct, frozen=True):
+    """A run that is in progress on a worker.
+
+    Parameters
+    ----------
+    percent : int
+        Progress; 100 for a long-running task at work.
+    """
+
+    task: workflow.TaskKey
+    run: int
+    checkpoint: str
+    percent: int
+
+
+class Report(msgspec.Struct, frozen=True):
+    """All that a worker runs, and the ends that it has not been told to forget."""
+
+    clock_ms: int
+    born: int | None
+    running: tuple[Running, ...]
+    ends: tuple[workflow.End, ...]
+
+
+class WorkerSilentError(errors.MarjoramusherError):
+    """A worker gave no usable answer.
+
+    Parameters
+    ----------
+    outcome : Outcome
+        ``NOT_RUN`` if the order has certainly not reached it.
+    """
+
+    def __init__(self, worker_id: str, reason: str, outcome: errors.Outcome) -> None:
+        super().__init__(
+            errors.ErrorCode.TARGET_FAILED,
+            f"worker {worker_id}: {reason}",
+            outcome,
+        )
+
+
+class WorkerReplacedError(errors.MarjoramusherError):
+    """Another life of a worker, or another worker, answers at the address."""
+
+    def __init__(self, worker_id: str) -> None:
+        super().__init__(
+            errors.ErrorCode.TARGET_FAILED,
+            f"worker {worker_id} has been replaced at its address",
+        )
+
+
+class WorkerPort(Protocol):
+    """Give orders to workers."""
+
+    async def start(self, worker: workflow.Worker, order: StartOrder) -> Reply:
+        """Start a run.
+
+        Raises
+        ------
+        WorkerSilentError
+            If there is no answer; the order may be carried out seconds later.
+        WorkerReplacedError
+            If this life of the worker is over.
+        """
+
+    async def stop(
+        self, worker: workflow.Worker, task: workflow.TaskKey, run: int, token: int
+    ) -> Reply:
+        """Stop a run; once answered, this run can't start there any more."""
+
+    async def hold(
+        self,
+        worker: workflow.Worker,
+        token: int,
+        seen: int,
+        deadline_ms: int | None,
+        wait_s: float,
+    ) -> Report:
+        """Renew the lease, have ends forgotten, and wait a while for the next end."""
--- /dev/null
+++ b/marjoramusher/executors/session.py
@@ -0,0 +1,512 @@
+"""Orders to one life of a worker, and what its answers show."""
+
+import asyncio
+import enum
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from ..core import clock, errors
+from ..telemetry import log
+from ..workflows import command, machine, workflow
+from . import lease, port
+
+HOLD_WAIT_S = 1.5  # a quarter of a lease, so that three renewals may be lost
+ORDER_ATTEMPTS = 2  # a start that is sent again is answered as the first would be
+RETRY_S = 0.25  # between orders that got no answer; a stop has to arrive in seconds
+STALL_S = 5.0  # a task at a third of its speed shows progress more often
+STALL_ESTIMATES = 0.2  # share of the declared run time without any progress
+
+
+class Phase(enum.Enum):
+    """What is known of a run on the worker."""
+
+    UNKNOWN = "unknown"  # ordered by an earlier leader, if at all
+    SENT = "sent"
+    CONFIRMED = "confirmed"
+    UNCERTAIN = "uncertain"  # no answer: it may start later, unless it is stopped
+    FENCED = "fenced"  # a stop was answered, so that it can't start any more
+
+
+class Run(msgspec.Struct):
+    """One run on the worker.
+
+    Parameters
+    ----------
+    since_s : float
+        When the phase began; a report that was asked for earlier proves nothing.
+    """
+
+    placement: workflow.Placement
+    phase: Phase
+    since_s: float
+    started_s: float = 0.0
+    percent: int = -1
+    progress_s: float = 0.0
+    checkpoint: str = ""
+    stop_reason: str = ""
+
+
+class Session:
+    """One life of a worker, for as long as this instance leads.
+
+    Parameters
+    ----------
+    token : int
+        Fencing token of this leadership.
+    propose : callable
+        Commits a command.
+    leads : callable
+        Tells whether this instance still leads; asked before each order.
+    note_end : callable
+        Gets each new end, with the id of the worker.
+    """
+
+    def __init__(
+        self,
+        worker: workflow.Worker,
+        state: machine.WorkflowMachine,
+        workers: port.WorkerPort,
+        token: int,
+        time: clock.Clock,
+        propose: Callable[[command.AnyCommand], Awaitable[bytes]],
+        leads: Callable[[], bool],
+        note_end: Callable[[str, workflow.End], None],
+        settings: lease.Settings,
+    ) -> None:
+        self.worker = worker
+        self._state = state
+        self._port = workers
+        self._token = token
+        self._clock = time
+        self._propose = propose
+        self._leads = leads
+        self._note_end = note_end
+        now = time.monotonic()
+        self._lease = lease.Lease(settings, now)
+        self._runs: dict[tuple[workflow.TaskKey, int], Run] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._stops: set[tuple[workflow.TaskKey, int]] = set()
+        self._holder: asyncio.Task | None = None
+        self._wanted = asyncio.Event()
+        self._looked = False
+        self._told_seen = 0
+        self._heard_s = float("-inf")
+        self._silent = False
+        self.over = False
+
+    @property
+    def heard_s(self) -> float:
+        """Return when the worker last gave an answer or a sign of life."""
+        return self._heard_s
+
+    @property
+    def silent(self) -> bool:
+        """Tell whether the last order got no answer."""
+        return self._silent
+
+    @property
+    def stopping(self) -> frozenset[workflow.TaskKey]:
+        """Return the tasks that have been told to stop."""
+        return frozenset(key for (key, _), run in self._runs.items() if run.stop_reason)
+
+    def ages_s(self) -> dict[workflow.TaskKey, float]:
+        """Return how long the confirmed runs have been at work."""
+        now = self._clock.monotonic()
+        return {
+            key: now - run.started_s
+            for (key, _), run in self._runs.items()
+            if run.phase is Phase.CONFIRMED
+        }
+
+    def beat(self, clock_ms: int | None) -> None:
+        """Note a sign of life."""
+        now = self._clock.monotonic()
+        self._heard_s = now
+        if clock_ms is not None:
+            self._lease.read(clock_ms, now)
+
+    def open(self) -> None:
+        """Begin to look at the worker."""
+        self._holder = asyncio.get_running_loop().create_task(self._hold())
+
+    async def close(self) -> None:
+        """Give no more orders."""
+        tasks = [*self._tasks]
+        if self._holder is not None:
+            tasks.append(self._holder)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def start(self, placement: workflow.Placement) -> None:
+        """Have the worker start a run that has just been committed."""
+        now = self._clock.monotonic()
+        key = (placement.task, placement.run)
+        self._runs[key] = Run(placement, Phase.SENT, now)
+        self._spawn(self._start(self._runs[key]))
+
+    def stop(self, placement: workflow.Placement, reason: str) -> None:
+        """Have the worker stop a run, until it has ended."""
+        run = self._run(placement)
+        if not run.stop_reason:
+            run.stop_reason = reason
+            log.state_change(
+                "task.stop",
+                task=name(placement.task),
+                run=placement.run,
+                worker=self.worker.worker_id,
+                reason=reason,
+            )
+        if run.phase is not Phase.SENT:
+            self._start_stop(run)
+
+    def is_stopping(self, placement: workflow.Placement) -> bool:
+        """Tell whether a run has been told to stop."""
+        run = self._runs.get((placement.task, placement.run))
+        return run is not None and bool(run.stop_reason)
+
+    def _run(self, placement: workflow.Placement) -> Run:
+        key = (placement.task, placement.run)
+        run = self._runs.get(key)
+        if run is None:
+            run = Run(placement, Phase.UNKNOWN, self._clock.monotonic())
+            self._runs[key] = run
+        return run
+
+    def _spawn(self, coroutine) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _start_stop(self, run: Run) -> None:
+        key = (run.placement.task, run.placement.run)
+        if key not in self._stops:
+            self._stops.add(key)
+            self._spawn(self._stop(run))
+
+    def _set(self, run: Run, phase: Phase) -> None:
+        run.phase = phase
+        run.since_s = self._clock.monotonic()
+
+    # Orders.
+
+    async def _start(self, run: Run) -> None:
+        """Order a start; a run without an answer is stopped before it is replaced."""
+        for _ in range(ORDER_ATTEMPTS):
+            if not self._leads() or run.stop_reason:
+                break
+            try:
+                reply = await self._order_start(run)
+            except port.WorkerReplacedError:
+                await self._end_life("replaced at its address")
+                return
+            except port.WorkerSilentError as failure:
+                self._silent = True
+                log.state_change(
+                    "task.start_unanswered",
+                    task=name(run.placement.task),
+                    run=run.placement.run,
+                    worker=self.worker.worker_id,
+                    reason=failure.message,
+                )
+                self._set(run, Phase.UNCERTAIN)
+                continue
+            if reply is None:
+                break
+            if reply.refusal is None:
+                run.started_s = run.progress_s = self._clock.monotonic()
+                self._set(run, Phase.CONFIRMED)
+                if run.stop_reason:
+                    self._start_stop(run)
+                return
+            log.state_change(
+                "task.start_refused",
+                task=name(run.placement.task),
+                run=run.placement.run,
+                worker=self.worker.worker_id,
+                reason=reply.refusal.value,
+            )
+            if run.phase is Phase.SENT:
+                await self._release([run], f"refused: {reply.refusal.value}")
+                return
+            break
+        if run.phase is Phase.SENT:  # nothing was sent
+            await self._release([run], "not sent")
+            return
+        run.stop_reason = run.stop_reason or "the start got no answer"
+        self._start_stop(run)
+
+    async def _order_start(self, run: Run) -> port.Reply | None:
+        placement = run.placement
+        task = self._state.task(placement.task)
+        entry = self._state.entries.get(placement.task.workflow_id)
+        deadline_ms = self._lease.grant_ms(self._clock.monotonic())
+        if task is None or entry is None or deadline_ms is None:
+            return None
+        reply = await self._port.start(
+            self.worker,
+            port.StartOrder(
+                placement.task,
+                placement.run,
+                entry.workflow.payload,
+                deadline_ms,
+                self._token,
+                task.checkpoint,
+            ),
+        )
+        self._answered(reply.clock_ms)
+        return reply
+
+    async def _stop(self, run: Run) -> None:
+        placement = run.placement
+        key = (placement.task, placement.run)
+        try:
+            while self._leads() and key in self._runs:
+                try:
+                    reply = await self._port.stop(
+                        self.worker, placement.task, placement.run, self._token
+                    )
+                except port.WorkerReplacedError:
+                    await self._end_life("replaced at its address")
+                    return
+                except port.WorkerSilentError:
+                    self._silent = True
+                    await asyncio.sleep(RETRY_S)
+                    continue
+                self._answered(reply.clock_ms)
+                if reply.refusal is port.Refusal.FENCED:
+                    return
+                self._set(run, Phase.FENCED)
+                self._wanted.set()
+                return
+        finally:
+            self._stops.discard(key)
+
+    def _answered(self, clock_ms: int | None) -> None:
+        self._silent = False
+        self.beat(clock_ms)
+
+    # Leases and ends.
+
+    async def _hold(self) -> None:
+        while self._leads() and not self.over:
+            if self._is_idle():
+                self._wanted.clear()
+                await self._wanted.wait()
+                continue
+            try:
+                await self._look()
+            except port.WorkerReplacedError:
+                await self._end_life("replaced at its address")
+            except port.WorkerSilentError as failure:
+                if not self._silent:
+                    log.state_change(
+                        "worker.silent",
+                        worker=self.worker.worker_id,
+                        reason=failure.message,
+                        lapses_in_s=self._lease.lapsed_s - self._clock.monotonic(),
+                    )
+                self._silent = True
+                await self._check_lapse()
+                await asyncio.sleep(RETRY_S)
+            except errors.MarjoramusherError as failure:
+                log.state_change(
+                    "worker.report_not_committed",
+                    worker=self.worker.worker_id,
+                    reason=failure.message,
+                )
+                await asyncio.sleep(RETRY_S)
+
+    def wake(self) -> None:
+        """Look at the worker now if it was idle."""
+        self._wanted.set()
+
+    def _is_idle(self) -> bool:
+        """Tell whether nothing runs there and the worker knows which ends are noted."""
+        known = self._state.workers.get(self.worker.worker_id)
+        return (
+            self._looked
+            and not self._state.placed(self.worker.worker_id)
+            and (known is None or known.seen <= self._told_seen)
+        )
+
+    async def _look(self) -> None:
+        asked_s = self._clock.monotonic()
+        known = self._state.workers.get(self.worker.worker_id)
+        if known is None or known.worker.born != self.worker.born:
+            self.over = True
+            return
+        calm = self._looked and not any(
+            run.phase is Phase.FENCED for run in self._runs.values()
+        )
+        report = await self._port.hold(
+            self.worker,
+            self._token,
+            known.seen,
+            self._lease.grant_ms(asked_s),
+            HOLD_WAIT_S if calm else 0.0,
+        )
+        if self._silent:
+            log.state_change("worker.heard", worker=self.worker.worker_id)
+        self._answered(report.clock_ms)
+        self._told_seen = known.seen
+        if report.born is not None and report.born != self.worker.born:
+            await self._end_life("born again")
+            return
+        if not self._looked:
+            # The lease was not renewed: the clock of the worker was not known.
+            self._looked = True
+        await self._take(report, asked_s, known.seen)
+
+    async def _take(self, report: port.Report, asked_s: float, seen: int) -> None:
+        """Commit the ends, and the release of runs that are certainly not there."""
+        now = self._clock.monotonic()
+        running = {(each.task, each.run): each for each in report.running}
+        ends = tuple(end for end in report.ends if end.number > seen)
+        ended = {(end.task, end.run) for end in report.ends}
+        placed = self._state.placed(self.worker.worker_id)
+        absent: list[Run] = []
+        for placement in list(placed.values()):
+            key = (placement.task, placement.run)
+            run = self._run(placement)
+            if key in running:
+                self._note_running(run, running[key], now)
+            elif (
+                key not in ended
+                and run.since_s <= asked_s
+                and run.phase
+                in (
+                    Phase.UNKNOWN,
+                    Phase.CONFIRMED,
+                    Phase.FENCED,
+                )
+            ):
+                absent.append(run)
+        for key in [k for k, r in self._runs.items() if k[0] not in placed]:
+            if self._runs[key].phase is not Phase.SENT:
+                del self._runs[key]
+        for run_key, each in running.items():
+            task = self._state.task(each.task)
+            placement = task.placement if task else None
+            expected = placement is not None and (
+                placement.run == each.run
+                and placement.worker_id == self.worker.worker_id
+            )
+            if not expected and run_key not in self._runs:
+                # Left over from a time that the log knows nothing of any more.
+                stray = workflow.Placement(
+                    each.task, each.run, self.worker.worker_id, self.worker.born
+                )
+                self.stop(stray, "no placement")
+        if ends or absent:
+            settled = await self._settle(ends, absent, "not on the worker")
+            if not settled:
+                await asyncio.sleep(RETRY_S)
+
+    def _note_running(self, run: Run, shown: port.Running, now: float) -> None:
+        if run.phase in (Phase.UNKNOWN, Phase.UNCERTAIN):
+            self._set(run, Phase.CONFIRMED)
+            run.started_s = run.started_s or now
+        if shown.percent != run.percent:
+            run.percent = shown.percent
+            run.progress_s = now
+        run.checkpoint = shown.checkpoint
+        entry = self._state.entries.get(run.placement.task.workflow_id)
+        if entry is None or run.stop_reason:
+            return
+        step = entry.workflow.steps[run.placement.task.step]
+        limit_s = max(STALL_S, STALL_ESTIMATES * step.estimate_ms / 1000)
+        if not step.long_running and now - run.progress_s > limit_s:
+            self.stop(run.placement, "no progress")
+
+    async def _check_lapse(self) -> None:
+        now = self._clock.monotonic()
+        if now <= self._lease.lapsed_s:
+            return
+        placed = self._state.placed(self.worker.worker_id)
+        if placed:
+            await self._release(
+                [self._run(placement) for placement in placed.values()],
+                "the lease has lapsed",
+            )
+
+    async def _end_life(self, reason: str) -> None:
+        """Give up a life of the worker that is certainly over."""
+        if self.over:
+            return
+        self.over = True
+        log.state_change(
+            "worker.life_over", worker=self.worker.worker_id, reason=reason
+        )
+        placed = self._state.placed(self.worker.worker_id)
+        await self._release([self._run(p) for p in placed.values()], reason)
+        await self._commit(
+            command.RemoveWorker(
+                self._now_ms(), self.worker.worker_id, self.worker.born
+            )
+        )
+
+    async def _release(self, runs: list[Run], reason: str) -> None:
+        await self._settle((), runs, reason)
+
+    async def _settle(
+        self, ends: tuple[workflow.End, ...], released: list[Run], reason: str
+    ) -> bool:
+        for end in ends:
+            self._note_end(self.worker.worker_id, end)
+            log.state_change(
+                "task.end",
+                task=name(end.task),
+                run=end.run,
+                worker=self.worker.worker_id,
+                how=end.how.value,
+                number=end.number,
+            )
+        for run in released:
+            log.state_change(
+                "task.released",
+                task=name(run.placement.task),
+                run=run.placement.run,
+                worker=self.worker.worker_id,
+                reason=reason,
+            )
+        settle = command.Settle(
+            self._now_ms(),
+            self.worker.worker_id,
+            self.worker.born,
+            ends,
+            tuple(
+                workflow.Release(
+                    run.placement.task, run.placement.run, reason, run.checkpoint
+                )
+                for run in released
+            ),
+            max((end.number for end in ends), default=0),
+        )
+        settled = await self._commit(settle)
+        if settled:
+            for run in released:
+                self._runs.pop((run.placement.task, run.placement.run), None)
+        return settled
+
+    async def _commit(self, wanted: command.AnyCommand) -> bool:
+        try:
+            await self._propose(wanted)
+        except errors.MarjoramusherError as failure:
+            log.state_change(
+                "worker.change_not_committed",
+                worker=self.worker.worker_id,
+                change=type(wanted).__name__,
+                reason=failure.message,
+            )
+            return False
+        return True
+
+    def _now_ms(self) -> int:
+        return int(self._clock.utcnow().timestamp() * 1000)
+
+
+def name(task: workflow.TaskKey) -> str:
+    """Return a task's name for log lines."""
+    return f"{task.workflow_id}.{task.occurrence}.{task.step}.{task.index}"
--- a/marjoramusher/groups/forward.py
+++ b/marjoramusher/groups/forward.py
@@ -17,6 +17,7 @@
 BARRIER = "barrier"
 LEADER = "leader"
 FIND_S = 0.5
+ATTEMPT_S = 0.8  # thirteen round trips between regions; below an election
 
 _RETRIED = frozenset(
     {
@@ -93,6 +94,8 @@
         command: bytes,
         timeout_s: float,
         leader: Callable[[], str | None] | None = None,
+        *,
+        idempotent: bool = False,
     ) -> bytes:
         """Call the leader; a call that was not run is tried again until the deadline.
 
@@ -104,6 +107,9 @@
         leader : callable or None
             Gives the leader that this instance knows as a member of the group;
             without it, the instance that took the last call is tried first.
+        idempotent : bool
+            Whether a call whose answer is lost may be tried again, too. Each attempt
+            then has a part of the time only.
 
         Raises
         ------
@@ -116,6 +122,7 @@
         redirect: str | None = None
         attempt = 0
         asked = 0
+        unknown = False
         while (left_s := deadline_s - self._clock.monotonic()) > 0:
             target = redirect
             # Every other attempt asks others, since what is known may be old.
@@ -128,10 +135,15 @@
             redirect = None
             attempt += 1
             if target is not None and left_s > 0:
+                if idempotent:
+                    left_s = min(left_s, ATTEMPT_S)
                 try:
                     answer = await self._ask(target, method, command, left_s)
                 except errors.MarjoramusherError as error:
-                    self._check(error)
+                    lost = error.outcome is not errors.Outcome.NOT_RUN
+                    unknown = unknown or lost
+                    if not (idempotent and lost and error.code in _RETRIED):
+                        self._check(error)
                     self._hint = None
                     redirect = _redirect(error, target)
                     if redirect is not None and attempt % 4:
@@ -142,7 +154,10 @@
             left_s = max(deadline_s - self._clock.monotonic(), 0)
             await asyncio.sleep(min(left_s, backoff_s * self._rng.uniform(0.5, 1.0)))
             backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
-        raise errors.NoQuorumError(f"no leader of {self._group} was found in time")
+        raise errors.NoQuorumError(
+            f"no leader of {self._group} was found in time",
+            errors.Outcome.UNKNOWN if unknown else errors.Outcome.NOT_RUN,
+        )
 
     async def _find(self, turn: int, left_s: float) -> str | None:
         """Ask one instance, each in its turn, who leads the group."""
@@ -165,8 +180,9 @@
             return await self._local(method, command, left_s)
         if method == PROPOSE:
             return await self._proposer.propose(target, command, left_s)
-        body = codec.pack(Forwarded(self._group, left_s))
-        return await self._peers.call(target, method, body, left_s)
+        if method == BARRIER:
+            command = codec.pack(Forwarded(self._group, left_s))
+        return await self._peers.call(target, method, command, left_s)
 
     def _check(self, error: errors.MarjoramusherError) -> None:
         """Raise unless the call was certainly not run and may be tried again."""
--- a/marjoramusher/groups/manager.py
+++ b/marjoramusher/groups/manager.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 import msgspec
+import xxhash
 
 from ..consensus import machine, message
 from ..core import clock, codec, errors
@@ -50,6 +51,11 @@
         ``None`` for a diskless instance.
     bootstrap_expect : int
         Number of instances that form a new cluster.
+    single_group : bool
+        Whether the records group is the only one.
+    founders : tuple of str
+        Ids of the instances that form a new cluster with a single group without
+        waiting for each other; empty if the cluster exists.
     """
 
     instance_id: str
@@ -61,6 +67,8 @@
     data_folder: str | None = None
     bootstrap_expect: int = 1
     limits: runner.Limits = runner.Limits()
+    single_group: bool = False
+    founders: tuple[str, ...] = ()
 
 
 class Status(msgspec.Struct, frozen=True):
@@ -139,7 +147,7 @@
         return bool(self._identity.cluster_id) and (
             records is not None
             and records.config is not None
-            and domain in self._topology.groups
+            and (self._settings.single_group or domain in self._topology.groups)
         )
 
     @property
@@ -173,7 +181,7 @@
         if running is not None:
             return running
         if name not in self._remote:
-            self._remote[name] = remote.RemoteGroup(name, self._forwarder(name))
+            self._remote[name] = remote.RemoteGroup(name, self.forwarder(name))
         return self._remote[name]
 
     def advance_revision(self, number: int) -> bool:
@@ -288,7 +296,12 @@
                 self._identity = identity.new(settings.instance_id, self._rng)
             else:
                 files.lock()
-                self._identity = identity.boot(files, settings.instance_id, self._rng)
+                founds = settings.instance_id in settings.founders
+                self._identity = identity.boot(
+                    files, settings.instance_id, self._rng, founds
+                )
+                if founds and self._identity.store_id == identity.FOUNDER:
+                    self._found()
                 self._plan = document.read(files, formation.PLAN, bootstrap.Plan)
                 self._revision = revision.RevisionFile(files)
             self._make_table()
@@ -298,6 +311,20 @@
             self._metrics.increment("store_corrupt")
             self._discard()
 
+    def _found(self) -> None:
+        """Take part in a new cluster whose first members all founders know."""
+        if self._identity.cluster_id:
+            return
+        founders = sorted(self._settings.founders)
+        cluster_id = xxhash.xxh3_64_hexdigest(",".join(founders).encode())
+        config = message.GroupConfig(
+            tuple(message.VoterId(each, identity.FOUNDER) for each in founders)
+        )
+        self._write_initial({bootstrap.RECORDS: config}, cluster_id)
+        self._identity = msgspec.structs.replace(self._identity, cluster_id=cluster_id)
+        document.write(self._files, identity.PATH, self._identity)
+        log.state_change("cluster.founded", cluster_id=cluster_id, founders=founders)
+
     def _make_table(self) -> None:
         settings = self._settings
         own = member.Member(
@@ -318,10 +345,9 @@
         self._table = table.Table(own, settings.seeds, start_s)
 
     def _open_groups(self) -> None:
-        names = {
-            bootstrap.RECORDS,
-            bootstrap.domain_group(self._settings.failure_domain),
-        }
+        names = {bootstrap.RECORDS}
+        if not self._settings.single_group:
+            names.add(bootstrap.domain_group(self._settings.failure_domain))
         if self._files is not None:
             stored = identity.group_names(self._files, self._identity.store_id)
             names.update(stored, self._identity.stores)
@@ -339,7 +365,7 @@
                 name,
                 replicated,
                 self._peers.client.send,
-                self._forwarder(name),
+                self.forwarder(name),
                 self._clock,
                 self._rng,
                 self._metrics,
@@ -521,6 +547,14 @@
         for name in sorted(self._stale_groups):
             self._discard_group(name)
         self._join()
+        if not self._settings.single_group:
+            await self._form_groups()
+        for running in self._groups.values():
+            self._change_members(running)
+            self._return_lead(running)
+        self._reopen_failed()
+
+    async def _form_groups(self) -> None:
         if bootstrap.is_due(
             self._table.views, self._table.own, self._settings.bootstrap_expect
         ):
@@ -530,10 +564,6 @@
         self._note_surplus()
         self._create_domains()
         self._enter_domains()
-        for running in self._groups.values():
-            self._change_members(running)
-            self._return_lead(running)
-        self._reopen_failed()
 
     def _note_surplus(self) -> None:
         """Tell the operator why no cluster is formed."""
@@ -814,11 +844,23 @@
             raise errors.NotLeaderError(None)
         return running
 
-    def _forwarder(self, name: str) -> forward.Forwarder:
+    def forwarder(
+        self, name: str, answer: forward.Local | None = None
+    ) -> forward.Forwarder:
+        """Make what carries calls to the leader of a group.
+
+        Parameters
+        ----------
+        answer : callable or None
+            Runs calls of methods other than the group's own at this instance.
+        """
+
         async def local(method: str, command: bytes, timeout_s: float) -> bytes:
             if method == forward.PROPOSE:
                 return await self._propose_here(name, command, timeout_s)
-            return await self._barrier_here(name, timeout_s)
+            if method == forward.BARRIER:
+                return await self._barrier_here(name, timeout_s)
+            return await answer(method, command, timeout_s)
 
         return forward.Forwarder(
             name,
--- a/marjoramusher/instances/client.py
+++ b/marjoramusher/instances/client.py
@@ -226,6 +226,8 @@
         if not await self._links.wait_carried(instance_id, timeout_s):
             raise errors.PeerUnreachableError(instance_id)
         address = self._addresses.get(instance_id)
+        if address is None and ":" in instance_id:
+            address = instance_id  # an instance may be named by its address
         if address is None or self._links.mode(instance_id) is cuts.CutMode.REFUSE:
             raise errors.PeerUnreachableError(instance_id, errors.Outcome.NOT_RUN)
         return address
--- a/marjoramusher/storage/identity.py
+++ b/marjoramusher/storage/identity.py
@@ -37,18 +37,31 @@
         return self.stores.get(group, self.store_id)
 
 
+# Store of an instance that founds its cluster. The founders know each other's ids only,
+# and agree on the first members without a call.
+FOUNDER = "founder"
+
+
 def new(instance_id: str, rng: random.Random, cluster_id: str = "") -> Identity:
     """Return the identity of a new store."""
     return Identity(instance_id, rng.randbytes(STORE_ID_BYTES).hex(), 1, cluster_id)
 
 
 def boot(
-    files: filesystem.FileSystem, instance_id: str, rng: random.Random
+    files: filesystem.FileSystem,
+    instance_id: str,
+    rng: random.Random,
+    founds: bool = False,
 ) -> Identity:
     """Load or make the identity and count this process start, durably.
 
     A folder that is damaged or belongs to another instance id is refused.
 
+    Parameters
+    ----------
+    founds : bool
+        Whether a new folder belongs to a founder of a cluster.
+
     Raises
     ------
     StoreCorruptError
@@ -61,6 +74,8 @@
         if files.names(GROUPS):
             raise error.StoreCorruptError(PATH, "groups exist without an identity")
         current = new(instance_id, rng)
+        if founds:
+            current = msgspec.structs.replace(current, store_id=FOUNDER)
     elif stored.instance_id != instance_id:
         raise error.StoreCorruptError(
             PATH, f"the data folder belongs to {stored.instance_id}"
--- /dev/null
+++ b/marjoramusher/workflows/__init__.py
@@ -0,0 +1,1 @@
+"""Workflows: jobs of several steps, submitted to queues and run on workers."""
--- /dev/null
+++ b/marjoramusher/workflows/planner.py
@@ -0,0 +1,464 @@
+"""Which tasks start where, and which ones give way."""
+
+from collections.abc import Iterable, Iterator, Mapping
+
+import msgspec
+
+from . import machine, objective, workflow
+
+# What a stopped task costs beside its lost work, in core-seconds, so that tasks that
+# have just started are not stopped for nothing.
+STOP_COST = 1.0
+ACCELERATOR_CORES = 8  # an accelerator is accounted as this many cores
+CHECKPOINT_LOSS_S = 0.5  # work since the last checkpoint, and the restore
+
+
+class Condition(msgspec.Struct, frozen=True):
+    """What the leader believes of a worker at this moment.
+
+    Parameters
+    ----------
+    usable : bool
+        Whether tasks may be placed there.
+    stopping : frozenset of TaskKey
+        Runs there that have been told to stop and still take room.
+    ages_s : mapping of TaskKey to float
+        How long the confirmed runs have been at work.
+    """
+
+    usable: bool = True
+    stopping: frozenset[workflow.TaskKey] = frozenset()
+    ages_s: Mapping[workflow.TaskKey, float] = {}
+    avoid: bool = False
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """Placements to commit, and runs to stop for urgent work."""
+
+    placements: tuple[workflow.Placement, ...] = ()
+    preempted: tuple[workflow.Placement, ...] = ()
+
+
+class Unit(msgspec.Struct, frozen=True):
+    """Tasks of one step that wait: a whole gang, or all that are not placed."""
+
+    entry: machine.Entry
+    occurrence: int
+    step: int
+    indexes: tuple[int, ...]
+    deadline_ms: float
+
+    @property
+    def shape(self) -> workflow.Step:
+        """Return the step."""
+        return self.entry.workflow.steps[self.step]
+
+    def key(self, index: int) -> workflow.TaskKey:
+        """Return the name of one of the tasks."""
+        return workflow.TaskKey(
+            self.entry.workflow.workflow_id, self.occurrence, self.step, index
+        )
+
+
+class _Room:
+    """What is free on one worker while a plan is made."""
+
+    __slots__ = (
+        "accelerators",
+        "avoid",
+        "coming_accelerators",
+        "coming_cores",
+        "coming_memory",
+        "cores",
+        "counts",
+        "memory",
+        "victims",
+        "worker",
+    )
+
+    def __init__(self, worker: workflow.Worker, avoid: bool) -> None:
+        self.worker = worker
+        self.avoid = avoid
+        self.cores = worker.capacity.cores_milli
+        self.memory = worker.capacity.memory_mb
+        self.accelerators = worker.capacity.accelerators
+        self.coming_cores = 0
+        self.coming_memory = 0
+        self.coming_accelerators = 0
+        self.counts: dict[tuple[str, int, int], int] = {}
+        self.victims: list[workflow.Placement] = []
+
+    def take(self, needs: workflow.Resources) -> None:
+        self.cores -= needs.cores_milli
+        self.memory -= needs.memory_mb
+        self.accelerators -= needs.accelerators
+
+    def give(self, needs: workflow.Resources) -> None:
+        self.cores += needs.cores_milli
+        self.memory += needs.memory_mb
+        self.accelerators += needs.accelerators
+
+    def expect(self, needs: workflow.Resources) -> None:
+        """Count on room that a stop will free."""
+        self.coming_cores += needs.cores_milli
+        self.coming_memory += needs.memory_mb
+        self.coming_accelerators += needs.accelerators
+
+    def fits(self, needs: workflow.Resources) -> bool:
+        return (
+            needs.accelerators <= self.accelerators
+            and needs.cores_milli <= self.cores
+            and needs.memory_mb <= self.memory
+        )
+
+    def will_fit(self, needs: workflow.Resources, more: workflow.Resources) -> bool:
+        """Tell whether a need fits with what is coming and some more room."""
+        return (
+            needs.accelerators
+            <= self.accelerators + self.coming_accelerators + more.accelerators
+            and needs.cores_milli <= self.cores + self.coming_cores + more.cores_milli
+            and needs.memory_mb <= self.memory + self.coming_memory + more.memory_mb
+        )
+
+
+def accounted(step: workflow.Step) -> workflow.Resources:
+    """Return what a task takes of a worker's capacity."""
+    if step.fill:
+        return msgspec.structs.replace(step.needs, cores_milli=0)
+    return step.needs
+
+
+def plan(
+    state: machine.WorkflowMachine,
+    conditions: Mapping[str, Condition],
+    now_ms: float,
+    early_ms: float = 0.0,
+) -> Plan:
+    """Place what waits, the most urgent first.
+
+    Parameters
+    ----------
+    conditions : mapping of str to Condition
+        Workers without one are not used.
+    now_ms : float
+        Unix milliseconds.
+    early_ms : float
+        How much before its due time an occurrence may start.
+    """
+    planner = _Planner(state, conditions)
+    for unit in sorted(units(state, now_ms + early_ms), key=lambda u: _rank(u, now_ms)):
+        planner.place(unit)
+    return Plan(tuple(planner.placements), tuple(planner.preempted))
+
+
+def units(state: machine.WorkflowMachine, now_ms: float) -> Iterator[Unit]:
+    """Give the tasks that could start if there were room."""
+    for entry in state.active.values():
+        for occurrence, steps in entry.occurrences.items():
+            if occurrence in entry.finished:
+                continue
+            if entry.workflow.due_ms(occurrence) > now_ms:
+                break
+            for step, tasks in enumerate(steps):
+                indexes = _waiting(entry.workflow.steps[step], tasks)
+                if indexes and entry.is_ready(occurrence, step):
+                    due_ms = objective.deadline_ms(
+                        entry.workflow, entry.queue, occurrence
+                    )
+                    yield Unit(entry, occurrence, step, indexes, due_ms)
+
+
+def _waiting(step: workflow.Step, tasks: list[machine.TaskState]) -> tuple[int, ...]:
+    waiting = tuple(
+        index
+        for index, task in enumerate(tasks)
+        if not task.done and task.placement is None
+    )
+    if step.gang and len(waiting) < len(tasks):
+        return ()
+    return waiting
+
+
+def _rank(unit: Unit, now_ms: float) -> tuple[int, bool, float]:
+    """Order by priority; what is hopelessly late comes last in its priority."""
+    return unit.entry.queue.priority, unit.deadline_ms < now_ms, unit.deadline_ms
+
+
+class _Planner:
+    """Free room, and what the plan has decided so far."""
+
+    def __init__(
+        self,
+        state: machine.WorkflowMachine,
+        conditions: Mapping[str, Condition],
+    ) -> None:
+        self._state = state
+        self._conditions = conditions
+        self._rooms: dict[str, list[_Room]] = {}
+        self._by_worker: dict[str, _Room] = {}
+        self.placements: list[workflow.Placement] = []
+        self.preempted: list[workflow.Placement] = []
+        self._stopping: set[workflow.TaskKey] = set()
+        for known in state.workers.values():
+            worker = known.worker
+            condition = conditions.get(worker.worker_id)
+            if condition is None or not condition.usable or worker.draining:
+                continue
+            room = _Room(worker, condition.avoid)
+            self._rooms.setdefault(worker.service, []).append(room)
+            self._by_worker[worker.worker_id] = room
+            self._occupy(room, condition)
+
+    def _occupy(self, room: _Room, condition: Condition) -> None:
+        for key, placement in self._state.placed(room.worker.worker_id).items():
+            entry = self._state.entries[key.workflow_id]
+            needs = accounted(entry.workflow.steps[key.step])
+            room.take(needs)
+            unit = (key.workflow_id, key.occurrence, key.step)
+            room.counts[unit] = room.counts.get(unit, 0) + 1
+            ending = key in condition.stopping or not entry.is_active
+            if ending:
+                room.expect(needs)
+            else:
+                room.victims.append(placement)
+
+    def place(self, unit: Unit) -> None:
+        """Place all or some tasks of a unit, or have others stop for it."""
+        if unit.shape.gang:
+            self._place_gang(unit)
+            return
+        for index in unit.indexes:
+            room = self._best(unit, self._eligible(unit))
+            if room is None:
+                if unit.entry.queue.priority == 0:
+                    self._make_room(unit, (index,))
+                    continue
+                return
+            self._bind(unit, index, room)
+
+    def _place_gang(self, unit: Unit) -> None:
+        for rooms in self._scopes(unit):
+            chosen = self._fit_gang(unit, rooms)
+            if chosen:
+                for index, room in chosen:
+                    room.give(accounted(unit.shape))
+                    self._bind(unit, index, room)
+                return
+        if unit.entry.queue.priority == 0:
+            self._make_room(unit, unit.indexes)
+
+    def _scopes(self, unit: Unit) -> Iterator[list[_Room]]:
+        """Give the sets of workers that a gang may be spread over, best first."""
+        rooms = list(self._eligible(unit))
+        if unit.shape.same_rack:
+            racks: dict[str, list[_Room]] = {}
+            for room in rooms:
+                racks.setdefault(room.worker.rack, []).append(room)
+            yield from sorted(
+                racks.values(), key=lambda r: sum(each.accelerators for each in r)
+            )
+            if unit.entry.queue.priority:
+                return
+        yield rooms
+
+    def _fit_gang(self, unit: Unit, rooms: list[_Room]) -> list[tuple[int, _Room]]:
+        """Take room for each member, or none at all."""
+        needs = accounted(unit.shape)
+        chosen: list[tuple[int, _Room]] = []
+        for index in unit.indexes:
+            room = self._best(unit, rooms)
+            if room is None:
+                break
+            room.take(needs)
+            self._count(unit, room, 1)
+            chosen.append((index, room))
+        for _, room in chosen:
+            self._count(unit, room, -1)
+        if len(chosen) == len(unit.indexes):
+            return chosen
+        for _, room in chosen:
+            room.give(needs)
+        return []
+
+    def _count(self, unit: Unit, room: _Room, change: int) -> None:
+        key = (unit.entry.workflow.workflow_id, unit.occurrence, unit.step)
+        room.counts[key] = room.counts.get(key, 0) + change
+
+    def _eligible(self, unit: Unit) -> Iterator[_Room]:
+        label = unit.shape.label
+        for room in self._rooms.get(unit.entry.queue.service, ()):
+            if not label or label in room.worker.labels:
+                yield room
+
+    def _best(self, unit: Unit, rooms: Iterable[_Room]) -> _Room | None:
+        """Return the fullest worker that a task fits on, near its data if it has any.
+
+        Away from its data a task takes several times as long, so it waits for room
+        there as long as there is a usable worker.
+        """
+        step = unit.shape
+        needs = accounted(step)
+        unit_key = (unit.entry.workflow.workflow_id, unit.occurrence, unit.step)
+        best: _Room | None = None
+        best_rank: tuple[bool, bool, int, int] | None = None
+        near = False
+        for room in rooms:
+            away = bool(step.rack) and room.worker.rack != step.rack
+            near = near or (bool(step.rack) and not away)
+            if not room.fits(needs):
+                continue
+            if step.max_per_worker and (
+                room.counts.get(unit_key, 0) >= step.max_per_worker
+            ):
+                continue
+            rank = (away, room.avoid, room.accelerators, room.cores)
+            if best_rank is None or rank < best_rank:
+                best, best_rank = room, rank
+        if best_rank is not None and best_rank[0] and near:
+            return None
+        return best
+
+    def _bind(self, unit: Unit, index: int, room: _Room) -> None:
+        room.take(accounted(unit.shape))
+        self._count(unit, room, 1)
+        tasks = unit.entry.occurrences[unit.occurrence][unit.step]
+        run = tasks[index].run
+        if unit.shape.gang:
+            run = max(task.run for task in tasks)
+        self.placements.append(
+            workflow.Placement(
+                unit.key(index), run + 1, room.worker.worker_id, room.worker.born
+            )
+        )
+
+    def _make_room(self, unit: Unit, indexes: tuple[int, ...]) -> None:
+        """Reserve room that stops free, for all tasks or for none."""
+        needs = accounted(unit.shape)
+        chosen: list[tuple[_Room, list[workflow.Placement]]] = []
+        for _ in indexes:
+            found = self._cheapest(unit, needs)
+            if found is None:
+                break
+            room, victims = found
+            for victim in victims:
+                self._stop(victim)
+            room.take(needs)
+            self._count(unit, room, 1)
+            chosen.append(found)
+        if len(chosen) == len(indexes):
+            for _, victims in chosen:
+                self.preempted.extend(self._with_gangs(victims))
+            return
+        for room, victims in chosen:
+            room.give(needs)
+            self._count(unit, room, -1)
+            for victim in victims:
+                self._keep(victim)
+
+    def _cheapest(
+        self, unit: Unit, needs: workflow.Resources
+    ) -> tuple[_Room, list[workflow.Placement]] | None:
+        best: tuple[_Room, list[workflow.Placement]] | None = None
+        best_cost = float("inf")
+        key = (unit.entry.workflow.workflow_id, unit.occurrence, unit.step)
+        for room in self._eligible(unit):
+            bound = unit.shape.max_per_worker
+            if bound and room.counts.get(key, 0) >= bound:
+                continue
+            victims, cost = self._victims(unit, room, needs, best_cost)
+            if victims is None:
+                continue
+            cost += room.avoid * 1e6
+            if unit.shape.rack and room.worker.rack != unit.shape.rack:
+                cost += 1e6
+            if cost < best_cost:
+                best, best_cost = (room, victims), cost
+        return best
+
+    def _victims(
+        self, unit: Unit, room: _Room, needs: workflow.Resources, most: float
+    ) -> tuple[list[workflow.Placement] | None, float]:
+        """Return the cheapest runs to stop so that a need will fit."""
+        nothing = workflow.Resources()
+        if room.will_fit(needs, nothing):
+            return [], 0.0
+        if not needs.fits(room.worker.capacity):
+            return None, 0.0
+        candidates = sorted(
+            (self._cost(victim), victim)
+            for victim in room.victims
+            if victim.task not in self._stopping
+            and self._priority(victim) > unit.entry.queue.priority
+        )
+        chosen: list[workflow.Placement] = []
+        freed = nothing
+        total = 0.0
+        for cost, victim in candidates:
+            chosen.append(victim)
+            total += cost
+            freed = _sum(freed, self._needs(victim))
+            if total >= most:
+                return None, 0.0
+            if room.will_fit(needs, freed):
+                return chosen, total
+        return None, 0.0
+
+    def _stop(self, victim: workflow.Placement) -> None:
+        self._stopping.add(victim.task)
+        self._by_worker[victim.worker_id].expect(self._needs(victim))
+
+    def _keep(self, victim: workflow.Placement) -> None:
+        self._stopping.discard(victim.task)
+        needs = self._needs(victim)
+        negative = workflow.Resources(
+            -needs.cores_milli, -needs.memory_mb, -needs.accelerators
+        )
+        self._by_worker[victim.worker_id].expect(negative)
+
+    def _with_gangs(
+        self, victims: list[workflow.Placement]
+    ) -> Iterator[workflow.Placement]:
+        """Give victims together with the other members of their gangs."""
+        for victim in victims:
+            key = victim.task
+            entry = self._state.entries[key.workflow_id]
+            if not entry.workflow.steps[key.step].gang:
+                yield victim
+                continue
+            for task in entry.occurrences[key.occurrence][key.step]:
+                member = task.placement
+                if member is None:
+                    continue
+                room = self._by_worker.get(member.worker_id)
+                if room is not None and member.task not in self._stopping:
+                    self._stop(member)
+                yield member
+
+    def _needs(self, placement: workflow.Placement) -> workflow.Resources:
+        entry = self._state.entries[placement.task.workflow_id]
+        return accounted(entry.workflow.steps[placement.task.step])
+
+    def _priority(self, placement: workflow.Placement) -> int:
+        return self._state.entries[placement.task.workflow_id].queue.priority
+
+    def _cost(self, victim: workflow.Placement) -> float:
+        """Return the core-seconds that are lost if a run stops."""
+        key = victim.task
+        entry = self._state.entries[key.workflow_id]
+        step = entry.workflow.steps[key.step]
+        condition = self._conditions[victim.worker_id]
+        lost_s = condition.ages_s.get(key, 0.0)
+        if step.checkpointing:
+            lost_s = min(lost_s, CHECKPOINT_LOSS_S)
+        cores = step.needs.cores_milli / 1000
+        cores += step.needs.accelerators * ACCELERATOR_CORES
+        members = step.count if step.gang else 1
+        return STOP_COST + lost_s * cores * members
+
+
+def _sum(a: workflow.Resources, b: workflow.Resources) -> workflow.Resources:
+    return workflow.Resources(
+        a.cores_milli + b.cores_milli,
+        a.memory_mb + b.memory_mb,
+        a.accelerators + b.accelerators,
+    )
