Order placements of equal cost

Cause: victims of equal cost were compared as Placement, which had no order, and each plan failed from then on.

--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -1,6 +1,7 @@
 """The leader's loop: plan, commit, order, and take note of what has ended."""
 
 import asyncio
+import traceback
 
 from ..core import clock, codec, errors
 from ..groups import runner
@@ -131,6 +132,15 @@
                     reason=failure.message,
                     term=self._term,
                 )
+            except Exception as failure:
+                # A fault in one plan must not end all later ones.
+                self._metrics.increment("driver_errors", code="internal")
+                log.state_change(
+                    "driver.step_failed",
+                    code="internal",
+                    reason="".join(traceback.format_exception(failure)),
+                    term=self._term,
+                )
 
     async def _step(self) -> None:
         status = self._group.status
--- a/marjoramusher/workflows/workflow.py
+++ b/marjoramusher/workflows/workflow.py
@@ -124,7 +124,7 @@
     index: int
 
 
-class Placement(msgspec.Struct, frozen=True, array_like=True):
+class Placement(msgspec.Struct, frozen=True, array_like=True, order=True):
     """A run of a task on one life of a worker.
 
     Parameters
