Make room for a gang of one rack on one rack

Cause: stops for an urgent gang were chosen over all racks, so it ran on several and took three times as long.

--- a/marjoramusher/queues/service.py
+++ b/marjoramusher/queues/service.py
@@ -127,8 +127,8 @@
             account=account,
             priority=queue.priority,
             catalog=self._state.index.catalog.version,
-            steps=len(submitted.steps),
-            tasks=sum(step.count for step in submitted.steps),
+            steps=[_shape(step) for step in submitted.steps],
+            repetitions=submitted.repetitions,
             accepted=known,
         )
         self._metrics.increment("workflows_submitted", queue=queue.name)
@@ -210,6 +210,35 @@
             return call.Progress.CANCELLED
 
 
+def _shape(step: workflow.Step) -> str:
+    """Return what decides where a step can run, for log lines."""
+    needs = step.needs
+    parts = [
+        f"{step.count}x{needs.accelerators}acc",
+        f"{needs.cores_milli / 1000:g}cores",
+        f"{needs.memory_mb}MB",
+        f"{step.estimate_ms}ms",
+    ]
+    for name in ("rack", "label"):
+        if getattr(step, name):
+            parts.append(f"{name}={getattr(step, name)}")
+    if step.max_per_worker:
+        parts.append(f"spread={step.max_per_worker}")
+    parts.extend(
+        name
+        for name in (
+            "gang",
+            "same_rack",
+            "checkpointing",
+            "speculative",
+            "long_running",
+            "fill",
+        )
+        if getattr(step, name)
+    )
+    return " ".join(parts)
+
+
 def _differs(known: workflow.Worker, said: workflow.Worker) -> bool:
     """Tell whether an announcement changes what is stored; draining stays so."""
     if known.draining and not said.draining:
--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -9,6 +9,8 @@
 # What a stopped task costs beside its lost work, in core-seconds, so that tasks that
 # have just started are not stopped for nothing.
 STOP_COST = 1.0
+# Above the cost of any set of stops: such a worker is the last choice.
+AVOID_COST = 1e6
 ACCELERATOR_CORES = 8  # an accelerator is accounted as this many cores
 CHECKPOINT_LOSS_S = 0.5  # work since the last checkpoint, and the restore
 
@@ -231,13 +233,14 @@
             room = self._best(unit, self._eligible(unit))
             if room is None:
                 if unit.entry.queue.priority == 0:
-                    self._make_room(unit, (index,))
+                    self._make_room(unit, (index,), [list(self._eligible(unit))])
                     continue
                 return
             self._bind(unit, index, room)
 
     def _place_gang(self, unit: Unit) -> None:
-        for rooms in self._scopes(unit):
+        scopes = self._scopes(unit)
+        for rooms in scopes:
             chosen = self._fit_gang(unit, rooms)
             if chosen:
                 for index, room in chosen:
@@ -245,21 +248,28 @@
                     self._bind(unit, index, room)
                 return
         if unit.entry.queue.priority == 0:
-            self._make_room(unit, unit.indexes)
+            self._make_room(unit, unit.indexes, scopes)
 
-    def _scopes(self, unit: Unit) -> Iterator[list[_Room]]:
-        """Give the sets of workers that a gang may be spread over, best first."""
+    def _scopes(self, unit: Unit) -> list[list[_Room]]:
+        """Return the sets of workers that a gang may be spread over, fullest first.
+
+        A gang that is slowed down on several racks waits for one rack, unless it is
+        too large for any.
+        """
         rooms = list(self._eligible(unit))
-        if unit.shape.same_rack:
-            racks: dict[str, list[_Room]] = {}
-            for room in rooms:
-                racks.setdefault(room.worker.rack, []).append(room)
-            yield from sorted(
-                racks.values(), key=lambda r: sum(each.accelerators for each in r)
-            )
-            if unit.entry.queue.priority:
-                return
-        yield rooms
+        if not unit.shape.same_rack:
+            return [rooms]
+        racks: dict[str, list[_Room]] = {}
+        for room in rooms:
+            racks.setdefault(room.worker.rack, []).append(room)
+        needs = accounted(unit.shape)
+        large = [
+            rack
+            for rack in racks.values()
+            if sum(_times(needs, room.worker.capacity) for room in rack)
+            >= unit.shape.count
+        ]
+        return sorted(large, key=_free_accelerators) or [rooms]
 
     def _fit_gang(self, unit: Unit, rooms: list[_Room]) -> list[tuple[int, _Room]]:
         """Take room for each member, or none at all."""
@@ -331,12 +341,34 @@
             )
         )
 
-    def _make_room(self, unit: Unit, indexes: tuple[int, ...]) -> None:
+    def _make_room(
+        self, unit: Unit, indexes: tuple[int, ...], scopes: list[list[_Room]]
+    ) -> None:
         """Reserve room that stops free, for all tasks or for none."""
+        best: list[tuple[_Room, list[workflow.Placement]]] = []
+        best_cost = float("inf")
+        for rooms in scopes:
+            chosen, cost = self._try_room(unit, indexes, rooms)
+            if chosen and cost < best_cost:
+                best, best_cost = chosen, cost
+        needs = accounted(unit.shape)
+        for room, victims in best:
+            room.take(needs)
+            self._count(unit, room, 1)
+            for victim in victims:
+                self._stop(victim)
+        for _, victims in best:
+            self.preempted.extend(self._with_gangs(victims))
+
+    def _try_room(
+        self, unit: Unit, indexes: tuple[int, ...], rooms: list[_Room]
+    ) -> tuple[list[tuple[_Room, list[workflow.Placement]]], float]:
+        """Return where tasks would go on some workers, and what the stops cost."""
         needs = accounted(unit.shape)
         chosen: list[tuple[_Room, list[workflow.Placement]]] = []
+        total = 0.0
         for _ in indexes:
-            found = self._cheapest(unit, needs)
+            found, cost = self._cheapest(unit, needs, rooms)
             if found is None:
                 break
             room, victims = found
@@ -345,35 +377,32 @@
             room.take(needs)
             self._count(unit, room, 1)
             chosen.append(found)
-        if len(chosen) == len(indexes):
-            for _, victims in chosen:
-                self.preempted.extend(self._with_gangs(victims))
-            return
+            total += cost
         for room, victims in chosen:
             room.give(needs)
             self._count(unit, room, -1)
             for victim in victims:
                 self._keep(victim)
+        return (chosen, total) if len(chosen) == len(indexes) else ([], 0.0)
 
     def _cheapest(
-        self, unit: Unit, needs: workflow.Resources
-    ) -> tuple[_Room, list[workflow.Placement]] | None:
+        self, unit: Unit, needs: workflow.Resources, rooms: list[_Room]
+    ) -> tuple[tuple[_Room, list[workflow.Placement]] | None, float]:
         best: tuple[_Room, list[workflow.Placement]] | None = None
         best_cost = float("inf")
         key = (unit.entry.workflow.workflow_id, unit.occurrence, unit.step)
-        for room in self._eligible(unit):
+        for room in rooms:
             bound = unit.shape.max_per_worker
             if bound and room.counts.get(key, 0) >= bound:
                 continue
             victims, cost = self._victims(unit, room, needs, best_cost)
             if victims is None:
                 continue
-            cost += room.avoid * 1e6
-            if unit.shape.rack and room.worker.rack != unit.shape.rack:
-                cost += 1e6
+            away = bool(unit.shape.rack) and room.worker.rack != unit.shape.rack
+            cost += (room.avoid + away) * AVOID_COST
             if cost < best_cost:
                 best, best_cost = (room, victims), cost
-        return best
+        return best, best_cost
 
     def _victims(
         self, unit: Unit, room: _Room, needs: workflow.Resources, most: float
@@ -456,6 +485,20 @@
         return STOP_COST + lost_s * cores * members
 
 
+def _times(needs: workflow.Resources, room: workflow.Resources) -> int:
+    """Return how often a need fits into a room."""
+    pairs = (
+        (needs.cores_milli, room.cores_milli),
+        (needs.memory_mb, room.memory_mb),
+        (needs.accelerators, room.accelerators),
+    )
+    return min((has // each for each, has in pairs if each > 0), default=1_000_000)
+
+
+def _free_accelerators(rooms: list[_Room]) -> int:
+    return sum(max(room.accelerators, 0) for room in rooms)
+
+
 def _sum(a: workflow.Resources, b: workflow.Resources) -> workflow.Resources:
     return workflow.Resources(
         a.cores_milli + b.cores_milli,
