--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -4,7 +4,7 @@
 import traceback
 
 from ..core import clock, codec, errors
-from ..groups import runner
+from ..groups import group as groups
 from ..telemetry import log, metrics
 from ..workflows import command, machine, planner, workflow
 from . import health, lease, port, session
@@ -49,7 +49,7 @@
 
     Parameters
     ----------
-    group : RaftGroup
+    group : LedGroup
         Group that replicates the workflows.
     state : WorkflowMachine
         Its machine.
@@ -59,7 +59,7 @@
 
     def __init__(
         self,
-        group: runner.RaftGroup,
+        group: groups.LedGroup,
         state: machine.WorkflowMachine,
         workers: port.WorkerPort,
         time: clock.Clock,
@@ -111,7 +111,7 @@
             self._wake.set()
 
     def _is_leader(self) -> bool:
-        return self._group.is_leader and self._group.status.term == self._term
+        return self._group.is_leader and self._group.term == self._term
 
     async def _run(self) -> None:
         while True:
@@ -143,34 +143,37 @@
                 )
 
     async def _step(self) -> None:
-        status = self._group.status
         if not self._group.is_leader:
             if self._leading:
                 self._leading = False
                 log.state_change("driver.stopped", term=self._term)
                 await self._close_sessions()
             return
-        if not self._leading or status.term != self._term:
-            await self._take_over(status)
+        if not self._leading or self._group.term != self._term:
+            await self._take_over()
+            if not self._leading:
+                return
         self._open_sessions()
         self._stop_unwanted()
         await self._plan()
         await self._forget()
 
-    async def _take_over(self, status: runner.GroupStatus) -> None:
+    async def _take_over(self) -> None:
         """Begin to lead once all that was committed before is applied here."""
+        self._leading = False
         await self._close_sessions()
+        term = self._group.term
         answer = await self._group.barrier_here(COMMIT_S)
         if self._group.applied_index < codec.unpack(answer, int):
             self._wake.set()
             return
-        self._term = status.term
+        self._term = term
         self._leading = True
         self._health = health.Health()
         log.state_change(
             "driver.started",
-            term=status.term,
-            applied=status.applied_index,
+            term=term,
+            applied=self._group.applied_index,
             workers=len(self._state.workers),
             active=len(self._state.active),
         )
--- /dev/null
+++ b/marjoramusher/executors/driver_test.py
@@ -0,0 +1,295 @@
+"""Guards runs against doubling, loss and overfull workers while orders go astray."""
+
+import asyncio
+import random
+
+import pytest
+import reactivex.subject
+
+from marjoramusher.consensus import message
+from marjoramusher.core import errors
+from marjoramusher.executors import driver
+from marjoramusher.groups import local
+from marjoramusher.telemetry import metrics
+from marjoramusher.workflows import catalog, command, machine, workflow
+from standins import fleet, virtual
+
+CATALOG = catalog.Catalog(
+    1,
+    (
+        catalog.Queue("urgent", "h", "/u/", "s", 0, 4, 1.5, 600, 1000),
+        catalog.Queue("batch", "h", "/b/", "s", 2, 4, 3.0, 3000, 1000),
+    ),
+    (catalog.Service("s"),),
+)
+CAPACITY = workflow.Resources(64000, 1000, 8)
+BEAT_S = 1.5
+WORKERS = 4
+
+
+class Group(local.LocalGroup):
+    """A group of one whose leadership the test takes and gives."""
+
+    def __init__(self, state):
+        super().__init__("records", state)
+        self.led = True
+        self.number = 1
+        self.changes = reactivex.subject.Subject()
+
+    @property
+    def is_leader(self):
+        return self.led
+
+    @property
+    def term(self):
+        return self.number
+
+    @property
+    def roles(self):
+        return self.changes
+
+    async def propose_here(self, command, timeout_s):
+        await asyncio.sleep(0.02)
+        if not self.led:
+            raise errors.NotLeaderError(None)
+        return await self.propose(command, timeout_s)
+
+    def set_leader(self, led):
+        self.led = led
+        self.number += led
+        role = message.Role.LEADER if led else message.Role.FOLLOWER
+        self.changes.on_next(message.RoleChanged(role, self.number, None))
+
+
+class Bed:
+    """A driver, its group and workers in memory."""
+
+    def __init__(self, seed, work_s=None):
+        loop = asyncio.get_running_loop()
+        self.rng = random.Random(seed)
+        self.fleet = fleet.Fleet(self.rng, work_s or self.work_s)
+        self.state = machine.WorkflowMachine()
+        self.group = Group(self.state)
+        self.clock = virtual.LoopClock(loop)
+        self.driver = driver.Driver(
+            self.group,
+            self.state,
+            self.fleet,
+            self.clock,
+            metrics.Metrics(),
+            driver.Settings(BEAT_S),
+        )
+        self.tasks = [loop.create_task(self.fleet.live())]
+        self.count = 0
+        self.born = 0
+
+    async def __aenter__(self):
+        await self.group.propose(
+            command.pack(command.ReplaceCatalog(0, CATALOG, b"")), 1.0
+        )
+        for index in range(WORKERS):
+            await self.join(f"x{index}")
+        self.tasks.append(asyncio.create_task(self.beat()))
+        self.driver.start()
+        return self
+
+    async def __aexit__(self, *_):
+        await self.driver.stop()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def work_s(self, task, run):
+        failed = self.rng.random() < 0.05
+        how = workflow.How.FAILED if failed else workflow.How.DONE
+        return self.rng.uniform(0.2, 4.0), how
+
+    async def join(self, name):
+        self.born += 1
+        worker = workflow.Worker(
+            name, self.born, name, "s", "fd", "r1", ("a", "r1"), CAPACITY
+        )
+        self.fleet.join(worker)
+        await self.group.propose(command.pack(command.RegisterWorker(0, worker)), 1.0)
+
+    async def beat(self):
+        while True:
+            for name, life in list(self.fleet.lives.items()):
+                if name not in self.fleet.cut and not life.over:
+                    if self.state.workers.get(name) is None:
+                        continue
+                    self.driver.beat(
+                        name, life.worker.born, life.clock_ms(self.clock.monotonic())
+                    )
+            await asyncio.sleep(BEAT_S)
+
+    async def submit(self, queue, *steps):
+        self.count += 1
+        name = f"{self.count:016x}"
+        now_ms = int(self.clock.utcnow().timestamp() * 1000)
+        wanted = workflow.Workflow(name, queue, "a", f"spec {name}", steps, now_ms)
+        self.fleet.submitted[name] = wanted
+        await self.group.propose(command.pack(command.Submit(now_ms, wanted)), 1.0)
+        return name
+
+    async def submit_some(self, count):
+        for _ in range(count):
+            gang = self.rng.random() < 0.4
+            first = step(self.rng.randint(1, 4), self.rng.choice([1, 2, 4]), gang=gang)
+            steps = [first]
+            if self.rng.random() < 0.3:
+                steps.append(step(2, 1, after=(0,)))
+            await self.submit(self.rng.choice(["urgent", "batch"]), *steps)
+            await asyncio.sleep(self.rng.uniform(0.0, 1.0))
+
+    async def settle(self, within_s):
+        end_s = self.clock.monotonic() + within_s
+        while self.state.active and self.clock.monotonic() < end_s:
+            await asyncio.sleep(0.1)
+
+    def states(self):
+        return {entry.state for entry in self.state.entries.values()}
+
+
+def step(count, accelerators, **fields):
+    needs = workflow.Resources(1000, 10, accelerators)
+    return workflow.Step(count, needs, 2000, **fields)
+
+
+def always(work_s, how=workflow.How.DONE):
+    return lambda task, run: (work_s, how)
+
+
+def test_work_that_nothing_disturbs_is_done_once():
+    async def play():
+        async with Bed(1, always(1.0)) as bed:
+            await bed.submit_some(30)
+            await bed.settle(60)
+            assert bed.states() == {workflow.State.COMPLETED}
+            assert bed.fleet.starts >= sum(
+                s.count for w in bed.fleet.submitted.values() for s in w.steps
+            )
+            assert bed.fleet.faults == []
+
+    virtual.run(play())
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_lost_and_late_orders_double_nothing(seed):
+    async def play():
+        async with Bed(seed) as bed:
+            bed.fleet.lost = 0.15
+            await bed.submit_some(25)
+            bed.fleet.lost = 0.0
+            await bed.settle(200)
+            assert bed.fleet.faults == []
+            assert workflow.State.ACTIVE not in bed.states()
+
+    virtual.run(play())
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_workers_that_are_cut_off_or_born_again_double_nothing(seed):
+    async def play():
+        async with Bed(seed) as bed:
+            bed.fleet.lost = 0.03
+
+            async def disturb():
+                while True:
+                    await asyncio.sleep(bed.rng.uniform(1, 5))
+                    name = f"x{bed.rng.randrange(WORKERS)}"
+                    if bed.rng.random() < 0.5:
+                        bed.fleet.cut.add(name)
+                        await asyncio.sleep(bed.rng.uniform(1, 12))
+                        bed.fleet.cut.discard(name)
+                    else:
+                        bed.fleet.lives[name].over = True
+                        await asyncio.sleep(bed.rng.uniform(0.1, 12))
+                        await bed.join(name)
+
+            task = asyncio.create_task(disturb())
+            await bed.submit_some(25)
+            task.cancel()
+            bed.fleet.cut.clear()
+            for name, life in list(bed.fleet.lives.items()):
+                if life.over:
+                    await bed.join(name)
+            bed.fleet.lost = 0.0
+            await bed.settle(200)
+            assert bed.fleet.faults == []
+            assert workflow.State.ACTIVE not in bed.states()
+
+    virtual.run(play())
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_changes_of_the_leader_double_nothing(seed):
+    async def play():
+        async with Bed(seed) as bed:
+            bed.fleet.lost = 0.05
+
+            async def change():
+                while True:
+                    await asyncio.sleep(bed.rng.uniform(1, 6))
+                    bed.group.set_leader(False)
+                    await asyncio.sleep(bed.rng.uniform(0.05, 9))
+                    bed.group.set_leader(True)
+
+            task = asyncio.create_task(change())
+            await bed.submit_some(25)
+            task.cancel()
+            if not bed.group.led:
+                bed.group.set_leader(True)
+            bed.fleet.lost = 0.0
+            await bed.settle(300)
+            assert bed.fleet.faults == []
+            assert workflow.State.ACTIVE not in bed.states()
+
+    virtual.run(play())
+
+
+def test_a_cancelled_workflow_is_stopped_though_orders_are_lost():
+    async def play():
+        async with Bed(3, always(60.0)) as bed:
+            name = await bed.submit("batch", step(6, 1))
+            await asyncio.sleep(1.0)
+            bed.fleet.lost = 0.5
+            await bed.group.propose(command.pack(command.Cancel(0, name)), 1.0)
+            await asyncio.sleep(3.0)
+            running = [t for x in bed.fleet.lives.values() for t in x.runs]
+            bed.fleet.lost = 0.0
+            await asyncio.sleep(2.0)
+            running = [t for x in bed.fleet.lives.values() for t in x.runs]
+            assert running == []
+
+    virtual.run(play())
+
+
+def test_noted_ends_are_forgotten_by_idle_workers():
+    async def play():
+        async with Bed(4, always(1.0)) as bed:
+            await bed.submit("batch", step(4, 1))
+            await asyncio.sleep(6.0)
+            assert all(not life.ends for life in bed.fleet.lives.values())
+
+    virtual.run(play())
+
+
+def test_tasks_without_progress_are_run_elsewhere():
+    async def play():
+        stalled = set()
+
+        def work_s(task, run):
+            if run == 1:
+                stalled.add(task)
+                return 1e6, workflow.How.DONE
+            return 1.0, workflow.How.DONE
+
+        async with Bed(5, work_s) as bed:
+            await bed.submit("batch", step(2, 1))
+            await bed.settle(30)
+            assert stalled
+            assert bed.states() == {workflow.State.COMPLETED}
+            assert bed.fleet.faults == []
+
+    virtual.run(play())
--- a/marjoramusher/groups/group.py
+++ b/marjoramusher/groups/group.py
@@ -46,3 +46,33 @@
 
     async def barrier(self, timeout_s: float) -> None:
         """Wait until the local machine holds all that was committed before the call."""
+
+
+class LedGroup(Protocol):
+    """What a driver sees of the group that it acts for as leader."""
+
+    @property
+    def is_leader(self) -> bool:
+        """Tell whether this instance leads with a fresh quorum."""
+
+    @property
+    def term(self) -> int:
+        """Return the current term, which rises with each leadership."""
+
+    @property
+    def applied_index(self) -> int:
+        """Return the index of the last applied entry."""
+
+    @property
+    def applied(self) -> reactivex.Observable[int]:
+        """Return the stream of applied indexes, one for each batch."""
+
+    @property
+    def roles(self) -> reactivex.Observable[message.RoleChanged]:
+        """Return the stream of role changes."""
+
+    async def propose_here(self, command: bytes, timeout_s: float) -> bytes:
+        """Commit a command as leader and return what the machine's `apply` gave."""
+
+    async def barrier_here(self, timeout_s: float) -> bytes:
+        """Confirm leadership and return the packed index to wait for."""
--- a/marjoramusher/groups/local.py
+++ b/marjoramusher/groups/local.py
@@ -4,6 +4,7 @@
 import reactivex.subject
 
 from ..consensus import machine, message
+from ..core import codec
 
 
 class LocalGroup:
@@ -34,6 +35,11 @@
         """Return true: there is no other member."""
         return True
 
+    @property
+    def term(self) -> int:
+        """Return the term of the only leadership."""
+        return 1
+
     @property
     def leader(self) -> str | None:
         """Return the name of the only member."""
@@ -62,6 +68,15 @@
         self._applied.on_next(self._index)
         return result
 
+    async def propose_here(self, command: bytes, timeout_s: float) -> bytes:
+        """Apply a command."""
+        return await self.propose(command, timeout_s)
+
     async def barrier(self, timeout_s: float) -> None:
         """Return at once."""
         del timeout_s
+
+    async def barrier_here(self, timeout_s: float) -> bytes:
+        """Return the packed number of commands applied."""
+        del timeout_s
+        return codec.pack(self._index)
--- a/marjoramusher/groups/runner.py
+++ b/marjoramusher/groups/runner.py
@@ -145,6 +145,11 @@
             self._clock.monotonic()
         )
 
+    @property
+    def term(self) -> int:
+        """Return the current term, which rises with each leadership."""
+        return self._node.term if self._node else 0
+
     @property
     def leader(self) -> str | None:
         """Return the instance id of the known leader."""
--- /dev/null
+++ b/marjoramusher/workflows/planner_test.py
@@ -0,0 +1,218 @@
+"""Guards placement against overfull workers, partial gangs and starved urgent work."""
+
+import random
+
+from marjoramusher.workflows import catalog, command, machine, planner, workflow
+
+CATALOG = catalog.Catalog(
+    1,
+    (
+        catalog.Queue("urgent", "h", "/u/", "s", 0, 3, 1.5, 600, 1000),
+        catalog.Queue("long", "h", "/l/", "s", 1, 3, 3.0, 1500, 1000),
+        catalog.Queue("batch", "h", "/b/", "s", 2, 3, 3.0, 3000, 1000),
+    ),
+    (catalog.Service("s"),),
+    (catalog.Account("a", ("k",), 8),),
+)
+CAPACITY = workflow.Resources(64000, 1000, 8)
+
+
+class Bed:
+    """Workers in racks, and a machine that takes what is planned."""
+
+    def __init__(self, racks=1, size=2):
+        self.state = machine.WorkflowMachine()
+        self.do(command.ReplaceCatalog(0, CATALOG, b""))
+        self.conditions = {}
+        self.number = 0
+        for rack in range(racks):
+            for index in range(size):
+                name = f"{rack}-{index}"
+                labels = ("a", f"r{rack}")
+                self.do(
+                    command.RegisterWorker(
+                        0,
+                        workflow.Worker(
+                            name, 1, name, "s", "fd", labels[1], labels, CAPACITY
+                        ),
+                    )
+                )
+                self.conditions[name] = planner.Condition()
+
+    def do(self, wanted):
+        return self.state.apply(0, command.pack(wanted))
+
+    def submit(self, queue, count, accelerators, cores=1000, estimate=1000, **fields):
+        self.number += 1
+        needs = workflow.Resources(cores, 10, accelerators)
+        step = workflow.Step(count, needs, estimate, **fields)
+        self.do(
+            command.Submit(
+                0, workflow.Workflow(f"w{self.number}", queue, "a", "", (step,), 0)
+            )
+        )
+        return f"w{self.number}"
+
+    def plan(self, now_ms=0.0):
+        return planner.plan(self.state, self.conditions, now_ms)
+
+    def run(self, now_ms=0.0):
+        made = self.plan(now_ms)
+        self.do(command.Assign(0, made.placements))
+        return made
+
+    def end(self, placements, how=workflow.How.STOPPED):
+        for placement in placements:
+            known = self.state.workers[placement.worker_id]
+            ended = workflow.End(known.seen + 1, placement.task, placement.run, how)
+            self.do(
+                command.Settle(0, placement.worker_id, 1, (ended,), (), known.seen + 1)
+            )
+
+
+def test_equal_costs_of_victims_do_not_stop_the_plan():
+    bed = Bed(size=1)
+    bed.submit("batch", 8, 1)
+    bed.run()
+    bed.submit("urgent", 1, 8)
+    assert len(bed.plan().preempted) == 8
+
+
+def test_no_worker_gets_more_than_it_has():
+    rng = random.Random(7)
+    bed = Bed(racks=2, size=3)
+    for _ in range(60):
+        bed.submit(
+            rng.choice(["urgent", "long", "batch"]),
+            rng.randint(1, 6),
+            rng.choice([1, 2, 4, 8]),
+            rng.choice([1000, 26000, 40000]),
+            gang=rng.random() < 0.5,
+            same_rack=rng.random() < 0.3,
+        )
+        bed.run(rng.uniform(0, 9000))
+        for worker_id in bed.conditions:
+            used = [
+                bed.state.entries[key.workflow_id].workflow.steps[0].needs
+                for key in bed.state.placed(worker_id)
+            ]
+            assert sum(each.accelerators for each in used) <= CAPACITY.accelerators
+            assert sum(each.cores_milli for each in used) <= CAPACITY.cores_milli
+            assert sum(each.memory_mb for each in used) <= CAPACITY.memory_mb
+        placed = [p for w in bed.conditions for p in bed.state.placed(w).values()]
+        bed.end(rng.sample(placed, len(placed) // 3), workflow.How.DONE)
+
+
+def test_a_gang_waits_for_all_of_its_room():
+    bed = Bed()
+    bed.submit("long", 3, 8, gang=True)
+    assert not bed.plan().placements
+
+
+def test_a_gang_of_one_rack_preempts_on_one_rack():
+    bed = Bed(racks=2, size=2)
+    bed.submit("batch", 32, 1)
+    bed.run()
+    bed.submit("urgent", 2, 8, gang=True, same_rack=True)
+    stopped = bed.plan().preempted
+    assert len({placement.worker_id[0] for placement in stopped}) == 1
+    assert len(stopped) == 16
+    bed.end(stopped)
+    made = bed.run().placements
+    assert len({p.worker_id[0] for p in made if p.task.workflow_id == "w2"}) == 1
+
+
+def test_room_that_was_cleared_goes_to_the_urgent_work():
+    bed = Bed(size=1)
+    bed.submit("batch", 8, 1)
+    bed.run()
+    bed.submit("urgent", 1, 8)
+    stopped = bed.plan().preempted
+    bed.end(stopped[:4])
+    bed.conditions["0-0"] = planner.Condition(
+        stopping=frozenset(p.task for p in stopped[4:])
+    )
+    half = bed.plan()
+    assert not half.placements  # the stopped tasks do not take it back
+    assert not half.preempted
+
+
+def test_urgent_work_does_not_stop_urgent_work():
+    bed = Bed(size=1)
+    bed.submit("urgent", 1, 8)
+    bed.run()
+    bed.submit("urgent", 1, 8)
+    assert not bed.plan().preempted
+
+
+def test_all_members_of_a_gang_give_way_together():
+    bed = Bed(size=2)
+    bed.submit("long", 2, 8, gang=True)
+    bed.run()
+    bed.submit("urgent", 1, 4)
+    assert len(bed.plan().preempted) == 2
+
+
+def test_tasks_wait_for_room_near_their_data():
+    bed = Bed(racks=2, size=1)
+    bed.submit("batch", 2, 8, rack="r1")
+    made = bed.run().placements
+    assert [p.worker_id for p in made] == ["1-0"]
+    assert not bed.plan().placements
+    bed.conditions["1-0"] = planner.Condition(usable=False)
+    assert [p.worker_id for p in bed.plan().placements] == ["0-0"]
+
+
+def test_labels_and_spread_bind():
+    bed = Bed(racks=2, size=1)
+    bed.submit("batch", 4, 1, label="r0", max_per_worker=2)
+    made = bed.run().placements
+    assert [p.worker_id for p in made] == ["0-0", "0-0"]
+
+
+def test_draining_and_unusable_workers_get_nothing():
+    bed = Bed(size=2)
+    leaving = bed.state.workers["0-0"].worker
+    bed.do(
+        command.RegisterWorker(
+            0,
+            workflow.Worker(
+                leaving.worker_id,
+                1,
+                leaving.address,
+                "s",
+                "fd",
+                "r0",
+                leaving.labels,
+                CAPACITY,
+                True,
+            ),
+        )
+    )
+    bed.conditions["0-1"] = planner.Condition(usable=False)
+    bed.submit("urgent", 1, 1)
+    assert bed.plan() == planner.Plan()
+
+
+def test_steps_and_due_times_are_kept():
+    bed = Bed()
+    first = workflow.Step(1, workflow.Resources(1000, 10, 1), 1000)
+    second = workflow.Step(1, workflow.Resources(1000, 10, 1), 1000, after=(0,))
+    bed.do(
+        command.Submit(
+            0,
+            workflow.Workflow("w", "batch", "a", "", (first, second), 0, 2, 500, 100),
+        )
+    )
+    assert not bed.plan(499).placements
+    assert [p.task.occurrence for p in bed.run(500).placements] == [0]
+    assert [p.task.occurrence for p in bed.run(600).placements] == [1]
+
+
+def test_the_next_run_of_a_gang_is_higher_than_that_of_any_member():
+    bed = Bed()
+    bed.submit("long", 2, 1, gang=True)
+    for run in (1, 2):
+        made = bed.run().placements
+        assert {p.run for p in made} == {run}
+        bed.end(made)
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,320 @@
+"""Workers in memory that follow the published protocol and check what they are told.
+
+Calls may get no answer and be carried out later, workers may be cut off, die and come
+back under their id. Each breach of a rule is kept as text.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from marjoramusher.core import errors
+from marjoramusher.executors import port
+from marjoramusher.workflows import planner, workflow
+
+MAX_LEASE_MS = 6000
+GANG_S = 3.0
+STOP_S = 0.2
+TIMEOUT_S = 0.8
+LATE_S = (2.0, 12.0)
+TURN_S = 0.02
+
+
+class _Run(msgspec.Struct):
+    task: workflow.TaskKey
+    run: int
+    since_s: float
+    work_s: float
+    present_s: float | None = None  # when all members of the gang were there
+    ends_s: float | None = None
+    how: workflow.How = workflow.How.DONE
+
+
+class Life(msgspec.Struct):
+    """One life of a worker.
+
+    Parameters
+    ----------
+    rate : float
+        Speed of its clock against true time.
+    """
+
+    worker: workflow.Worker
+    started_s: float
+    rate: float
+    token: int = 0
+    lease_ms: float = 0.0
+    runs: dict[workflow.TaskKey, _Run] = {}
+    ended: dict[workflow.TaskKey, int] = {}
+    ends: list[workflow.End] = []
+    forgotten: int = 0
+    last: int = 0
+    over: bool = False
+
+    def clock_ms(self, now: float) -> int:
+        """Return what the worker's steady clock shows."""
+        return int((now - self.started_s) * 1000 * self.rate)
+
+
+class Fleet:
+    """Implement `WorkerPort` for a set of workers.
+
+    Parameters
+    ----------
+    work_s : callable
+        Gives how long a run works, and how it ends.
+    lost : float
+        Share of the calls that get no answer.
+    late : float
+        Share of those that are carried out later.
+    """
+
+    def __init__(
+        self,
+        rng: random.Random,
+        work_s: Callable[[workflow.TaskKey, int], tuple[float, workflow.How]],
+    ) -> None:
+        self._rng = rng
+        self._work_s = work_s
+        self.lost = 0.0
+        self.late = 0.5
+        self.lives: dict[str, Life] = {}
+        self.cut: set[str] = set()
+        self.faults: list[str] = []
+        self.submitted: dict[str, workflow.Workflow] = {}
+        self.done: dict[workflow.TaskKey, int] = {}
+        self.starts = 0
+        self._late: set[asyncio.Task] = set()
+
+    @property
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def join(self, worker: workflow.Worker) -> Life:
+        """Start a life of a worker; the former one under its id ends."""
+        if worker.worker_id in self.lives:
+            self.lives[worker.worker_id].over = True
+        life = Life(worker, self._now, self._rng.choice([1.0, 0.98]))
+        self.lives[worker.worker_id] = life
+        return life
+
+    async def live(self) -> None:
+        """Let work go on, leases lapse and stops end, for ever."""
+        while True:
+            now = self._now
+            for life in self.lives.values():
+                if not life.over:
+                    self._advance(life, now)
+            await asyncio.sleep(TURN_S)
+
+    def _advance(self, life: Life, now: float) -> None:
+        if life.runs and life.clock_ms(now) > life.lease_ms:
+            for run in list(life.runs.values()):
+                self._end(life, run, workflow.How.LAPSED)
+            return
+        for run in list(life.runs.values()):
+            if run.task not in life.runs:
+                continue
+            if run.ends_s is not None and now >= run.ends_s:
+                self._end(life, run, workflow.How.STOPPED)
+            elif run.present_s is None:
+                if self._all_present(run):
+                    run.present_s = now
+                elif now - run.since_s > GANG_S:
+                    self._end(life, run, workflow.How.ALONE)
+            elif not self._all_present(run):
+                self._end(life, run, workflow.How.BROKEN)
+            elif now - run.present_s >= run.work_s:
+                self._end(life, run, run.how)
+
+    def _members(self, run: _Run) -> list[tuple[Life, _Run]]:
+        return [
+            (life, other)
+            for life in self.lives.values()
+            if not life.over
+            for other in life.runs.values()
+            if _unit(other.task) == _unit(run.task) and other.run == run.run
+        ]
+
+    def _step(self, task: workflow.TaskKey) -> workflow.Step:
+        return self.submitted[task.workflow_id].steps[task.step]
+
+    def _all_present(self, run: _Run) -> bool:
+        step = self._step(run.task)
+        return not step.gang or len(self._members(run)) == step.count
+
+    def _end(self, life: Life, run: _Run, how: workflow.How) -> None:
+        members = self._members(run) if self._step(run.task).gang else [(life, run)]
+        for other_life, other in members:
+            if other is run or how is workflow.How.DONE:
+                said = how
+            elif how is workflow.How.ALONE:
+                continue
+            else:
+                said = workflow.How.BROKEN
+            del other_life.runs[other.task]
+            other_life.ended[other.task] = max(
+                other.run, other_life.ended.get(other.task, 0)
+            )
+            other_life.last += 1
+            other_life.ends.append(
+                workflow.End(other_life.last, other.task, other.run, said)
+            )
+            if said is workflow.How.DONE:
+                self.done[other.task] = other.run
+
+    # Calls.
+
+    async def start(
+        self, worker: workflow.Worker, order: port.StartOrder
+    ) -> port.Reply:
+        """Start a run."""
+        return await self._call(worker, lambda life: self._start(life, order))
+
+    async def stop(
+        self, worker: workflow.Worker, task: workflow.TaskKey, run: int, token: int
+    ) -> port.Reply:
+        """Stop a run."""
+        return await self._call(worker, lambda life: self._stop(life, task, run, token))
+
+    async def hold(
+        self,
+        worker: workflow.Worker,
+        token: int,
+        seen: int,
+        deadline_ms: int | None,
+        wait_s: float,
+    ) -> port.Report:
+        """Renew the lease and return both lists."""
+        until_s = self._now + wait_s
+        while self._now < until_s:
+            life = self.lives.get(worker.worker_id)
+            if life is None or life.over or any(e.number > seen for e in life.ends):
+                break
+            await asyncio.sleep(TURN_S)
+        return await self._call(
+            worker, lambda life: self._hold(life, token, seen, deadline_ms)
+        )
+
+    async def _call(self, worker: workflow.Worker, act):
+        await asyncio.sleep(self._rng.uniform(0.001, 0.03))
+        life = self.lives.get(worker.worker_id)
+        if worker.worker_id in self.cut or life is None or life.over:
+            await asyncio.sleep(TIMEOUT_S)
+            raise _silent(worker)
+        if self._rng.random() < self.lost:
+            if self._rng.random() < self.late:
+                self._later(life, act)
+            await asyncio.sleep(TIMEOUT_S)
+            raise _silent(worker)
+        if life.worker.born != worker.born and act is not None:
+            return act(life)
+        return act(life)
+
+    def _later(self, life: Life, act) -> None:
+        async def carry_out() -> None:
+            await asyncio.sleep(self._rng.uniform(*LATE_S))
+            if not life.over:
+                act(life)
+
+        task = asyncio.get_running_loop().create_task(carry_out())
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+
+    def _refused(self, life: Life, refusal: port.Refusal) -> port.Reply:
+        return port.Reply(life.clock_ms(self._now), refusal)
+
+    def _grant(self, life: Life, deadline_ms: int) -> None:
+        most = life.clock_ms(self._now) + MAX_LEASE_MS
+        life.lease_ms = max(life.lease_ms, min(deadline_ms, most))
+
+    def _start(self, life: Life, order: port.StartOrder) -> port.Reply:
+        if order.token < life.token:
+            return self._refused(life, port.Refusal.FENCED)
+        life.token = order.token
+        if order.deadline_ms <= life.clock_ms(self._now):
+            return self._refused(life, port.Refusal.LATE)
+        self._grant(life, order.deadline_ms)
+        present = life.runs.get(order.task)
+        if present is not None and present.run == order.run:
+            return port.Reply(life.clock_ms(self._now))
+        if order.run <= life.ended.get(order.task, 0) or present is not None:
+            return self._refused(life, port.Refusal.OLD)
+        self._check_start(life, order)
+        self.starts += 1
+        work_s, how = self._work_s(order.task, order.run)
+        life.runs[order.task] = _Run(
+            order.task, order.run, self._now, work_s, None, None, how
+        )
+        return port.Reply(life.clock_ms(self._now))
+
+    def _check_start(self, life: Life, order: port.StartOrder) -> None:
+        task = order.task
+        where = f"{task} run {order.run} on {life.worker.worker_id} at {self._now:.2f}"
+        for other in self.lives.values():
+            if not other.over and task in other.runs:
+                self.faults.append(f"twice: {where}")
+        if task in self.done:
+            self.faults.append(f"after its end: {where}")
+        said = self.submitted[task.workflow_id]
+        if order.payload != said.payload:
+            self.faults.append(f"payload: {where}")
+        for before in said.steps[task.step].after:
+            for index in range(said.steps[before].count):
+                key = workflow.TaskKey(task.workflow_id, task.occurrence, before, index)
+                if key not in self.done:
+                    self.faults.append(f"order: {where}")
+        used = [planner.accounted(self._step(each)) for each in life.runs]
+        used.append(planner.accounted(self._step(task)))
+        capacity = life.worker.capacity
+        if (
+            sum(each.accelerators for each in used) > capacity.accelerators
+            or sum(each.cores_milli for each in used) > capacity.cores_milli
+            or sum(each.memory_mb for each in used) > capacity.memory_mb
+        ):
+            self.faults.append(f"room: {where}")
+
+    def _stop(
+        self, life: Life, task: workflow.TaskKey, run: int, token: int
+    ) -> port.Reply:
+        if token < life.token:
+            return self._refused(life, port.Refusal.FENCED)
+        life.token = token
+        present = life.runs.get(task)
+        if present is not None and present.run <= run:
+            present.ends_s = present.ends_s or self._now + STOP_S
+        life.ended[task] = max(run, life.ended.get(task, 0))
+        return port.Reply(life.clock_ms(self._now))
+
+    def _hold(
+        self, life: Life, token: int, seen: int, deadline_ms: int | None
+    ) -> port.Report:
+        if token >= life.token:
+            life.token = token
+            if deadline_ms is not None:
+                self._grant(life, deadline_ms)
+            life.ends = [end for end in life.ends if end.number > seen]
+        return port.Report(
+            life.clock_ms(self._now),
+            life.worker.born,
+            tuple(
+                port.Running(run.task, run.run, "", self._percent(run))
+                for run in life.runs.values()
+            ),
+            tuple(life.ends),
+        )
+
+    def _percent(self, run: _Run) -> int:
+        if run.present_s is None:
+            return 0
+        return min(99, int(100 * (self._now - run.present_s) / run.work_s))
+
+
+def _silent(worker: workflow.Worker) -> port.WorkerSilentError:
+    return port.WorkerSilentError(worker.worker_id, "no answer", errors.Outcome.UNKNOWN)
+
+
+def _unit(task: workflow.TaskKey) -> tuple[str, int, int]:
+    return task.workflow_id, task.occurrence, task.step
