--- a/marjoramusher/daemon/main.py
+++ b/marjoramusher/daemon/main.py
@@ -34,7 +34,7 @@
         for fault in error.faults:
             click.echo(f"marjoramusherd: {fault}", err=True)
         sys.exit(EXIT_BAD_SETTINGS)
-    log.to_file(sys.stderr)
+    log.to_stdout()
     sys.exit(asyncio.run(_run(checked)))
 
 
