Keep room for urgent work, and lead from the region of the majority

Cause: a third of all runs were stopped for urgent gangs and their work thrown away; each commit of a leader outside the majority's region takes a trip between regions (first start after 288 ms in the median). Headroom follows the recent peak of urgent demand. The stand-in counted ends that no leader had noted; it now follows the published rule.

--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -6,7 +6,7 @@
 from ..core import clock, codec, errors
 from ..groups import group as groups
 from ..telemetry import log, metrics
-from ..workflows import command, machine, planner, workflow
+from ..workflows import command, demand, machine, planner, workflow
 from . import health, lease, port, session
 
 TICK_S = 0.25  # due times are met within the platform's tolerance
@@ -75,6 +75,7 @@
         self._sessions: dict[str, session.Session] = {}
         self._closing: set[asyncio.Task] = set()
         self._health = health.Health()
+        self._demand = demand.UrgentDemand()
         self._term = 0
         self._leading = False
         self._wake = asyncio.Event()
@@ -231,8 +232,14 @@
     async def _plan(self) -> None:
         now = self._clock.monotonic()
         now_ms = self._clock.utcnow().timestamp() * 1000
+        urgent = planner.urgent_accelerators(self._state)
+        self._demand.note(urgent, now)
         wanted = planner.plan(
-            self._state, self._conditions(now), now_ms, self._settings.early_ms
+            self._state,
+            self._conditions(now),
+            now_ms,
+            self._settings.early_ms,
+            self._demand.headroom(urgent, planner.capacity(self._state)),
         )
         for placement in wanted.preempted:
             self._metrics.increment("tasks_preempted")
--- a/marjoramusher/groups/handover.py
+++ b/marjoramusher/groups/handover.py
@@ -46,8 +46,35 @@
     return [v for v in successors(name, config, local, holds_all) if holds_all(v)]
 
 
+def central_successors(
+    name: str,
+    config: message.GroupConfig,
+    own_region: str,
+    others: Iterable[member.MemberView],
+    holds_all: Callable[[message.VoterId], bool],
+) -> list[message.VoterId]:
+    """Return voters that could lead from the region with a majority of the voters.
+
+    A leader elsewhere commits nothing without a trip between regions.
+    """
+    others = tuple(others)
+    regions: dict[str, int] = {}
+    for view in others:
+        if bootstrap.voter_id(view.member) in config.voters:
+            region = view.member.region
+            regions[region] = regions.get(region, 0) + 1
+    majority = len(config.voters) // 2 + 1
+    central = [
+        view
+        for view in others
+        if view.member.region != own_region
+        and regions.get(view.member.region, 0) >= majority
+    ]
+    return [v for v in successors(name, config, central, holds_all) if holds_all(v)]
+
+
 class Returns:
-    """Decide when a remote leader gives a domain group back to a local voter."""
+    """Decide when a leader gives a group to a voter that is placed better."""
 
     __slots__ = ("_ready_s", "_returned_s")
 
--- a/marjoramusher/groups/handover_test.py
+++ b/marjoramusher/groups/handover_test.py
@@ -11,9 +11,9 @@
 ALIVE = member.Status.ALIVE
 
 
-def view(name, domain, status=ALIVE, draining=False, store=None):
+def view(name, domain, status=ALIVE, draining=False, store=None, region="r1"):
     own = member.Member(
-        name, domain, "r1", "", "", store or f"{name}0", True, "c", 1, 0, 0, draining
+        name, domain, region, "", "", store or f"{name}0", True, "c", 1, 0, 0, draining
     )
     return member.MemberView(own, status)
 
@@ -41,6 +41,29 @@
     assert handover.local_successors(*arguments) == local_ready
 
 
+@pytest.mark.parametrize(
+    "own_region, regions, behind, expected",
+    [
+        pytest.param("r2", ("r1", "r1"), (), [A, B], id="majority elsewhere"),
+        pytest.param("r2", ("r1", "r1"), (A,), [B], id="behind"),
+        pytest.param("r1", ("r1", "r2"), (), [], id="majority here"),
+        pytest.param("r3", ("r1", "r2"), (), [], id="no majority"),
+    ],
+)
+def test_a_single_group_is_led_in_the_region_of_its_majority(
+    own_region, regions, behind, expected
+):
+    others = [view("a", "d1", region=regions[0]), view("b", "d2", region=regions[1])]
+
+    def holds_all(voter):
+        return voter not in behind
+
+    found = handover.central_successors(
+        "records", CONFIG, own_region, others, holds_all
+    )
+    assert found == expected
+
+
 def test_lead_is_returned_to_a_settled_voter_and_at_most_once_in_the_interval():
     returns = handover.Returns()
     given = {}
--- a/marjoramusher/groups/manager.py
+++ b/marjoramusher/groups/manager.py
@@ -735,12 +735,26 @@
             )
 
     def _return_lead(self, running: runner.RaftGroup) -> None:
-        """Let a local voter lead a domain group of another failure domain."""
+        """Let a voter lead that is placed better.
+
+        A domain group of another failure domain is led there, a single group in the
+        region of its majority.
+        """
         own = bootstrap.domain_group(self._settings.failure_domain)
-        if running.name in (bootstrap.RECORDS, own) or running.config is None:
+        single = self._settings.single_group
+        kept = running.name in (bootstrap.RECORDS, own) and not single
+        if kept or running.config is None:
             return
         ready: list[message.VoterId] = []
-        if running.is_leader:
+        if running.is_leader and single:
+            ready = handover.central_successors(
+                running.name,
+                running.config,
+                self._settings.region,
+                self._others(),
+                running.holds_all,
+            )
+        elif running.is_leader:
             ready = handover.local_successors(
                 running.name, running.config, self._others(), running.holds_all
             )
--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -135,6 +135,7 @@
     conditions: Mapping[str, Condition],
     now_ms: float,
     early_ms: float = 0.0,
+    headroom: int = 0,
 ) -> Plan:
     """Place what waits, the most urgent first.
 
@@ -146,13 +147,38 @@
         Unix milliseconds.
     early_ms : float
         How much before its due time an occurrence may start.
+    headroom : int
+        Accelerators of each service that only urgent work may take.
     """
-    planner = _Planner(state, conditions)
+    planner = _Planner(state, conditions, headroom)
     for unit in sorted(units(state, now_ms + early_ms), key=lambda u: _rank(u, now_ms)):
         planner.place(unit)
     return Plan(tuple(planner.placements), tuple(planner.preempted))
 
 
+def urgent_accelerators(state: machine.WorkflowMachine) -> int:
+    """Return the accelerators that urgent work takes or waits for."""
+    total = 0
+    for entry in state.active.values():
+        if entry.queue.priority:
+            continue
+        for occurrence, step, tasks in entry.tasks():
+            if entry.is_ready(occurrence, step):
+                shape = entry.workflow.steps[step]
+                waiting = sum(not task.done for task in tasks)
+                total += waiting * shape.needs.accelerators
+    return total
+
+
+def capacity(state: machine.WorkflowMachine) -> int:
+    """Return the accelerators of all workers that stay."""
+    return sum(
+        known.worker.capacity.accelerators
+        for known in state.workers.values()
+        if not known.worker.draining
+    )
+
+
 def units(state: machine.WorkflowMachine, now_ms: float) -> Iterator[Unit]:
     """Give the tasks that could start if there were room."""
     for entry in state.active.values():
@@ -193,9 +219,12 @@
         self,
         state: machine.WorkflowMachine,
         conditions: Mapping[str, Condition],
+        headroom: int,
     ) -> None:
         self._state = state
         self._conditions = conditions
+        self._headroom = headroom
+        self._rack_free: dict[str, int] = {}
         self._rooms: dict[str, list[_Room]] = {}
         self._by_worker: dict[str, _Room] = {}
         self.placements: list[workflow.Placement] = []
@@ -210,6 +239,9 @@
             self._rooms.setdefault(worker.service, []).append(room)
             self._by_worker[worker.worker_id] = room
             self._occupy(room, condition)
+            rack = worker.rack
+            free = max(room.accelerators, 0)
+            self._rack_free[rack] = self._rack_free.get(rack, 0) + free
 
     def _occupy(self, room: _Room, condition: Condition) -> None:
         for key, placement in self._state.placed(room.worker.worker_id).items():
@@ -230,6 +262,8 @@
             self._place_gang(unit)
             return
         for index in unit.indexes:
+            if not self._leaves_headroom(unit, 1):
+                return
             room = self._best(unit, self._eligible(unit))
             if room is None:
                 if unit.entry.queue.priority == 0:
@@ -238,7 +272,17 @@
                 return
             self._bind(unit, index, room)
 
+    def _leaves_headroom(self, unit: Unit, count: int) -> bool:
+        """Tell whether some tasks leave the room that is kept for urgent work."""
+        if unit.entry.queue.priority == 0 or not self._headroom:
+            return True
+        rooms = self._rooms.get(unit.entry.queue.service, [])
+        taken = count * unit.shape.needs.accelerators
+        return _free_accelerators(rooms) - taken >= self._headroom
+
     def _place_gang(self, unit: Unit) -> None:
+        if not self._leaves_headroom(unit, len(unit.indexes)):
+            return
         scopes = self._scopes(unit)
         for rooms in scopes:
             chosen = self._fit_gang(unit, rooms)
@@ -303,14 +347,17 @@
     def _best(self, unit: Unit, rooms: Iterable[_Room]) -> _Room | None:
         """Return the fullest worker that a task fits on, near its data if it has any.
 
-        Away from its data a task takes several times as long, so it waits for room
-        there as long as there is a usable worker.
+        Work that may be preempted fills one rack after the other, so that urgent
+        gangs of one rack find room without stopping it. Away from its data a task
+        takes several times as long, so it waits for room there as long as there is a
+        usable worker.
         """
         step = unit.shape
         needs = accounted(step)
         unit_key = (unit.entry.workflow.workflow_id, unit.occurrence, unit.step)
         best: _Room | None = None
-        best_rank: tuple[bool, bool, int, int] | None = None
+        best_rank: tuple[bool, bool, int, int, int] | None = None
+        urgent = unit.entry.queue.priority == 0
         near = False
         for room in rooms:
             away = bool(step.rack) and room.worker.rack != step.rack
@@ -321,7 +368,8 @@
                 room.counts.get(unit_key, 0) >= step.max_per_worker
             ):
                 continue
-            rank = (away, room.avoid, room.accelerators, room.cores)
+            rack_free = 0 if urgent else self._rack_free[room.worker.rack]
+            rank = (away, room.avoid, rack_free, room.accelerators, room.cores)
             if best_rank is None or rank < best_rank:
                 best, best_rank = room, rank
         if best_rank is not None and best_rank[0] and near:
@@ -330,6 +378,7 @@
 
     def _bind(self, unit: Unit, index: int, room: _Room) -> None:
         room.take(accounted(unit.shape))
+        self._rack_free[room.worker.rack] -= unit.shape.needs.accelerators
         self._count(unit, room, 1)
         tasks = unit.entry.occurrences[unit.occurrence][unit.step]
         run = tasks[index].run
@@ -482,7 +531,8 @@
         cores = step.needs.cores_milli / 1000
         cores += step.needs.accelerators * ACCELERATOR_CORES
         members = step.count if step.gang else 1
-        return STOP_COST + lost_s * cores * members
+        # What has been stopped before is stopped again only if that is much cheaper.
+        return victim.run * (STOP_COST + lost_s * cores * members)
 
 
 def _times(needs: workflow.Resources, room: workflow.Resources) -> int:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -51,6 +51,8 @@
     ends: list[workflow.End] = []
     forgotten: int = 0
     last: int = 0
+    lapsed_s: float = -1.0
+    ended_s: dict[int, float] = {}
     over: bool = False
 
     def clock_ms(self, now: float) -> int:
@@ -84,8 +86,10 @@
         self.cut: set[str] = set()
         self.faults: list[str] = []
         self.submitted: dict[str, workflow.Workflow] = {}
-        self.done: dict[workflow.TaskKey, int] = {}
+        self.done: set[workflow.TaskKey] = set()
+        self.noted: set[workflow.TaskKey] = set()
         self.starts = 0
+        self._started_s: dict[workflow.TaskKey, float] = {}
         self._late: set[asyncio.Task] = set()
 
     @property
@@ -110,7 +114,8 @@
             await asyncio.sleep(TURN_S)
 
     def _advance(self, life: Life, now: float) -> None:
-        if life.runs and life.clock_ms(now) > life.lease_ms:
+        if life.clock_ms(now) > life.lease_ms:
+            life.lapsed_s = now
             for run in list(life.runs.values()):
                 self._end(life, run, workflow.How.LAPSED)
             return
@@ -162,8 +167,9 @@
             other_life.ends.append(
                 workflow.End(other_life.last, other.task, other.run, said)
             )
+            other_life.ended_s[other_life.last] = self._now
             if said is workflow.How.DONE:
-                self.done[other.task] = other.run
+                self.done.add(other.task)
 
     # Calls.
 
@@ -256,8 +262,9 @@
         for other in self.lives.values():
             if not other.over and task in other.runs:
                 self.faults.append(f"twice: {where}")
-        if task in self.done:
+        if task in self.noted:
             self.faults.append(f"after its end: {where}")
+        self._started_s[task] = self._now
         said = self.submitted[task.workflow_id]
         if order.payload != said.payload:
             self.faults.append(f"payload: {where}")
@@ -295,6 +302,9 @@
             life.token = token
             if deadline_ms is not None:
                 self._grant(life, deadline_ms)
+            for end in life.ends:
+                if end.number <= seen and end.how is workflow.How.DONE:
+                    self._note(life, end)
             life.ends = [end for end in life.ends if end.number > seen]
         return port.Report(
             life.clock_ms(self._now),
@@ -306,6 +316,17 @@
             tuple(life.ends),
         )
 
+    def _note(self, life: Life, end: workflow.End) -> None:
+        """Take note of an end, which makes a start after it a breach."""
+        ended_s = life.ended_s[end.number]
+        step = self._step(end.task)
+        members = range(step.count) if step.gang else (end.task.index,)
+        for index in members:
+            task = msgspec.structs.replace(end.task, index=index)
+            self.noted.add(task)
+            if self._started_s[task] > ended_s > life.lapsed_s:
+                self.faults.append(f"{task} was started after an end noted later")
+
     def _percent(self, run: _Run) -> int:
         if run.present_s is None:
             return 0
