Let the lease of a silent worker lapse

Ruled out: stops that were not answered (none was pending). The new test fails before. A worker without an answer is asked for its lists without a new deadline.

--- a/marjoramusher/executors/driver_test.py
+++ b/marjoramusher/executors/driver_test.py
@@ -293,3 +293,16 @@
             assert bed.fleet.faults == []
 
     virtual.run(play())
+
+
+def test_a_worker_that_is_gone_for_good_gives_its_tasks_back_after_its_lease():
+    async def play():
+        async with Bed(6, always(3.0)) as bed:
+            await bed.submit("batch", step(WORKERS * 8, 1))
+            await asyncio.sleep(1.0)
+            bed.fleet.lives["x1"].over = True
+            await bed.settle(15)
+            assert bed.states() == {workflow.State.COMPLETED}
+            assert bed.fleet.faults == []
+
+    virtual.run(play())
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -337,14 +337,18 @@
         if known is None or known.worker.born != self.worker.born:
             self.over = True
             return
-        calm = self._looked and not any(
-            run.phase is Phase.FENCED for run in self._runs.values()
+        calm = (
+            self._looked
+            and not self._silent
+            and not any(run.phase is Phase.FENCED for run in self._runs.values())
         )
+        # A silent worker gets no longer lease: all that it runs must end some time.
+        deadline_ms = None if self._silent else self._lease.grant_ms(asked_s)
         report = await self._port.hold(
             self.worker,
             self._token,
             known.seen,
-            self._lease.grant_ms(asked_s),
+            deadline_ms,
             HOLD_WAIT_S if calm else 0.0,
         )
         if self._silent:
@@ -354,9 +358,7 @@
         if report.born is not None and report.born != self.worker.born:
             await self._end_life("born again")
             return
-        if not self._looked:
-            # The lease was not renewed: the clock of the worker was not known.
-            self._looked = True
+        self._looked = True
         await self._take(report, asked_s, known.seen)
 
     async def _take(self, report: port.Report, asked_s: float, seen: int) -> None:
