--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -9,6 +9,9 @@
 # What a stopped task costs beside its lost work, in core-seconds, so that tasks that
 # have just started are not stopped for nothing.
 STOP_COST = 1.0
+# Beyond an account's guarantee, urgent work may cost others this multiple of its own
+# work: it earns about ten times as much for a core-second as what it stops.
+WORTH_STOPPING = 4.0
 # Above the cost of any set of stops: such a worker is the last choice.
 AVOID_COST = 1e6
 ACCELERATOR_CORES = 8  # an accelerator is accounted as this many cores
@@ -225,6 +228,7 @@
         self._conditions = conditions
         self._headroom = headroom
         self._rack_free: dict[str, int] = {}
+        self._urgent: dict[str, int] = {}
         self._rooms: dict[str, list[_Room]] = {}
         self._by_worker: dict[str, _Room] = {}
         self.placements: list[workflow.Placement] = []
@@ -396,6 +400,8 @@
         """Reserve room that stops free, for all tasks or for none."""
         best: list[tuple[_Room, list[workflow.Placement]]] = []
         best_cost = float("inf")
+        if not self._is_guaranteed(unit):
+            best_cost = WORTH_STOPPING * _work(unit.shape)
         for rooms in scopes:
             chosen, cost = self._try_room(unit, indexes, rooms)
             if chosen and cost < best_cost:
@@ -405,9 +411,21 @@
             room.take(needs)
             self._count(unit, room, 1)
             for victim in victims:
-                self._stop(victim)
-        for _, victims in best:
-            self.preempted.extend(self._with_gangs(victims))
+                self.preempted.extend(self._stop(victim))
+
+    def _is_guaranteed(self, unit: Unit) -> bool:
+        """Tell whether all urgent work of an account is within its guarantee."""
+        name = unit.entry.workflow.account
+        if name not in self._urgent:
+            self._urgent[name] = sum(
+                step.count * step.needs.accelerators
+                for entry in self._state.active.values()
+                if entry.workflow.account == name and not entry.queue.priority
+                for step in entry.workflow.steps
+            )
+        account = self._state.index.account(name)
+        limit = account.guaranteed_accelerators if account else 0
+        return self._urgent[name] <= limit
 
     def _try_room(
         self, unit: Unit, indexes: tuple[int, ...], rooms: list[_Room]
@@ -415,6 +433,7 @@
         """Return where tasks would go on some workers, and what the stops cost."""
         needs = accounted(unit.shape)
         chosen: list[tuple[_Room, list[workflow.Placement]]] = []
+        stopped: list[workflow.Placement] = []
         total = 0.0
         for _ in indexes:
             found, cost = self._cheapest(unit, needs, rooms)
@@ -422,16 +441,15 @@
                 break
             room, victims = found
             for victim in victims:
-                self._stop(victim)
+                stopped += self._stop(victim)
             room.take(needs)
             self._count(unit, room, 1)
             chosen.append(found)
             total += cost
-        for room, victims in chosen:
+        for room, _ in chosen:
             room.give(needs)
             self._count(unit, room, -1)
-            for victim in victims:
-                self._keep(victim)
+        self._keep(stopped)
         return (chosen, total) if len(chosen) == len(indexes) else ([], 0.0)
 
     def _cheapest(
@@ -481,36 +499,33 @@
                 return chosen, total
         return None, 0.0
 
-    def _stop(self, victim: workflow.Placement) -> None:
-        self._stopping.add(victim.task)
-        self._by_worker[victim.worker_id].expect(self._needs(victim))
-
-    def _keep(self, victim: workflow.Placement) -> None:
-        self._stopping.discard(victim.task)
-        needs = self._needs(victim)
-        negative = workflow.Resources(
-            -needs.cores_milli, -needs.memory_mb, -needs.accelerators
-        )
-        self._by_worker[victim.worker_id].expect(negative)
-
-    def _with_gangs(
-        self, victims: list[workflow.Placement]
-    ) -> Iterator[workflow.Placement]:
-        """Give victims together with the other members of their gangs."""
-        for victim in victims:
-            key = victim.task
-            entry = self._state.entries[key.workflow_id]
-            if not entry.workflow.steps[key.step].gang:
-                yield victim
-                continue
-            for task in entry.occurrences[key.occurrence][key.step]:
-                member = task.placement
-                if member is None:
-                    continue
-                room = self._by_worker.get(member.worker_id)
-                if room is not None and member.task not in self._stopping:
-                    self._stop(member)
-                yield member
+    def _stop(self, victim: workflow.Placement) -> list[workflow.Placement]:
+        """Count on the room of a run, and of all other members of its gang."""
+        stopped = [
+            each for each in self._members(victim) if each.task not in self._stopping
+        ]
+        for each in stopped:
+            self._stopping.add(each.task)
+            room = self._by_worker.get(each.worker_id)
+            if room is not None:
+                room.expect(self._needs(each))
+        return stopped
+
+    def _keep(self, stopped: list[workflow.Placement]) -> None:
+        """Take a stop back that was only tried."""
+        for each in stopped:
+            self._stopping.discard(each.task)
+            room = self._by_worker.get(each.worker_id)
+            if room is not None:
+                room.expect(_negative(self._needs(each)))
+
+    def _members(self, victim: workflow.Placement) -> list[workflow.Placement]:
+        key = victim.task
+        entry = self._state.entries[key.workflow_id]
+        if not entry.workflow.steps[key.step].gang:
+            return [victim]
+        tasks = entry.occurrences[key.occurrence][key.step]
+        return [task.placement for task in tasks if task.placement is not None]
 
     def _needs(self, placement: workflow.Placement) -> workflow.Resources:
         entry = self._state.entries[placement.task.workflow_id]
@@ -528,11 +543,18 @@
         lost_s = condition.ages_s.get(key, 0.0)
         if step.checkpointing:
             lost_s = min(lost_s, CHECKPOINT_LOSS_S)
-        cores = step.needs.cores_milli / 1000
-        cores += step.needs.accelerators * ACCELERATOR_CORES
         members = step.count if step.gang else 1
         # What has been stopped before is stopped again only if that is much cheaper.
-        return victim.run * (STOP_COST + lost_s * cores * members)
+        return victim.run * (STOP_COST + lost_s * _cores(step.needs) * members)
+
+
+def _work(step: workflow.Step) -> float:
+    """Return the declared core-seconds of a step, accelerators included."""
+    return step.count * step.estimate_ms / 1000 * _cores(step.needs)
+
+
+def _cores(needs: workflow.Resources) -> float:
+    return needs.cores_milli / 1000 + needs.accelerators * ACCELERATOR_CORES
 
 
 def _times(needs: workflow.Resources, room: workflow.Resources) -> int:
@@ -549,6 +571,10 @@
     return sum(max(room.accelerators, 0) for room in rooms)
 
 
+def _negative(needs: workflow.Resources) -> workflow.Resources:
+    return workflow.Resources(-needs.cores_milli, -needs.memory_mb, -needs.accelerators)
+
+
 def _sum(a: workflow.Resources, b: workflow.Resources) -> workflow.Resources:
     return workflow.Resources(
         a.cores_milli + b.cores_milli,
--- a/marjoramusher/workflows/planner_test.py
+++ b/marjoramusher/workflows/planner_test.py
@@ -137,6 +137,28 @@
     assert not half.preempted
 
 
+def test_beyond_its_guarantee_urgent_work_stops_only_what_loses_little():
+    bed = Bed(size=2)
+    bed.submit("long", 2, 8, gang=True)
+    made = bed.run().placements
+    bed.submit("urgent", 2, 8, gang=True)  # 16 accelerators, 8 are guaranteed
+    for age_s, expected in ((0.5, 2), (60.0, 0)):
+        for placement in made:
+            bed.conditions[placement.worker_id] = planner.Condition(
+                ages_s={placement.task: age_s}
+            )
+        assert len(bed.plan().preempted) == expected
+
+
+def test_a_guarantee_is_reclaimed_whatever_it_costs():
+    bed = Bed(size=1)
+    bed.submit("long", 1, 8)
+    made = bed.run().placements
+    bed.submit("urgent", 1, 8)
+    bed.conditions["0-0"] = planner.Condition(ages_s={made[0].task: 600.0})
+    assert len(bed.plan().preempted) == 1
+
+
 def test_urgent_work_does_not_stop_urgent_work():
     bed = Bed(size=1)
     bed.submit("urgent", 1, 8)
