Log why work waits and what it is stopped for, and explain one id from logs

'marjoramusher explain' puts the lines of several processes in order. Behaviour of the planner is unchanged.

--- a/marjoramusher/cli/main.py
+++ b/marjoramusher/cli/main.py
@@ -7,7 +7,7 @@
 import click
 from click import shell_completion
 
-from . import examples, exits, jobs, records, session, state
+from . import examples, exits, explain, jobs, records, session, state
 
 DEFAULT_SERVER = "http://127.0.0.1:8420"
 PROGRAM = "marjoramusher"
@@ -129,7 +129,12 @@
     click.echo(completer.source_template % completer.source_vars())
 
 
-for command in (*records.COMMANDS, *jobs.COMMANDS, *state.COMMANDS):
+for command in (
+    *records.COMMANDS,
+    *jobs.COMMANDS,
+    *state.COMMANDS,
+    *explain.COMMANDS,
+):
     cli.add_command(command)
 
 
--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -76,11 +76,14 @@
         self._closing: set[asyncio.Task] = set()
         self._health = health.Health()
         self._demand = demand.UrgentDemand()
+        self._waiting = {}
         self._term = 0
         self._leading = False
         self._wake = asyncio.Event()
         self._task: asyncio.Task | None = None
         self._forget_s = 0.0
+        self._waiting: dict[tuple[str, int, int], planner.Wait] = {}
+        self._demand = demand.UrgentDemand()
         group.applied.subscribe(lambda _: self._wake.set())
         group.roles.subscribe(lambda _: self._wake.set())
 
@@ -241,9 +244,12 @@
             self._settings.early_ms,
             self._demand.headroom(urgent, planner.capacity(self._state)),
         )
-        for placement in wanted.preempted:
+        self._note_waiting(wanted.waiting)
+        for placement, workflow_id in wanted.preempted:
             self._metrics.increment("tasks_preempted")
-            self._sessions[placement.worker_id].stop(placement, "preempted")
+            self._sessions[placement.worker_id].stop(
+                placement, f"preempted for {workflow_id}"
+            )
         if not wanted.placements:
             return
         answer = await self.propose(command.Assign(int(now_ms), wanted.placements))
@@ -255,12 +261,31 @@
                 run=placement.run,
                 worker=placement.worker_id,
                 term=self._term,
+                applied=self._group.applied_index,
             )
             current = self._sessions.get(placement.worker_id)
             if current is not None and current.worker.born == placement.born:
                 current.start(placement)
                 current.wake()
 
+    def _note_waiting(self, waiting: dict[tuple[str, int, int], planner.Wait]) -> None:
+        """Log why tasks wait when that is new."""
+        for unit, reason in waiting.items():
+            if self._waiting.get(unit) is reason:
+                continue
+            workflow_id, occurrence, step = unit
+            self._metrics.increment("steps_waiting", reason=reason.value)
+            log.state_change(
+                "workflow.waiting",
+                workflow=workflow_id,
+                occurrence=occurrence,
+                step=step,
+                reason=reason.value,
+                workers=len(self._sessions),
+                applied=self._group.applied_index,
+            )
+        self._waiting = waiting
+
     def _conditions(self, now: float) -> dict[str, planner.Condition]:
         patience_s = BEATS_MISSED * self._settings.heartbeat_s
         conditions = {}
--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -1,5 +1,6 @@
 """Which tasks start where, and which ones give way."""
 
+import enum
 from collections.abc import Iterable, Iterator, Mapping
 
 import msgspec
@@ -37,11 +38,30 @@
     avoid: bool = False
 
 
+class Wait(enum.Enum):
+    """Why tasks that are ready were not placed."""
+
+    ROOM = "no room"
+    HEADROOM = "room is kept for urgent work"
+    DATA = "no room near the data"
+    CLEARING = "others are being stopped for it"
+    WORKERS = "no usable worker of the service fits"
+
+
 class Plan(msgspec.Struct, frozen=True):
-    """Placements to commit, and runs to stop for urgent work."""
+    """Placements to commit, and runs to stop for urgent work.
+
+    Parameters
+    ----------
+    preempted : tuple of (Placement, str)
+        Runs to stop, with the id of the workflow that needs the room.
+    waiting : dict
+        Why tasks of (workflow id, occurrence, step) were not placed.
+    """
 
     placements: tuple[workflow.Placement, ...] = ()
-    preempted: tuple[workflow.Placement, ...] = ()
+    preempted: tuple[tuple[workflow.Placement, str], ...] = ()
+    waiting: dict[tuple[str, int, int], Wait] = {}
 
 
 class Unit(msgspec.Struct, frozen=True):
@@ -53,6 +73,11 @@
     indexes: tuple[int, ...]
     deadline_ms: float
 
+    @property
+    def name(self) -> tuple[str, int, int]:
+        """Return workflow id, occurrence and step."""
+        return self.entry.workflow.workflow_id, self.occurrence, self.step
+
     @property
     def shape(self) -> workflow.Step:
         """Return the step."""
@@ -156,7 +181,7 @@
     planner = _Planner(state, conditions, headroom)
     for unit in sorted(units(state, now_ms + early_ms), key=lambda u: _rank(u, now_ms)):
         planner.place(unit)
-    return Plan(tuple(planner.placements), tuple(planner.preempted))
+    return Plan(tuple(planner.placements), tuple(planner.preempted), planner.waiting)
 
 
 def urgent_accelerators(state: machine.WorkflowMachine) -> int:
@@ -232,7 +257,8 @@
         self._rooms: dict[str, list[_Room]] = {}
         self._by_worker: dict[str, _Room] = {}
         self.placements: list[workflow.Placement] = []
-        self.preempted: list[workflow.Placement] = []
+        self.preempted: list[tuple[workflow.Placement, str]] = []
+        self.waiting: dict[tuple[str, int, int], Wait] = {}
         self._stopping: set[workflow.TaskKey] = set()
         for known in state.workers.values():
             worker = known.worker
@@ -267,9 +293,11 @@
             return
         for index in unit.indexes:
             if not self._leaves_headroom(unit, 1):
+                self.waiting[unit.name] = Wait.HEADROOM
                 return
             room = self._best(unit, self._eligible(unit))
             if room is None:
+                self.waiting[unit.name] = self._reason(unit)
                 if unit.entry.queue.priority == 0:
                     self._make_room(unit, (index,), [list(self._eligible(unit))])
                     continue
@@ -286,6 +314,7 @@
 
     def _place_gang(self, unit: Unit) -> None:
         if not self._leaves_headroom(unit, len(unit.indexes)):
+            self.waiting[unit.name] = Wait.HEADROOM
             return
         scopes = self._scopes(unit)
         for rooms in scopes:
@@ -295,9 +324,20 @@
                     room.give(accounted(unit.shape))
                     self._bind(unit, index, room)
                 return
+        self.waiting[unit.name] = self._reason(unit)
         if unit.entry.queue.priority == 0:
             self._make_room(unit, unit.indexes, scopes)
 
+    def _reason(self, unit: Unit) -> Wait:
+        """Return why a task or gang has found no room."""
+        needs = accounted(unit.shape)
+        rooms = [r for r in self._eligible(unit) if needs.fits(r.worker.capacity)]
+        if not rooms:
+            return Wait.WORKERS
+        if unit.shape.rack and any(room.fits(needs) for room in rooms):
+            return Wait.DATA
+        return Wait.ROOM
+
     def _scopes(self, unit: Unit) -> list[list[_Room]]:
         """Return the sets of workers that a gang may be spread over, fullest first.
 
@@ -339,8 +379,7 @@
         return []
 
     def _count(self, unit: Unit, room: _Room, change: int) -> None:
-        key = (unit.entry.workflow.workflow_id, unit.occurrence, unit.step)
-        room.counts[key] = room.counts.get(key, 0) + change
+        room.counts[unit.name] = room.counts.get(unit.name, 0) + change
 
     def _eligible(self, unit: Unit) -> Iterator[_Room]:
         label = unit.shape.label
@@ -358,7 +397,6 @@
         """
         step = unit.shape
         needs = accounted(step)
-        unit_key = (unit.entry.workflow.workflow_id, unit.occurrence, unit.step)
         best: _Room | None = None
         best_rank: tuple[bool, bool, int, int, int] | None = None
         urgent = unit.entry.queue.priority == 0
@@ -369,7 +407,7 @@
             if not room.fits(needs):
                 continue
             if step.max_per_worker and (
-                room.counts.get(unit_key, 0) >= step.max_per_worker
+                room.counts.get(unit.name, 0) >= step.max_per_worker
             ):
                 continue
             rack_free = 0 if urgent else self._rack_free[room.worker.rack]
@@ -411,7 +449,9 @@
             room.take(needs)
             self._count(unit, room, 1)
             for victim in victims:
-                self.preempted.extend(self._stop(victim))
+                self.waiting[unit.name] = Wait.CLEARING
+                workflow_id = unit.entry.workflow.workflow_id
+                self.preempted.extend((p, workflow_id) for p in self._stop(victim))
 
     def _is_guaranteed(self, unit: Unit) -> bool:
         """Tell whether all urgent work of an account is within its guarantee."""
@@ -457,10 +497,9 @@
     ) -> tuple[tuple[_Room, list[workflow.Placement]] | None, float]:
         best: tuple[_Room, list[workflow.Placement]] | None = None
         best_cost = float("inf")
-        key = (unit.entry.workflow.workflow_id, unit.occurrence, unit.step)
         for room in rooms:
             bound = unit.shape.max_per_worker
-            if bound and room.counts.get(key, 0) >= bound:
+            if bound and room.counts.get(unit.name, 0) >= bound:
                 continue
             victims, cost = self._victims(unit, room, needs, best_cost)
             if victims is None:
--- a/marjoramusher/workflows/planner_test.py
+++ b/marjoramusher/workflows/planner_test.py
@@ -114,7 +114,7 @@
     bed.submit("batch", 32, 1)
     bed.run()
     bed.submit("urgent", 2, 8, gang=True, same_rack=True)
-    stopped = bed.plan().preempted
+    stopped = [placement for placement, _ in bed.plan().preempted]
     assert len({placement.worker_id[0] for placement in stopped}) == 1
     assert len(stopped) == 16
     bed.end(stopped)
@@ -127,7 +127,7 @@
     bed.submit("batch", 8, 1)
     bed.run()
     bed.submit("urgent", 1, 8)
-    stopped = bed.plan().preempted
+    stopped = [placement for placement, _ in bed.plan().preempted]
     bed.end(stopped[:4])
     bed.conditions["0-0"] = planner.Condition(
         stopping=frozenset(p.task for p in stopped[4:])
@@ -212,8 +212,9 @@
         )
     )
     bed.conditions["0-1"] = planner.Condition(usable=False)
-    bed.submit("urgent", 1, 1)
-    assert bed.plan() == planner.Plan()
+    urgent = bed.submit("urgent", 1, 1)
+    waiting = {(urgent, 0, 0): planner.Wait.WORKERS}
+    assert bed.plan() == planner.Plan(waiting=waiting)
 
 
 def test_steps_and_due_times_are_kept():
@@ -238,3 +239,23 @@
         made = bed.run().placements
         assert {p.run for p in made} == {run}
         bed.end(made)
+
+
+def test_the_reason_of_a_wait_is_told():
+    bed = Bed(racks=2, size=1)
+    bed.submit("batch", 1, 8, rack="r0")
+    bed.run()
+    near = bed.submit("batch", 1, 4, rack="r0")
+    bed.submit("long", 1, 8)
+    bed.run()
+    large = bed.submit("batch", 1, 9)
+    full = bed.submit("batch", 1, 2)
+    urgent = bed.submit("urgent", 1, 2)
+    made = bed.plan()
+    assert made.waiting[near, 0, 0] is planner.Wait.ROOM
+    assert made.waiting[large, 0, 0] is planner.Wait.WORKERS
+    assert made.waiting[full, 0, 0] is planner.Wait.ROOM
+    assert made.waiting[urgent, 0, 0] is planner.Wait.CLEARING
+    assert {reason for _, reason in made.preempted} == {urgent}
+    kept = planner.plan(bed.state, bed.conditions, 0.0, headroom=4)
+    assert kept.waiting[full, 0, 0] is planner.Wait.HEADROOM
