--- a/marjoramusher/daemon/gateway.py
+++ b/marjoramusher/daemon/gateway.py
@@ -47,6 +47,7 @@
             rng,
         )
         self._reached = False
+        self._answered_s = float("-inf")
         self._draining = False
         self._task: asyncio.Task | None = None
 
@@ -97,15 +98,18 @@
         answer = await self._forwarder.call(
             call.METHOD, call.pack_call(wanted), timeout_s, idempotent=True
         )
+        self._answered_s = self._clock.monotonic()
         self._note(True, "answered")
         return call.unpack_reply(answer)
 
     async def _probe(self) -> None:
         while True:
+            began_s = self._clock.monotonic()
             try:
                 await self.call(call.ReadVersion(), PROBE_TIMEOUT_S)
             except errors.MarjoramusherError as failure:
-                self._note(False, failure.message)
+                if self._answered_s < began_s:
+                    self._note(False, failure.message)
             await asyncio.sleep(PROBE_S)
 
     def _note(self, reached: bool, reason: str) -> None:
--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -77,6 +77,7 @@
         self._health = health.Health()
         self._demand = demand.UrgentDemand()
         self._waiting = {}
+        self._active = dict(self._state.active)
         self._term = 0
         self._leading = False
         self._wake = asyncio.Event()
@@ -84,6 +85,7 @@
         self._forget_s = 0.0
         self._waiting: dict[tuple[str, int, int], planner.Wait] = {}
         self._demand = demand.UrgentDemand()
+        self._active: dict[str, machine.Entry] = {}
         group.applied.subscribe(lambda _: self._wake.set())
         group.roles.subscribe(lambda _: self._wake.set())
 
@@ -171,6 +173,7 @@
             await self._take_over()
             if not self._leading:
                 return
+        self._note_ended()
         self._open_sessions()
         self._stop_unwanted()
         await self._plan()
@@ -196,6 +199,28 @@
             active=len(self._state.active),
         )
 
+    def _note_ended(self) -> None:
+        """Log each workflow that has ended since the last step."""
+        now_active = self._state.active
+        for workflow_id in self._active.keys() - now_active.keys():
+            entry = self._active[workflow_id]
+            self._metrics.increment("workflows_ended", state=entry.state.value)
+            took_s = (entry.ended_ms - entry.workflow.submitted_ms) / 1000
+            self._metrics.observe(
+                "workflow", max(took_s, 0.0), entry.workflow.account, entry.queue.name
+            )
+            log.state_change(
+                "workflow.ended",
+                workflow=workflow_id,
+                state=entry.state.value,
+                after_s=took_s,
+                failures=max(
+                    task.failures for _, _, tasks in entry.tasks() for task in tasks
+                ),
+                attempts=entry.queue.max_attempts,
+            )
+        self._active = dict(now_active)
+
     async def _close_sessions(self) -> None:
         sessions = [*self._sessions.values()]
         self._sessions = {}
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -471,14 +471,11 @@
             ),
             max((end.number for end in ends), default=0),
         )
-        active = [e for e in (self._active(end.task) for end in ends) if e]
         settled = await self._commit(settle)
         if settled:
             self._log_settled(ends, released, reason)
             for run in released:
                 self._runs.pop((run.placement.task, run.placement.run), None)
-            for entry in {id(each): each for each in active}.values():
-                self._note_finished(entry)
         return settled
 
     def _log_settled(
@@ -503,23 +500,6 @@
                 reason=reason,
             )
 
-    def _active(self, task: workflow.TaskKey) -> machine.Entry | None:
-        return self._state.active.get(task.workflow_id)
-
-    def _note_finished(self, entry: machine.Entry) -> None:
-        if entry.is_active:
-            return
-        log.state_change(
-            "workflow.ended",
-            workflow=entry.workflow.workflow_id,
-            state=entry.state.value,
-            after_s=(entry.ended_ms - entry.workflow.submitted_ms) / 1000,
-            failures=max(
-                task.failures for _, _, tasks in entry.tasks() for task in tasks
-            ),
-            attempts=entry.queue.max_attempts,
-        )
-
     async def _commit(self, wanted: command.AnyCommand) -> bool:
         try:
             await self._propose(wanted)
--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -448,8 +448,8 @@
         for room, victims in best:
             room.take(needs)
             self._count(unit, room, 1)
+            self.waiting[unit.name] = Wait.CLEARING
             for victim in victims:
-                self.waiting[unit.name] = Wait.CLEARING
                 workflow_id = unit.entry.workflow.workflow_id
                 self.preempted.extend((p, workflow_id) for p in self._stop(victim))
 
