--- /dev/null
+++ b/marjoramusher/queues/service_test.py
@@ -0,0 +1,156 @@
+"""Guards the leader's answers to callers, workers and operators."""
+
+import asyncio
+import datetime
+
+import pytest
+
+from marjoramusher.core import clock, errors
+from marjoramusher.executors import driver
+from marjoramusher.groups import local
+from marjoramusher.queues import call, service
+from marjoramusher.telemetry import metrics
+from marjoramusher.workflows import catalog, machine, workflow
+
+QUEUES = (
+    catalog.Queue("long", "h.example", "/a/b/", "s", 1, 3, 2.0, 100, 1000),
+    catalog.Queue("short", "h.example", "/a/", "s", 1, 3, 2.0, 100, 1000, True),
+)
+CATALOG = catalog.Catalog(
+    3, QUEUES, (catalog.Service("s"),), (catalog.Account("t", ("k1",)),)
+)
+WANTED = workflow.Workflow(
+    "", "", "", "spec", (workflow.Step(1, workflow.Resources(1, 1, 1)),)
+)
+ID = "5c0e7a21d94b36f8"
+
+
+class Fleet:
+    """Workers that are never called."""
+
+
+class Bed:
+    """A service whose leadership the test takes and gives."""
+
+    def __init__(self):
+        self.state = machine.WorkflowMachine()
+        self.leads = True
+        time = clock.ManualClock(datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC))
+        values = metrics.Metrics()
+        group = local.LocalGroup("records", self.state)
+        bed = self
+
+        class Driver(driver.Driver):
+            leads = property(lambda _: bed.leads)
+
+        leader = Driver(group, self.state, Fleet(), time, values, driver.Settings())
+        self.service = service.QueueService(
+            "10.0.0.1:7000", self.state, leader, time, values
+        )
+
+    def ask(self, wanted):
+        answer = asyncio.run(self.service.serve(call.pack_call(wanted)))
+        return call.unpack_reply(answer)
+
+    def submit(self, path, key="k1", host="h.example"):
+        return self.ask(call.Submit(host, path, key, WANTED))
+
+    def read(self, path, key="k1", host="h.example"):
+        return self.ask(call.Read(host, path, key))
+
+
+@pytest.fixture
+def bed():
+    made = Bed()
+    made.ask(call.Replace(CATALOG, b"doc"))
+    return made
+
+
+def worker(born=1, address="w:1", draining=False, worker_id="w"):
+    return workflow.Worker(
+        worker_id, born, address, "s", "z", "r", (), workflow.Resources(), draining
+    )
+
+
+def test_nothing_is_answered_before_the_first_catalog():
+    with pytest.raises(errors.MarjoramusherError) as caught:
+        Bed().read("/a/b/")
+    assert caught.value.outcome is errors.Outcome.NOT_RUN
+
+
+def test_the_longest_prefix_selects_the_queue(bed):
+    assert bed.submit(f"/a/b/{ID}") == call.Accepted()
+    assert bed.state.entries[ID].queue.name == "long"
+    assert bed.state.entries[ID].workflow.account == "t"
+
+
+@pytest.mark.parametrize(
+    "path, key, host, expected",
+    [
+        (f"/a/b/{ID}", None, "h.example", call.Unauthorized()),
+        (f"/a/b/{ID}", "gone", "h.example", call.Unauthorized()),
+        (f"/a/{ID}", None, "h.example", call.Accepted()),
+        (f"/a/{ID}", "gone", "h.example", call.Accepted()),
+        (f"/c/{ID}", "k1", "h.example", call.NoQueue()),
+        (f"/a/b/{ID}", "k1", "other.example", call.NoQueue()),
+        ("/a/b/", "k1", "h.example", call.NoQueue()),
+    ],
+)
+def test_places_and_keys_decide(bed, path, key, host, expected):
+    assert bed.submit(path, key, host) == expected
+
+
+def test_states_are_shown_and_counted(bed):
+    assert bed.read(f"/a/b/{ID}") == call.Unknown()
+    bed.submit(f"/a/b/{ID}")
+    assert bed.submit(f"/a/b/{ID}") == call.Accepted()
+    assert bed.read(f"/a/b/{ID}") == call.Shown(call.Progress.QUEUED)
+    assert bed.read("/a/b/") == call.Counted(1)
+    assert bed.ask(call.Cancel("h.example", f"/a/b/{ID}", "k1")) == call.Accepted()
+    assert bed.read(f"/a/b/{ID}") == call.Shown(call.Progress.CANCELLED)
+    assert bed.read("/a/b/") == call.Counted(0)
+
+
+def test_a_cancellation_of_an_unknown_workflow_says_so(bed):
+    assert bed.ask(call.Cancel("h.example", f"/a/b/{ID}", "k1")) == call.Unknown()
+
+
+def test_a_key_and_a_queue_end_with_the_catalog_that_drops_them(bed):
+    bed.submit(f"/a/b/{ID}")
+    bed.ask(call.Replace(catalog.Catalog(9, QUEUES[:1], CATALOG.services), b"2"))
+    assert bed.read(f"/a/b/{ID}") == call.Unauthorized()
+    assert bed.read(f"/a/{ID}") == call.NoQueue()
+    assert bed.ask(call.ReadCatalog()) == call.Document(9, b"2")
+
+
+def test_an_instance_that_does_not_lead_answers_nothing(bed):
+    bed.leads = False
+    for wanted in (
+        call.Read("h.example", "/a/", None),
+        call.ReadCatalog(),
+        call.Announce(worker(), 1, None),
+    ):
+        with pytest.raises(errors.NotLeaderError):
+            bed.ask(wanted)
+
+
+def test_announcements_that_were_delayed_change_nothing(bed):
+    bed.ask(call.Announce(worker(draining=True), 5, 10))
+    bed.ask(call.Announce(worker(), 4, 9))
+    assert bed.state.workers["w"].worker.draining
+    bed.ask(call.Announce(worker(born=2), 1, 0))
+    bed.ask(call.Announce(worker(draining=True), 6, 11))
+    assert bed.state.workers["w"].worker == worker(born=2)
+
+
+def test_a_worker_that_has_left_does_not_come_back(bed):
+    bed.ask(call.Announce(worker(), 1, 0))
+    bed.ask(call.Leave("w", None))
+    bed.ask(call.Announce(worker(), 2, 0))
+    assert "w" not in bed.state.workers
+
+
+def test_a_departure_of_a_former_life_is_no_departure_of_the_present_one(bed):
+    bed.ask(call.Announce(worker(born=2), 1, 0))
+    bed.ask(call.Leave("w", 1))
+    assert "w" in bed.state.workers
