--- a/marjoramusher/groups/forward.py
+++ b/marjoramusher/groups/forward.py
@@ -17,6 +17,9 @@
 BARRIER = "barrier"
 LEADER = "leader"
 FIND_S = 0.5
+# An instance that gave no answer is not asked again at once: an attempt to reach a
+# frozen one takes half of an election.
+AVOID_S = 1.0
 ATTEMPT_S = 0.8  # thirteen round trips between regions; below an election
 
 _RETRIED = frozenset(
@@ -53,6 +56,7 @@
 
     __slots__ = (
         "_candidates",
+        "_avoided",
         "_clock",
         "_proposer",
         "_group",
@@ -82,6 +86,7 @@
         self._local = local
         self._rng = rng
         self._hint: str | None = None
+        self._avoided: dict[str, float] = {}
 
     @property
     def leader(self) -> str | None:
@@ -140,6 +145,7 @@
                 try:
                     answer = await self._ask(target, method, command, left_s)
                 except errors.MarjoramusherError as error:
+                    self._avoid(target, error)
                     lost = error.outcome is not errors.Outcome.NOT_RUN
                     unknown = unknown or lost
                     if not (idempotent and lost and error.code in _RETRIED):
@@ -164,15 +170,23 @@
         candidates = self._candidates()
         if not candidates:
             return None
-        asked = candidates[turn % len(candidates)]
+        now = self._clock.monotonic()
+        heard = [c for c in candidates if self._avoided.get(c, now) <= now]
+        asked = (heard or candidates)[turn % len(heard or candidates)]
         try:
             answer = await self._peers.call(
                 asked, LEADER, self._group.encode(), min(left_s, FIND_S)
             )
-        except errors.MarjoramusherError:
+        except errors.MarjoramusherError as error:
+            self._avoid(asked, error)
             return None
         return answer.decode() or None
 
+    def _avoid(self, target: str, error: errors.MarjoramusherError) -> None:
+        """Ask others first for a while if an instance gave no answer."""
+        if error.code is errors.ErrorCode.PEER_UNREACHABLE:
+            self._avoided[target] = self._clock.monotonic() + AVOID_S
+
     async def _ask(
         self, target: str, method: str, command: bytes, left_s: float
     ) -> bytes:
