--- a/marjoramusher/executors/driver_test.py
+++ b/marjoramusher/executors/driver_test.py
@@ -327,3 +327,16 @@
             assert bed.fleet.faults == []
 
     virtual.run(play())
+
+
+def test_runs_that_take_many_times_their_declared_time_are_not_stopped():
+    async def play():
+        async with Bed(8, always(900.0)) as bed:
+            needs = workflow.Resources(1000, 10, 1)
+            slow = workflow.Step(2, needs, 16_000, gang=True)
+            await bed.submit("batch", slow)
+            await bed.settle(1000)
+            assert bed.states() == {workflow.State.COMPLETED}
+            assert bed.fleet.starts == 2
+
+    virtual.run(play())
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -15,7 +15,8 @@
 ORDER_ATTEMPTS = 2  # a start that is sent again is answered as the first would be
 RETRY_S = 0.25  # between orders that got no answer; a stop has to arrive in seconds
 STALL_S = 5.0  # a task at a third of its speed shows progress more often
-STALL_ESTIMATES = 0.2  # share of the declared run time without any progress
+STALL_ESTIMATES = 0.6  # share of the declared run time without any progress
+STALL_STEPS = 4.0  # a run that has shown progress shows the next as late as this
 
 
 class Phase(enum.Enum):
@@ -418,8 +419,7 @@
         if entry is None or run.stop_reason:
             return
         step = entry.workflow.steps[run.placement.task.step]
-        limit_s = max(STALL_S, STALL_ESTIMATES * step.estimate_ms / 1000)
-        if not step.long_running and now - run.progress_s > limit_s:
+        if not step.long_running and now - run.progress_s > stall_limit_s(run, step):
             self.stop(run.placement, "no progress")
 
     async def _check_lapse(self) -> None:
@@ -517,6 +517,19 @@
         return int(self._clock.utcnow().timestamp() * 1000)
 
 
+def stall_limit_s(run: Run, step: workflow.Step) -> float:
+    """Return how long a run may show no progress.
+
+    A few runs take many times their declared time. What a wrong stop throws away
+    grows with the run, so the limit does, too.
+    """
+    limit_s = max(STALL_S, STALL_ESTIMATES * step.estimate_ms / 1000)
+    if run.percent > 0:
+        step_s = (run.progress_s - run.started_s) / run.percent
+        limit_s = max(limit_s, STALL_STEPS * step_s)
+    return limit_s
+
+
 def name(task: workflow.TaskKey) -> str:
     """Return a task's name for log lines."""
     return f"{task.workflow_id}.{task.occurrence}.{task.step}.{task.index}"
