Replace silent voters of a single group, and use up to five wherever they are

Cause: a controller that is replaced at another address left a dead voter behind for good, and five controllers in fewer than five failure domains got three voters only. A learner with a disk in the same failure domain takes the place of a voter that is not heard.

--- a/marjoramusher/groups/bootstrap.py
+++ b/marjoramusher/groups/bootstrap.py
@@ -133,6 +133,24 @@
     return _largest(order, MAX_RECORDS_VOTERS)
 
 
+def single_voters(members: Iterable[member.Member]) -> list[member.Member]:
+    """Choose the voters of a single group, at most five and an odd number.
+
+    Its members are few and have disks, so that more than one of a failure domain may
+    vote: with five, two may be lost at once.
+    """
+    turns: dict[str, int] = {}
+    order = []
+    for candidate in sorted(members, key=disk_first):
+        if not candidate.has_disk:
+            continue
+        turn = turns.get(candidate.failure_domain, 0)
+        turns[candidate.failure_domain] = turn + 1
+        order.append((turn, candidate.failure_domain, candidate.instance_id, candidate))
+    order.sort(key=lambda each: each[:3])
+    return _largest([candidate for *_, candidate in order], MAX_RECORDS_VOTERS)
+
+
 def domain_voters(
     domain: str, members: Iterable[member.Member], load: dict[str, int]
 ) -> list[member.Member]:
--- a/marjoramusher/groups/manager.py
+++ b/marjoramusher/groups/manager.py
@@ -727,7 +727,11 @@
         ):
             return
         wanted = replacement.next_change(
-            running.name, config, self._joined(), running.may_promote
+            running.name,
+            config,
+            self._joined(),
+            running.may_promote,
+            self._settings.single_group,
         )
         if wanted is not None:
             self._changing[running.name] = asyncio.get_running_loop().create_task(
--- a/marjoramusher/groups/replacement.py
+++ b/marjoramusher/groups/replacement.py
@@ -12,6 +12,7 @@
     config: message.GroupConfig,
     views: Iterable[member.MemberView],
     caught_up: Callable[[message.VoterId], bool],
+    single: bool = False,
 ) -> message.Change | None:
     """Return the next change of one leader, or ``None``.
 
@@ -26,6 +27,9 @@
     ----------
     caught_up : callable
         Tells whether a learner may become a voter.
+    single : bool
+        Whether this is the only group. Its instances are replaced at other addresses,
+        so a voter that is silent gives its place to a learner of its failure domain.
     """
     known = {}
     alive = {}
@@ -35,7 +39,8 @@
             alive[view.member.instance_id] = view.member
     return (
         _replace(group, config, known, alive, caught_up)
-        or _grow(group, config, alive, caught_up)
+        or (_supersede(config, known, alive, caught_up) if single else None)
+        or _grow(group, config, alive, caught_up, single)
         or _localize(group, config, known, alive, caught_up)
         or _learn(group, config, alive)
     )
@@ -62,6 +67,29 @@
     return None
 
 
+def _supersede(
+    config: message.GroupConfig,
+    known: dict[str, member.Member],
+    alive: dict[str, member.Member],
+    caught_up: Callable[[message.VoterId], bool],
+) -> message.Change | None:
+    """Put a learner in the place of a silent voter of its failure domain."""
+    for old in config.voters:
+        if old.instance in alive or old.instance not in known:
+            continue
+        domain = known[old.instance].failure_domain
+        for learner in config.learners:
+            described = alive.get(learner.instance)
+            if (
+                described is not None
+                and described.failure_domain == domain
+                and described.has_disk
+                and caught_up(learner)
+            ):
+                return message.ReplaceVoter(0, old, learner)
+    return None
+
+
 def _stays_durable(
     config: message.GroupConfig,
     members: dict[str, member.Member],
@@ -82,12 +110,13 @@
     config: message.GroupConfig,
     alive: dict[str, member.Member],
     caught_up: Callable[[message.VoterId], bool],
+    single: bool,
 ) -> message.Change | None:
     present = {voter.instance for voter in config.voters}
     if not present <= alive.keys():
         return None
     try:
-        wanted = _wanted(group, tuple(alive.values()))
+        wanted = _wanted(group, tuple(alive.values()), single)
     except bootstrap.NoDiskError:
         return None
     if len(wanted) <= len(config.voters):
@@ -162,7 +191,11 @@
     return None
 
 
-def _wanted(group: str, members: tuple[member.Member, ...]) -> list[member.Member]:
+def _wanted(
+    group: str, members: tuple[member.Member, ...], single: bool
+) -> list[member.Member]:
+    if single:
+        return bootstrap.single_voters(members)
     if group == bootstrap.RECORDS:
         return bootstrap.records_voters(members)
     domain = group.removeprefix(bootstrap.DOMAIN_PREFIX)
--- a/marjoramusher/groups/replacement_test.py
+++ b/marjoramusher/groups/replacement_test.py
@@ -218,3 +218,55 @@
     group, config, views, caught_up, wanted = CASES[name]
     change = replacement.next_change(group, config, views, caught_up.__contains__)
     assert change == wanted
+
+
+N = voter("n")
+D, E = voter("d"), voter("e")
+ALL_IN_ONE = [view(name, domain="z") for name in "abcde"]
+SINGLE_CASES = {
+    "a silent voter waits for a learner of its domain": (
+        message.GroupConfig((A, B, C), (N,)),
+        [view("a"), view("b", status=DOWN), view("c"), view("n", domain="x")],
+        {N},
+        None,
+    ),
+    "a learner that is behind replaces nobody": (
+        message.GroupConfig((A, B, C), (N,)),
+        [view("a"), view("b", status=DOWN), view("c"), view("n", domain="b")],
+        set(),
+        None,
+    ),
+    "a learner of its domain takes the place of a silent voter": (
+        message.GroupConfig((A, B, C), (N,)),
+        [view("a"), view("b", status=DOWN), view("c"), view("n", domain="b")],
+        {N},
+        message.ReplaceVoter(0, B, N),
+    ),
+    "nobody replaces a voter that is heard": (
+        message.GroupConfig((A, B, C), (N,)),
+        [view("a"), view("b"), view("c"), view("n", domain="b")],
+        {N},
+        None,
+    ),
+    "one failure domain grows to five voters": (
+        message.GroupConfig((A, B, C), (D, E)),
+        ALL_IN_ONE,
+        {D, E},
+        message.AddVoter(0, D),
+    ),
+    "five stay five": (
+        message.GroupConfig((A, B, C, D, E), (N,)),
+        [*ALL_IN_ONE, view("n", domain="z")],
+        {N},
+        None,
+    ),
+}
+
+
+@pytest.mark.parametrize("name", SINGLE_CASES)
+def test_next_change_of_a_single_group(name):
+    config, views, caught_up, expected = SINGLE_CASES[name]
+    change = replacement.next_change(
+        "records", config, views, caught_up.__contains__, single=True
+    )
+    assert change == expected
