Restart long-running tasks however they end, and keep filling tasks from serving ones

Cause: an end 'done' of a long-running task counted as its last; urgent work could preempt tasks that serve users; filling tasks were placed beside serving ones.

--- a/marjoramusher/executors/driver_test.py
+++ b/marjoramusher/executors/driver_test.py
@@ -340,3 +340,21 @@
             assert bed.fleet.starts == 2
 
     virtual.run(play())
+
+
+def test_long_running_tasks_are_started_again_however_they_end():
+    async def play():
+        ends = [workflow.How.FAILED, workflow.How.DONE, workflow.How.FAILED]
+
+        def work_s(task, run):
+            how = ends[run % len(ends)]
+            return 1.0, how
+
+        async with Bed(9, work_s) as bed:
+            name = await bed.submit("batch", step(1, 1, long_running=True))
+            await asyncio.sleep(20.0)
+            entry = bed.state.entries[name]
+            assert entry.is_active
+            assert bed.state.task(workflow.TaskKey(name, 0, 0, 0)).run > 6
+
+    virtual.run(play())
--- a/marjoramusher/workflows/machine.py
+++ b/marjoramusher/workflows/machine.py
@@ -378,11 +378,13 @@
         if _is_run(task, worker_id, end.run):
             self._clear(task)
         self._note_checkpoint(end.task, end.run, end.checkpoint)
+        if step.long_running:
+            return  # it is started again however it ends
         if end.how is workflow.How.DONE:
             for each in tasks if step.gang else (task,):
                 each.done = True
             self._note_progress(entry, end.task.occurrence, at_ms)
-        elif end.how is workflow.How.FAILED and not step.long_running:
+        elif end.how is workflow.How.FAILED:
             self._fail(entry, tasks if step.gang else [task], end, at_ms)
 
     def _fail(
--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -101,7 +101,9 @@
         "coming_memory",
         "cores",
         "counts",
+        "fills",
         "memory",
+        "serves",
         "victims",
         "worker",
     )
@@ -116,6 +118,8 @@
         self.coming_memory = 0
         self.coming_accelerators = 0
         self.counts: dict[tuple[str, int, int], int] = {}
+        self.fills = 0
+        self.serves = 0
         self.victims: list[workflow.Placement] = []
 
     def take(self, needs: workflow.Resources) -> None:
@@ -280,10 +284,14 @@
             room.take(needs)
             unit = (key.workflow_id, key.occurrence, key.step)
             room.counts[unit] = room.counts.get(unit, 0) + 1
+            step = entry.workflow.steps[key.step]
+            room.fills += step.fill
+            room.serves += step.target_ms > 0
             ending = key in condition.stopping or not entry.is_active
             if ending:
                 room.expect(needs)
-            else:
+            elif not step.long_running:
+                # What serves users until it is cancelled gives way to nobody.
                 room.victims.append(placement)
 
     def place(self, unit: Unit) -> None:
@@ -382,10 +390,18 @@
         room.counts[unit.name] = room.counts.get(unit.name, 0) + change
 
     def _eligible(self, unit: Unit) -> Iterator[_Room]:
-        label = unit.shape.label
+        """Give the workers that a task may run on.
+
+        Tasks that fill unused cores disturb tasks that serve users on the same
+        worker, by amounts that are not known before; they are kept apart.
+        """
+        step = unit.shape
         for room in self._rooms.get(unit.entry.queue.service, ()):
-            if not label or label in room.worker.labels:
-                yield room
+            if step.label and step.label not in room.worker.labels:
+                continue
+            if (step.fill and room.serves) or (step.target_ms and room.fills):
+                continue
+            yield room
 
     def _best(self, unit: Unit, rooms: Iterable[_Room]) -> _Room | None:
         """Return the fullest worker that a task fits on, near its data if it has any.
@@ -420,6 +436,8 @@
 
     def _bind(self, unit: Unit, index: int, room: _Room) -> None:
         room.take(accounted(unit.shape))
+        room.fills += unit.shape.fill
+        room.serves += unit.shape.target_ms > 0
         self._rack_free[room.worker.rack] -= unit.shape.needs.accelerators
         self._count(unit, room, 1)
         tasks = unit.entry.occurrences[unit.occurrence][unit.step]
--- a/marjoramusher/workflows/planner_test.py
+++ b/marjoramusher/workflows/planner_test.py
@@ -259,3 +259,30 @@
     assert {reason for _, reason in made.preempted} == {urgent}
     kept = planner.plan(bed.state, bed.conditions, 0.0, headroom=4)
     assert kept.waiting[full, 0, 0] is planner.Wait.HEADROOM
+
+
+def test_tasks_that_serve_until_cancelled_give_way_to_nobody():
+    bed = Bed(size=1)
+    bed.submit("batch", 8, 1, long_running=True, max_unavailable=1)
+    bed.run()
+    bed.submit("urgent", 1, 8)
+    assert not bed.plan().preempted
+
+
+def test_tasks_that_fill_are_kept_apart_from_tasks_that_serve():
+    bed = Bed(size=2)
+    bed.submit("long", 1, 1, long_running=True, target_ms=50)
+    (serving,) = bed.run().placements
+    bed.submit("batch", 20, 0, cores=9000, fill=True)
+    filling = {p.worker_id for p in bed.run().placements}
+    assert len(filling) == 1
+    assert serving.worker_id not in filling
+    bed.submit("long", 1, 1, long_running=True, target_ms=50)
+    (second,) = bed.run().placements
+    assert second.worker_id == serving.worker_id
+
+
+def test_cores_of_tasks_that_fill_are_not_counted():
+    bed = Bed(size=1)
+    bed.submit("batch", 20, 0, cores=9000, fill=True)
+    assert len(bed.run().placements) == 20
