--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -7,6 +7,13 @@
 
 from . import machine, objective, workflow
 
+# Gangs for which room is kept while others end. With more of them at once too much
+# room would stand idle.
+MAX_RESERVATIONS = 2
+# A gang that has less time than this multiple of its declared work takes room that is
+# kept for urgent work, too.
+PRESSING = 2.0
+
 # What a stopped task costs beside its lost work, in core-seconds, so that tasks that
 # have just started are not stopped for nothing.
 STOP_COST = 1.0
@@ -182,7 +189,7 @@
     headroom : int
         Accelerators of each service that only urgent work may take.
     """
-    planner = _Planner(state, conditions, headroom)
+    planner = _Planner(state, conditions, headroom, now_ms)
     for unit in sorted(units(state, now_ms + early_ms), key=lambda u: _rank(u, now_ms)):
         planner.place(unit)
     return Plan(tuple(planner.placements), tuple(planner.preempted), planner.waiting)
@@ -252,10 +259,13 @@
         state: machine.WorkflowMachine,
         conditions: Mapping[str, Condition],
         headroom: int,
+        now_ms: float,
     ) -> None:
         self._state = state
         self._conditions = conditions
         self._headroom = headroom
+        self._now_ms = now_ms
+        self._reservations = 0
         self._rack_free: dict[str, int] = {}
         self._urgent: dict[str, int] = {}
         self._rooms: dict[str, list[_Room]] = {}
@@ -321,10 +331,12 @@
         return _free_accelerators(rooms) - taken >= self._headroom
 
     def _place_gang(self, unit: Unit) -> None:
-        if not self._leaves_headroom(unit, len(unit.indexes)):
+        scopes = self._scopes(unit)
+        pressing = self._is_pressing(unit)
+        if not pressing and not self._leaves_headroom(unit, len(unit.indexes)):
             self.waiting[unit.name] = Wait.HEADROOM
+            self._reserve(unit, scopes)
             return
-        scopes = self._scopes(unit)
         for rooms in scopes:
             chosen = self._fit_gang(unit, rooms)
             if chosen:
@@ -335,6 +347,33 @@
         self.waiting[unit.name] = self._reason(unit)
         if unit.entry.queue.priority == 0:
             self._make_room(unit, unit.indexes, scopes)
+        else:
+            self._reserve(unit, scopes)
+
+    def _is_pressing(self, unit: Unit) -> bool:
+        """Tell whether a gang must start now to be complete in time."""
+        left_ms = unit.deadline_ms - self._now_ms
+        return left_ms < PRESSING * unit.shape.estimate_ms
+
+    def _reserve(self, unit: Unit, scopes: list[list[_Room]]) -> None:
+        """Keep what less pressing work would take from a gang that waits.
+
+        Small tasks take each accelerator that becomes free, so a gang would wait for
+        ever for all of its room at once.
+        """
+        if self._reservations >= MAX_RESERVATIONS:
+            return
+        needs = accounted(unit.shape)
+        rooms = [
+            room
+            for room in max(scopes, key=_free_accelerators)
+            if needs.fits(room.worker.capacity)
+        ]
+        if not rooms:
+            return
+        self._reservations += 1
+        for _ in unit.indexes:
+            max(rooms, key=lambda r: (r.accelerators, r.cores)).take(needs)
 
     def _reason(self, unit: Unit) -> Wait:
         """Return why a task or gang has found no room."""
--- a/marjoramusher/workflows/planner_test.py
+++ b/marjoramusher/workflows/planner_test.py
@@ -286,3 +286,40 @@
     bed = Bed(size=1)
     bed.submit("batch", 20, 0, cores=9000, fill=True)
     assert len(bed.run().placements) == 20
+
+
+def test_a_gang_gets_its_room_though_small_tasks_keep_coming():
+    rng = random.Random(3)
+    bed = Bed(size=3)
+    bed.submit("batch", 60, 1)
+    bed.run()
+    gang = bed.submit("long", 2, 8, gang=True, estimate=60_000)
+    for round_ in range(40):
+        bed.submit("batch", 2, 1)
+        bed.run(float(round_))
+        placed = [p for w in bed.conditions for p in bed.state.placed(w).values()]
+        if any(p.task.workflow_id == gang for p in placed):
+            return
+        bed.end(rng.sample(placed, 2), workflow.How.DONE)
+    raise AssertionError("the gang has not started")
+
+
+def test_a_pressing_gang_takes_room_that_is_kept_for_urgent_work():
+    bed = Bed(size=2)
+    gang = bed.submit("long", 2, 8, gang=True, estimate=1000)  # in time until 4.5 s
+    early = planner.plan(bed.state, bed.conditions, 1000.0, headroom=4)
+    assert early.waiting[gang, 0, 0] is planner.Wait.HEADROOM
+    late = planner.plan(bed.state, bed.conditions, 3000.0, headroom=4)
+    assert len(late.placements) == 2
+
+
+def test_room_is_kept_for_a_few_gangs_only():
+    bed = Bed(size=4)
+    for _ in range(3):
+        bed.submit("long", 5, 8, gang=True)
+    bed.submit("batch", 1, 1)
+    assert not bed.plan().placements
+    small = Bed(size=4)
+    small.submit("long", 5, 4, gang=True)
+    small.submit("batch", 1, 1)
+    assert len(small.plan().placements) == 6
