Reclaim guarantees from urgent work beyond other guarantees; split the planner

Cause: urgent work of one account beyond its guarantee could hold the accelerators that another account's guarantee needs, since urgent work stopped only what is less urgent.

--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -6,7 +6,16 @@
 from ..core import clock, codec, errors
 from ..groups import group as groups
 from ..telemetry import log, metrics
-from ..workflows import command, demand, machine, planner, workflow
+from ..workflows import (
+    command,
+    condition,
+    demand,
+    machine,
+    planner,
+    room,
+    unit,
+    workflow,
+)
 from . import health, lease, port, session
 
 TICK_S = 0.25  # due times are met within the platform's tolerance
@@ -83,7 +92,7 @@
         self._wake = asyncio.Event()
         self._task: asyncio.Task | None = None
         self._forget_s = 0.0
-        self._waiting: dict[tuple[str, int, int], planner.Wait] = {}
+        self._waiting: dict[room.UnitName, planner.Wait] = {}
         self._demand = demand.UrgentDemand()
         self._active: dict[str, machine.Entry] = {}
         group.applied.subscribe(lambda _: self._wake.set())
@@ -274,14 +283,14 @@
     async def _plan(self) -> None:
         now = self._clock.monotonic()
         now_ms = self._clock.utcnow().timestamp() * 1000
-        urgent = planner.urgent_accelerators(self._state)
+        urgent = unit.urgent_accelerators(self._state)
         self._demand.note(urgent, now)
         wanted = planner.plan(
             self._state,
             self._conditions(now),
             now_ms,
             self._settings.early_ms,
-            self._demand.headroom(urgent, planner.capacity(self._state)),
+            self._demand.headroom(urgent, unit.capacity(self._state)),
         )
         self._note_waiting(wanted.waiting)
         for placement, workflow_id in wanted.preempted:
@@ -307,12 +316,12 @@
                 current.start(placement)
                 current.wake()
 
-    def _note_waiting(self, waiting: dict[tuple[str, int, int], planner.Wait]) -> None:
+    def _note_waiting(self, waiting: dict[room.UnitName, planner.Wait]) -> None:
         """Log why tasks wait when that is new."""
-        for unit, reason in waiting.items():
-            if self._waiting.get(unit) is reason:
+        for name, reason in waiting.items():
+            if self._waiting.get(name) is reason:
                 continue
-            workflow_id, occurrence, step = unit
+            workflow_id, occurrence, step = name
             self._metrics.increment("steps_waiting", reason=reason.value)
             log.state_change(
                 "workflow.waiting",
@@ -325,13 +334,13 @@
             )
         self._waiting = waiting
 
-    def _conditions(self, now: float) -> dict[str, planner.Condition]:
+    def _conditions(self, now: float) -> dict[str, condition.Condition]:
         patience_s = BEATS_MISSED * self._settings.heartbeat_s
         conditions = {}
         for worker_id, current in self._sessions.items():
             heard = now - current.heard_s <= patience_s
             state = self._health.judge(worker_id, now)
-            conditions[worker_id] = planner.Condition(
+            conditions[worker_id] = condition.Condition(
                 heard and not current.silent and not current.over and state.usable,
                 current.stopping,
                 current.ages_s(),
--- /dev/null
+++ b/marjoramusher/workflows/condition.py
@@ -0,0 +1,28 @@
+"""What the leader believes of a worker while a plan is made."""
+
+from collections.abc import Mapping
+
+import msgspec
+
+from . import workflow
+
+
+class Condition(msgspec.Struct, frozen=True):
+    """What the leader believes of a worker at this moment.
+
+    Parameters
+    ----------
+    usable : bool
+        Whether tasks may be placed there.
+    stopping : frozenset of TaskKey
+        Runs there that have been told to stop and still take room.
+    ages_s : mapping of TaskKey to float
+        How long the confirmed runs have been at work.
+    avoid : bool
+        Whether other workers are preferred.
+    """
+
+    usable: bool = True
+    stopping: frozenset[workflow.TaskKey] = frozenset()
+    ages_s: Mapping[workflow.TaskKey, float] = {}
+    avoid: bool = False
--- a/marjoramusher/workflows/planner_test.py
+++ b/marjoramusher/workflows/planner_test.py
@@ -2,7 +2,14 @@
 
 import random
 
-from marjoramusher.workflows import catalog, command, machine, planner, workflow
+from marjoramusher.workflows import (
+    catalog,
+    command,
+    condition,
+    machine,
+    planner,
+    workflow,
+)
 
 CATALOG = catalog.Catalog(
     1,
@@ -12,7 +19,7 @@
         catalog.Queue("batch", "h", "/b/", "s", 2, 3, 3.0, 3000, 1000),
     ),
     (catalog.Service("s"),),
-    (catalog.Account("a", ("k",), 8),),
+    (catalog.Account("a", ("k",), 8), catalog.Account("b", ("l",), 4)),
 )
 CAPACITY = workflow.Resources(64000, 1000, 8)
 
@@ -37,18 +44,27 @@
                         ),
                     )
                 )
-                self.conditions[name] = planner.Condition()
+                self.conditions[name] = condition.Condition()
 
     def do(self, wanted):
         return self.state.apply(0, command.pack(wanted))
 
-    def submit(self, queue, count, accelerators, cores=1000, estimate=1000, **fields):
+    def submit(
+        self,
+        queue,
+        count,
+        accelerators,
+        cores=1000,
+        estimate=1000,
+        account="a",
+        **fields,
+    ):
         self.number += 1
         needs = workflow.Resources(cores, 10, accelerators)
         step = workflow.Step(count, needs, estimate, **fields)
         self.do(
             command.Submit(
-                0, workflow.Workflow(f"w{self.number}", queue, "a", "", (step,), 0)
+                0, workflow.Workflow(f"w{self.number}", queue, account, "", (step,), 0)
             )
         )
         return f"w{self.number}"
@@ -129,7 +145,7 @@
     bed.submit("urgent", 1, 8)
     stopped = [placement for placement, _ in bed.plan().preempted]
     bed.end(stopped[:4])
-    bed.conditions["0-0"] = planner.Condition(
+    bed.conditions["0-0"] = condition.Condition(
         stopping=frozenset(p.task for p in stopped[4:])
     )
     half = bed.plan()
@@ -144,7 +160,7 @@
     bed.submit("urgent", 2, 8, gang=True)  # 16 accelerators, 8 are guaranteed
     for age_s, expected in ((0.5, 2), (60.0, 0)):
         for placement in made:
-            bed.conditions[placement.worker_id] = planner.Condition(
+            bed.conditions[placement.worker_id] = condition.Condition(
                 ages_s={placement.task: age_s}
             )
         assert len(bed.plan().preempted) == expected
@@ -155,10 +171,26 @@
     bed.submit("long", 1, 8)
     made = bed.run().placements
     bed.submit("urgent", 1, 8)
-    bed.conditions["0-0"] = planner.Condition(ages_s={made[0].task: 600.0})
+    bed.conditions["0-0"] = condition.Condition(ages_s={made[0].task: 600.0})
     assert len(bed.plan().preempted) == 1
 
 
+def test_a_guarantee_is_reclaimed_from_urgent_work_beyond_another_guarantee():
+    bed = Bed(size=2)
+    bed.submit("urgent", 4, 4, account="b")  # 16 accelerators, 4 are guaranteed
+    bed.run()
+    bed.submit("urgent", 1, 8)
+    assert len(bed.plan().preempted) == 2
+
+
+def test_urgent_work_within_its_guarantee_gives_way_to_nobody():
+    bed = Bed(size=1)
+    bed.submit("urgent", 1, 4, account="b")
+    bed.run()
+    bed.submit("urgent", 1, 8)
+    assert not bed.plan().preempted
+
+
 def test_urgent_work_does_not_stop_urgent_work():
     bed = Bed(size=1)
     bed.submit("urgent", 1, 8)
@@ -181,7 +213,7 @@
     made = bed.run().placements
     assert [p.worker_id for p in made] == ["1-0"]
     assert not bed.plan().placements
-    bed.conditions["1-0"] = planner.Condition(usable=False)
+    bed.conditions["1-0"] = condition.Condition(usable=False)
     assert [p.worker_id for p in bed.plan().placements] == ["0-0"]
 
 
@@ -211,7 +243,7 @@
             ),
         )
     )
-    bed.conditions["0-1"] = planner.Condition(usable=False)
+    bed.conditions["0-1"] = condition.Condition(usable=False)
     urgent = bed.submit("urgent", 1, 1)
     waiting = {(urgent, 0, 0): planner.Wait.WORKERS}
     assert bed.plan() == planner.Plan(waiting=waiting)
--- /dev/null
+++ b/marjoramusher/workflows/unit.py
@@ -0,0 +1,84 @@
+"""Tasks that wait for a place, and how much of the service they need."""
+
+from collections.abc import Iterator
+
+import msgspec
+
+from . import machine, objective, room, workflow
+
+
+class Unit(msgspec.Struct, frozen=True):
+    """Tasks of one step that wait: a whole gang, or all that are not placed."""
+
+    entry: machine.Entry
+    occurrence: int
+    step: int
+    indexes: tuple[int, ...]
+    deadline_ms: float
+
+    @property
+    def name(self) -> room.UnitName:
+        """Return workflow id, occurrence and step."""
+        return self.entry.workflow.workflow_id, self.occurrence, self.step
+
+    @property
+    def shape(self) -> workflow.Step:
+        """Return the step."""
+        return self.entry.workflow.steps[self.step]
+
+    def key(self, index: int) -> workflow.TaskKey:
+        """Return the name of one of the tasks."""
+        return workflow.TaskKey(
+            self.entry.workflow.workflow_id, self.occurrence, self.step, index
+        )
+
+
+def urgent_accelerators(state: machine.WorkflowMachine) -> int:
+    """Return the accelerators that urgent work takes or waits for."""
+    total = 0
+    for entry in state.active.values():
+        if entry.queue.priority:
+            continue
+        for occurrence, step, tasks in entry.tasks():
+            if entry.is_ready(occurrence, step):
+                shape = entry.workflow.steps[step]
+                waiting = sum(not task.done for task in tasks)
+                total += waiting * shape.needs.accelerators
+    return total
+
+
+def capacity(state: machine.WorkflowMachine) -> int:
+    """Return the accelerators of all workers that stay."""
+    return sum(
+        known.worker.capacity.accelerators
+        for known in state.workers.values()
+        if not known.worker.draining
+    )
+
+
+def waiting(state: machine.WorkflowMachine, now_ms: float) -> Iterator[Unit]:
+    """Give the tasks that could start if there were room."""
+    for entry in state.active.values():
+        for occurrence, steps in entry.occurrences.items():
+            if occurrence in entry.finished:
+                continue
+            if entry.workflow.due_ms(occurrence) > now_ms:
+                break
+            for step, tasks in enumerate(steps):
+                indexes = _waiting(entry.workflow.steps[step], tasks)
+                if indexes and entry.is_ready(occurrence, step):
+                    due_ms = objective.deadline_ms(
+                        entry.workflow, entry.queue, occurrence
+                    )
+                    yield Unit(entry, occurrence, step, indexes, due_ms)
+
+
+def _waiting(step: workflow.Step, tasks: list[machine.TaskState]) -> tuple[int, ...]:
+    waiting = tuple(
+        index
+        for index, task in enumerate(tasks)
+        if not task.done and task.placement is None
+    )
+    if step.gang and len(waiting) < len(tasks):
+        return ()
+    return waiting
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -12,7 +12,7 @@
 
 from marjoramusher.core import errors
 from marjoramusher.executors import port
-from marjoramusher.workflows import planner, workflow
+from marjoramusher.workflows import room, workflow
 
 MAX_LEASE_MS = 6000
 GANG_S = 3.0
@@ -287,8 +287,8 @@
                 key = workflow.TaskKey(task.workflow_id, task.occurrence, before, index)
                 if key not in self.done:
                     self.faults.append(f"order: {where}")
-        used = [planner.accounted(self._step(each)) for each in life.runs]
-        used.append(planner.accounted(self._step(task)))
+        used = [room.accounted(self._step(each)) for each in life.runs]
+        used.append(room.accounted(self._step(task)))
         capacity = life.worker.capacity
         if (
             sum(each.accelerators for each in used) > capacity.accelerators
