Elect controllers after 0.7 to 1.1 s without a heartbeat

Cause: all callers wait while there is no leader. Ruled out: longer waits at the entry (callers' time is over after 3 s).

--- a/marjoramusher/daemon/controller.py
+++ b/marjoramusher/daemon/controller.py
@@ -5,15 +5,23 @@
 
 import msgspec
 
+from ..consensus import state
 from ..core import clock
 from ..executors import driver, port
-from ..groups import bootstrap, manager
+from ..groups import bootstrap, manager, runner
 from ..instances import peers
 from ..queues import call, service
 from ..telemetry import log, metrics
 from ..workflows import machine
 
 
+# Two heartbeats may be lost before an election. All callers wait for the next leader, so
+# it is sooner here than between the groups of failure domains.
+ELECTION_MIN_S = 0.7
+ELECTION_MAX_S = 1.1
+LEASE_S = 0.6
+
+
 class Settings(msgspec.Struct, frozen=True):
     """What a controller has to know.
 
@@ -59,6 +67,14 @@
                 settings.address,
                 settings.seeds,
                 settings.data_folder,
+                limits=runner.Limits(
+                    node=state.Settings(
+                        heartbeat_s=runner.Limits().node.heartbeat_s,
+                        election_min_s=ELECTION_MIN_S,
+                        election_max_s=ELECTION_MAX_S,
+                        lease_s=LEASE_S,
+                    )
+                ),
                 single_group=True,
                 founders=settings.seeds if settings.founds else (),
             ),
