--- a/marjoramusher/daemon/controller.py
+++ b/marjoramusher/daemon/controller.py
@@ -14,9 +14,8 @@
 from ..telemetry import log, metrics
 from ..workflows import machine
 
-
-# Two heartbeats may be lost before an election. All callers wait for the next leader, so
-# it is sooner here than between the groups of failure domains.
+# Two heartbeats may be lost before an election. All callers wait for the next leader,
+# so it is sooner here than in the groups of failure domains.
 ELECTION_MIN_S = 0.7
 ELECTION_MAX_S = 1.1
 LEASE_S = 0.6
