Ask the policy service which workers may run a step

Cause: tasks of queues with a policy were refused by each worker for want of a ticket, so such workflows could never run. A refusal is kept for the life of the worker; a permit that has run out is renewed only where there is room. Starts that a worker refuses as unhealthy leave it alone for 2 s instead of being planned there again at once. The session's callbacks become one Protocol, and the HTTP client is shared by all calls of the platform. The log of ended workflows and the demand now start anew with each leadership; before, a former leader's list was compared. Ruled out: asking for all workers at once, since the call's time grows with each one; several calls at a time, since the service answers in turn.

--- a/marjoramusher/daemon/controller.py
+++ b/marjoramusher/daemon/controller.py
@@ -53,7 +53,9 @@
         time: clock.Clock,
         rng: random.Random,
         values: metrics.Metrics,
+        policy: port.PolicyPort | None = None,
     ) -> None:
+        self._policy = policy
         self._settings = settings
         self._peers = peers.make_peers(settings.address, b"", time, values)
         self._state = machine.WorkflowMachine()
@@ -101,7 +103,13 @@
         await self._manager.start()
         group = self._manager.group(bootstrap.RECORDS)
         self._driver = driver.Driver(
-            group, self._state, self._workers, self._clock, self._metrics, self._driving
+            group,
+            self._state,
+            self._workers,
+            self._clock,
+            self._metrics,
+            self._driving,
+            self._policy,
         )
         self._service = service.QueueService(
             self._settings.address,
--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -16,7 +16,7 @@
     unit,
     workflow,
 )
-from . import health, lease, port, session
+from . import health, lease, policy, port, session
 
 TICK_S = 0.25  # due times are met within the platform's tolerance
 PAUSE_S = 0.01  # events that arrive together share one plan
@@ -64,6 +64,8 @@
         Its machine.
     workers : WorkerPort
         Gives the orders.
+    service : PolicyPort or None
+        Says on which workers the steps of some queues may run.
     """
 
     def __init__(
@@ -74,6 +76,7 @@
         time: clock.Clock,
         values: metrics.Metrics,
         settings: Settings,
+        service: port.PolicyPort | None = None,
     ) -> None:
         self._group = group
         self._state = state
@@ -84,9 +87,6 @@
         self._sessions: dict[str, session.Session] = {}
         self._closing: set[asyncio.Task] = set()
         self._health = health.Health()
-        self._demand = demand.UrgentDemand()
-        self._waiting = {}
-        self._active = dict(self._state.active)
         self._term = 0
         self._leading = False
         self._wake = asyncio.Event()
@@ -95,6 +95,7 @@
         self._waiting: dict[room.UnitName, planner.Wait] = {}
         self._demand = demand.UrgentDemand()
         self._active: dict[str, machine.Entry] = {}
+        self._policy = policy.PolicyCalls(service, time, values, self._wake.set)
         group.applied.subscribe(lambda _: self._wake.set())
         group.roles.subscribe(lambda _: self._wake.set())
 
@@ -200,6 +201,9 @@
         self._term = term
         self._leading = True
         self._health = health.Health()
+        self._demand = demand.UrgentDemand()
+        self._waiting = {}
+        self._active = dict(self._state.active)
         log.state_change(
             "driver.started",
             term=term,
@@ -231,6 +235,7 @@
         self._active = dict(now_active)
 
     async def _close_sessions(self) -> None:
+        await self._policy.close()
         sessions = [*self._sessions.values()]
         self._sessions = {}
         await asyncio.gather(*(each.close() for each in sessions))
@@ -252,9 +257,7 @@
                 self._port,
                 self._term,
                 self._clock,
-                self.propose,
-                self._is_leader,
-                self._note_end,
+                self,
                 self._settings.lease,
             )
             self._sessions[worker_id] = opened
@@ -262,12 +265,37 @@
         for worker_id in [w for w in self._sessions if w not in self._state.workers]:
             self._close(self._sessions.pop(worker_id))
 
-    def _note_end(self, worker_id: str, end: workflow.End) -> None:
+    def note_end(self, worker_id: str, end: workflow.End) -> None:
+        """Take a new end on a worker into account."""
         self._metrics.increment("task_ends", how=end.how.value)
         if self._health.note(worker_id, end, self._clock.monotonic()):
             self._metrics.increment("workers_quarantined")
             log.state_change("worker.quarantined", worker=worker_id)
 
+    def note_refusal(
+        self, placement: workflow.Placement, refusal: port.Refusal
+    ) -> None:
+        """Take a refused start into account, so that it is not tried again at once."""
+        self._metrics.increment("starts_refused", reason=refusal.value)
+        if refusal is port.Refusal.TICKET:
+            self._policy.permits.expire(
+                room.unit_name(placement.task), placement.worker_id, placement.born
+            )
+        elif refusal is port.Refusal.UNHEALTHY:
+            self._health.refuse(placement.worker_id, self._clock.monotonic())
+
+    def ticket(self, placement: workflow.Placement) -> str | None:
+        """Return the permit for a start, ``None`` if it must not be made."""
+        entry = self._state.entries.get(placement.task.workflow_id)
+        if entry is None or entry.queue.policy is None:
+            return ""
+        return self._policy.permits.ticket(
+            room.unit_name(placement.task),
+            placement.worker_id,
+            placement.born,
+            self._clock.monotonic(),
+        )
+
     def _close(self, ended: session.Session) -> None:
         task = asyncio.get_running_loop().create_task(ended.close())
         self._closing.add(task)
@@ -291,7 +319,11 @@
             now_ms,
             self._settings.early_ms,
             self._demand.headroom(urgent, unit.capacity(self._state)),
+            self._policy.permits,
+            now,
         )
+        self._policy.permits.keep(self._state.active)
+        self._policy.ask(wanted.questions)
         self._note_waiting(wanted.waiting)
         for placement, workflow_id in wanted.preempted:
             self._metrics.increment("tasks_preempted")
--- a/marjoramusher/executors/driver_test.py
+++ b/marjoramusher/executors/driver_test.py
@@ -20,6 +20,18 @@
     (
         catalog.Queue("urgent", "h", "/u/", "s", 0, 4, 1.5, 600, 1000),
         catalog.Queue("batch", "h", "/b/", "s", 2, 4, 3.0, 3000, 1000),
+        catalog.Queue(
+            "policed",
+            "h",
+            "/p/",
+            "s",
+            1,
+            4,
+            3.0,
+            3000,
+            1000,
+            policy=catalog.Policy(100.0, 0.0, 3000.0),
+        ),
     ),
     (catalog.Service("s"),),
 )
@@ -65,10 +77,11 @@
 class Bed:
     """A driver, its group and workers in memory."""
 
-    def __init__(self, seed, work_s=None):
+    def __init__(self, seed, work_s=None, permitted=None):
         loop = asyncio.get_running_loop()
         self.rng = random.Random(seed)
         self.fleet = fleet.Fleet(self.rng, work_s or self.work_s)
+        self.policy = fleet.Policy(self.fleet, permitted or (lambda step, name: True))
         self.state = machine.WorkflowMachine()
         self.group = Group(self.state)
         self.clock = virtual.LoopClock(loop)
@@ -79,6 +92,7 @@
             self.clock,
             metrics.Metrics(),
             driver.Settings(BEAT_S),
+            self.policy,
         )
         self.tasks = [loop.create_task(self.fleet.live())]
         self.count = 0
@@ -130,6 +144,8 @@
         now_ms = int(self.clock.utcnow().timestamp() * 1000)
         wanted = workflow.Workflow(name, queue, "a", f"spec {name}", steps, now_ms)
         self.fleet.submitted[name] = wanted
+        if queue == "policed":
+            self.fleet.tickets.update({(name, 0, i): {} for i in range(len(steps))})
         await self.group.propose(command.pack(command.Submit(now_ms, wanted)), 1.0)
         return name
 
@@ -356,3 +372,68 @@
             assert bed.state.task(workflow.TaskKey(name, 0, 0, 0)).run > 6
 
     virtual.run(play())
+
+
+def test_steps_with_a_policy_run_only_where_it_permits():
+    async def play():
+        def permitted(step, name):
+            return name in ("x1", "x3")
+
+        async with Bed(10, always(2.0), permitted) as bed:
+            await bed.submit("policed", step(20, 1), step(2, 2, after=(0,), gang=True))
+            await bed.settle(20)
+            assert bed.states() == {workflow.State.COMPLETED}
+            assert bed.fleet.faults == []
+            assert bed.fleet.starts == 22
+            # Each step asks once about all, and renews only what has run out.
+            assert bed.policy.calls[0] == ("x0", "x1", "x2", "x3")
+            assert all(set(each) <= {"x1", "x3"} for each in bed.policy.calls[1:-1])
+
+    virtual.run(play())
+
+
+def test_permits_that_run_out_while_others_end_are_asked_for_again():
+    async def play():
+        async with Bed(11, always(5.0), lambda step, name: name == "x2") as bed:
+            await bed.submit("policed", step(20, 2))
+            await bed.settle(60)
+            assert bed.states() == {workflow.State.COMPLETED}
+            assert bed.fleet.refused_tickets == 0
+            assert len(bed.policy.calls) <= 8
+
+    virtual.run(play())
+
+
+def test_a_policy_service_that_fails_holds_up_only_its_own_steps():
+    async def play():
+        async with Bed(12, always(1.0)) as bed:
+            bed.policy.failing = True
+            await bed.submit("policed", step(2, 1))
+            await bed.submit("batch", step(2, 1))
+            await asyncio.sleep(5.0)
+            assert bed.fleet.starts == 2
+            assert 5 <= len(bed.policy.calls) <= 12
+            bed.policy.failing = False
+            await bed.settle(5)
+            assert bed.states() == {workflow.State.COMPLETED}
+
+    virtual.run(play())
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_permits_are_asked_for_again_after_changes_of_the_leader(seed):
+    async def play():
+        def permitted(step, name):
+            return (int(step[0], 16) + int(name[1])) % 2 == 0 or name == "x0"
+
+        async with Bed(seed, None, permitted) as bed:
+            bed.fleet.lost = 0.05
+            for _ in range(8):
+                await bed.submit("policed", step(3, 2))
+                await asyncio.sleep(bed.rng.uniform(0.1, 2.0))
+                bed.group.set_leader(False)
+                await asyncio.sleep(bed.rng.uniform(0.05, 3.0))
+                bed.group.set_leader(True)
+            await bed.check_end(200)
+
+    virtual.run(play())
--- a/marjoramusher/executors/health.py
+++ b/marjoramusher/executors/health.py
@@ -5,6 +5,7 @@
 from ..workflows import workflow
 
 SUSPECT_FAILURES = 2  # in a row, of different workflows; one may be the task's fault
+REFUSED_S = 2.0  # a worker that is unhealthy says so at once, so asking is cheap
 QUARANTINE_S = 6.0  # a worker that fails everything costs a task an attempt each time
 
 
@@ -43,6 +44,11 @@
             return True
         return False
 
+    def refuse(self, worker_id: str, now: float) -> None:
+        """Leave a worker alone for a while that says that it is unhealthy."""
+        record = self._records.setdefault(worker_id, _Record())
+        record.until_s = max(record.until_s, now + REFUSED_S)
+
     def judge(self, worker_id: str, now: float) -> Verdict:
         """Return how a worker is to be used."""
         record = self._records.get(worker_id)
--- a/marjoramusher/executors/port.py
+++ b/marjoramusher/executors/port.py
@@ -1,12 +1,13 @@
 """What the leader asks of a worker, whatever protocol the worker speaks."""
 
 import enum
+from collections.abc import Mapping
 from typing import Protocol
 
 import msgspec
 
 from ..core import errors
-from ..workflows import workflow
+from ..workflows import room, workflow
 
 
 class StartOrder(msgspec.Struct, frozen=True):
@@ -18,6 +19,8 @@
         End of the lease on the clock of the worker.
     token : int
         Fencing token; the worker does nothing for a lower one than it has seen.
+    ticket : str
+        Permit of the policy service, empty where none is needed.
     """
 
     task: workflow.TaskKey
@@ -26,6 +29,7 @@
     deadline_ms: int
     token: int
     checkpoint: str = ""
+    ticket: str = ""
 
 
 class Refusal(enum.Enum):
@@ -134,3 +138,40 @@
         wait_s: float,
     ) -> Report:
         """Renew the lease, have ends forgotten, and wait a while for the next end."""
+
+
+class Permitted(msgspec.Struct, frozen=True):
+    """Answer of the policy service.
+
+    Parameters
+    ----------
+    tickets : mapping of str to str
+        Ticket for each worker that may run the step.
+    validity_s : float
+        How long the tickets last, counted from the answer.
+    """
+
+    tickets: Mapping[str, str]
+    validity_s: float
+
+
+class PolicyUnavailableError(errors.MarjoramusherError):
+    """The policy service gave no usable answer."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(errors.ErrorCode.TARGET_FAILED, f"policy service: {reason}")
+
+
+class PolicyPort(Protocol):
+    """Ask which workers may run a step."""
+
+    async def ask(
+        self, step: room.UnitName, worker_ids: tuple[str, ...], timeout_s: float
+    ) -> Permitted:
+        """Return the permits of some workers.
+
+        Raises
+        ------
+        PolicyUnavailableError
+            If there is no usable answer.
+        """
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import enum
-from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 import msgspec
 
@@ -48,6 +48,28 @@
     stop_reason: str = ""
 
 
+class Leader(Protocol):
+    """What a session needs of the instance that leads."""
+
+    @property
+    def leads(self) -> bool:
+        """Tell whether it still leads; asked before each order."""
+
+    async def propose(self, wanted: command.AnyCommand) -> bytes:
+        """Commit a command."""
+
+    def note_end(self, worker_id: str, end: workflow.End) -> None:
+        """Take a new end into account."""
+
+    def note_refusal(
+        self, placement: workflow.Placement, refusal: port.Refusal
+    ) -> None:
+        """Take a refused start into account."""
+
+    def ticket(self, placement: workflow.Placement) -> str | None:
+        """Return the permit for a start, ``None`` if it must not be made."""
+
+
 class Session:
     """One life of a worker, for as long as this instance leads.
 
@@ -55,12 +77,8 @@
     ----------
     token : int
         Fencing token of this leadership.
-    propose : callable
-        Commits a command.
-    leads : callable
-        Tells whether this instance still leads; asked before each order.
-    note_end : callable
-        Gets each new end, with the id of the worker.
+    leader : Leader
+        Commits changes, and hears of ends and refusals.
     """
 
     def __init__(
@@ -70,9 +88,7 @@
         workers: port.WorkerPort,
         token: int,
         time: clock.Clock,
-        propose: Callable[[command.AnyCommand], Awaitable[bytes]],
-        leads: Callable[[], bool],
-        note_end: Callable[[str, workflow.End], None],
+        leader: Leader,
         settings: lease.Settings,
     ) -> None:
         self.worker = worker
@@ -80,9 +96,7 @@
         self._port = workers
         self._token = token
         self._clock = time
-        self._propose = propose
-        self._leads = leads
-        self._note_end = note_end
+        self._leader = leader
         now = time.monotonic()
         self._lease = lease.Lease(settings, now)
         self._runs: dict[tuple[workflow.TaskKey, int], Run] = {}
@@ -197,7 +211,7 @@
     async def _start(self, run: Run) -> None:
         """Order a start; a run without an answer is stopped before it is replaced."""
         for _ in range(ORDER_ATTEMPTS):
-            if not self._leads() or run.stop_reason:
+            if not self._leader.leads or run.stop_reason:
                 break
             try:
                 reply = await self._order_start(run)
@@ -230,6 +244,7 @@
                 worker=self.worker.worker_id,
                 reason=reply.refusal.value,
             )
+            self._leader.note_refusal(run.placement, reply.refusal)
             if run.phase is Phase.SENT:
                 await self._release([run], f"refused: {reply.refusal.value}")
                 return
@@ -245,7 +260,8 @@
         task = self._state.task(placement.task)
         entry = self._state.entries.get(placement.task.workflow_id)
         deadline_ms = self._lease.grant_ms(self._clock.monotonic())
-        if task is None or entry is None or deadline_ms is None:
+        ticket = self._leader.ticket(placement)
+        if task is None or entry is None or deadline_ms is None or ticket is None:
             return None
         reply = await self._port.start(
             self.worker,
@@ -256,6 +272,7 @@
                 deadline_ms,
                 self._token,
                 task.checkpoint,
+                ticket,
             ),
         )
         self._answered(reply.clock_ms)
@@ -265,7 +282,7 @@
         placement = run.placement
         key = (placement.task, placement.run)
         try:
-            while self._leads() and key in self._runs:
+            while self._leader.leads and key in self._runs:
                 try:
                     reply = await self._port.stop(
                         self.worker, placement.task, placement.run, self._token
@@ -293,7 +310,7 @@
     # Leases and ends.
 
     async def _hold(self) -> None:
-        while self._leads() and not self.over:
+        while self._leader.leads and not self.over:
             if self._is_idle():
                 self._wanted.clear()
                 await self._wanted.wait()
@@ -484,7 +501,7 @@
         self, ends: tuple[workflow.End, ...], released: list[Run], reason: str
     ) -> None:
         for end in ends:
-            self._note_end(self.worker.worker_id, end)
+            self._leader.note_end(self.worker.worker_id, end)
             log.state_change(
                 "task.end",
                 task=name(end.task),
@@ -504,7 +521,7 @@
 
     async def _commit(self, wanted: command.AnyCommand) -> bool:
         try:
-            await self._propose(wanted)
+            await self._leader.propose(wanted)
         except errors.MarjoramusherError as failure:
             log.state_change(
                 "worker.change_not_committed",
--- a/marjoramusher/workflows/catalog.py
+++ b/marjoramusher/workflows/catalog.py
@@ -5,6 +5,26 @@
 import msgspec
 
 
+class Policy(msgspec.Struct, frozen=True, array_like=True):
+    """A service that says on which workers a step may run.
+
+    Parameters
+    ----------
+    decision_ms, per_worker_ms : float
+        Time that a call takes, and what each worker named in it adds.
+    validity_ms : float
+        How long a permit lasts.
+    """
+
+    decision_ms: float = 0.0
+    per_worker_ms: float = 0.0
+    validity_ms: float = 0.0
+
+    def call_ms(self, workers: int) -> float:
+        """Return how long a call about some workers takes."""
+        return self.decision_ms + self.per_worker_ms * workers
+
+
 class Queue(msgspec.Struct, frozen=True, array_like=True):
     """Where workflows are submitted, and how they are treated.
 
@@ -23,6 +43,8 @@
         work plus `target_ms`.
     public : bool
         Whether callers need no key.
+    policy : Policy or None
+        ``None`` if all workers of the service may run the tasks.
     """
 
     name: str
@@ -35,6 +57,7 @@
     target_ms: int = 0
     timeout_ms: int = 1
     public: bool = False
+    policy: Policy | None = None
 
 
 class Service(msgspec.Struct, frozen=True, array_like=True):
--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from . import condition, machine, preemption, room, unit, workflow
+from . import catalog, condition, machine, permit, preemption, room, unit, workflow
 
 # Gangs for which room is kept while others end. With more of them at once too much
 # room would stand idle.
@@ -23,6 +23,7 @@
     DATA = "no room near the data"
     CLEARING = "others are being stopped for it"
     WORKERS = "no usable worker of the service fits"
+    PERMIT = "no permit for a worker with room"
 
 
 class Plan(msgspec.Struct, frozen=True):
@@ -34,11 +35,14 @@
         Runs to stop, with the id of the workflow that needs the room.
     waiting : dict
         Why tasks of (workflow id, occurrence, step) were not placed.
+    questions : tuple of Question
+        What to ask the policy service for tasks that wait, the most urgent first.
     """
 
     placements: tuple[workflow.Placement, ...] = ()
     preempted: tuple[tuple[workflow.Placement, str], ...] = ()
     waiting: dict[room.UnitName, Wait] = {}
+    questions: tuple[permit.Question, ...] = ()
 
 
 def plan(
@@ -47,6 +51,8 @@
     now_ms: float,
     early_ms: float = 0.0,
     headroom: int = 0,
+    permits: permit.Permits | None = None,
+    now_s: float = 0.0,
 ) -> Plan:
     """Place what waits, the most urgent first.
 
@@ -60,14 +66,25 @@
         How much before its due time an occurrence may start.
     headroom : int
         Accelerators of each service that only urgent work may take.
+    permits : Permits
+        Permits for steps of queues that have a policy.
+    now_s : float
+        The monotonic clock, by which permits run out.
     """
-    planner = _Planner(state, conditions, headroom, now_ms)
+    planner = _Planner(
+        state, conditions, headroom, now_ms, permits or permit.Permits(), now_s
+    )
     waiting = sorted(
         unit.waiting(state, now_ms + early_ms), key=lambda each: _rank(each, now_ms)
     )
     for each in waiting:
         planner.place(each)
-    return Plan(tuple(planner.placements), tuple(planner.preempted), planner.waiting)
+    return Plan(
+        tuple(planner.placements),
+        tuple(planner.preempted),
+        planner.waiting,
+        tuple(planner.questions),
+    )
 
 
 def _rank(wanted: unit.Unit, now_ms: float) -> tuple[int, bool, float]:
@@ -85,16 +102,21 @@
         conditions: Mapping[str, condition.Condition],
         headroom: int,
         now_ms: float,
+        permits: permit.Permits,
+        now_s: float,
     ) -> None:
         self._state = state
         self._headroom = headroom
         self._now_ms = now_ms
+        self._permits = permits
+        self._now_s = now_s
         self._reservations = 0
         self._rack_free: dict[str, int] = {}
         self._rooms: dict[str, list[room.Room]] = {}
         self.placements: list[workflow.Placement] = []
         self.preempted: list[tuple[workflow.Placement, str]] = []
         self.waiting: dict[room.UnitName, Wait] = {}
+        self.questions: list[permit.Question] = []
         by_worker: dict[str, room.Room] = {}
         for known in state.workers.values():
             worker = known.worker
@@ -132,7 +154,16 @@
         """Place all or some tasks of a unit, or have others stop for it."""
         if wanted.shape.gang:
             self._place_gang(wanted)
-            return
+        else:
+            self._place_tasks(wanted)
+        policy = wanted.entry.queue.policy
+        if policy is not None and self.waiting.get(wanted.name) not in (
+            None,
+            Wait.HEADROOM,
+        ):
+            self._ask(wanted, policy)
+
+    def _place_tasks(self, wanted: unit.Unit) -> None:
         rooms = list(self._eligible(wanted))
         for index in wanted.indexes:
             if not self._leaves_headroom(wanted, 1):
@@ -208,8 +239,58 @@
             workflow_id = wanted.entry.workflow.workflow_id
             self.preempted.extend((each, workflow_id) for each in stopped)
 
+    def _ask(self, wanted: unit.Unit, policy: catalog.Policy) -> None:
+        """Ask which other workers may run a step that waits.
+
+        A permit that has run out is asked for again only where there is room, since
+        it does not last until others end.
+        """
+        needs = room.accounted(wanted.shape)
+        urgent = wanted.entry.queue.priority == 0
+        known = self._permits
+        rooms = [
+            each
+            for each in self._suitable(wanted)
+            if needs.fits(each.worker.capacity)
+            and known.can_ask(wanted.name, each.worker, self._now_s)
+            and (
+                urgent
+                or each.fits(needs)
+                or not known.has_answer(wanted.name, each.worker)
+            )
+        ]
+        if not rooms:
+            return
+        if wanted.shape.gang or not any(
+            each.fits(needs) for each in self._eligible(wanted)
+        ):
+            self.waiting[wanted.name] = Wait.PERMIT
+        rooms.sort(key=lambda each: self._ask_rank(wanted, each))
+        workers = tuple(each.worker for each in rooms[: permit.WORKERS_ASKED])
+        self.questions.append(permit.Question(wanted.name, workers, policy))
+
+    def _ask_rank(
+        self, wanted: unit.Unit, each: room.Room
+    ) -> tuple[bool, bool, bool, int]:
+        """Ask first about workers near the data, with room, on an empty rack."""
+        step = wanted.shape
+        away = bool(step.rack) and each.worker.rack != step.rack
+        full = not each.fits(room.accounted(step))
+        return away, full, each.avoid, -self._rack_free[each.worker.rack]
+
     def _eligible(self, wanted: unit.Unit) -> Iterator[room.Room]:
-        """Give the workers that a task may run on.
+        """Give the workers that a task may run on now."""
+        policed = wanted.entry.queue.policy is not None
+        for each in self._suitable(wanted):
+            worker = each.worker
+            if policed and not self._permits.ticket(
+                wanted.name, worker.worker_id, worker.born, self._now_s
+            ):
+                continue
+            yield each
+
+    def _suitable(self, wanted: unit.Unit) -> Iterator[room.Room]:
+        """Give the workers that have what a task requires.
 
         Tasks that fill unused cores disturb tasks that serve users on the same
         worker, by amounts that are not known before; they are kept apart.
--- a/marjoramusher/workflows/room.py
+++ b/marjoramusher/workflows/room.py
@@ -9,6 +9,11 @@
 UnitName = tuple[str, int, int]
 
 
+def unit_name(task: workflow.TaskKey) -> UnitName:
+    """Return workflow id, occurrence and step of a task."""
+    return task.workflow_id, task.occurrence, task.step
+
+
 class Room:
     """Free resources of one worker, and those that stops will free.
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -91,7 +91,9 @@
         self.done: set[workflow.TaskKey] = set()
         self.noted: set[workflow.TaskKey] = set()
         self.starts = 0
+        self.refused_tickets = 0
         self.wasted_s = 0.0
+        self.tickets: dict[tuple[str, int, int], dict[str, tuple[str, float]]] = {}
         self._saved: dict[str, tuple[workflow.TaskKey, float]] = {}
         self._started_s: dict[workflow.TaskKey, float] = {}
         self._late: set[asyncio.Task] = set()
@@ -257,6 +259,9 @@
             return port.Reply(life.clock_ms(self._now))
         if order.run <= life.ended.get(order.task, 0) or present is not None:
             return self._refused(life, port.Refusal.OLD)
+        if not self._has_ticket(life, order):
+            self.refused_tickets += 1
+            return self._refused(life, port.Refusal.TICKET)
         self._check_start(life, order)
         self.starts += 1
         work_s, how = self._work_s(order.task, order.run)
@@ -270,6 +275,14 @@
         )
         return port.Reply(life.clock_ms(self._now))
 
+    def _has_ticket(self, life: Life, order: port.StartOrder) -> bool:
+        """Tell whether a start carries the ticket that its step may need."""
+        given = self.tickets.get(_unit(order.task))
+        if given is None:
+            return True
+        ticket, until_s = given.get(life.worker.worker_id, ("", 0.0))
+        return bool(ticket) and order.ticket == ticket and self._now < until_s
+
     def _check_start(self, life: Life, order: port.StartOrder) -> None:
         task = order.task
         where = f"{task} run {order.run} on {life.worker.worker_id} at {self._now:.2f}"
@@ -361,6 +374,50 @@
         return value
 
 
+class Policy:
+    """Implement `PolicyPort` for a fleet: only some workers may run a step.
+
+    Parameters
+    ----------
+    permitted : callable
+        Tells whether a step may run on a worker.
+    validity_s : float
+        How long tickets last.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        permitted: Callable[[tuple[str, int, int], str], bool],
+        validity_s: float = 3.0,
+        call_s: float = 0.1,
+    ) -> None:
+        self._fleet = fleet
+        self._permitted = permitted
+        self._validity_s = validity_s
+        self._call_s = call_s
+        self.calls: list[tuple[str, ...]] = []
+        self.failing = False
+
+    async def ask(
+        self, step: tuple[str, int, int], worker_ids: tuple[str, ...], timeout_s: float
+    ) -> port.Permitted:
+        """Give tickets for the workers that may run a step."""
+        self.calls.append(worker_ids)
+        await asyncio.sleep(min(self._call_s, timeout_s))
+        if self.failing:
+            raise port.PolicyUnavailableError("429")
+        until_s = asyncio.get_running_loop().time() + self._validity_s
+        given = self._fleet.tickets.setdefault(step, {})
+        tickets = {
+            each: f"{each}-{len(self.calls)}"
+            for each in worker_ids
+            if self._permitted(step, each)
+        }
+        given.update({each: (ticket, until_s) for each, ticket in tickets.items()})
+        return port.Permitted(tickets, self._validity_s)
+
+
 def _silent(worker: workflow.Worker) -> port.WorkerSilentError:
     return port.WorkerSilentError(worker.worker_id, "no answer", errors.Outcome.UNKNOWN)
 
--- a/tests/platform_session_test.py
+++ b/tests/platform_session_test.py
@@ -8,7 +8,7 @@
 import pytest
 from aiohttp import test_utils, web
 
-from adapter import control, ingress, settings, wire_test, workers
+from adapter import client, control, ingress, settings, wire_test, workers
 from marjoramusher.daemon import controller, gateway, system
 from marjoramusher.executors import driver
 from marjoramusher.telemetry import metrics
@@ -78,9 +78,9 @@
 
     async def __aexit__(self, *_):
         await self.stack.aclose()
-        for running, orders in self.controllers.values():
+        for running, http in self.controllers.values():
             await running.stop()
-            await orders.close()
+            await http.close()
 
     @property
     def values(self):
@@ -88,11 +88,10 @@
 
     async def serve(self, interface):
         server = test_utils.TestServer(interface.application())
-        client = test_utils.TestClient(server)
-        return await self.stack.enter_async_context(client)
+        return await self.stack.enter_async_context(test_utils.TestClient(server))
 
     async def start(self, address, founds):
-        orders = workers.HttpWorkers()
+        http = client.Client()
         running = controller.Controller(
             controller.Settings(
                 address,
@@ -103,18 +102,18 @@
                 founds,
             ),
             driver.Settings(),
-            orders,
+            workers.HttpWorkers(http),
             system.SystemClock(),
             random.Random(),
             self.values,
         )
         await running.start()
-        self.controllers[address] = (running, orders)
+        self.controllers[address] = (running, http)
 
     async def stop(self, address):
-        running, orders = self.controllers.pop(address)
+        running, http = self.controllers.pop(address)
         await running.stop()
-        await orders.close()
+        await http.close()
 
     def leader(self):
         return next((a for a, (c, _) in self.controllers.items() if c.leads), None)
@@ -127,8 +126,8 @@
                 address, "127.0.0.1", "z", "r", {}, (1, 2), ("127.0.0.1:1",)
             )
             running, _ = self.controllers[address]
-            client = await self.serve(control.Control(running, own, self.values))
-            async with client.request(method, path, data=body) as response:
+            caller = await self.serve(control.Control(running, own, self.values))
+            async with caller.request(method, path, data=body) as response:
                 if response.status == 200:
                     return await response.read()
             await asyncio.sleep(0.1)
