Pace filling tasks beside serving ones, and keep enough serving tasks at work

Cause: filling tasks never came to a worker with serving tasks, so they waited for ever where each worker serves; guaranteed work could not reclaim what long-running tasks held; long-running tasks waited for room that is kept for urgent work; one that never came to work was never started elsewhere; and a worker on which runs make no progress was chosen again at once. Filling tasks now share a worker where there is no other room, at a pace that follows the tails. Work within a guarantee stops serving tasks, never more of a step than may be away. A stall counts against the worker. Ruled out: a fixed pace, since a disturbance of 400 ms for each filler misses the target at 10 percent; no filling at all, which leaves the work undone.

--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -16,7 +16,7 @@
     unit,
     workflow,
 )
-from . import health, lease, policy, port, session
+from . import health, lease, policy, port, runs, session
 
 TICK_S = 0.25  # due times are met within the platform's tolerance
 PAUSE_S = 0.01  # events that arrive together share one plan
@@ -269,8 +269,17 @@
         """Take a new end on a worker into account."""
         self._metrics.increment("task_ends", how=end.how.value)
         if self._health.note(worker_id, end, self._clock.monotonic()):
-            self._metrics.increment("workers_quarantined")
-            log.state_change("worker.quarantined", worker=worker_id)
+            self._note_quarantined(worker_id)
+
+    def note_stall(self, placement: workflow.Placement) -> None:
+        """Take a run into account that is stopped because it made no progress."""
+        self._metrics.increment("tasks_stalled")
+        if self._health.note_stall(placement, self._clock.monotonic()):
+            self._note_quarantined(placement.worker_id)
+
+    def _note_quarantined(self, worker_id: str) -> None:
+        self._metrics.increment("workers_quarantined")
+        log.state_change("worker.quarantined", worker=worker_id)
 
     def note_refusal(
         self, placement: workflow.Placement, refusal: port.Refusal
@@ -337,7 +346,7 @@
         for placement in made.placements:
             log.state_change(
                 "task.assigned",
-                task=session.name(placement.task),
+                task=runs.name(placement.task),
                 run=placement.run,
                 worker=placement.worker_id,
                 term=self._term,
@@ -377,6 +386,8 @@
                 current.stopping,
                 current.ages_s(),
                 state.suspect,
+                current.at_work,
+                current.takes_fill,
             )
         return conditions
 
--- a/marjoramusher/executors/driver_test.py
+++ b/marjoramusher/executors/driver_test.py
@@ -9,7 +9,7 @@
 
 from marjoramusher.consensus import message
 from marjoramusher.core import errors
-from marjoramusher.executors import driver
+from marjoramusher.executors import driver, session
 from marjoramusher.groups import local
 from marjoramusher.telemetry import metrics
 from marjoramusher.workflows import catalog, command, machine, workflow
@@ -437,3 +437,48 @@
             await bed.check_end(200)
 
     virtual.run(play())
+
+
+@pytest.mark.parametrize("disturbance_ms", [5.0, 60.0, 400.0])
+@pytest.mark.parametrize("lost", [0.0, 0.1])
+def test_tasks_that_fill_slow_down_for_tasks_that_serve(disturbance_ms, lost):
+    async def play():
+        async with Bed(13, always(900.0)) as bed:
+            serving = step(
+                WORKERS, 1, long_running=True, target_ms=100, max_per_worker=1
+            )
+            await bed.submit("batch", serving)
+            await asyncio.sleep(2.0)
+            bed.fleet.disturbance_ms = disturbance_ms
+            bed.fleet.lost = lost
+            bed.fleet.late = 0.0
+            await bed.submit("batch", step(3 * WORKERS, 0, fill=True))
+            for _ in range(10):
+                await asyncio.sleep(3.0)
+                bed.fleet.disturbance_ms *= bed.rng.uniform(0.5, 1.5)
+            paces = [
+                run.pace for x in bed.fleet.lives.values() for run in x.runs.values()
+            ]
+            assert bed.fleet.faults == []
+            assert len(paces) == 4 * WORKERS
+            if disturbance_ms == 5.0:
+                assert min(paces) > 50
+            looks = 30.0 / session.SHARED_WAIT_S
+            assert bed.fleet.paces <= looks * 3 * WORKERS
+
+    virtual.run(play())
+
+
+def test_a_serving_task_that_never_comes_to_work_is_started_elsewhere():
+    async def play():
+        async with Bed(14, always(900.0)) as bed:
+            bed.fleet.stalled = {"x0"}
+            name = await bed.submit("batch", step(2, 1, long_running=True))
+            await asyncio.sleep(15.0)
+            placed = [
+                task.placement.worker_id
+                for task in bed.state.entries[name].occurrences[0][0]
+            ]
+            assert "x0" not in placed
+
+    virtual.run(play())
--- a/marjoramusher/executors/health.py
+++ b/marjoramusher/executors/health.py
@@ -38,7 +38,15 @@
             return False
         if end.how is not workflow.How.FAILED:
             return False
-        record.failed.add(end.task.workflow_id)
+        return self._add(record, end.task, now)
+
+    def note_stall(self, placement: workflow.Placement, now: float) -> bool:
+        """Count a run without progress as a failure of its worker."""
+        record = self._records.setdefault(placement.worker_id, _Record())
+        return self._add(record, placement.task, now)
+
+    def _add(self, record: _Record, task: workflow.TaskKey, now: float) -> bool:
+        record.failed.add(task.workflow_id)
         if len(record.failed) >= SUSPECT_FAILURES:
             record.until_s = now + QUARANTINE_S
             return True
--- a/marjoramusher/executors/port.py
+++ b/marjoramusher/executors/port.py
@@ -66,12 +66,16 @@
     ----------
     percent : int
         Progress; 100 for a long-running task at work.
+    load : float
+        For a serving task the tail of its response times in milliseconds, for any
+        other one the cores in use, in thousandths; a rough figure.
     """
 
     task: workflow.TaskKey
     run: int
     checkpoint: str
     percent: int
+    load: float = 0.0
 
 
 class Report(msgspec.Struct, frozen=True):
@@ -129,6 +133,16 @@
     ) -> Reply:
         """Stop a run; once answered, this run can't start there any more."""
 
+    async def pace(
+        self,
+        worker: workflow.Worker,
+        task: workflow.TaskKey,
+        run: int,
+        percentage: int,
+        token: int,
+    ) -> Reply:
+        """Let a run work at a share of its speed."""
+
     async def hold(
         self,
         worker: workflow.Worker,
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -1,51 +1,17 @@
 """Orders to one life of a worker, and what its answers show."""
 
 import asyncio
-import enum
 from typing import Protocol
 
-import msgspec
-
 from ..core import clock, errors
 from ..telemetry import log
 from ..workflows import command, machine, workflow
-from . import lease, port
+from . import lease, pacing, port, runs
 
 HOLD_WAIT_S = 1.5  # a quarter of a lease, so that three renewals may be lost
+SHARED_WAIT_S = 0.5  # the time over which a worker takes the tails that it shows
 ORDER_ATTEMPTS = 2  # a start that is sent again is answered as the first would be
 RETRY_S = 0.25  # between orders that got no answer; a stop has to arrive in seconds
-STALL_S = 5.0  # a task at a third of its speed shows progress more often
-STALL_ESTIMATES = 0.6  # share of the declared run time without any progress
-STALL_STEPS = 4.0  # a run that has shown progress shows the next as late as this
-
-
-class Phase(enum.Enum):
-    """What is known of a run on the worker."""
-
-    UNKNOWN = "unknown"  # ordered by an earlier leader, if at all
-    SENT = "sent"
-    CONFIRMED = "confirmed"
-    UNCERTAIN = "uncertain"  # no answer: it may start later, unless it is stopped
-    FENCED = "fenced"  # a stop was answered, so that it can't start any more
-
-
-class Run(msgspec.Struct):
-    """One run on the worker.
-
-    Parameters
-    ----------
-    since_s : float
-        When the phase began; a report that was asked for earlier proves nothing.
-    """
-
-    placement: workflow.Placement
-    phase: Phase
-    since_s: float
-    started_s: float = 0.0
-    percent: int = -1
-    progress_s: float = 0.0
-    checkpoint: str = ""
-    stop_reason: str = ""
 
 
 class Leader(Protocol):
@@ -66,6 +32,9 @@
     ) -> None:
         """Take a refused start into account."""
 
+    def note_stall(self, placement: workflow.Placement) -> None:
+        """Take a run into account that is stopped because it made no progress."""
+
     def ticket(self, placement: workflow.Placement) -> str | None:
         """Return the permit for a start, ``None`` if it must not be made."""
 
@@ -99,11 +68,12 @@
         self._leader = leader
         now = time.monotonic()
         self._lease = lease.Lease(settings, now)
-        self._runs: dict[tuple[workflow.TaskKey, int], Run] = {}
+        self._runs: dict[tuple[workflow.TaskKey, int], runs.Run] = {}
         self._tasks: set[asyncio.Task] = set()
         self._stops: set[tuple[workflow.TaskKey, int]] = set()
         self._holder: asyncio.Task | None = None
         self._wanted = asyncio.Event()
+        self._pacer = pacing.Pacer()
         self._looked = False
         self._told_seen = 0
         self._heard_s = float("-inf")
@@ -127,13 +97,27 @@
             run.placement for run in self._runs.values() if run.stop_reason
         )
 
+    @property
+    def at_work(self) -> frozenset[workflow.Placement]:
+        """Return the runs that have shown all their progress."""
+        return frozenset(
+            run.placement
+            for run in self._runs.values()
+            if run.percent >= runs.AT_WORK and not run.stop_reason
+        )
+
+    @property
+    def takes_fill(self) -> bool:
+        """Tell whether more filling tasks may come beside serving ones."""
+        return self._pacer.takes_more
+
     def ages_s(self) -> dict[workflow.TaskKey, float]:
         """Return how long the confirmed runs have been at work."""
         now = self._clock.monotonic()
         return {
             key: now - run.started_s
             for (key, _), run in self._runs.items()
-            if run.phase is Phase.CONFIRMED
+            if run.phase is runs.Phase.CONFIRMED
         }
 
     def beat(self, clock_ms: int | None) -> None:
@@ -160,7 +144,7 @@
         """Have the worker start a run that has just been committed."""
         now = self._clock.monotonic()
         key = (placement.task, placement.run)
-        self._runs[key] = Run(placement, Phase.SENT, now)
+        self._runs[key] = runs.Run(placement, runs.Phase.SENT, now)
         self._spawn(self._start(self._runs[key]))
 
     def stop(self, placement: workflow.Placement, reason: str) -> None:
@@ -170,12 +154,12 @@
             run.stop_reason = reason
             log.state_change(
                 "task.stop",
-                task=name(placement.task),
+                task=runs.name(placement.task),
                 run=placement.run,
                 worker=self.worker.worker_id,
                 reason=reason,
             )
-        if run.phase is not Phase.SENT:
+        if run.phase is not runs.Phase.SENT:
             self._start_stop(run)
 
     def is_stopping(self, placement: workflow.Placement) -> bool:
@@ -183,11 +167,11 @@
         run = self._runs.get((placement.task, placement.run))
         return run is not None and bool(run.stop_reason)
 
-    def _run(self, placement: workflow.Placement) -> Run:
+    def _run(self, placement: workflow.Placement) -> runs.Run:
         key = (placement.task, placement.run)
         run = self._runs.get(key)
         if run is None:
-            run = Run(placement, Phase.UNKNOWN, self._clock.monotonic())
+            run = runs.Run(placement, runs.Phase.UNKNOWN, self._clock.monotonic())
             self._runs[key] = run
         return run
 
@@ -196,19 +180,19 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _start_stop(self, run: Run) -> None:
+    def _start_stop(self, run: runs.Run) -> None:
         key = (run.placement.task, run.placement.run)
         if key not in self._stops:
             self._stops.add(key)
             self._spawn(self._stop(run))
 
-    def _set(self, run: Run, phase: Phase) -> None:
+    def _set(self, run: runs.Run, phase: runs.Phase) -> None:
         run.phase = phase
         run.since_s = self._clock.monotonic()
 
     # Orders.
 
-    async def _start(self, run: Run) -> None:
+    async def _start(self, run: runs.Run) -> None:
         """Order a start; a run without an answer is stopped before it is replaced."""
         for _ in range(ORDER_ATTEMPTS):
             if not self._leader.leads or run.stop_reason:
@@ -222,40 +206,42 @@
                 self._silent = True
                 log.state_change(
                     "task.start_unanswered",
-                    task=name(run.placement.task),
+                    task=runs.name(run.placement.task),
                     run=run.placement.run,
                     worker=self.worker.worker_id,
                     reason=failure.message,
                 )
-                self._set(run, Phase.UNCERTAIN)
+                self._set(run, runs.Phase.UNCERTAIN)
                 continue
             if reply is None:
                 break
             if reply.refusal is None:
                 run.started_s = run.progress_s = self._clock.monotonic()
-                self._set(run, Phase.CONFIRMED)
+                self._set(run, runs.Phase.CONFIRMED)
+                if self._is_beside_serving(run.placement):
+                    self._spawn(self._tell_pace(run.placement, self._pacer.pace))
                 if run.stop_reason:
                     self._start_stop(run)
                 return
             log.state_change(
                 "task.start_refused",
-                task=name(run.placement.task),
+                task=runs.name(run.placement.task),
                 run=run.placement.run,
                 worker=self.worker.worker_id,
                 reason=reply.refusal.value,
             )
             self._leader.note_refusal(run.placement, reply.refusal)
-            if run.phase is Phase.SENT:
+            if run.phase is runs.Phase.SENT:
                 await self._release([run], f"refused: {reply.refusal.value}")
                 return
             break
-        if run.phase is Phase.SENT:  # nothing was sent
+        if run.phase is runs.Phase.SENT:  # nothing was sent
             await self._release([run], "not sent")
             return
         run.stop_reason = run.stop_reason or "the start got no answer"
         self._start_stop(run)
 
-    async def _order_start(self, run: Run) -> port.Reply | None:
+    async def _order_start(self, run: runs.Run) -> port.Reply | None:
         placement = run.placement
         task = self._state.task(placement.task)
         entry = self._state.entries.get(placement.task.workflow_id)
@@ -278,7 +264,7 @@
         self._answered(reply.clock_ms)
         return reply
 
-    async def _stop(self, run: Run) -> None:
+    async def _stop(self, run: runs.Run) -> None:
         placement = run.placement
         key = (placement.task, placement.run)
         try:
@@ -297,7 +283,7 @@
                 self._answered(reply.clock_ms)
                 if reply.refusal is port.Refusal.FENCED:
                     return
-                self._set(run, Phase.FENCED)
+                self._set(run, runs.Phase.FENCED)
                 self._wanted.set()
                 return
         finally:
@@ -360,7 +346,7 @@
         calm = (
             self._looked
             and not self._silent
-            and not any(run.phase is Phase.FENCED for run in self._runs.values())
+            and not any(run.phase is runs.Phase.FENCED for run in self._runs.values())
         )
         # A silent worker gets no longer lease: all that it runs must end some time.
         deadline_ms = None if self._silent else self._lease.grant_ms(asked_s)
@@ -369,7 +355,7 @@
             self._token,
             known.seen,
             deadline_ms,
-            HOLD_WAIT_S if calm else 0.0,
+            self._wait_s() if calm else 0.0,
         )
         if self._silent:
             log.state_change("worker.heard", worker=self.worker.worker_id)
@@ -381,6 +367,15 @@
         self._looked = True
         await self._take(report, asked_s, known.seen)
 
+    def _wait_s(self) -> float:
+        """Look more often where tasks that fill may disturb tasks that serve."""
+        steps = [
+            self._state.entries[key.workflow_id].workflow.steps[key.step]
+            for key in self._state.placed(self.worker.worker_id)
+        ]
+        serves = any(step.target_ms for step in steps)
+        return SHARED_WAIT_S if serves and any(s.fill for s in steps) else HOLD_WAIT_S
+
     async def _take(self, report: port.Report, asked_s: float, seen: int) -> None:
         """Commit the ends, and the release of runs that are certainly not there."""
         now = self._clock.monotonic()
@@ -388,7 +383,7 @@
         ends = tuple(end for end in report.ends if end.number > seen)
         ended = {(end.task, end.run) for end in report.ends}
         placed = self._state.placed(self.worker.worker_id)
-        absent: list[Run] = []
+        absent: list[runs.Run] = []
         for placement in list(placed.values()):
             key = (placement.task, placement.run)
             run = self._run(placement)
@@ -399,14 +394,14 @@
                 and run.since_s <= asked_s
                 and run.phase
                 in (
-                    Phase.UNKNOWN,
-                    Phase.CONFIRMED,
-                    Phase.FENCED,
+                    runs.Phase.UNKNOWN,
+                    runs.Phase.CONFIRMED,
+                    runs.Phase.FENCED,
                 )
             ):
                 absent.append(run)
         for key in [k for k, r in self._runs.items() if k[0] not in placed]:
-            if self._runs[key].phase is not Phase.SENT:
+            if self._runs[key].phase is not runs.Phase.SENT:
                 del self._runs[key]
         for run_key, each in running.items():
             task = self._state.task(each.task)
@@ -421,14 +416,15 @@
                     each.task, each.run, self.worker.worker_id, self.worker.born
                 )
                 self.stop(stray, "no placement")
+        self._pace(report, now)
         if ends or absent:
             settled = await self._settle(ends, absent, "not on the worker")
             if not settled:
                 await asyncio.sleep(RETRY_S)
 
-    def _note_running(self, run: Run, shown: port.Running, now: float) -> None:
-        if run.phase in (Phase.UNKNOWN, Phase.UNCERTAIN):
-            self._set(run, Phase.CONFIRMED)
+    def _note_running(self, run: runs.Run, shown: port.Running, now: float) -> None:
+        if run.phase in (runs.Phase.UNKNOWN, runs.Phase.UNCERTAIN):
+            self._set(run, runs.Phase.CONFIRMED)
             run.started_s = run.started_s or now
         if shown.percent != run.percent:
             run.percent = shown.percent
@@ -438,8 +434,69 @@
         if entry is None or run.stop_reason:
             return
         step = entry.workflow.steps[run.placement.task.step]
-        if not step.long_running and now - run.progress_s > stall_limit_s(run, step):
+        if step.fill and self._pacer.pace < pacing.FULL:
+            run.progress_s = now  # it is slow because it was told to be
+        waits = not step.long_running or run.percent < runs.AT_WORK
+        if waits and now - run.progress_s > runs.stall_limit_s(run, step):
             self.stop(run.placement, "no progress")
+            self._leader.note_stall(run.placement)
+
+    # Tasks that fill beside tasks that serve.
+
+    def _is_beside_serving(self, placement: workflow.Placement) -> bool:
+        step = self._state.step(placement.task)
+        if step is None or not step.fill:
+            return False
+        others = map(self._state.step, self._state.placed(self.worker.worker_id))
+        return any(other is not None and other.target_ms for other in others)
+
+    def _pace(self, report: port.Report, now: float) -> None:
+        """Set how fast filling tasks work, from the tails of the serving ones."""
+        served: list[pacing.Served] = []
+        filling: list[workflow.Placement] = []
+        for shown in report.running:
+            step = self._state.step(shown.task)
+            run = self._runs.get((shown.task, shown.run))
+            if step is None or run is None or run.stop_reason:
+                continue
+            if step.target_ms:
+                served.append(pacing.Served(shown.load, step.target_ms))
+            elif step.fill:
+                filling.append(run.placement)
+        before = self._pacer.pace
+        to_tell = self._pacer.look(served, filling, now)
+        if filling and self._pacer.pace != before:
+            log.state_change(
+                "worker.paced",
+                worker=self.worker.worker_id,
+                before=before,
+                pace=self._pacer.pace,
+                filling=len(filling),
+                worst_tail=max(each.tail_ms / each.target_ms for each in served),
+            )
+        for placement in to_tell:
+            self._spawn(self._tell_pace(placement, self._pacer.pace))
+
+    async def _tell_pace(self, placement: workflow.Placement, pace: int) -> None:
+        if not self._leader.leads:
+            return
+        try:
+            reply = await self._port.pace(
+                self.worker, placement.task, placement.run, pace, self._token
+            )
+        except errors.MarjoramusherError as failure:
+            # It is told again after the next look.
+            log.state_change(
+                "task.pace_unanswered",
+                task=runs.name(placement.task),
+                run=placement.run,
+                worker=self.worker.worker_id,
+                pace=pace,
+                reason=failure.message,
+            )
+            return
+        if reply.refusal is None:
+            self._pacer.note_told(placement, pace, self._clock.monotonic())
 
     async def _check_lapse(self) -> None:
         now = self._clock.monotonic()
@@ -471,11 +528,11 @@
             )
         )
 
-    async def _release(self, runs: list[Run], reason: str) -> None:
-        await self._settle((), runs, reason)
+    async def _release(self, released: list[runs.Run], reason: str) -> None:
+        await self._settle((), released, reason)
 
     async def _settle(
-        self, ends: tuple[workflow.End, ...], released: list[Run], reason: str
+        self, ends: tuple[workflow.End, ...], released: list[runs.Run], reason: str
     ) -> bool:
         settle = command.Settle(
             clock.unix_ms(self._clock),
@@ -498,13 +555,13 @@
         return settled
 
     def _log_settled(
-        self, ends: tuple[workflow.End, ...], released: list[Run], reason: str
+        self, ends: tuple[workflow.End, ...], released: list[runs.Run], reason: str
     ) -> None:
         for end in ends:
             self._leader.note_end(self.worker.worker_id, end)
             log.state_change(
                 "task.end",
-                task=name(end.task),
+                task=runs.name(end.task),
                 run=end.run,
                 worker=self.worker.worker_id,
                 how=end.how.value,
@@ -513,7 +570,7 @@
         for run in released:
             log.state_change(
                 "task.released",
-                task=name(run.placement.task),
+                task=runs.name(run.placement.task),
                 run=run.placement.run,
                 worker=self.worker.worker_id,
                 reason=reason,
@@ -531,21 +588,3 @@
             )
             return False
         return True
-
-
-def stall_limit_s(run: Run, step: workflow.Step) -> float:
-    """Return how long a run may show no progress.
-
-    A few runs take many times their declared time. What a wrong stop throws away
-    grows with the run, so the limit does, too.
-    """
-    limit_s = max(STALL_S, STALL_ESTIMATES * step.estimate_ms / 1000)
-    if run.percent > 0:
-        step_s = (run.progress_s - run.started_s) / run.percent
-        limit_s = max(limit_s, STALL_STEPS * step_s)
-    return limit_s
-
-
-def name(task: workflow.TaskKey) -> str:
-    """Return a task's name for log lines."""
-    return f"{task.workflow_id}.{task.occurrence}.{task.step}.{task.index}"
--- a/marjoramusher/workflows/condition.py
+++ b/marjoramusher/workflows/condition.py
@@ -20,9 +20,15 @@
         How long the confirmed runs have been at work.
     avoid : bool
         Whether other workers are preferred.
+    at_work : frozenset of Placement
+        Long-running tasks that serve their users at this moment.
+    takes_fill : bool
+        Whether filling tasks may come beside serving ones.
     """
 
     usable: bool = True
     stopping: frozenset[workflow.Placement] = frozenset()
     ages_s: Mapping[workflow.TaskKey, float] = {}
     avoid: bool = False
+    at_work: frozenset[workflow.Placement] = frozenset()
+    takes_fill: bool = True
--- a/marjoramusher/workflows/machine.py
+++ b/marjoramusher/workflows/machine.py
@@ -156,6 +156,12 @@
         except (KeyError, IndexError):
             return None
 
+    def step(self, key: workflow.TaskKey) -> workflow.Step | None:
+        """Return the step of a task."""
+        if self.task(key) is None:
+            return None
+        return self._entries[key.workflow_id].workflow.steps[key.step]
+
     def pending(self, queue: str) -> int:
         """Return the number of accepted workflows without a started task."""
         return sum(
--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -124,6 +124,7 @@
             if believed is None or not believed.usable or worker.draining:
                 continue
             made = self._occupied(worker, believed)
+            made.takes_fill = believed.takes_fill
             self._rooms.setdefault(worker.service, []).append(made)
             by_worker[worker.worker_id] = made
             free = max(made.accelerators, 0)
@@ -145,8 +146,7 @@
             made.serves += step.target_ms > 0
             if placement in believed.stopping or not entry.is_active:
                 made.expect(needs)
-            elif not step.long_running:
-                # What serves users until it is cancelled gives way to nobody.
+            else:
                 made.victims.append(placement)
         return made
 
@@ -198,9 +198,14 @@
             self._preempt(wanted, count, scopes)
 
     def _leaves_headroom(self, wanted: unit.Unit, count: int) -> bool:
-        """Tell whether some tasks leave the room that is kept for urgent work."""
+        """Tell whether some tasks leave the room that is kept for urgent work.
+
+        Long-running tasks have to be at work all the time.
+        """
         if wanted.entry.queue.priority == 0 or not self._headroom:
             return True
+        if wanted.shape.long_running:
+            return True
         rooms = self._rooms.get(wanted.entry.queue.service, [])
         taken = count * wanted.shape.needs.accelerators
         return room.free_accelerators(rooms) - taken >= self._headroom
@@ -292,14 +297,14 @@
     def _suitable(self, wanted: unit.Unit) -> Iterator[room.Room]:
         """Give the workers that have what a task requires.
 
-        Tasks that fill unused cores disturb tasks that serve users on the same
-        worker, by amounts that are not known before; they are kept apart.
+        Tasks that fill unused cores don't come to a worker on which they have to be
+        slowed down for tasks that serve users.
         """
         step = wanted.shape
         for each in self._rooms.get(wanted.entry.queue.service, ()):
             if step.label and step.label not in each.worker.labels:
                 continue
-            if (step.fill and each.serves) or (step.target_ms and each.fills):
+            if step.fill and each.serves and not each.takes_fill:
                 continue
             yield each
 
@@ -346,12 +351,13 @@
         Work that may be preempted fills one rack after the other, so that urgent
         gangs of one rack find room without stopping it. Away from its data a task
         takes several times as long, so it waits for room there as long as there is a
-        usable worker.
+        usable worker. Tasks that fill and tasks that serve disturb each other, so they
+        share a worker only where there is no other room.
         """
         step = wanted.shape
         needs = room.accounted(step)
         best: room.Room | None = None
-        best_rank: tuple[bool, bool, int, int, int] | None = None
+        best_rank: tuple[bool, bool, bool, int, int, int] | None = None
         urgent = wanted.entry.queue.priority == 0
         near = False
         for each in rooms:
@@ -362,7 +368,13 @@
             if not each.takes_more(wanted.name, step.max_per_worker):
                 continue
             rack_free = 0 if urgent else self._rack_free[each.worker.rack]
-            rank = (away, each.avoid, rack_free, each.accelerators, each.cores)
+            shared = room.is_shared(each, step)
+            if step.fill:
+                # Those that fill share the cores that are left.
+                rank = (away, shared, each.avoid, each.fills, -each.cores, 0)
+            else:
+                free = (rack_free, each.accelerators, each.cores)
+                rank = (away, shared, each.avoid, *free)
             if best_rank is None or rank < best_rank:
                 best, best_rank = each, rank
         if best_rank is not None and best_rank[0] and near:
--- a/marjoramusher/workflows/planner_test.py
+++ b/marjoramusher/workflows/planner_test.py
@@ -381,3 +381,61 @@
     bed.submit("urgent", 1, 8)
     # The room of a run that is stopping already would be waited for in vain.
     assert [p.run for p, _ in bed.plan().preempted] == [2]
+
+
+def serving_bed(available=True):
+    """Return a full worker of eight serving tasks, two of which may be away."""
+    bed = Bed(size=1)
+    bed.submit("batch", 8, 1, long_running=True, max_unavailable=2, account="b")
+    placed = bed.run().placements
+    at_work = frozenset(placed if available else placed[:-1])
+    bed.conditions["0-0"] = condition.Condition(at_work=at_work)
+    return bed
+
+
+def test_guaranteed_work_stops_no_more_serving_tasks_than_may_be_away():
+    bed = serving_bed()
+    bed.submit("urgent", 2, 1, account="a")
+    assert len(bed.plan().preempted) == 2
+    bed = serving_bed()
+    bed.submit("urgent", 1, 3, account="a")
+    assert not bed.plan().preempted
+
+
+def test_a_serving_task_that_is_not_at_work_counts_as_away():
+    bed = serving_bed(available=False)
+    at_work = bed.conditions["0-0"].at_work
+    bed.submit("urgent", 2, 1, account="a")
+    stopped = {placement for placement, _ in bed.plan().preempted}
+    assert len(stopped & at_work) == 1
+    assert len(stopped) == 2
+
+
+def test_urgent_work_beyond_its_guarantee_stops_no_serving_task():
+    bed = serving_bed()
+    bed.submit("urgent", 9, 1, account="a", cores=500)
+    assert not bed.plan().preempted
+
+
+def test_long_running_tasks_take_room_that_is_kept_for_urgent_work():
+    bed = Bed(size=1)
+    bed.submit("batch", 2, 1, long_running=True)
+    made = planner.plan(bed.state, bed.conditions, 0.0, headroom=8)
+    assert len(made.placements) == 2
+
+
+def test_tasks_that_fill_come_beside_serving_ones_where_there_is_no_other_room():
+    bed = Bed(size=1)
+    bed.submit("long", 1, 1, long_running=True, target_ms=50)
+    bed.run()
+    bed.submit("batch", 3, 0, cores=9000, fill=True)
+    assert len(bed.plan().placements) == 3
+    bed.conditions["0-0"] = condition.Condition(takes_fill=False)
+    assert not bed.plan().placements
+
+
+def test_tasks_that_fill_are_spread_over_the_cores_that_are_left():
+    bed = Bed(size=3)
+    bed.submit("batch", 6, 0, cores=9000, fill=True)
+    workers = [placement.worker_id for placement in bed.run().placements]
+    assert sorted(workers) == ["0-0", "0-0", "0-1", "0-1", "0-2", "0-2"]
--- a/marjoramusher/workflows/preemption.py
+++ b/marjoramusher/workflows/preemption.py
@@ -17,6 +17,8 @@
 URGENT_FACTOR = 10.0
 # Above the cost of any set of stops: such a worker is the last choice.
 AVOID_COST = 1e6
+# Users of a long-running task go without it for an order, a stop and a startup.
+RESTART_S = 10.0
 CHECKPOINT_LOSS_S = 0.5  # work since the last checkpoint, and the restore
 
 
@@ -166,6 +168,8 @@
         freed = nothing
         total = 0.0
         for cost, victim in candidates:
+            if not self._may_be_away(victim, chosen):
+                continue
             chosen.append(victim)
             total += cost
             freed = room.total(freed, self._needs(victim))
@@ -182,6 +186,12 @@
         others, too, if they use more than their own guarantee.
         """
         entry = self._state.entries[victim.task.workflow_id]
+        if entry.workflow.steps[victim.task.step].long_running:
+            # What serves users gives way only to what is guaranteed to others.
+            return (
+                entry.queue.priority > wanted.entry.queue.priority
+                and self._is_guaranteed(wanted.entry.workflow.account)
+            )
         if entry.queue.priority > wanted.entry.queue.priority:
             return True
         account = entry.workflow.account
@@ -191,6 +201,29 @@
             and self._is_guaranteed(wanted.entry.workflow.account)
         )
 
+    def _may_be_away(
+        self, victim: workflow.Placement, chosen: list[workflow.Placement]
+    ) -> bool:
+        """Tell whether enough other tasks of a long-running step stay at work."""
+        key = victim.task
+        entry = self._state.entries[key.workflow_id]
+        step = entry.workflow.steps[key.step]
+        if not step.long_running or not step.max_unavailable:
+            return True
+        away = sum(
+            task.placement is None
+            or task.placement in chosen
+            or task.placement.task in self._stopping
+            or not self._is_at_work(task.placement)
+            for task in entry.occurrences[key.occurrence][key.step]
+            if task.placement != victim
+        )
+        return away < step.max_unavailable
+
+    def _is_at_work(self, placement: workflow.Placement) -> bool:
+        believed = self._conditions.get(placement.worker_id)
+        return believed is not None and placement in believed.at_work
+
     def _stop(self, victim: workflow.Placement) -> list[workflow.Placement]:
         """Count on the room of a run, and of all other members of its gang."""
         stopped = [
@@ -229,7 +262,9 @@
         entry = self._state.entries[key.workflow_id]
         step = entry.workflow.steps[key.step]
         lost_s = self._conditions[victim.worker_id].ages_s.get(key, 0.0)
-        if step.checkpointing:
+        if step.long_running:
+            lost_s = RESTART_S
+        elif step.checkpointing:
             lost_s = min(lost_s, CHECKPOINT_LOSS_S)
         members = step.count if step.gang else 1
         factor = victim.run if entry.queue.priority else URGENT_FACTOR * victim.run
--- a/marjoramusher/workflows/room.py
+++ b/marjoramusher/workflows/room.py
@@ -36,6 +36,7 @@
         "fills",
         "memory",
         "serves",
+        "takes_fill",
         "victims",
         "worker",
     )
@@ -52,6 +53,7 @@
         self.counts: dict[UnitName, int] = {}
         self.fills = 0
         self.serves = 0
+        self.takes_fill = True
         self.victims: list[workflow.Placement] = []
 
     def take(self, needs: workflow.Resources) -> None:
@@ -98,6 +100,11 @@
         )
 
 
+def is_shared(there: Room, step: workflow.Step) -> bool:
+    """Tell whether a task would be beside some that it disturbs, or that disturb it."""
+    return bool((step.fill and there.serves) or (step.target_ms and there.fills))
+
+
 def accounted(step: workflow.Step) -> workflow.Resources:
     """Return what a task takes of a worker's capacity."""
     if step.fill:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -21,6 +21,9 @@
 LATE_S = (2.0, 12.0)
 TURN_S = 0.02
 SAVE_S = 0.5
+IDLE_TAIL_MS = 20.0
+DISTURBED_S = 4.0
+STARTUP_S = 0.5
 
 
 class _Run(msgspec.Struct):
@@ -32,6 +35,8 @@
     present_s: float | None = None  # when all members of the gang were there
     ends_s: float | None = None
     how: workflow.How = workflow.How.DONE
+    pace: int = 100
+    over_s: float | None = None  # since when a target is missed through fillers
 
 
 class Life(msgspec.Struct):
@@ -92,6 +97,9 @@
         self.noted: set[workflow.TaskKey] = set()
         self.starts = 0
         self.refused_tickets = 0
+        self.paces = 0
+        self.stalled: set[str] = set()
+        self.disturbance_ms = 0.0
         self.wasted_s = 0.0
         self.tickets: dict[tuple[str, int, int], dict[str, tuple[str, float]]] = {}
         self._saved: dict[str, tuple[workflow.TaskKey, float]] = {}
@@ -125,6 +133,7 @@
             for run in list(life.runs.values()):
                 self._end(life, run, workflow.How.LAPSED)
             return
+        self._check_tails(life, now)
         for run in list(life.runs.values()):
             if run.task not in life.runs:
                 continue
@@ -196,6 +205,19 @@
         """Stop a run."""
         return await self._call(worker, lambda life: self._stop(life, task, run, token))
 
+    async def pace(
+        self,
+        worker: workflow.Worker,
+        task: workflow.TaskKey,
+        run: int,
+        percentage: int,
+        token: int,
+    ) -> port.Reply:
+        """Let a run work at a share of its speed."""
+        return await self._call(
+            worker, lambda life: self._pace(life, task, run, percentage, token)
+        )
+
     async def hold(
         self,
         worker: workflow.Worker,
@@ -322,6 +344,41 @@
         life.ended[task] = max(run, life.ended.get(task, 0))
         return port.Reply(life.clock_ms(self._now))
 
+    def _pace(
+        self,
+        life: Life,
+        task: workflow.TaskKey,
+        run: int,
+        percentage: int,
+        token: int,
+    ) -> port.Reply:
+        if token < life.token:
+            return self._refused(life, port.Refusal.FENCED)
+        present = life.runs.get(task)
+        if present is None or present.run != run:
+            return self._refused(life, port.Refusal.OLD)
+        present.pace = percentage
+        self.paces += 1
+        return port.Reply(life.clock_ms(self._now))
+
+    def tail_ms(self, life: Life) -> float:
+        """Return the tail of all serving tasks on a worker."""
+        filling = [r for r in life.runs.values() if self._step(r.task).fill]
+        return IDLE_TAIL_MS + sum(self.disturbance_ms * r.pace / 100 for r in filling)
+
+    def _check_tails(self, life: Life, now: float) -> None:
+        """Note serving tasks that miss their target for too long through fillers."""
+        tail_ms = self.tail_ms(life)
+        for run in life.runs.values():
+            target_ms = self._step(run.task).target_ms
+            if not target_ms or tail_ms <= target_ms:
+                run.over_s = None
+            elif run.over_s is None:
+                run.over_s = now
+            elif now - run.over_s > DISTURBED_S and target_ms >= IDLE_TAIL_MS:
+                self.faults.append(f"disturbed: {run.task} at {now:.2f}")
+                run.over_s = now
+
     def _hold(
         self, life: Life, token: int, seen: int, deadline_ms: int | None
     ) -> port.Report:
@@ -337,7 +394,13 @@
             life.clock_ms(self._now),
             life.worker.born,
             tuple(
-                port.Running(run.task, run.run, self._save(run), self._percent(run))
+                port.Running(
+                    run.task,
+                    run.run,
+                    self._save(run),
+                    self._percent(run),
+                    self.tail_ms(life) if self._step(run.task).target_ms else 0.0,
+                )
                 for run in life.runs.values()
             ),
             tuple(life.ends),
@@ -357,8 +420,16 @@
     def _percent(self, run: _Run) -> int:
         if run.present_s is None:
             return 0
+        if self._step(run.task).long_running:
+            started = self._now - run.present_s > STARTUP_S
+            return 100 if started and not self._is_stalled(run) else 50
         return min(99, int(100 * self._worked_s(run) / run.work_s))
 
+    def _is_stalled(self, run: _Run) -> bool:
+        return any(
+            run.task in self.lives[name].runs for name in self.stalled & set(self.lives)
+        )
+
     def _worked_s(self, run: _Run) -> float:
         if run.present_s is None:
             return run.before_s
