Have calls that wait go on as soon as another call has reached the leader

Ruled out: two leaders (one term led from 5.24 s on), a stale read (the version was committed at 5.69 s). Change: a call that has found the leader ends all pauses, searches and repeatable attempts elsewhere.

--- a/marjoramusher/groups/forward.py
+++ b/marjoramusher/groups/forward.py
@@ -1,8 +1,9 @@
 """Reach the leader of a group from any instance."""
 
 import asyncio
+import contextlib
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import TypeAlias
 
 import msgspec
@@ -61,6 +62,7 @@
         "_proposer",
         "_group",
         "_hint",
+        "_waiting",
         "_local",
         "_own",
         "_peers",
@@ -86,6 +88,7 @@
         self._local = local
         self._rng = rng
         self._hint: str | None = None
+        self._waiting: dict[asyncio.Timeout, str | None] = {}
         self._avoided: dict[str, float] = {}
 
     @property
@@ -134,7 +137,11 @@
             if target is None and attempt % 2 == 0:
                 target = leader() if leader else self._hint
             if target is None:
-                target = await self._find(asked, left_s)
+                try:
+                    async with self._unless_found(None):
+                        target = await self._find(asked, left_s)
+                except TimeoutError:
+                    target = self._hint
                 asked += 1
                 left_s = deadline_s - self._clock.monotonic()
             redirect = None
@@ -143,28 +150,76 @@
                 if idempotent:
                     left_s = min(left_s, ATTEMPT_S)
                 try:
-                    answer = await self._ask(target, method, command, left_s)
+                    async with self._unless_found(target, idempotent):
+                        answer = await self._ask(target, method, command, left_s)
+                except TimeoutError:
+                    unknown = True
+                    redirect = self._hint
+                    continue
                 except errors.MarjoramusherError as error:
                     self._avoid(target, error)
                     lost = error.outcome is not errors.Outcome.NOT_RUN
                     unknown = unknown or lost
                     if not (idempotent and lost and error.code in _RETRIED):
                         self._check(error)
-                    self._hint = None
+                    if self._hint == target:
+                        self._hint = None
                     redirect = _redirect(error, target)
                     if redirect is not None and attempt % 4:
                         continue
                 else:
-                    self._hint = target
+                    self._note_leader(target)
                     return answer
             left_s = max(deadline_s - self._clock.monotonic(), 0)
-            await asyncio.sleep(min(left_s, backoff_s * self._rng.uniform(0.5, 1.0)))
+            pause_s = min(left_s, backoff_s * self._rng.uniform(0.5, 1.0))
+            try:
+                async with self._unless_found(None):
+                    await asyncio.sleep(pause_s)
+            except TimeoutError:
+                redirect = self._hint
             backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
         raise errors.NoQuorumError(
             f"no leader of {self._group} was found in time",
             errors.Outcome.UNKNOWN if unknown else errors.Outcome.NOT_RUN,
         )
 
+    def _note_leader(self, target: str) -> None:
+        """Note who took a call, and have calls that wait elsewhere go on there.
+
+        A call that waited longer than later ones would be answered from a newer
+        state than they are.
+        """
+        if self._hint == target:
+            return
+        self._hint = target
+        now = asyncio.get_running_loop().time()
+        for limit, elsewhere in self._waiting.items():
+            if elsewhere != target:
+                limit.reschedule(now)
+
+    @contextlib.asynccontextmanager
+    async def _unless_found(
+        self, target: str | None, can_repeat: bool = True
+    ) -> AsyncIterator[None]:
+        """Raise `TimeoutError` once another call reaches a leader elsewhere.
+
+        Parameters
+        ----------
+        target : str or None
+            Instance that is called meanwhile, if any.
+        can_repeat : bool
+            Whether what is done meanwhile may be given up and done elsewhere.
+        """
+        if not can_repeat:
+            yield
+            return
+        async with asyncio.timeout(None) as limit:
+            self._waiting[limit] = target
+            try:
+                yield
+            finally:
+                del self._waiting[limit]
+
     async def _find(self, turn: int, left_s: float) -> str | None:
         """Ask one instance, each in its turn, who leads the group."""
         candidates = self._candidates()
--- a/marjoramusher/groups/forward_test.py
+++ b/marjoramusher/groups/forward_test.py
@@ -91,3 +91,45 @@
         assert caught.value.outcome is outcome
 
     virtual.run(play())
+
+
+def test_a_call_that_waits_elsewhere_goes_on_once_another_has_found_the_leader():
+    async def play():
+        peers = Peers("a")
+        clock, made = make(peers)
+        await made.call(METHOD, b"", 2.0, idempotent=True)
+        peers.frozen.add("a")
+        peers.leader = "c"
+        first = asyncio.create_task(made.call(METHOD, b"", 2.0, idempotent=True))
+        await asyncio.sleep(0.1)
+        # What another caller has found holds for all.
+        peers.frozen.discard("a")
+        await made.call(METHOD, b"", 2.0, idempotent=True)
+        found_s = clock.monotonic()
+        assert await first == b"done"
+        assert clock.monotonic() - found_s < 0.1
+
+    virtual.run(play())
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_calls_are_answered_in_their_order_after_a_time_without_a_leader(idempotent):
+    async def play():
+        peers = Peers("")
+        clock, made = make(peers)
+        ended = {}
+
+        async def call(number):
+            await made.call(METHOD, b"", 5.0, idempotent=idempotent)
+            ended[number] = clock.monotonic()
+
+        tasks = []
+        for number in range(20):
+            tasks.append(asyncio.create_task(call(number)))
+            await asyncio.sleep(0.1)
+        peers.leader = "b"
+        await asyncio.gather(*tasks)
+        # All within the time that an answer may be older than one before it.
+        assert max(ended.values()) - min(ended.values()) < 0.1
+
+    virtual.run(play())
