Maintain the hosts of workers in waves

Cause: a wave of upkeep was answered with 404 and never carried out. Waves are now kept in the replicated state; the leader empties the cheapest hosts first, never more than may be down at once, and has them maintained. An order without an answer counts as a host that is down, and is sent again. Serving tasks are stopped only as far as their step allows. A new leader waits before its first order, so that two holders do not take turns. Ruled out: the list of hosts as the only proof that a host is back, since it lags; noting the maintenance before the order, which would call a wave complete whose last host was never taken down.

--- a/marjoramusher/daemon/controller.py
+++ b/marjoramusher/daemon/controller.py
@@ -7,7 +7,7 @@
 
 from ..consensus import state
 from ..core import clock
-from ..executors import driver, port
+from ..executors import driver
 from ..groups import bootstrap, manager, runner
 from ..instances import peers
 from ..queues import call, service
@@ -49,13 +49,11 @@
         self,
         settings: Settings,
         driving: driver.Settings,
-        workers: port.WorkerPort,
+        ports: driver.Ports,
         time: clock.Clock,
         rng: random.Random,
         values: metrics.Metrics,
-        policy: port.PolicyPort | None = None,
     ) -> None:
-        self._policy = policy
         self._settings = settings
         self._peers = peers.make_peers(settings.address, b"", time, values)
         self._state = machine.WorkflowMachine()
@@ -86,7 +84,7 @@
             {bootstrap.RECORDS: self._state},
         )
         self._driving = driving
-        self._workers = workers
+        self._ports = ports
         self._clock = time
         self._metrics = values
 
@@ -105,11 +103,10 @@
         self._driver = driver.Driver(
             group,
             self._state,
-            self._workers,
+            self._ports,
             self._clock,
             self._metrics,
             self._driving,
-            self._policy,
         )
         self._service = service.QueueService(
             self._settings.address,
--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -3,8 +3,12 @@
 import asyncio
 import traceback
 
+import msgspec
+
 from ..core import clock, codec, errors
 from ..groups import group as groups
+from ..hosts import maintenance
+from ..hosts import port as host_port
 from ..telemetry import log, metrics
 from ..workflows import (
     command,
@@ -38,7 +42,7 @@
         How long a finished workflow can be asked for.
     """
 
-    __slots__ = ("early_ms", "heartbeat_s", "keep_s", "lease")
+    __slots__ = ("early_ms", "heartbeat_s", "keep_s", "lease", "maintenance")
 
     def __init__(
         self,
@@ -46,11 +50,29 @@
         early_ms: float = 0.0,
         keep_s: float = 600.0,
         leases: lease.Settings | None = None,
+        hosts: maintenance.Settings | None = None,
     ) -> None:
         self.heartbeat_s = heartbeat_s
         self.early_ms = early_ms
         self.keep_s = keep_s
         self.lease = leases or lease.Settings()
+        self.maintenance = hosts or maintenance.Settings()
+
+
+class Ports(msgspec.Struct, frozen=True):
+    """Whom the leader gives orders, and whom it asks.
+
+    Parameters
+    ----------
+    policy : PolicyPort or None
+        Says on which workers the steps of some queues may run.
+    hosts : HostPort or None
+        Maintains the hosts of workers.
+    """
+
+    workers: port.WorkerPort
+    policy: port.PolicyPort | None = None
+    hosts: host_port.HostPort | None = None
 
 
 class Driver:
@@ -62,25 +84,22 @@
         Group that replicates the workflows.
     state : WorkflowMachine
         Its machine.
-    workers : WorkerPort
-        Gives the orders.
-    service : PolicyPort or None
-        Says on which workers the steps of some queues may run.
+    ports : Ports
+        Carry the orders.
     """
 
     def __init__(
         self,
         group: groups.LedGroup,
         state: machine.WorkflowMachine,
-        workers: port.WorkerPort,
+        ports: Ports,
         time: clock.Clock,
         values: metrics.Metrics,
         settings: Settings,
-        service: port.PolicyPort | None = None,
     ) -> None:
         self._group = group
         self._state = state
-        self._port = workers
+        self._port = ports.workers
         self._clock = time
         self._metrics = values
         self._settings = settings
@@ -95,7 +114,10 @@
         self._waiting: dict[room.UnitName, planner.Wait] = {}
         self._demand = demand.UrgentDemand()
         self._active: dict[str, machine.Entry] = {}
-        self._policy = policy.PolicyCalls(service, time, values, self._wake.set)
+        self._policy = policy.PolicyCalls(ports.policy, time, values, self._wake.set)
+        self._maintenance = maintenance.Maintenance(
+            state, ports.hosts, time, self, values, settings.maintenance
+        )
         group.applied.subscribe(lambda _: self._wake.set())
         group.roles.subscribe(lambda _: self._wake.set())
 
@@ -104,6 +126,16 @@
         """Tell whether this instance leads and holds all that was committed."""
         return self._leading and self._is_leader()
 
+    @property
+    def term(self) -> int:
+        """Return the fencing token of this leadership."""
+        return self._term
+
+    def is_away(self, placement: workflow.Placement) -> bool:
+        """Tell whether a long-running task is not at work, or will not be."""
+        known = self._sessions.get(placement.worker_id)
+        return known is None or not known.is_at_work(placement)
+
     def start(self) -> None:
         """Begin the loop."""
         self._task = asyncio.get_running_loop().create_task(self._run())
@@ -204,6 +236,7 @@
         self._demand = demand.UrgentDemand()
         self._waiting = {}
         self._active = dict(self._state.active)
+        self._maintenance.begin()
         log.state_change(
             "driver.started",
             term=term,
@@ -236,6 +269,7 @@
 
     async def _close_sessions(self) -> None:
         await self._policy.close()
+        await self._maintenance.close()
         sessions = [*self._sessions.values()]
         self._sessions = {}
         await asyncio.gather(*(each.close() for each in sessions))
@@ -313,7 +347,9 @@
     def _stop_unwanted(self) -> None:
         for worker_id, current in self._sessions.items():
             for placement in list(self._state.placed(worker_id).values()):
-                reason = unwanted(self._state, placement)
+                reason = unwanted(self._state, placement) or self._maintenance.unwanted(
+                    placement
+                )
                 if reason and not current.is_stopping(placement):
                     current.stop(placement, reason)
 
@@ -381,8 +417,10 @@
         for worker_id, current in self._sessions.items():
             heard = now - current.heard_s <= patience_s
             state = self._health.judge(worker_id, now)
+            reached = heard and not current.silent and not current.over
+            kept = not self._maintenance.is_emptying(worker_id)
             conditions[worker_id] = condition.Condition(
-                heard and not current.silent and not current.over and state.usable,
+                reached and kept and state.usable,
                 current.stopping,
                 current.ages_s(),
                 state.suspect,
--- a/marjoramusher/executors/driver_test.py
+++ b/marjoramusher/executors/driver_test.py
@@ -1,6 +1,7 @@
 """Guards runs against doubling, loss and overfull workers while orders go astray."""
 
 import asyncio
+import itertools
 import random
 
 import msgspec
@@ -12,7 +13,7 @@
 from marjoramusher.executors import driver, session
 from marjoramusher.groups import local
 from marjoramusher.telemetry import metrics
-from marjoramusher.workflows import catalog, command, machine, workflow
+from marjoramusher.workflows import catalog, command, machine, wave, workflow
 from standins import fleet, virtual
 
 CATALOG = catalog.Catalog(
@@ -82,17 +83,17 @@
         self.rng = random.Random(seed)
         self.fleet = fleet.Fleet(self.rng, work_s or self.work_s)
         self.policy = fleet.Policy(self.fleet, permitted or (lambda step, name: True))
+        self.hosts = fleet.Hosts(self.fleet)
         self.state = machine.WorkflowMachine()
         self.group = Group(self.state)
         self.clock = virtual.LoopClock(loop)
         self.driver = driver.Driver(
             self.group,
             self.state,
-            self.fleet,
+            driver.Ports(self.fleet, self.policy, self.hosts),
             self.clock,
             metrics.Metrics(),
             driver.Settings(BEAT_S),
-            self.policy,
         )
         self.tasks = [loop.create_task(self.fleet.live())]
         self.count = 0
@@ -482,3 +483,68 @@
             assert "x0" not in placed
 
     virtual.run(play())
+
+
+@pytest.mark.parametrize("max_down", [1, 2])
+@pytest.mark.parametrize("lost", [0.0, 0.2])
+def test_hosts_are_emptied_and_maintained_a_few_at_a_time(max_down, lost):
+    def work_s(task, run):
+        lasts = task.workflow_id.endswith("1")
+        return 900.0 if lasts else 3.0, workflow.How.DONE
+
+    async def play():
+        async with Bed(15, work_s) as bed:
+            bed.hosts.rejoin = bed.join
+            bed.hosts.max_down[1] = max_down
+            bed.hosts.lost = lost
+            hosts = ("m-x0", "m-x1", "m-x2", "m-x3", "m-gone")
+            started = command.StartWave(0, wave.Wave(1, hosts, 60.0, max_down))
+            serving = step(
+                2, 1, long_running=True, max_unavailable=1, checkpointing=True
+            )
+            name = await bed.submit("urgent", serving)
+            for _ in range(4):
+                await bed.submit("batch", step(4, 2, checkpointing=True))
+            await asyncio.sleep(1.0)
+            await bed.group.propose(command.pack(started), 1.0)
+            for _ in range(150):
+                await asyncio.sleep(0.2)
+                entry = bed.state.entries[name]
+                away = [
+                    task
+                    for task in entry.occurrences[0][0]
+                    if task.placement is None or bed.driver.is_away(task.placement)
+                ]
+                assert len(away) <= 1 or bed.clock.monotonic() < 3.0
+            assert sorted(host for _, host in bed.hosts.begun) == list(hosts[:4])
+            assert bed.hosts.faults == []
+            assert bed.fleet.faults == []
+            assert bed.state.waves[1].is_complete
+            assert bed.state.waves[1].gone == {"m-gone"}
+
+    virtual.run(play())
+
+
+def test_a_new_leader_waits_before_it_gives_orders_for_hosts():
+    async def play():
+        async with Bed(16, always(1.0)) as bed:
+            bed.hosts.rejoin = bed.join
+            hosts = ("m-x0", "m-x1", "m-x2", "m-x3")
+            wanted = wave.Wave(1, hosts, 60.0, 1)
+            await bed.group.propose(command.pack(command.StartWave(0, wanted)), 1.0)
+            for _ in range(6):
+                await asyncio.sleep(bed.rng.uniform(2.0, 9.0))
+                bed.group.set_leader(False)
+                await asyncio.sleep(bed.rng.uniform(0.1, 1.0))
+                bed.group.set_leader(True)
+            await asyncio.sleep(20.0)
+            assert bed.state.waves[1].is_complete
+            assert bed.hosts.faults == []
+            tokens = [token for _, _, token in bed.hosts.holders]
+            assert tokens == sorted(tokens)
+            for (before_s, _, old), (after_s, _, new) in itertools.pairwise(
+                bed.hosts.holders
+            ):
+                assert old == new or after_s - before_s >= 3.0
+
+    virtual.run(play())
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -103,9 +103,14 @@
         return frozenset(
             run.placement
             for run in self._runs.values()
-            if run.percent >= runs.AT_WORK and not run.stop_reason
+            if self.is_at_work(run.placement)
         )
 
+    def is_at_work(self, placement: workflow.Placement) -> bool:
+        """Tell whether a run has shown all its progress and goes on."""
+        run = self._runs.get((placement.task, placement.run))
+        return run is not None and run.percent >= runs.AT_WORK and not run.stop_reason
+
     @property
     def takes_fill(self) -> bool:
         """Tell whether more filling tasks may come beside serving ones."""
--- /dev/null
+++ b/marjoramusher/hosts/__init__.py
@@ -0,0 +1,1 @@
+"""The hosts of workers, and the service that maintains them."""
--- a/marjoramusher/queues/call.py
+++ b/marjoramusher/queues/call.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from ..core import codec
-from ..workflows import catalog, workflow
+from ..workflows import catalog, wave, workflow
 
 METHOD = "queues"
 
@@ -83,6 +83,18 @@
     """Ask for the version of the catalog in force."""
 
 
+class StartWave(Call, frozen=True, tag=True):
+    """An operator has some hosts maintained."""
+
+    wave: wave.Wave
+
+
+class ReadWave(Call, frozen=True, tag=True):
+    """Ask whether a wave of maintenance is complete."""
+
+    number: int
+
+
 class Progress(enum.Enum):
     """State of a workflow as callers see it."""
 
@@ -144,6 +156,12 @@
     conflict: bool
 
 
+class WaveProgress(Reply, frozen=True, tag=True):
+    """Whether the maintenance of all hosts of a wave has begun."""
+
+    complete: bool
+
+
 class Document(Reply, frozen=True, tag=True):
     """The catalog in force as it was sent; empty before the first one."""
 
@@ -152,7 +170,16 @@
 
 
 AnyCall: TypeAlias = (
-    Submit | Read | Cancel | Announce | Leave | Replace | ReadCatalog | ReadVersion
+    Submit
+    | Read
+    | Cancel
+    | Announce
+    | Leave
+    | Replace
+    | ReadCatalog
+    | ReadVersion
+    | StartWave
+    | ReadWave
 )
 AnyReply: TypeAlias = (
     Accepted
@@ -164,6 +191,7 @@
     | Acknowledged
     | Replaced
     | Document
+    | WaveProgress
 )
 
 
--- a/marjoramusher/queues/service.py
+++ b/marjoramusher/queues/service.py
@@ -71,6 +71,13 @@
             case call.ReadCatalog():
                 version = self._state.index.catalog.version
                 return call.Document(version, self._state.document)
+            case call.StartWave():
+                return await self._start_wave(wanted)
+            case call.ReadWave():
+                known = self._state.waves.get(wanted.number)
+                if known is None:
+                    return call.Unknown()
+                return call.WaveProgress(known.is_complete)
             case call.ReadVersion():
                 return call.Document(self._state.index.catalog.version, b"")
             case _:
@@ -201,6 +208,21 @@
         )
         return call.Replaced(result.version, result.conflict)
 
+    async def _start_wave(self, wanted: call.StartWave) -> call.AnyReply:
+        now_ms = clock.unix_ms(self._clock)
+        started = msgspec.structs.replace(wanted.wave, started_ms=now_ms)
+        answer = await self._driver.propose(command.StartWave(now_ms, started))
+        conflict = codec.unpack(answer, command.WaveNoted).conflict
+        log.state_change(
+            "wave.started",
+            wave=started.number,
+            hosts=started.hosts,
+            duration_s=started.duration_s,
+            max_down=started.max_down,
+            conflict=conflict,
+        )
+        return call.Replaced(started.number, conflict)
+
 
 def progress(entry: machine.Entry) -> call.Progress:
     """Return the state of a workflow as callers see it."""
--- a/marjoramusher/queues/service_test.py
+++ b/marjoramusher/queues/service_test.py
@@ -43,7 +43,9 @@
         class Driver(driver.Driver):
             leads = property(lambda _: bed.leads)
 
-        leader = Driver(group, self.state, Fleet(), time, values, driver.Settings())
+        leader = Driver(
+            group, self.state, driver.Ports(Fleet()), time, values, driver.Settings()
+        )
         self.service = service.QueueService(
             "10.0.0.1:7000", self.state, leader, time, values
         )
--- a/marjoramusher/workflows/command.py
+++ b/marjoramusher/workflows/command.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from ..core import codec
-from . import catalog, workflow
+from . import catalog, wave, workflow
 
 
 class Command(msgspec.Struct, frozen=True, tag=True, array_like=True):
@@ -86,6 +86,20 @@
     before_ms: int
 
 
+class StartWave(Command, frozen=True, tag=True):
+    """Have some hosts maintained; the same wave again changes nothing."""
+
+    wave: wave.Wave
+
+
+class NoteMaintenance(Command, frozen=True, tag=True):
+    """Note that the maintenance of a host has begun, or that it no longer exists."""
+
+    number: int
+    host: str
+    gone: bool = False
+
+
 AnyCommand: TypeAlias = (
     ReplaceCatalog
     | Submit
@@ -95,6 +109,8 @@
     | Assign
     | Settle
     | Forget
+    | StartWave
+    | NoteMaintenance
 )
 
 
@@ -111,6 +127,12 @@
     known: bool
 
 
+class WaveNoted(msgspec.Struct, frozen=True):
+    """Result of `StartWave`: whether another wave has the number."""
+
+    conflict: bool
+
+
 class Assigned(msgspec.Struct, frozen=True):
     """Result of `Assign`: the placements that were made."""
 
--- a/marjoramusher/workflows/machine.py
+++ b/marjoramusher/workflows/machine.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from ..core import codec
-from . import catalog, command, workflow
+from . import catalog, command, wave, workflow
 
 
 class TaskState(msgspec.Struct, array_like=True):
@@ -82,11 +82,13 @@
     entries: dict[str, Entry]
     workers: dict[str, WorkerState]
     removed: dict[str, int]
+    waves: dict[int, wave.WaveState] = {}
 
 
 # Lives that are over are remembered, since their delayed announcements may arrive
 # later; by number, since each takes about 60 bytes.
 MAX_REMOVED = 4096
+MAX_WAVES = 64  # kept, so that their operators can ask for them
 
 
 class WorkflowMachine:
@@ -99,6 +101,7 @@
         "_index",
         "_placed",
         "_removed",
+        "_waves",
         "_workers",
     )
 
@@ -108,6 +111,7 @@
         self._entries: dict[str, Entry] = {}
         self._workers: dict[str, WorkerState] = {}
         self._removed: dict[str, int] = {}
+        self._waves: dict[int, wave.WaveState] = {}
         self._derive()
 
     @property
@@ -135,6 +139,11 @@
         """Return all registered workers by id."""
         return self._workers
 
+    @property
+    def waves(self) -> dict[int, wave.WaveState]:
+        """Return the waves of maintenance by number."""
+        return self._waves
+
     def is_over(self, worker_id: str, born: int) -> bool:
         """Tell whether a life of a worker is known to have ended."""
         known = self._workers.get(worker_id)
@@ -190,6 +199,10 @@
                 self._settle(wanted)
             case command.Forget():
                 self._forget(wanted)
+            case command.StartWave():
+                return codec.pack(self._start_wave(wanted.wave))
+            case command.NoteMaintenance():
+                self._note_maintenance(wanted)
         return b""
 
     def snapshot(self) -> bytes:
@@ -201,6 +214,7 @@
                 self._entries,
                 self._workers,
                 self._removed,
+                self._waves,
             )
         )
 
@@ -212,6 +226,7 @@
         self._entries = stored.entries
         self._workers = stored.workers
         self._removed = stored.removed
+        self._waves = stored.waves
         self._derive()
 
     def _derive(self) -> None:
@@ -429,6 +444,23 @@
         if entry.is_active and len(entry.finished) == len(entry.occurrences):
             self._finish(entry, workflow.State.COMPLETED, at_ms)
 
+    def _start_wave(self, wanted: wave.Wave) -> command.WaveNoted:
+        known = self._waves.get(wanted.number)
+        if known is not None:
+            same = msgspec.structs.replace(wanted, started_ms=known.wave.started_ms)
+            return command.WaveNoted(same != known.wave)
+        self._waves[wanted.number] = wave.WaveState(wanted)
+        for number in [n for n, each in self._waves.items() if each.is_complete]:
+            if len(self._waves) <= MAX_WAVES:
+                break
+            del self._waves[number]
+        return command.WaveNoted(False)
+
+    def _note_maintenance(self, wanted: command.NoteMaintenance) -> None:
+        known = self._waves.get(wanted.number)
+        if known is not None and wanted.host in known.remaining:
+            (known.gone if wanted.gone else known.begun).add(wanted.host)
+
     def _forget(self, wanted: command.Forget) -> None:
         for key, entry in list(self._entries.items()):
             if entry.is_active or entry.ended_ms >= wanted.before_ms:
--- a/marjoramusher/workflows/preemption.py
+++ b/marjoramusher/workflows/preemption.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from . import condition, machine, room, unit, workflow
+from . import availability, condition, machine, room, unit, workflow
 
 # What a stopped task costs beside its lost work, in core-seconds, so that tasks that
 # have just started are not stopped for nothing.
@@ -205,20 +205,15 @@
         self, victim: workflow.Placement, chosen: list[workflow.Placement]
     ) -> bool:
         """Tell whether enough other tasks of a long-running step stay at work."""
-        key = victim.task
-        entry = self._state.entries[key.workflow_id]
-        step = entry.workflow.steps[key.step]
-        if not step.long_running or not step.max_unavailable:
-            return True
-        away = sum(
-            task.placement is None
-            or task.placement in chosen
-            or task.placement.task in self._stopping
-            or not self._is_at_work(task.placement)
-            for task in entry.occurrences[key.occurrence][key.step]
-            if task.placement != victim
+        return availability.may_stop(
+            self._state,
+            victim,
+            lambda other: (
+                other in chosen
+                or other.task in self._stopping
+                or not self._is_at_work(other)
+            ),
         )
-        return away < step.max_unavailable
 
     def _is_at_work(self, placement: workflow.Placement) -> bool:
         believed = self._conditions.get(placement.worker_id)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -6,12 +6,13 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 
 from marjoramusher.core import errors
 from marjoramusher.executors import port
+from marjoramusher.hosts import port as host_port
 from marjoramusher.workflows import room, workflow
 
 MAX_LEASE_MS = 6000
@@ -24,6 +25,7 @@
 IDLE_TAIL_MS = 20.0
 DISTURBED_S = 4.0
 STARTUP_S = 0.5
+MAINTENANCE_S = 2.0
 
 
 class _Run(msgspec.Struct):
@@ -85,7 +87,7 @@
         rng: random.Random,
         work_s: Callable[[workflow.TaskKey, int], tuple[float, workflow.How]],
     ) -> None:
-        self._rng = rng
+        self.rng = rng
         self._work_s = work_s
         self.lost = 0.0
         self.late = 0.5
@@ -114,7 +116,7 @@
         """Start a life of a worker; the former one under its id ends."""
         if worker.worker_id in self.lives:
             self.lives[worker.worker_id].over = True
-        life = Life(worker, self._now, self._rng.choice([1.0, 0.98]))
+        life = Life(worker, self._now, self.rng.choice([1.0, 0.98]))
         self.lives[worker.worker_id] = life
         return life
 
@@ -238,13 +240,13 @@
         )
 
     async def _call(self, worker: workflow.Worker, act):
-        await asyncio.sleep(self._rng.uniform(0.001, 0.03))
+        await asyncio.sleep(self.rng.uniform(0.001, 0.03))
         life = self.lives.get(worker.worker_id)
         if worker.worker_id in self.cut or life is None or life.over:
             await asyncio.sleep(TIMEOUT_S)
             raise _silent(worker)
-        if self._rng.random() < self.lost:
-            if self._rng.random() < self.late:
+        if self.rng.random() < self.lost:
+            if self.rng.random() < self.late:
                 self._later(life, act)
             await asyncio.sleep(TIMEOUT_S)
             raise _silent(worker)
@@ -254,7 +256,7 @@
 
     def _later(self, life: Life, act) -> None:
         async def carry_out() -> None:
-            await asyncio.sleep(self._rng.uniform(*LATE_S))
+            await asyncio.sleep(self.rng.uniform(*LATE_S))
             if not life.over:
                 act(life)
 
@@ -489,6 +491,81 @@
         return port.Permitted(tickets, self._validity_s)
 
 
+class Hosts:
+    """Implement `HostPort` for a fleet: worker ``x1`` runs on host ``m-x1``.
+
+    Parameters
+    ----------
+    rejoin : callable
+        Starts the next life of a worker after the maintenance of its host.
+    """
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self.rejoin: Callable[[str], Awaitable[None]] | None = None
+        self.max_down: dict[int, int] = {}
+        self.lost = 0.0
+        self.begun: list[tuple[int, str]] = []
+        self.holders: list[tuple[float, str, int]] = []
+        self.faults: list[str] = []
+        self._down: dict[str, int] = {}
+        self._returns: set[asyncio.Task] = set()
+
+    async def hosts(self) -> dict[str, host_port.Host]:
+        """Return all hosts by id."""
+        await self._answer()
+        up, down = host_port.HostState.UP, host_port.HostState.MAINTENANCE
+        return {
+            f"m-{name}": host_port.Host(
+                f"m-{name}",
+                down if f"m-{name}" in self._down else up,
+                None if life.over else name,
+            )
+            for name, life in self._fleet.lives.items()
+        }
+
+    async def maintain(
+        self, host_id: str, wave: int, holder: str, token: int
+    ) -> host_port.Outcome:
+        """Take a host down, and check that not too many are."""
+        name = host_id.removeprefix("m-")
+        self.holders.append((asyncio.get_running_loop().time(), holder, token))
+        if name not in self._fleet.lives:
+            await self._answer()
+            return host_port.Outcome.REFUSED
+        if host_id in self._down:
+            await self._answer()
+            return host_port.Outcome.BUSY
+        if (wave, host_id) not in self.begun:
+            if sum(number == wave for number in self._down.values()) >= (
+                self.max_down.get(wave, 1)
+            ):
+                self.faults.append(f"too many down: {host_id}")
+            self.begun.append((wave, host_id))
+            life = self._fleet.lives[name]
+            for run in life.runs.values():
+                self.faults.append(f"{run.task} ended by maintenance")
+            life.over = True
+            self._down[host_id] = wave
+            task = asyncio.get_running_loop().create_task(self._return(name))
+            self._returns.add(task)
+            task.add_done_callback(self._returns.discard)
+        await self._answer()
+        return host_port.Outcome.BEGUN
+
+    async def _return(self, name: str) -> None:
+        await asyncio.sleep(MAINTENANCE_S)
+        if self.rejoin is not None:
+            await self.rejoin(name)
+        del self._down[f"m-{name}"]
+
+    async def _answer(self) -> None:
+        await asyncio.sleep(0.03)
+        if self._fleet.rng.random() < self.lost:
+            await asyncio.sleep(TIMEOUT_S)
+            raise host_port.HostsUnavailableError("no answer")
+
+
 def _silent(worker: workflow.Worker) -> port.WorkerSilentError:
     return port.WorkerSilentError(worker.worker_id, "no answer", errors.Outcome.UNKNOWN)
 
--- a/tests/platform_session_test.py
+++ b/tests/platform_session_test.py
@@ -102,7 +102,7 @@
                 founds,
             ),
             driver.Settings(),
-            workers.HttpWorkers(http),
+            driver.Ports(workers.HttpWorkers(http)),
             system.SystemClock(),
             random.Random(),
             self.values,
