--- a/bench/main.py
+++ b/bench/main.py
@@ -52,6 +52,16 @@
         "worker_bad_quarantine_s",
         "placement_decision_us",
     ),
+    "workflow_bench": (
+        "workflow_earned_share",
+        "workflow_urgent_start_p99_s",
+        "workflow_wasted_share",
+        "workflow_faults",
+    ),
+    "telemetry_bench": (
+        "log_line_us",
+        "log_bytes_per_job",
+    ),
     "process_bench": (
         "instance_idle_cpu_share",
         "instance_control_kb_s",
@@ -69,6 +79,8 @@
     ),
 }
 
+QUICK = ("process_bench", "workflow_bench")
+
 
 def run(
     only: Sequence[str], seeds: Sequence[int], quick: bool
@@ -80,7 +92,7 @@
         measures: Callable[..., Iterator[measure.Measure]] = importlib.import_module(
             f"bench.{module}"
         ).measures
-        options = {"quick": quick} if module == "process_bench" else {}
+        options = {"quick": quick} if module in QUICK else {}
         for found in measures(seeds, **options):
             name = re.split(r"[/\[]", found.measure, maxsplit=1)[0]
             if not only or module in only or name in only:
--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -40,9 +40,18 @@
         How much before its due time an occurrence may start.
     keep_s : float
         How long a finished workflow can be asked for.
+    plan : Planner
+        Decides what starts where.
     """
 
-    __slots__ = ("early_ms", "heartbeat_s", "keep_s", "lease", "maintenance")
+    __slots__ = (
+        "early_ms",
+        "heartbeat_s",
+        "keep_s",
+        "lease",
+        "maintenance",
+        "planner",
+    )
 
     def __init__(
         self,
@@ -51,12 +60,14 @@
         keep_s: float = 600.0,
         leases: lease.Settings | None = None,
         hosts: maintenance.Settings | None = None,
+        plan: planner.Planner = planner.plan,
     ) -> None:
         self.heartbeat_s = heartbeat_s
         self.early_ms = early_ms
         self.keep_s = keep_s
         self.lease = leases or lease.Settings()
         self.maintenance = hosts or maintenance.Settings()
+        self.planner = plan
 
 
 class Ports(msgspec.Struct, frozen=True):
@@ -358,7 +369,7 @@
         now_ms = clock.unix_ms(self._clock)
         urgent = unit.urgent_accelerators(self._state, now_ms)
         self._demand.note(urgent, now)
-        wanted = planner.plan(
+        wanted = self._settings.planner(
             self._state,
             self._conditions(now),
             now_ms,
--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -2,6 +2,7 @@
 
 import enum
 from collections.abc import Iterable, Iterator, Mapping
+from typing import Protocol
 
 import msgspec
 
@@ -10,8 +11,8 @@
 # Gangs for which room is kept while others end. With more of them at once too much
 # room would stand idle.
 MAX_RESERVATIONS = 2
-# A gang that has less time than this multiple of its declared work takes room that is
-# kept for urgent work, too.
+# Work that has less time than this multiple of its declared run time takes room that
+# is kept for urgent work, too.
 PRESSING = 2.0
 
 
@@ -45,6 +46,22 @@
     questions: tuple[permit.Question, ...] = ()
 
 
+class Planner(Protocol):
+    """Decide what starts where; see `plan`."""
+
+    def __call__(
+        self,
+        state: machine.WorkflowMachine,
+        conditions: Mapping[str, condition.Condition],
+        now_ms: float,
+        early_ms: float = 0.0,
+        headroom: int = 0,
+        permits: permit.Permits | None = None,
+        now_s: float = 0.0,
+    ) -> Plan:
+        """Place what waits."""
+
+
 def plan(
     state: machine.WorkflowMachine,
     conditions: Mapping[str, condition.Condition],
@@ -166,7 +183,7 @@
     def _place_tasks(self, wanted: unit.Unit) -> None:
         rooms = list(self._eligible(wanted))
         for index in wanted.indexes:
-            if not self._leaves_headroom(wanted, 1):
+            if not self._is_pressing(wanted) and not self._leaves_headroom(wanted, 1):
                 self.waiting[wanted.name] = Wait.HEADROOM
                 return
             found = self._best(wanted, rooms)
@@ -211,7 +228,7 @@
         return room.free_accelerators(rooms) - taken >= self._headroom
 
     def _is_pressing(self, wanted: unit.Unit) -> bool:
-        """Tell whether a gang must start now to be complete in time."""
+        """Tell whether a task or gang must start now to be complete in time."""
         left_ms = wanted.deadline_ms - self._now_ms
         return left_ms < PRESSING * wanted.shape.estimate_ms
 
--- a/marjoramusher/workflows/planner_test.py
+++ b/marjoramusher/workflows/planner_test.py
@@ -439,3 +439,15 @@
     bed.submit("batch", 6, 0, cores=9000, fill=True)
     workers = [placement.worker_id for placement in bed.run().placements]
     assert sorted(workers) == ["0-0", "0-0", "0-1", "0-1", "0-2", "0-2"]
+
+
+def test_small_tasks_that_would_be_late_take_room_that_is_kept_for_urgent_work():
+    bed = Bed(size=1)
+    bed.submit("batch", 4, 1, estimate=8000)
+
+    def placed(now_ms):
+        return planner.plan(bed.state, bed.conditions, now_ms, headroom=8).placements
+
+    # Three times its work and 3 s more may pass; the last start in time is at 19 s.
+    assert not placed(0.0)
+    assert len(placed(12_000.0)) == 4
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -102,7 +102,7 @@
         self.paces = 0
         self.stalled: set[str] = set()
         self.disturbance_ms = 0.0
-        self.wasted_s = 0.0
+        self.wasted_core_s = 0.0
         self.tickets: dict[tuple[str, int, int], dict[str, tuple[str, float]]] = {}
         self._saved: dict[str, tuple[workflow.TaskKey, float]] = {}
         self._started_s: dict[workflow.TaskKey, float] = {}
@@ -179,9 +179,9 @@
             del other_life.runs[other.task]
             saved = self._save(other)
             if said is not workflow.How.DONE:
-                self.wasted_s += (
-                    self._worked_s(other) - self._saved.get(saved, (other.task, 0.0))[1]
-                )
+                saved_s = self._saved.get(saved, (other.task, 0.0))[1]
+                lost_s = self._worked_s(other) - saved_s
+                self.wasted_core_s += lost_s * room.cores(self._step(other.task).needs)
             other_life.ended[other.task] = max(
                 other.run, other_life.ended.get(other.task, 0)
             )
