--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -160,7 +160,10 @@
 
     async def propose(self, wanted: command.AnyCommand) -> bytes:
         """Commit a command as leader."""
-        return await self._group.propose_here(command.pack(wanted), COMMIT_S)
+        began_s = self._clock.monotonic()
+        answer = await self._group.propose_here(command.pack(wanted), COMMIT_S)
+        self._metrics.observe("commit", self._clock.monotonic() - began_s)
+        return answer
 
     def beat(self, worker_id: str, born: int, clock_ms: int | None) -> None:
         """Note a sign of life of a registered worker."""
@@ -219,6 +222,7 @@
         if not self._group.is_leader:
             if self._leading:
                 self._leading = False
+                self._metrics.set_gauge("leading", 0)
                 log.state_change("driver.stopped", term=self._term)
                 await self._close_sessions()
             return
@@ -230,6 +234,7 @@
         self._open_sessions()
         self._stop_unwanted()
         await self._plan()
+        self._show_state()
         await self._forget()
 
     async def _take_over(self) -> None:
@@ -248,6 +253,7 @@
         self._waiting = {}
         self._active = dict(self._state.active)
         self._maintenance.begin()
+        self._metrics.set_gauge("leading", 1)
         log.state_change(
             "driver.started",
             term=term,
@@ -388,8 +394,10 @@
             )
         if not wanted.placements:
             return
+        fresh = self._not_started(wanted.placements)
         answer = await self.propose(command.Assign(now_ms, wanted.placements))
         made = codec.unpack(answer, command.Assigned)
+        self._note_started(fresh)
         for placement in made.placements:
             log.state_change(
                 "task.assigned",
@@ -404,6 +412,34 @@
                 current.start(placement)
                 current.wake()
 
+    def _not_started(
+        self, placements: tuple[workflow.Placement, ...]
+    ) -> list[machine.Entry]:
+        """Return the workflows that some placements are the first ones of."""
+        names = {each.task.workflow_id for each in placements}
+        entries = [self._state.entries[name] for name in sorted(names)]
+        return [entry for entry in entries if not entry.started]
+
+    def _note_started(self, entries: list[machine.Entry]) -> None:
+        now_ms = clock.unix_ms(self._clock)
+        for entry in entries:
+            if entry.started:
+                due_ms = entry.workflow.due_ms(0) or entry.workflow.submitted_ms
+                self._metrics.observe(
+                    "workflow_start",
+                    max(now_ms - due_ms, 0) / 1000,
+                    entry.workflow.account,
+                    entry.queue.name,
+                )
+
+    def _show_state(self) -> None:
+        """Set the gauges of what this instance believes as leader."""
+        values = self._metrics
+        values.set_gauge("catalog_version", self._state.index.catalog.version)
+        values.set_gauge("workers", len(self._state.workers))
+        values.set_gauge("workflows_active", len(self._state.active))
+        values.set_gauge("steps_waiting_now", len(self._waiting))
+
     def _note_waiting(self, waiting: dict[room.UnitName, planner.Wait]) -> None:
         """Log why tasks wait when that is new."""
         for name, reason in waiting.items():
--- a/marjoramusher/groups/runner.py
+++ b/marjoramusher/groups/runner.py
@@ -447,13 +447,16 @@
         self._set_timer()
 
     def _persist(self, persist: message.Persist | None) -> None:
-        if persist is not None:
-            self._store.append(
-                persist.hard_state,
-                persist.truncate_from,
-                persist.entries,
-                persist.boots,
-            )
+        if persist is None:
+            return
+        began_s = self._clock.monotonic()
+        self._store.append(
+            persist.hard_state,
+            persist.truncate_from,
+            persist.entries,
+            persist.boots,
+        )
+        self._metrics.observe("disk_sync", self._clock.monotonic() - began_s)
 
     def _carry_out(self, effect: message.Effect) -> None:
         match effect:
--- a/tests/platform_session_test.py
+++ b/tests/platform_session_test.py
@@ -24,6 +24,7 @@
     def __init__(self):
         self.started = []
         self.ends = []
+        self.refusals = 0
 
     def application(self):
         made = web.Application()
@@ -35,6 +36,9 @@
     async def start(self, request):
         order = await request.json()
         key = (order["task"], order["run"])
+        if self.refusals:
+            self.refusals -= 1
+            return web.json_response({"clock_ms": 1000, "reason": "room"}, status=409)
         if key not in self.started:
             self.started.append(key)
             self.ends.append([len(self.ends) + 1, *key, "done", ""])
@@ -169,8 +173,8 @@
     return json.dumps({"spec": "s", "steps": steps})
 
 
-@pytest.mark.asyncio
-async def test_a_session_survives_the_leader_and_a_lost_disk(tmp_path):
+async def play(tmp_path):
+    """Serve callers while the leader is lost and comes back with an empty disk."""
     async with asyncio.timeout(PATIENCE_S), Deployment(tmp_path) as made:
         manifest = json.dumps(wire_test.MANIFEST)
         await made.control("POST", "/Configuration.Replace", manifest)
@@ -192,3 +196,8 @@
         assert read.decode() == manifest
         assert await made.ask("POST", f"/q/{ID}", job(3)) == (200, {})
         assert len(made.runner.started) == len(set(made.runner.started)) == 7
+
+
+@pytest.mark.asyncio
+async def test_a_session_survives_the_leader_and_a_lost_disk(tmp_path):
+    await play(tmp_path)
