Split what is noted of workflows, and the pace of filling tasks, from the loops

Behaviour is unchanged. Ruled out: one module for both, since one belongs to the leader and the other to one worker.

--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -20,7 +20,7 @@
     unit,
     workflow,
 )
-from . import health, lease, policy, port, runs, session
+from . import health, lease, policy, port, progress, runs, session
 
 TICK_S = 0.25  # due times are met within the platform's tolerance
 PAUSE_S = 0.01  # events that arrive together share one plan
@@ -122,9 +122,8 @@
         self._wake = asyncio.Event()
         self._task: asyncio.Task | None = None
         self._forget_s = 0.0
-        self._waiting: dict[room.UnitName, planner.Wait] = {}
         self._demand = demand.UrgentDemand()
-        self._active: dict[str, machine.Entry] = {}
+        self._progress = progress.Progress(state, time, values)
         self._policy = policy.PolicyCalls(ports.policy, time, values, self._wake.set)
         self._maintenance = maintenance.Maintenance(
             state, ports.hosts, time, self, values, settings.maintenance
@@ -222,7 +221,7 @@
         if not self._group.is_leader:
             if self._leading:
                 self._leading = False
-                self._metrics.set_gauge("leading", 0)
+                self._progress.end()
                 log.state_change("driver.stopped", term=self._term)
                 await self._close_sessions()
             return
@@ -230,11 +229,11 @@
             await self._take_over()
             if not self._leading:
                 return
-        self._note_ended()
+        self._progress.note_ended()
         self._open_sessions()
         self._stop_unwanted()
         await self._plan()
-        self._show_state()
+        self._progress.show()
         await self._forget()
 
     async def _take_over(self) -> None:
@@ -250,10 +249,8 @@
         self._leading = True
         self._health = health.Health()
         self._demand = demand.UrgentDemand()
-        self._waiting = {}
-        self._active = dict(self._state.active)
+        self._progress.begin()
         self._maintenance.begin()
-        self._metrics.set_gauge("leading", 1)
         log.state_change(
             "driver.started",
             term=term,
@@ -262,28 +259,6 @@
             active=len(self._state.active),
         )
 
-    def _note_ended(self) -> None:
-        """Log each workflow that has ended since the last step."""
-        now_active = self._state.active
-        for workflow_id in self._active.keys() - now_active.keys():
-            entry = self._active[workflow_id]
-            self._metrics.increment("workflows_ended", state=entry.state.value)
-            took_s = (entry.ended_ms - entry.workflow.submitted_ms) / 1000
-            self._metrics.observe(
-                "workflow", max(took_s, 0.0), entry.workflow.account, entry.queue.name
-            )
-            log.state_change(
-                "workflow.ended",
-                workflow=workflow_id,
-                state=entry.state.value,
-                after_s=took_s,
-                failures=max(
-                    task.failures for _, _, tasks in entry.tasks() for task in tasks
-                ),
-                attempts=entry.queue.max_attempts,
-            )
-        self._active = dict(now_active)
-
     async def _close_sessions(self) -> None:
         await self._policy.close()
         await self._maintenance.close()
@@ -386,7 +361,9 @@
         )
         self._policy.permits.keep(self._state.active)
         self._policy.ask(wanted.questions)
-        self._note_waiting(wanted.waiting)
+        self._progress.note_waiting(
+            wanted.waiting, len(self._sessions), self._group.applied_index
+        )
         for placement, workflow_id in wanted.preempted:
             self._metrics.increment("tasks_preempted")
             self._sessions[placement.worker_id].stop(
@@ -394,10 +371,10 @@
             )
         if not wanted.placements:
             return
-        fresh = self._not_started(wanted.placements)
+        fresh = self._progress.not_started(wanted.placements)
         answer = await self.propose(command.Assign(now_ms, wanted.placements))
         made = codec.unpack(answer, command.Assigned)
-        self._note_started(fresh)
+        self._progress.note_started(fresh)
         for placement in made.placements:
             log.state_change(
                 "task.assigned",
@@ -412,52 +389,6 @@
                 current.start(placement)
                 current.wake()
 
-    def _not_started(
-        self, placements: tuple[workflow.Placement, ...]
-    ) -> list[machine.Entry]:
-        """Return the workflows that some placements are the first ones of."""
-        names = {each.task.workflow_id for each in placements}
-        entries = [self._state.entries[name] for name in sorted(names)]
-        return [entry for entry in entries if not entry.started]
-
-    def _note_started(self, entries: list[machine.Entry]) -> None:
-        now_ms = clock.unix_ms(self._clock)
-        for entry in entries:
-            if entry.started:
-                due_ms = entry.workflow.due_ms(0) or entry.workflow.submitted_ms
-                self._metrics.observe(
-                    "workflow_start",
-                    max(now_ms - due_ms, 0) / 1000,
-                    entry.workflow.account,
-                    entry.queue.name,
-                )
-
-    def _show_state(self) -> None:
-        """Set the gauges of what this instance believes as leader."""
-        values = self._metrics
-        values.set_gauge("catalog_version", self._state.index.catalog.version)
-        values.set_gauge("workers", len(self._state.workers))
-        values.set_gauge("workflows_active", len(self._state.active))
-        values.set_gauge("steps_waiting_now", len(self._waiting))
-
-    def _note_waiting(self, waiting: dict[room.UnitName, planner.Wait]) -> None:
-        """Log why tasks wait when that is new."""
-        for name, reason in waiting.items():
-            if self._waiting.get(name) is reason:
-                continue
-            workflow_id, occurrence, step = name
-            self._metrics.increment("steps_waiting", reason=reason.value)
-            log.state_change(
-                "workflow.waiting",
-                workflow=workflow_id,
-                occurrence=occurrence,
-                step=step,
-                reason=reason.value,
-                workers=len(self._sessions),
-                applied=self._group.applied_index,
-            )
-        self._waiting = waiting
-
     def _conditions(self, now: float) -> dict[str, condition.Condition]:
         patience_s = BEATS_MISSED * self._settings.heartbeat_s
         conditions = {}
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -6,7 +6,7 @@
 from ..core import clock, errors
 from ..telemetry import log
 from ..workflows import command, machine, workflow
-from . import lease, pacing, port, runs
+from . import filling, lease, port, runs
 
 HOLD_WAIT_S = 1.5  # a quarter of a lease, so that three renewals may be lost
 SHARED_WAIT_S = 0.5  # the time over which a worker takes the tails that it shows
@@ -73,7 +73,9 @@
         self._stops: set[tuple[workflow.TaskKey, int]] = set()
         self._holder: asyncio.Task | None = None
         self._wanted = asyncio.Event()
-        self._pacer = pacing.Pacer()
+        self._filling = filling.Filling(
+            worker, state, workers, token, time, lambda: leader.leads, self._spawn
+        )
         self._looked = False
         self._told_seen = 0
         self._heard_s = float("-inf")
@@ -114,7 +116,7 @@
     @property
     def takes_fill(self) -> bool:
         """Tell whether more filling tasks may come beside serving ones."""
-        return self._pacer.takes_more
+        return self._filling.takes_more
 
     def ages_s(self) -> dict[workflow.TaskKey, float]:
         """Return how long the confirmed runs have been at work."""
@@ -223,8 +225,7 @@
             if reply.refusal is None:
                 run.started_s = run.progress_s = self._clock.monotonic()
                 self._set(run, runs.Phase.CONFIRMED)
-                if self._is_beside_serving(run.placement):
-                    self._spawn(self._tell_pace(run.placement, self._pacer.pace))
+                self._filling.started(run.placement)
                 if run.stop_reason:
                     self._start_stop(run)
                 return
@@ -373,13 +374,8 @@
         await self._take(report, asked_s, known.seen)
 
     def _wait_s(self) -> float:
-        """Look more often where tasks that fill may disturb tasks that serve."""
-        steps = [
-            self._state.entries[key.workflow_id].workflow.steps[key.step]
-            for key in self._state.placed(self.worker.worker_id)
-        ]
-        serves = any(step.target_ms for step in steps)
-        return SHARED_WAIT_S if serves and any(s.fill for s in steps) else HOLD_WAIT_S
+        """Look more often where filling tasks may disturb serving ones."""
+        return SHARED_WAIT_S if self._filling.shares() else HOLD_WAIT_S
 
     async def _take(self, report: port.Report, asked_s: float, seen: int) -> None:
         """Commit the ends, and the release of runs that are certainly not there."""
@@ -421,7 +417,7 @@
                     each.task, each.run, self.worker.worker_id, self.worker.born
                 )
                 self.stop(stray, "no placement")
-        self._pace(report, now)
+        self._filling.look(report, self._runs, now)
         if ends or absent:
             settled = await self._settle(ends, absent, "not on the worker")
             if not settled:
@@ -439,70 +435,13 @@
         if entry is None or run.stop_reason:
             return
         step = entry.workflow.steps[run.placement.task.step]
-        if step.fill and self._pacer.pace < pacing.FULL:
+        if step.fill and self._filling.is_slowed:
             run.progress_s = now  # it is slow because it was told to be
         waits = not step.long_running or run.percent < runs.AT_WORK
         if waits and now - run.progress_s > runs.stall_limit_s(run, step):
             self.stop(run.placement, "no progress")
             self._leader.note_stall(run.placement)
 
-    # Tasks that fill beside tasks that serve.
-
-    def _is_beside_serving(self, placement: workflow.Placement) -> bool:
-        step = self._state.step(placement.task)
-        if step is None or not step.fill:
-            return False
-        others = map(self._state.step, self._state.placed(self.worker.worker_id))
-        return any(other is not None and other.target_ms for other in others)
-
-    def _pace(self, report: port.Report, now: float) -> None:
-        """Set how fast filling tasks work, from the tails of the serving ones."""
-        served: list[pacing.Served] = []
-        filling: list[workflow.Placement] = []
-        for shown in report.running:
-            step = self._state.step(shown.task)
-            run = self._runs.get((shown.task, shown.run))
-            if step is None or run is None or run.stop_reason:
-                continue
-            if step.target_ms:
-                served.append(pacing.Served(shown.load, step.target_ms))
-            elif step.fill:
-                filling.append(run.placement)
-        before = self._pacer.pace
-        to_tell = self._pacer.look(served, filling, now)
-        if filling and self._pacer.pace != before:
-            log.state_change(
-                "worker.paced",
-                worker=self.worker.worker_id,
-                before=before,
-                pace=self._pacer.pace,
-                filling=len(filling),
-                worst_tail=max(each.tail_ms / each.target_ms for each in served),
-            )
-        for placement in to_tell:
-            self._spawn(self._tell_pace(placement, self._pacer.pace))
-
-    async def _tell_pace(self, placement: workflow.Placement, pace: int) -> None:
-        if not self._leader.leads:
-            return
-        try:
-            reply = await self._port.pace(
-                self.worker, placement.task, placement.run, pace, self._token
-            )
-        except errors.MarjoramusherError as failure:
-            # It is told again after the next look.
-            log.state_change(
-                "task.pace_unanswered",
-                task=runs.name(placement.task),
-                run=placement.run,
-                worker=self.worker.worker_id,
-                pace=pace,
-                reason=failure.message,
-            )
-            return
-        if reply.refusal is None:
-            self._pacer.note_told(placement, pace, self._clock.monotonic())
-
     async def _check_lapse(self) -> None:
         now = self._clock.monotonic()
         if now <= self._lease.lapsed_s:
