Ask for votes again soon after a refusal or a split ballot

The first to ask for votes is refused by those that started a little later, since they may have granted a lease before, and waited a whole election timeout before it asked again. It asks again after 0.15 to 0.3 s now, then after twice as long each time, up to the election timeout. Ruled out: shorter election timeouts, which depose slow leaders; a shorter wait after a start, which the lease of the former leader needs. Also fixes the wait after a split ballot.

--- a/marjoramusher/consensus/election.py
+++ b/marjoramusher/consensus/election.py
@@ -5,6 +5,11 @@
 
 from . import message, replica, state
 
+# A voter that was refused because others still rely on a leader, or whose ballot was
+# split, asks again soon: after five round trips between regions, then after twice as
+# long each time, up to the election timeout.
+ASK_AGAIN_S = 0.3
+
 
 class Step(enum.Enum):
     """What the node has to do after an election event."""
@@ -29,6 +34,7 @@
     """
 
     __slots__ = (
+        "_ask_again_s",
         "_contact_s",
         "_granted",
         "_pre_vote",
@@ -56,6 +62,7 @@
         self._seen = (0, 0)  # Term and highest round of the leader heard last.
         self._granted: set[message.VoterId] = set()
         self._pre_vote = False
+        self._ask_again_s = ASK_AGAIN_S
         self._term = 0  # Term of the open ballot, 0 if none is open.
         self.due_s = now
         if own.members.current is None or own.members.current.voters != (own.own,):
@@ -81,6 +88,7 @@
         self._seen = max(self._seen, (self._replica.term, heard_round))
         self._contact_s = now
         self._term = 0
+        self._ask_again_s = ASK_AGAIN_S
         self.reset_timeout(now)
 
     def in_lease(self, now: float) -> bool:
@@ -108,9 +116,16 @@
 
     def start(self, now: float) -> Step:
         """Ask whether the other voters would vote for this node."""
-        self.reset_timeout(now)
+        self.ask_again(now)
         return self._open(self._replica.term + 1, pre_vote=True)
 
+    def ask_again(self, now: float) -> None:
+        """Ask again after a while unless the open ballot is won before."""
+        self.reset_timeout(now)
+        soon_s = now + self._ask_again_s * self._rng.uniform(0.5, 1.0)
+        self.due_s = min(self.due_s, soon_s)
+        self._ask_again_s *= 2
+
     def take_over(self, transfer: int, now: float) -> Step:
         """Ask for real votes as the successor that the leader has chosen."""
         self.reset_timeout(now)
--- a/marjoramusher/consensus/node.py
+++ b/marjoramusher/consensus/node.py
@@ -341,6 +341,7 @@
 
     def _elect(self, step: election.Step, now: float) -> None:
         if step is election.Step.CANDIDATE:
+            self._elections.ask_again(now)
             self._role = message.Role.CANDIDATE
         elif step is election.Step.WON:
             self._role = message.Role.LEADER
--- a/marjoramusher/consensus/node_test.py
+++ b/marjoramusher/consensus/node_test.py
@@ -857,3 +857,40 @@
     assert (message.StaleStore(group_only=True) in effects) is (answer is None)
     campaign = sends(made.step(message.Tick(), 9.0), message.VoteRequest)
     assert campaign == [], "the members of the old epoch must not elect a leader"
+
+
+def test_a_group_whose_members_start_again_soon_has_a_leader():
+    waited_s = []
+    for seed in range(40):
+        pump = started(seed, election_min_s=0.7, election_max_s=1.1, lease_s=0.6)
+        for name in NAMES:
+            pump.crash(name)
+        for name in NAMES:
+            pump.run(pump.rng.uniform(0.0, 0.1))
+            pump.start(name)
+        began_s = pump.now
+        while not pump.leader():
+            pump.run(0.01)
+        waited_s.append(pump.now - began_s)
+    # All wait for the lease that they may have granted before, the first to ask is
+    # refused by those that started later, and asks again.
+    assert sorted(waited_s)[len(waited_s) // 2] < 0.7 + 0.35
+    assert max(waited_s) < 1.1 + 0.5
+
+
+def test_a_member_that_is_cut_off_asks_for_votes_ever_more_rarely():
+    pump = started(3)
+    fresh = pump.leader()
+    alone = next(name for name in NAMES if name != fresh.name)
+    pump.run(5.0)
+    isolate(pump, alone)
+    pump.sent.clear()
+    pump.run(60.0)
+    asked = [
+        sent
+        for sent in pump.sent
+        if isinstance(sent, message.VoteRequest) and sent.sender == pump[alone].own
+    ]
+    settings = state.Settings()
+    assert len(asked) <= 2 * (60.0 / settings.election_min_s + 4)
+    assert pump.leader() is fresh
