--- a/marjoramusher/executors/driver_test.py
+++ b/marjoramusher/executors/driver_test.py
@@ -548,3 +548,31 @@
                 assert old == new or after_s - before_s >= 3.0
 
     virtual.run(play())
+
+
+@pytest.mark.parametrize(
+    "until_s, at_s, placed", [(2.0, 2.65, True), (3.0, 3.7, False)]
+)
+def test_workers_are_used_until_two_calls_in_a_row_got_no_answer(until_s, at_s, placed):
+    async def play():
+        async with Bed(17, always(900.0)) as bed:
+            bed.fleet.late = 0.0
+            began_s = bed.clock.monotonic()
+
+            async def reach(time_s):
+                await asyncio.sleep(began_s + time_s - bed.clock.monotonic())
+
+            await bed.submit("batch", step(WORKERS, 2, max_per_worker=1))
+            # The first looks last 1.5 s, and one without an answer 0.8 s more; the
+            # next is sent 0.25 s later.
+            await reach(1.0)
+            bed.fleet.lost = 1.0
+            await reach(until_s)
+            bed.fleet.lost = 0.0
+            await reach(at_s)
+            name = await bed.submit("batch", step(4, 4))
+            await asyncio.sleep(0.1)
+            task = bed.state.task(workflow.TaskKey(name, 0, 0, 0))
+            assert (task.placement is not None) is placed
+
+    virtual.run(play())
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -11,6 +11,9 @@
 HOLD_WAIT_S = 1.5  # a quarter of a lease, so that three renewals may be lost
 SHARED_WAIT_S = 0.5  # the time over which a worker takes the tails that it shows
 ORDER_ATTEMPTS = 2  # a start that is sent again is answered as the first would be
+# Workers that carry orders out late leave single calls unanswered. One that is cut off
+# is noticed 0.75 s later than by the first call.
+SILENT_CALLS = 2
 RETRY_S = 0.25  # between orders that got no answer; a stop has to arrive in seconds
 
 
@@ -79,7 +82,7 @@
         self._looked = False
         self._told_seen = 0
         self._heard_s = float("-inf")
-        self._silent = False
+        self._unanswered = 0
         self.over = False
 
     @property
@@ -89,8 +92,8 @@
 
     @property
     def silent(self) -> bool:
-        """Tell whether the last order got no answer."""
-        return self._silent
+        """Tell whether the last calls got no answer."""
+        return self._unanswered >= SILENT_CALLS
 
     @property
     def stopping(self) -> frozenset[workflow.Placement]:
@@ -210,7 +213,7 @@
                 await self.end_life("replaced at its address")
                 return
             except port.WorkerSilentError as failure:
-                self._silent = True
+                self._unanswered += 1
                 log.state_change(
                     "task.start_unanswered",
                     task=runs.name(run.placement.task),
@@ -283,7 +286,7 @@
                     await self.end_life("replaced at its address")
                     return
                 except port.WorkerSilentError:
-                    self._silent = True
+                    self._unanswered += 1
                     await asyncio.sleep(RETRY_S)
                     continue
                 self._answered(reply.clock_ms)
@@ -296,7 +299,7 @@
             self._stops.discard(key)
 
     def _answered(self, clock_ms: int | None) -> None:
-        self._silent = False
+        self._unanswered = 0
         self.beat(clock_ms)
 
     # Leases and ends.
@@ -312,14 +315,14 @@
             except port.WorkerReplacedError:
                 await self.end_life("replaced at its address")
             except port.WorkerSilentError as failure:
-                if not self._silent:
+                if not self._unanswered:
                     log.state_change(
                         "worker.silent",
                         worker=self.worker.worker_id,
                         reason=failure.message,
                         lapses_in_s=self._lease.lapsed_s - self._clock.monotonic(),
                     )
-                self._silent = True
+                self._unanswered += 1
                 await self._check_lapse()
                 await asyncio.sleep(RETRY_S)
             except errors.MarjoramusherError as failure:
@@ -351,11 +354,11 @@
             return
         calm = (
             self._looked
-            and not self._silent
+            and not self._unanswered
             and not any(run.phase is runs.Phase.FENCED for run in self._runs.values())
         )
         # A silent worker gets no longer lease: all that it runs must end some time.
-        deadline_ms = None if self._silent else self._lease.grant_ms(asked_s)
+        deadline_ms = None if self._unanswered else self._lease.grant_ms(asked_s)
         report = await self._port.hold(
             self.worker,
             self._token,
@@ -363,7 +366,7 @@
             deadline_ms,
             self._wait_s() if calm else 0.0,
         )
-        if self._silent:
+        if self._unanswered:
             log.state_change("worker.heard", worker=self.worker.worker_id)
         self._answered(report.clock_ms)
         self._told_seen = known.seen
