--- a/bench/workflow_baseline.py
+++ b/bench/workflow_baseline.py
@@ -1,11 +1,7 @@
 """Plan workflows first in first out on the first worker that fits."""
 
-from collections.abc import Mapping
-
 from marjoramusher.workflows import (
-    condition,
     machine,
-    permit,
     planner,
     room,
     unit,
@@ -13,17 +9,9 @@
 )
 
 
-def plan(
-    state: machine.WorkflowMachine,
-    conditions: Mapping[str, condition.Condition],
-    now_ms: float,
-    early_ms: float = 0.0,
-    headroom: int = 0,
-    permits: permit.Permits | None = None,
-    now_s: float = 0.0,
-) -> planner.Plan:
+def plan(situation: planner.Situation) -> planner.Plan:
     """Place what waits in the order of submission; nothing is ever stopped."""
-    del headroom, permits, now_s
+    state, conditions = situation.state, situation.conditions
     rooms = [
         _room(state, known.worker)
         for name, known in state.workers.items()
@@ -31,7 +19,7 @@
     ]
     placements: list[workflow.Placement] = []
     waiting = sorted(
-        unit.waiting(state, now_ms + early_ms),
+        unit.waiting(state, situation.now_ms + situation.early_ms),
         key=lambda each: each.entry.workflow.submitted_ms,
     )
     for wanted in waiting:
--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -350,7 +350,7 @@
         now_ms = clock.unix_ms(self._clock)
         urgent = unit.urgent_accelerators(self._state, now_ms)
         self._demand.note(urgent, now)
-        wanted = self._settings.planner(
+        situation = planner.Situation(
             self._state,
             self._conditions(now),
             now_ms,
@@ -359,6 +359,7 @@
             self._policy.permits,
             now,
         )
+        wanted = self._settings.planner(situation)
         self._policy.permits.keep(self._state.active)
         self._policy.ask(wanted.questions)
         self._progress.note_waiting(
--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -46,32 +46,8 @@
     questions: tuple[permit.Question, ...] = ()
 
 
-class Planner(Protocol):
-    """Decide what starts where; see `plan`."""
-
-    def __call__(
-        self,
-        state: machine.WorkflowMachine,
-        conditions: Mapping[str, condition.Condition],
-        now_ms: float,
-        early_ms: float = 0.0,
-        headroom: int = 0,
-        permits: permit.Permits | None = None,
-        now_s: float = 0.0,
-    ) -> Plan:
-        """Place what waits."""
-
-
-def plan(
-    state: machine.WorkflowMachine,
-    conditions: Mapping[str, condition.Condition],
-    now_ms: float,
-    early_ms: float = 0.0,
-    headroom: int = 0,
-    permits: permit.Permits | None = None,
-    now_s: float = 0.0,
-) -> Plan:
-    """Place what waits, the most urgent first.
+class Situation(msgspec.Struct, frozen=True):
+    """What a plan is made from.
 
     Parameters
     ----------
@@ -88,11 +64,30 @@
     now_s : float
         The monotonic clock, by which permits run out.
     """
-    planner = _Planner(
-        state, conditions, headroom, now_ms, permits or permit.Permits(), now_s
-    )
+
+    state: machine.WorkflowMachine
+    conditions: Mapping[str, condition.Condition]
+    now_ms: float
+    early_ms: float = 0.0
+    headroom: int = 0
+    permits: permit.Permits = msgspec.field(default_factory=permit.Permits)
+    now_s: float = 0.0
+
+
+class Planner(Protocol):
+    """Decide what starts where; see `plan`."""
+
+    def __call__(self, situation: Situation) -> Plan:
+        """Place what waits."""
+
+
+def plan(situation: Situation) -> Plan:
+    """Place what waits, the most urgent first."""
+    planner = _Planner(situation)
+    now_ms = situation.now_ms
     waiting = sorted(
-        unit.waiting(state, now_ms + early_ms), key=lambda each: _rank(each, now_ms)
+        unit.waiting(situation.state, now_ms + situation.early_ms),
+        key=lambda each: _rank(each, now_ms),
     )
     for each in waiting:
         planner.place(each)
@@ -113,20 +108,13 @@
 class _Planner:
     """Free room, and what the plan has decided so far."""
 
-    def __init__(
-        self,
-        state: machine.WorkflowMachine,
-        conditions: Mapping[str, condition.Condition],
-        headroom: int,
-        now_ms: float,
-        permits: permit.Permits,
-        now_s: float,
-    ) -> None:
+    def __init__(self, situation: Situation) -> None:
+        state, conditions = situation.state, situation.conditions
         self._state = state
-        self._headroom = headroom
-        self._now_ms = now_ms
-        self._permits = permits
-        self._now_s = now_s
+        self._headroom = situation.headroom
+        self._now_ms = situation.now_ms
+        self._permits = situation.permits
+        self._now_s = situation.now_s
         self._reservations = 0
         self._rack_free: dict[str, int] = {}
         self._rooms: dict[str, list[room.Room]] = {}
--- a/marjoramusher/workflows/planner_test.py
+++ b/marjoramusher/workflows/planner_test.py
@@ -72,7 +72,7 @@
         return f"w{self.number}"
 
     def plan(self, now_ms=0.0):
-        return planner.plan(self.state, self.conditions, now_ms)
+        return planner.plan(planner.Situation(self.state, self.conditions, now_ms))
 
     def run(self, now_ms=0.0):
         made = self.plan(now_ms)
@@ -289,7 +289,7 @@
     assert made.waiting[full, 0, 0] is planner.Wait.ROOM
     assert made.waiting[urgent, 0, 0] is planner.Wait.CLEARING
     assert {reason for _, reason in made.preempted} == {urgent}
-    kept = planner.plan(bed.state, bed.conditions, 0.0, headroom=4)
+    kept = planner.plan(planner.Situation(bed.state, bed.conditions, 0.0, headroom=4))
     assert kept.waiting[full, 0, 0] is planner.Wait.HEADROOM
 
 
@@ -339,9 +339,13 @@
 def test_a_pressing_gang_takes_room_that_is_kept_for_urgent_work():
     bed = Bed(size=2)
     gang = bed.submit("long", 2, 8, gang=True, estimate=1000)  # in time until 4.5 s
-    early = planner.plan(bed.state, bed.conditions, 1000.0, headroom=4)
+    early = planner.plan(
+        planner.Situation(bed.state, bed.conditions, 1000.0, headroom=4)
+    )
     assert early.waiting[gang, 0, 0] is planner.Wait.HEADROOM
-    late = planner.plan(bed.state, bed.conditions, 3000.0, headroom=4)
+    late = planner.plan(
+        planner.Situation(bed.state, bed.conditions, 3000.0, headroom=4)
+    )
     assert len(late.placements) == 2
 
 
@@ -420,7 +424,7 @@
 def test_long_running_tasks_take_room_that_is_kept_for_urgent_work():
     bed = Bed(size=1)
     bed.submit("batch", 2, 1, long_running=True)
-    made = planner.plan(bed.state, bed.conditions, 0.0, headroom=8)
+    made = planner.plan(planner.Situation(bed.state, bed.conditions, 0.0, headroom=8))
     assert len(made.placements) == 2
 
 
@@ -446,7 +450,9 @@
     bed.submit("batch", 4, 1, estimate=8000)
 
     def placed(now_ms):
-        return planner.plan(bed.state, bed.conditions, now_ms, headroom=8).placements
+        return planner.plan(
+            planner.Situation(bed.state, bed.conditions, now_ms, headroom=8)
+        ).placements
 
     # Three times its work and 3 s more may pass; the last start in time is at 19 s.
     assert not placed(0.0)
