Let members of a gang that have done their work wait for slower ones

A member at 99 percent may wait as long as it has worked. Ruled out: a stalled worker (its other runs ended), preemption (4 + 4 runs).

--- a/marjoramusher/executors/runs.py
+++ b/marjoramusher/executors/runs.py
@@ -7,6 +7,7 @@
 from ..workflows import workflow
 
 AT_WORK = 100  # percent that a long-running task shows once it serves
+ENDING = 99  # percent that a run shows once its own work is done
 STALL_S = 5.0  # a task at a third of its speed shows progress more often
 STALL_ESTIMATES = 0.6  # share of the declared run time without any progress
 STALL_STEPS = 4.0  # a run that has shown progress shows the next as late as this
@@ -45,12 +46,15 @@
     """Return how long a run may show no progress.
 
     A few runs take many times their declared time. What a wrong stop throws away
-    grows with the run, so the limit does, too.
+    grows with the run, so the limit does, too. A member of a gang that has done its
+    work waits for those on slower workers, since all end together.
     """
     limit_s = max(STALL_S, STALL_ESTIMATES * step.estimate_ms / 1000)
     if run.percent > 0:
-        step_s = (run.progress_s - run.started_s) / run.percent
-        limit_s = max(limit_s, STALL_STEPS * step_s)
+        worked_s = run.progress_s - run.started_s
+        limit_s = max(limit_s, STALL_STEPS * worked_s / run.percent)
+        if step.gang and run.percent >= ENDING:
+            limit_s = max(limit_s, worked_s)
     return limit_s
 
 
--- /dev/null
+++ b/marjoramusher/executors/runs_test.py
@@ -0,0 +1,38 @@
+"""Guards how long a run may show no progress before it is stopped."""
+
+import pytest
+
+from marjoramusher.executors import runs
+from marjoramusher.workflows import workflow
+
+PLACEMENT = workflow.Placement(workflow.TaskKey("w", 0, 0, 5), 1, "x", 1)
+
+
+def limit_s(percent, progress_s, estimate_ms=16_920, gang=True):
+    run = runs.Run(PLACEMENT, runs.Phase.CONFIRMED, 0.0, 0.0, percent, progress_s)
+    step = workflow.Step(47, estimate_ms=estimate_ms, gang=gang)
+    return runs.stall_limit_s(run, step)
+
+
+def test_a_member_that_is_done_waits_for_slower_members_as_long_as_it_has_worked():
+    # It took 46 s, 10 s of waiting threw the work of 47 members away.
+    assert limit_s(99, 46.0) >= 46.0
+
+
+@pytest.mark.parametrize(
+    "percent, progress_s, gang, expected_s",
+    [
+        (-1, 0.0, True, 0.6 * 16.92),
+        (30, 5.0, True, 0.6 * 16.92),
+        (50, 300.0, True, 4.0 * 6.0),
+        (99, 46.0, False, 0.6 * 16.92),
+    ],
+)
+def test_other_runs_are_stalled_after_their_limit(
+    percent, progress_s, gang, expected_s
+):
+    assert limit_s(percent, progress_s, gang=gang) == pytest.approx(expected_s)
+
+
+def test_short_runs_have_some_seconds():
+    assert limit_s(-1, 0.0, estimate_ms=100) == runs.STALL_S
