Log unexpected errors of background tasks, and go on after them

Cause: read-through. An error of a kind that no code expects ended the task that looks at a worker, asks the policy service, carries out a wave or probes the leader, without a line; a worker that nobody looks at keeps its tasks for ever. The loops go on after such an error, as the planning loop did already, and each of these tasks logs what has ended it. Ruled out: a handler of the event loop, which is told of a lost task only when it is collected. Before: the new test never completes its workflow.

--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -1,7 +1,6 @@
 """The leader's loop: plan, commit, order, and take note of what has ended."""
 
 import asyncio
-import traceback
 
 import msgspec
 
@@ -210,12 +209,7 @@
             except Exception as failure:
                 # A fault in one plan must not end all later ones.
                 self._metrics.increment("driver_errors", code="internal")
-                log.state_change(
-                    "driver.step_failed",
-                    code="internal",
-                    reason="".join(traceback.format_exception(failure)),
-                    term=self._term,
-                )
+                log.unexpected("driver", failure)
 
     async def _step(self) -> None:
         if not self._group.is_leader:
--- a/marjoramusher/executors/driver_test.py
+++ b/marjoramusher/executors/driver_test.py
@@ -4,6 +4,7 @@
 import itertools
 import random
 
+import eliot
 import msgspec
 import pytest
 import reactivex.subject
@@ -576,3 +577,27 @@
             assert (task.placement is not None) is placed
 
     virtual.run(play())
+
+
+def test_an_unexpected_error_at_one_worker_is_logged_and_ends_no_look(monkeypatch):
+    async def play():
+        lines = []
+        eliot.add_destinations(lines.append)
+        async with Bed(18, always(1.0)) as bed:
+            hold, broken = bed.fleet.hold, [True]
+
+            async def fail_once(worker, *rest):
+                if broken and worker.worker_id == "x0":
+                    broken.pop()
+                    raise RuntimeError("a fault of the program")
+                return await hold(worker, *rest)
+
+            monkeypatch.setattr(bed.fleet, "hold", fail_once)
+            await bed.submit("batch", step(WORKERS, 1, max_per_worker=1))
+            await bed.settle(10)
+            assert bed.states() == {workflow.State.COMPLETED}
+        eliot.remove_destination(lines.append)
+        failed = [x for x in lines if x["message_type"] == "program.unexpected_error"]
+        assert [line["where"] for line in failed] == ["session"]
+
+    virtual.run(play())
--- a/marjoramusher/executors/policy.py
+++ b/marjoramusher/executors/policy.py
@@ -51,6 +51,7 @@
             self._task = asyncio.get_running_loop().create_task(
                 self._call(self._service, questions[0])
             )
+            log.watch(self._task, "policy")
 
     async def close(self) -> None:
         """Give up a call in progress, and all permits."""
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -189,6 +189,7 @@
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        log.watch(task, "session")
 
     def _start_stop(self, run: runs.Run) -> None:
         key = (run.placement.task, run.placement.run)
@@ -332,6 +333,10 @@
                     reason=failure.message,
                 )
                 await asyncio.sleep(RETRY_S)
+            except Exception as failure:
+                # A worker that nobody looks at any more would keep its tasks for ever.
+                log.unexpected("session", failure)
+                await asyncio.sleep(RETRY_S)
 
     def wake(self) -> None:
         """Look at the worker now if it was idle."""
--- a/marjoramusher/hosts/maintenance.py
+++ b/marjoramusher/hosts/maintenance.py
@@ -157,6 +157,9 @@
                         code=failure.code.value,
                         reason=failure.message,
                     )
+                except Exception as failure:
+                    # A fault in one turn must not end all later ones.
+                    log.unexpected("maintenance", failure)
             await asyncio.sleep(POLL_S)
 
     def _open(self) -> list[wave.WaveState]:
--- a/marjoramusher/telemetry/log.py
+++ b/marjoramusher/telemetry/log.py
@@ -1,6 +1,8 @@
 """Log lines, written only when a state changes."""
 
+import asyncio
 import sys
+import traceback
 from collections.abc import Callable
 from typing import Any
 
@@ -22,6 +24,32 @@
     eliot.log_message(message_type=subject, **fields)
 
 
+def unexpected(where: str, failure: BaseException) -> None:
+    """Write one line for an error that no part of the program expects.
+
+    Parameters
+    ----------
+    where : str
+        Part of the program that goes on without what has failed.
+    """
+    state_change(
+        "program.unexpected_error",
+        where=where,
+        reason="".join(traceback.format_exception(failure)),
+    )
+
+
+def watch(task: asyncio.Task, where: str) -> None:
+    """Log an unexpected error that ends a task."""
+
+    def ended(done: asyncio.Task) -> None:
+        failure = None if done.cancelled() else done.exception()
+        if failure is not None:
+            unexpected(where, failure)
+
+    task.add_done_callback(ended)
+
+
 def to_stdout(on_dropped: Callable[[], None] = lambda: None) -> sink.BoundedSink:
     """Send log lines to standard output, as one JSON object each.
 
--- a/tests/log_lines_test.py
+++ b/tests/log_lines_test.py
@@ -17,11 +17,10 @@
             if path.name.endswith("_test.py"):
                 continue
             for node in ast.walk(ast.parse(path.read_text())):
-                if not isinstance(node, ast.Call) or not isinstance(
-                    node.func, ast.Attribute
-                ):
+                if not isinstance(node, ast.Call) or not node.args:
                     continue
-                if node.func.attr != "state_change" or not node.args:
+                called = getattr(node.func, "attr", getattr(node.func, "id", ""))
+                if called != "state_change":
                     continue
                 for kind in _kinds(node.args[0]):
                     fields = {each.arg for each in node.keywords}
