Break the look at a worker after its task was placed

Cause: the test of unexpected errors broke the first look at a worker, before it was used. The look breaks now while a task runs there. Ruled out: nothing; only the test changes.

--- a/marjoramusher/executors/driver_test.py
+++ b/marjoramusher/executors/driver_test.py
@@ -583,8 +583,8 @@
     async def play():
         lines = []
         eliot.add_destinations(lines.append)
-        async with Bed(18, always(1.0)) as bed:
-            hold, broken = bed.fleet.hold, [True]
+        async with Bed(18, always(3.0)) as bed:
+            hold, broken = bed.fleet.hold, []
 
             async def fail_once(worker, *rest):
                 if broken and worker.worker_id == "x0":
@@ -593,8 +593,12 @@
                 return await hold(worker, *rest)
 
             monkeypatch.setattr(bed.fleet, "hold", fail_once)
+            await asyncio.sleep(2 * BEAT_S)
             await bed.submit("batch", step(WORKERS, 1, max_per_worker=1))
+            await asyncio.sleep(0.5)
+            broken.append(True)
             await bed.settle(10)
+            assert not broken
             assert bed.states() == {workflow.State.COMPLETED}
         eliot.remove_destination(lines.append)
         failed = [x for x in lines if x["message_type"] == "program.unexpected_error"]
