Keep the choice of victims for each worker from task to task

Cause: for each member of a gang, the preemptor compared all workers again, and sorted and priced the same runs each time. A pass over a full fleet took longer than a lease of the leader, during which it answers nobody.

Change: the runs on a worker are priced and ranked once for each plan, and a worker's choice is made again only if its resources or victims changed.

The new test compares with an exhaustive search; it fails if workers of stopped gang members, or those under a disruption budget, are not looked at again (both tried).

--- a/marjoramusher/workflows/planner_test.py
+++ b/marjoramusher/workflows/planner_test.py
@@ -9,6 +9,8 @@
     condition,
     machine,
     planner,
+    preemption,
+    resources,
     workflow,
 )
 
@@ -482,3 +484,79 @@
     # The deadline is at 27 s, so the tasks have to start by 19 s.
     assert not placed(0.0)
     assert len(placed(12_000.0)) == 4
+
+
+class ExhaustivePreemptor(preemption.Preemptor):
+    """Compares all workers again for each task of a gang."""
+
+    def _evaluate(self, pending, count, candidates, max_cost):
+        needs = resources.reserved(pending.step)
+        choices, stopped = [], []
+        while len(choices) < count:
+            options = [self._cheapest_choice(pending, needs, c) for c in candidates]
+            choice = min(filter(None, options), key=lambda o: o.cost, default=None)
+            if choice is None:
+                break
+            choices.append(choice)
+            choice.candidate.allocate(needs)
+            choice.candidate.adjust_task_count(pending.key, 1)
+            for victim in choice.victims:
+                stopped += self._mark_stopping(victim)
+        for choice in choices:
+            choice.candidate.deallocate(needs)
+            choice.candidate.adjust_task_count(pending.key, -1)
+        self._unmark_stopping(stopped)
+        cost = sum(choice.cost for choice in choices)
+        return (choices, cost) if len(choices) == count and cost < max_cost else ([], 0)
+
+
+def crowded_harness(rng):
+    """Return a fleet that is full of long and batch work, with urgent work waiting."""
+    harness = Harness(racks=3, size=4)
+
+    def submit(queue, **fields):
+        harness.submit(
+            queue,
+            rng.randint(1, 6),
+            rng.choice([1, 2, 4, 8]),
+            rng.choice([1000, 5600, 26000]),
+            account=rng.choice("ab"),
+            gang=rng.random() < 0.6,
+            same_rack=rng.random() < 0.4,
+            max_per_worker=rng.choice([0, 0, 2]),
+            rack=rng.choice(["", "", "r1"]),
+            **fields,
+        )
+
+    for _ in range(20):
+        is_service = rng.random() < 0.2
+        submit(
+            rng.choice(["long", "batch"]),
+            checkpointing=rng.random() < 0.5,
+            long_running=is_service,
+            max_unavailable=int(is_service),
+        )
+        harness.run()
+    for name in harness.conditions:
+        placed = harness.state.placements_on(name)
+        harness.conditions[name] = condition.WorkerCondition(
+            ages_s={key: rng.uniform(0, 9) for key in placed},
+            is_suspect=rng.random() < 0.2,
+            serving=frozenset(p for p in placed.values() if rng.random() < 0.8),
+        )
+    for _ in range(8):
+        submit("urgent")
+    return harness
+
+
+def test_kept_choices_stop_the_same_runs_as_an_exhaustive_search(monkeypatch):
+    """Guards against victims that a choice kept from an earlier task gets wrong."""
+    preempted = 0
+    for seed in range(60):
+        harness = crowded_harness(random.Random(seed))
+        quick = harness.plan()
+        monkeypatch.setattr(preemption, "Preemptor", ExhaustivePreemptor)
+        assert harness.plan() == quick
+        monkeypatch.undo()
+        preempted += len(quick.preemptions)
+    assert preempted > 300
--- a/marjoramusher/workflows/preemption.py
+++ b/marjoramusher/workflows/preemption.py
@@ -1,6 +1,7 @@
 """Selection of the runs that are preempted for urgent tasks."""
 
-from collections.abc import Mapping
+import heapq
+from collections.abc import Iterable, Mapping
 
 import msgspec
 
@@ -29,6 +30,26 @@
 
     candidate: resources.Candidate
     victims: tuple[workflow.Placement, ...]
+    cost: float
+
+
+class _Victim(msgspec.Struct, frozen=True, order=True):
+    """A run that may be stopped, ordered by the cost of stopping it.
+
+    Parameters
+    ----------
+    needs : Resources
+        What the run reserves on its worker.
+    priority : int
+        Priority of its queue, 0 for urgent work.
+    """
+
+    cost: float
+    placement: workflow.Placement
+    needs: workflow.Resources
+    priority: int
+    account: str
+    is_long_running: bool
 
 
 class Preemptor:
@@ -43,6 +64,7 @@
     __slots__ = (
         "_candidates",
         "_conditions",
+        "_ranked_victims",
         "_state",
         "_stopping",
         "_urgent_accelerators",
@@ -59,6 +81,8 @@
         self._candidates = candidates
         self._stopping: set[workflow.TaskKey] = set()
         self._urgent_accelerators: dict[str, int] = {}
+        # Runs on each worker, the cheapest to stop first.
+        self._ranked_victims: dict[str, list[_Victim]] = {}
 
     def preempt(
         self,
@@ -86,8 +110,8 @@
         if not self._is_within_guarantee(pending.entry.workflow.account):
             best_cost = MAX_COST_FACTOR * resources.core_seconds(pending.step)
         for candidates in scopes:
-            choices, cost = self._evaluate(pending, count, candidates)
-            if choices and cost < best_cost:
+            choices, cost = self._evaluate(pending, count, candidates, best_cost)
+            if choices:
                 best, best_cost = choices, cost
         if not best:
             return None
@@ -98,6 +122,8 @@
             choice.candidate.adjust_task_count(pending.key, 1)
             for victim in choice.victims:
                 stopped += self._mark_stopping(victim)
+        for worker_id in {victim.worker_id for victim in stopped}:
+            self._drop_stopping(worker_id)
         return stopped
 
     def _is_within_guarantee(self, name: str) -> bool:
@@ -118,22 +144,54 @@
         pending: backlog.PendingStep,
         count: int,
         candidates: list[resources.Candidate],
+        max_cost: float,
     ) -> tuple[list[_Choice], float]:
-        """Return where the tasks would go and the total cost, changing nothing."""
+        """Return where the tasks would go and the total cost, changing nothing.
+
+        The choice for each worker is kept from task to task, and made again only for
+        workers whose resources or victims have changed. There are no choices if they
+        would cost `max_cost` or more.
+        """
         needs = resources.reserved(pending.step)
+        positions = {
+            candidate.worker.worker_id: position
+            for position, candidate in enumerate(candidates)
+        }
+        options: list[_Choice | None] = [None] * len(candidates)
+        cheapest: list[tuple[float, int]] = []
+
+        def update(changed: Iterable[int]) -> None:
+            for position in changed:
+                option = self._cheapest_choice(pending, needs, candidates[position])
+                options[position] = option
+                if option is not None:
+                    heapq.heappush(cheapest, (option.cost, position))
+
+        update(range(len(candidates)))
         choices: list[_Choice] = []
         stopped: list[workflow.Placement] = []
         total_cost = 0.0
-        for _ in range(count):
-            choice, cost = self._cheapest_choice(pending, needs, candidates)
-            if choice is None:
+        while len(choices) < count and cheapest:
+            cost, position = heapq.heappop(cheapest)
+            choice = options[position]
+            if choice is None or choice.cost != cost:
+                continue  # made before the worker changed
+            total_cost += cost
+            if total_cost >= max_cost:
                 break
-            for victim in choice.victims:
-                stopped += self._mark_stopping(victim)
+            choices.append(choice)
             choice.candidate.allocate(needs)
             choice.candidate.adjust_task_count(pending.key, 1)
-            choices.append(choice)
-            total_cost += cost
+            marked: list[workflow.Placement] = []
+            for victim in choice.victims:
+                marked += self._mark_stopping(victim)
+            stopped += marked
+            if any(self._is_long_running(victim) for victim in marked):
+                # Their disruption budget may rule out victims on any worker.
+                update(range(len(candidates)))
+                continue
+            changed = {positions.get(victim.worker_id, position) for victim in marked}
+            update(changed | {position})
         for choice in choices:
             choice.candidate.deallocate(needs)
             choice.candidate.adjust_task_count(pending.key, -1)
@@ -144,83 +202,83 @@
         self,
         pending: backlog.PendingStep,
         needs: workflow.Resources,
-        candidates: list[resources.Candidate],
-    ) -> tuple[_Choice | None, float]:
-        """Return the cheapest worker and victims for one task, and their cost."""
-        step = pending.step
-        best: _Choice | None = None
-        best_cost = float("inf")
-        for candidate in candidates:
-            if not candidate.has_task_slot(pending.key, step.max_per_worker):
-                continue
-            victims, cost = self._cheapest_victims(pending, candidate, needs, best_cost)
-            if victims is None:
-                continue
-            is_remote = bool(step.rack) and candidate.worker.rack != step.rack
-            cost += (candidate.is_suspect + is_remote) * LAST_RESORT_COST
-            if cost < best_cost:
-                best, best_cost = _Choice(candidate, tuple(victims)), cost
-        return best, best_cost
-
-    def _cheapest_victims(
-        self,
-        pending: backlog.PendingStep,
         candidate: resources.Candidate,
-        needs: workflow.Resources,
-        max_cost: float,
-    ) -> tuple[list[workflow.Placement] | None, float]:
-        """Return the cheapest runs to stop so that a task fits, and their cost.
-
-        The runs are ``None`` if no set of victims is cheaper than `max_cost`.
-        """
-        nothing = workflow.Resources()
-        if candidate.will_fit(needs, nothing):
-            return [], 0.0
+    ) -> _Choice | None:
+        """Return the cheapest victims for one task on a worker, and their cost."""
+        step = pending.step
+        if not candidate.has_task_slot(pending.key, step.max_per_worker):
+            return None
+        is_remote = bool(step.rack) and candidate.worker.rack != step.rack
+        cost = (candidate.is_suspect + is_remote) * LAST_RESORT_COST
+        if candidate.will_fit(needs):
+            return _Choice(candidate, (), cost)
         if not needs.fits_within(candidate.worker.capacity):
-            return None, 0.0
-        victims = sorted(
-            (self._cost(victim), victim)
-            for victim in candidate.running
-            if victim.task not in self._stopping
-            and self._is_preemptible(victim, pending)
-        )
+            return None
         chosen: list[workflow.Placement] = []
-        freed = nothing
-        total_cost = 0.0
-        for cost, victim in victims:
-            if not self._can_stop(victim, chosen):
+        victim_cost = 0.0
+        freed = resources.NOTHING
+        for victim in self._victims(candidate):
+            placement = victim.placement
+            if (
+                placement.task in self._stopping
+                or not self._is_preemptible(victim, pending)
+                or (victim.is_long_running and not self._can_stop(placement, chosen))
+            ):
                 continue
-            chosen.append(victim)
-            total_cost += cost
-            freed = resources.combined(freed, self._needs(victim))
-            if total_cost >= max_cost:
-                return None, 0.0
+            chosen.append(placement)
+            victim_cost += victim.cost
+            freed = resources.combined(freed, victim.needs)
             if candidate.will_fit(needs, freed):
-                return chosen, total_cost
-        return None, 0.0
+                return _Choice(candidate, tuple(chosen), victim_cost + cost)
+        return None
 
-    def _is_preemptible(
-        self, victim: workflow.Placement, pending: backlog.PendingStep
-    ) -> bool:
+    def _victims(self, candidate: resources.Candidate) -> list[_Victim]:
+        """Return the runs on a worker, the cheapest to stop first."""
+        worker_id = candidate.worker.worker_id
+        victims = self._ranked_victims.get(worker_id)
+        if victims is None:
+            victims = self._ranked_victims[worker_id] = sorted(
+                self._victim(placement) for placement in candidate.running
+            )
+        return victims
+
+    def _victim(self, placement: workflow.Placement) -> _Victim:
+        entry = self._state.entries[placement.task.workflow_id]
+        step = entry.workflow.steps[placement.task.step]
+        return _Victim(
+            self._cost(placement),
+            placement,
+            resources.reserved(step),
+            entry.queue.priority,
+            entry.workflow.account,
+            step.long_running,
+        )
+
+    def _drop_stopping(self, worker_id: str) -> None:
+        """Remove the runs that are stopping from the victims on a worker."""
+        victims = self._ranked_victims.get(worker_id)
+        if victims is not None:
+            self._ranked_victims[worker_id] = [
+                victim
+                for victim in victims
+                if victim.placement.task not in self._stopping
+            ]
+
+    def _is_preemptible(self, victim: _Victim, pending: backlog.PendingStep) -> bool:
         """Tell whether a run may be stopped for the tasks of a step.
 
         Less urgent runs may be. Work within the guarantee of its account may also stop
         urgent runs of other accounts that exceed theirs. Long-running tasks serve
         users, so only guaranteed work may stop them.
         """
-        entry = self._state.entries[victim.task.workflow_id]
-        if entry.workflow.steps[victim.task.step].long_running:
-            return (
-                entry.queue.priority > pending.entry.queue.priority
-                and self._is_within_guarantee(pending.entry.workflow.account)
-            )
-        if entry.queue.priority > pending.entry.queue.priority:
-            return True
-        account = entry.workflow.account
+        account = pending.entry.workflow.account
+        if victim.priority > pending.entry.queue.priority:
+            return not victim.is_long_running or self._is_within_guarantee(account)
         return (
-            account != pending.entry.workflow.account
-            and not self._is_within_guarantee(account)
-            and self._is_within_guarantee(pending.entry.workflow.account)
+            not victim.is_long_running
+            and victim.account != account
+            and not self._is_within_guarantee(victim.account)
+            and self._is_within_guarantee(account)
         )
 
     def _can_stop(
@@ -237,6 +295,10 @@
             ),
         )
 
+    def _is_long_running(self, placement: workflow.Placement) -> bool:
+        step = self._state.step(placement.task)
+        return step is not None and step.long_running
+
     def _is_serving(self, placement: workflow.Placement) -> bool:
         status = self._conditions.get(placement.worker_id)
         return status is not None and placement in status.serving
--- a/marjoramusher/workflows/resources.py
+++ b/marjoramusher/workflows/resources.py
@@ -6,6 +6,8 @@
 
 ACCELERATOR_CORES = 8  # cores that one accelerator counts for
 
+NOTHING = workflow.Resources()
+
 StepKey = tuple[str, int, int]
 
 
@@ -94,7 +96,7 @@
         return not max_per_worker or self.task_counts.get(step, 0) < max_per_worker
 
     def will_fit(
-        self, needs: workflow.Resources, additional: workflow.Resources
+        self, needs: workflow.Resources, additional: workflow.Resources = NOTHING
     ) -> bool:
         """Tell whether needs fit into free, soon free and additional resources."""
         return (
