Search for room once for each kind of request in a plan

Cause: a plan listed all workers again for each waiting step, looked for the best of them for each task, and summed the free accelerators before each task, also where the step before had found no room for the same needs.

Change: workflows/shortage.py remembers which number of tasks of a kind found no room in this plan, for placement and for preemption. Workers are listed once for each service and label, free accelerators are counted as they change, and the tasks of a step stay on a worker until it is full. Stopping others ends at the first set that costs nothing.

--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -1,8 +1,9 @@
 """Placement of pending tasks on workers, and preemption for urgent ones."""
 
 import enum
+import heapq
 from collections.abc import Iterable, Iterator, Mapping
-from typing import Protocol
+from typing import Protocol, TypeAlias
 
 import msgspec
 
@@ -14,6 +15,7 @@
     permit,
     preemption,
     resources,
+    shortage,
     workflow,
 )
 
@@ -24,6 +26,9 @@
 # may use the headroom for urgent work.
 PRESSING_FACTOR = 2.0
 
+# Service, label, rack of the data, whether fill tasks, needs, and whether in one rack.
+_RequestKind: TypeAlias = tuple[str, str, str, bool, workflow.Resources, bool]
+
 
 class WaitReason(enum.Enum):
     """Why ready tasks were not placed."""
@@ -114,6 +119,31 @@
     return pending.entry.queue.priority, is_late, pending.deadline_ms
 
 
+class _WorkerSet:
+    """Workers of a service that meet the label of a step, also by rack."""
+
+    __slots__ = ("_rack_sizes", "by_rack", "candidates")
+
+    def __init__(self, candidates: Iterable[resources.Candidate]) -> None:
+        self.candidates = list(candidates)
+        self.by_rack: dict[str, list[resources.Candidate]] = {}
+        self._rack_sizes: dict[workflow.Resources, dict[str, int]] = {}
+        for candidate in self.candidates:
+            self.by_rack.setdefault(candidate.worker.rack, []).append(candidate)
+
+    def rack_sizes(self, needs: workflow.Resources) -> dict[str, int]:
+        """Return how many tasks each rack would hold if it were empty."""
+        if needs not in self._rack_sizes:
+            self._rack_sizes[needs] = {
+                rack: sum(
+                    resources.max_tasks(needs, candidate.worker.capacity)
+                    for candidate in members
+                )
+                for rack, members in self.by_rack.items()
+            }
+        return self._rack_sizes[needs]
+
+
 class _PlanBuilder:
     """Free resources and the decisions of one plan so far."""
 
@@ -127,6 +157,10 @@
         self._reservations = 0
         self._rack_free_accelerators: dict[str, int] = {}
         self._candidates: dict[str, list[resources.Candidate]] = {}
+        self._pools: dict[str, resources.Pool] = {}
+        self._worker_sets: dict[tuple[str, str], _WorkerSet] = {}
+        self._shortages = shortage.Shortages()
+        self._shortage_reasons: dict[_RequestKind, WaitReason] = {}
         self.placements: list[workflow.Placement] = []
         self.preemptions: list[tuple[workflow.Placement, str]] = []
         self.wait_reasons: dict[resources.StepKey, WaitReason] = {}
@@ -151,7 +185,8 @@
         self, worker: workflow.Worker, status: condition.WorkerCondition
     ) -> resources.Candidate:
         """Return a candidate without the resources that its runs reserve."""
-        candidate = resources.Candidate(worker, status.is_suspect)
+        pool = self._pools.setdefault(worker.service, resources.Pool())
+        candidate = resources.Candidate(worker, status.is_suspect, pool)
         for key, placement in self._state.placements_on(worker.worker_id).items():
             entry = self._state.entries[key.workflow_id]
             step = entry.workflow.steps[key.step]
@@ -180,40 +215,81 @@
             self._add_query(pending, policy)
 
     def _place_tasks(self, pending: backlog.PendingStep) -> None:
-        candidates = list(self._eligible(pending))
+        kind = self._request_kind(pending)
+        workers = self._workers(pending)
+        free: list[resources.Candidate] | None = None
+        best: resources.Candidate | None = None
         for index in pending.task_indexes:
             if not self._is_pressing(pending) and not self._leaves_headroom(pending, 1):
                 self.wait_reasons[pending.key] = WaitReason.HEADROOM
                 return
-            best = self._best_candidate(pending, candidates)
-            if best is not None:
-                self._place_task(pending, index, best)
-                continue
-            self.wait_reasons[pending.key] = _wait_reason(pending, candidates)
+            if kind is None or not self._shortages.covers(kind, 1):
+                if free is None:
+                    free = _with_room(pending, workers.candidates)
+                best = self._best_candidate(pending, free, best)
+                if best is not None:
+                    self._place_task(pending, index, best)
+                    continue
+            self._record_shortage(pending, kind, 1, workers)
             if pending.entry.queue.priority:
                 return
-            self._preempt(pending, 1, [candidates])
+            self._preempt(pending, 1, kind, [workers.candidates])
 
     def _place_gang(self, pending: backlog.PendingStep) -> None:
-        scopes = self._gang_scopes(pending)
         count = len(pending.task_indexes)
+        kind = self._request_kind(pending)
+        workers = self._workers(pending)
         if not self._is_pressing(pending) and not self._leaves_headroom(pending, count):
             self.wait_reasons[pending.key] = WaitReason.HEADROOM
-            self._reserve(pending, scopes)
+            self._reserve(pending, workers)
             return
-        for candidates in scopes:
-            chosen = self._fit_gang(pending, candidates)
-            if chosen:
-                for index, candidate in zip(pending.task_indexes, chosen, strict=True):
-                    self._place_task(pending, index, candidate)
-                return
-        self.wait_reasons[pending.key] = _wait_reason(
-            pending, list(self._eligible(pending))
-        )
+        if kind is None or not self._shortages.covers(kind, count):
+            for candidates in self._gang_scopes(pending, workers):
+                chosen = self._fit_gang(pending, candidates)
+                if chosen:
+                    for index, candidate in zip(
+                        pending.task_indexes, chosen, strict=True
+                    ):
+                        self._place_task(pending, index, candidate)
+                    return
+        self._record_shortage(pending, kind, count, workers)
         if pending.entry.queue.priority:
-            self._reserve(pending, scopes)
+            self._reserve(pending, workers)
         else:
-            self._preempt(pending, count, scopes)
+            scopes = self._gang_scopes(pending, workers)
+            self._preempt(pending, count, kind, scopes)
+
+    def _request_kind(self, pending: backlog.PendingStep) -> _RequestKind | None:
+        """Return what decides whether tasks fit, ``None`` if no other step shares it.
+
+        Permits and limits for each worker belong to a single step.
+        """
+        step = pending.step
+        queue = pending.entry.queue
+        if step.max_per_worker or queue.policy is not None:
+            return None
+        needs = resources.reserved(step)
+        in_one_rack = step.gang and step.same_rack
+        if in_one_rack:
+            rack_sizes = self._workers(pending).rack_sizes(needs)
+            in_one_rack = step.count <= max(rack_sizes.values(), default=0)
+        return queue.service, step.label, step.rack, step.fill, needs, in_one_rack
+
+    def _record_shortage(
+        self,
+        pending: backlog.PendingStep,
+        kind: _RequestKind | None,
+        count: int,
+        workers: _WorkerSet,
+    ) -> None:
+        """Record that there is no room for some tasks, and why."""
+        if kind is None:
+            self.wait_reasons[pending.key] = _wait_reason(pending, workers.candidates)
+            return
+        self._shortages.record(kind, count)
+        if kind not in self._shortage_reasons:
+            self._shortage_reasons[kind] = _wait_reason(pending, workers.candidates)
+        self.wait_reasons[pending.key] = self._shortage_reasons[kind]
 
     def _leaves_headroom(self, pending: backlog.PendingStep, count: int) -> bool:
         """Tell whether placing some tasks leaves the headroom for urgent work.
@@ -225,18 +301,16 @@
             return True
         if pending.step.long_running:
             return True
-        candidates = self._candidates.get(pending.entry.queue.service, [])
-        needed = count * pending.step.needs.accelerators
-        return resources.free_accelerators(candidates) - needed >= self._headroom
+        pool = self._pools.get(pending.entry.queue.service)
+        free = pool.free_accelerators if pool else 0
+        return free - count * pending.step.needs.accelerators >= self._headroom
 
     def _is_pressing(self, pending: backlog.PendingStep) -> bool:
         """Tell whether tasks must start soon to complete before their deadline."""
         remaining_ms = pending.deadline_ms - self._now_ms
         return remaining_ms < PRESSING_FACTOR * pending.step.estimate_ms
 
-    def _reserve(
-        self, pending: backlog.PendingStep, scopes: list[list[resources.Candidate]]
-    ) -> None:
+    def _reserve(self, pending: backlog.PendingStep, workers: _WorkerSet) -> None:
         """Reserve resources for a waiting gang against later steps of the plan.
 
         Otherwise small tasks take each accelerator as soon as it is free, and the gang
@@ -245,27 +319,32 @@
         if self._reservations >= MAX_RESERVATIONS:
             return
         needs = resources.reserved(pending.step)
-        candidates = [
-            candidate
-            for candidate in max(scopes, key=resources.free_accelerators)
+        scopes = self._gang_scopes(pending, workers)
+        largest = [
+            (-candidate.accelerators, -candidate.cores_milli, position, candidate)
+            for position, candidate in enumerate(
+                max(scopes, key=resources.free_accelerators)
+            )
             if needs.fits_within(candidate.worker.capacity)
         ]
-        if not candidates:
+        if not largest:
             return
         self._reservations += 1
+        heapq.heapify(largest)
         for _ in pending.task_indexes:
-            max(
-                candidates,
-                key=lambda candidate: (candidate.accelerators, candidate.cores_milli),
-            ).allocate(needs)
+            _, _, position, candidate = largest[0]
+            candidate.allocate(needs)
+            rank = (-candidate.accelerators, -candidate.cores_milli)
+            heapq.heapreplace(largest, (*rank, position, candidate))
 
     def _preempt(
         self,
         pending: backlog.PendingStep,
         count: int,
+        kind: _RequestKind | None,
         scopes: list[list[resources.Candidate]],
     ) -> None:
-        victims = self._preemptor.preempt(pending, count, scopes)
+        victims = self._preemptor.preempt(pending, count, kind, scopes)
         if victims is not None:
             self.wait_reasons[pending.key] = WaitReason.PREEMPTING
             workflow_id = pending.entry.workflow.workflow_id
@@ -346,31 +425,36 @@
                 continue
             yield candidate
 
+    def _workers(self, pending: backlog.PendingStep) -> _WorkerSet:
+        """Return the eligible workers; most steps share them with other steps."""
+        step = pending.step
+        queue = pending.entry.queue
+        if step.fill or queue.policy is not None:
+            return _WorkerSet(self._eligible(pending))
+        key = (queue.service, step.label)
+        if key not in self._worker_sets:
+            self._worker_sets[key] = _WorkerSet(self._eligible(pending))
+        return self._worker_sets[key]
+
     def _gang_scopes(
-        self, pending: backlog.PendingStep
+        self, pending: backlog.PendingStep, workers: _WorkerSet
     ) -> list[list[resources.Candidate]]:
         """Return the sets of workers that may each hold a whole gang, fullest first.
 
         A gang that runs slower on several racks waits for one rack, unless it is too
         large for any.
         """
-        candidates = list(self._eligible(pending))
         if not pending.step.same_rack:
-            return [candidates]
-        racks: dict[str, list[resources.Candidate]] = {}
-        for candidate in candidates:
-            racks.setdefault(candidate.worker.rack, []).append(candidate)
-        needs = resources.reserved(pending.step)
+            return [workers.candidates]
+        sizes = workers.rack_sizes(resources.reserved(pending.step))
         large_racks = [
-            rack
-            for rack in racks.values()
-            if sum(
-                resources.max_tasks(needs, candidate.worker.capacity)
-                for candidate in rack
-            )
-            >= pending.step.count
+            workers.by_rack[rack]
+            for rack, size in sizes.items()
+            if size >= pending.step.count
+        ]
+        return sorted(large_racks, key=resources.free_accelerators) or [
+            workers.candidates
         ]
-        return sorted(large_racks, key=resources.free_accelerators) or [candidates]
 
     def _fit_gang(
         self, pending: backlog.PendingStep, candidates: list[resources.Candidate]
@@ -378,8 +462,10 @@
         """Return a worker for each member, or an empty list if not all members fit."""
         needs = resources.reserved(pending.step)
         chosen: list[resources.Candidate] = []
+        free = _with_room(pending, candidates)
+        best: resources.Candidate | None = None
         for _ in pending.task_indexes:
-            best = self._best_candidate(pending, candidates)
+            best = self._best_candidate(pending, free, best)
             if best is None:
                 break
             best.allocate(needs)
@@ -391,32 +477,36 @@
         return chosen if len(chosen) == len(pending.task_indexes) else []
 
     def _best_candidate(
-        self, pending: backlog.PendingStep, candidates: Iterable[resources.Candidate]
+        self,
+        pending: backlog.PendingStep,
+        candidates: Iterable[resources.Candidate],
+        previous: resources.Candidate | None,
     ) -> resources.Candidate | None:
         """Return the worker for a task, ``None`` if it has to wait.
 
         Workers are ranked by these rules:
 
-        - A task takes several times as long away from its data, so it waits for free
-          resources there as long as the rack has a usable worker.
         - Fill tasks and serving tasks slow each other down, so they share a worker
           only if no other one fits.
         - The fullest worker that fits is taken. Work that can be preempted fills one
           rack after the other, which leaves whole racks to urgent gangs.
         - Fill tasks are spread, since they share the remaining cores.
+
+        Parameters
+        ----------
+        candidates : iterable of Candidate
+            Workers from `_with_room`.
+        previous : Candidate or None
+            Worker of the preceding task of the step.
         """
         step = pending.step
-        needs = resources.reserved(step)
+        if previous is not None and not step.fill and _has_room(pending, previous):
+            return previous  # it has become the fullest by the preceding task
         best: resources.Candidate | None = None
-        best_rank: tuple[bool, bool, bool, int, int, int] | None = None
+        best_rank: tuple[bool, bool, int, int, int] | None = None
         is_urgent = pending.entry.queue.priority == 0
-        has_local_worker = False
         for candidate in candidates:
-            is_remote = bool(step.rack) and candidate.worker.rack != step.rack
-            has_local_worker = has_local_worker or (bool(step.rack) and not is_remote)
-            if not candidate.fits(needs):
-                continue
-            if not candidate.has_task_slot(pending.key, step.max_per_worker):
+            if not _has_room(pending, candidate):
                 continue
             rack_free_accelerators = (
                 0 if is_urgent else self._rack_free_accelerators[candidate.worker.rack]
@@ -424,7 +514,6 @@
             interferes = resources.interferes(candidate, step)
             if step.fill:
                 rank = (
-                    is_remote,
                     interferes,
                     candidate.is_suspect,
                     candidate.fill_count,
@@ -437,11 +526,9 @@
                     candidate.accelerators,
                     candidate.cores_milli,
                 )
-                rank = (is_remote, interferes, candidate.is_suspect, *free)
+                rank = (interferes, candidate.is_suspect, *free)
             if best_rank is None or rank < best_rank:
                 best, best_rank = candidate, rank
-        if best_rank is not None and best_rank[0] and has_local_worker:
-            return None
         return best
 
     def _place_task(
@@ -468,6 +555,29 @@
         )
 
 
+def _has_room(pending: backlog.PendingStep, candidate: resources.Candidate) -> bool:
+    """Tell whether a worker has room for another task of a step."""
+    step = pending.step
+    return candidate.fits(resources.reserved(step)) and candidate.has_task_slot(
+        pending.key, step.max_per_worker
+    )
+
+
+def _with_room(
+    pending: backlog.PendingStep, candidates: list[resources.Candidate]
+) -> list[resources.Candidate]:
+    """Return the workers with room for a task of a step.
+
+    A task takes several times as long away from its data, so it waits for free
+    resources there as long as the rack has a usable worker.
+    """
+    rack = pending.step.rack
+    if rack:
+        near = [candidate for candidate in candidates if candidate.worker.rack == rack]
+        candidates = near or candidates
+    return [candidate for candidate in candidates if _has_room(pending, candidate)]
+
+
 def _wait_reason(
     pending: backlog.PendingStep, eligible: list[resources.Candidate]
 ) -> WaitReason:
--- a/marjoramusher/workflows/planner_test.py
+++ b/marjoramusher/workflows/planner_test.py
@@ -509,7 +509,8 @@
             choice.candidate.adjust_task_count(pending.key, -1)
         self._unmark_stopping(stopped)
         cost = sum(choice.cost for choice in choices)
-        return (choices, cost) if len(choices) == count and cost < max_cost else ([], 0)
+        is_chosen = len(choices) == count and cost < max_cost
+        return (choices if is_chosen else []), cost
 
 
 def crowded_harness(rng):
@@ -569,3 +570,38 @@
         monkeypatch.undo()
         preempted += len(quick.preemptions)
     assert preempted > 300
+
+
+def test_a_shortage_says_nothing_about_smaller_gangs():
+    """Guards against a large gang that finds no room and hides room for a small one."""
+    harness = Harness(size=2)
+    harness.submit("urgent", 5, 4, gang=True)
+    harness.submit("urgent", 4, 4, gang=True)
+    harness.submit("urgent", 5, 4, gang=True)
+    result = harness.plan()
+    assert {placement.task.workflow_id for placement in result.placements} == {"w2"}
+    assert set(result.wait_reasons) == {("w1", 0, 0), ("w3", 0, 0)}
+
+
+def test_a_gang_that_is_too_large_for_a_rack_may_use_several():
+    """Guards against a shortage in single racks that speaks for several racks."""
+    harness = Harness(racks=3, size=2)
+    harness.submit("long", 1, 2, gang=True)
+    harness.run()
+    harness.submit("urgent", 4, 2)
+    harness.run()
+    harness.submit("long", 4, 4, gang=True, same_rack=True)
+    harness.submit("long", 5, 4, gang=True, same_rack=True)
+    placed = {placement.task.workflow_id for placement in harness.plan().placements}
+    assert "w4" in placed
+
+
+def test_a_shortage_of_an_account_beyond_its_guarantee_does_not_bind_others():
+    """Guards against a claim within a guarantee that stops nobody."""
+    harness = Harness(size=1)
+    harness.submit("urgent", 2, 4, account="b")
+    harness.run()
+    harness.submit("urgent", 1, 8, account="b")
+    harness.submit("urgent", 1, 8, account="a")
+    stopped_for = {workflow_id for _, workflow_id in harness.plan().preemptions}
+    assert stopped_for == {"w3"}
--- a/marjoramusher/workflows/preemption.py
+++ b/marjoramusher/workflows/preemption.py
@@ -1,11 +1,19 @@
 """Selection of the runs that are preempted for urgent tasks."""
 
 import heapq
-from collections.abc import Iterable, Mapping
+from collections.abc import Hashable, Iterable, Mapping
 
 import msgspec
 
-from . import availability, backlog, condition, machine, resources, workflow
+from . import (
+    availability,
+    backlog,
+    condition,
+    machine,
+    resources,
+    shortage,
+    workflow,
+)
 
 # Fixed cost of a stop in core-seconds, beside the lost work. It keeps tasks that have
 # just started from being stopped without need.
@@ -65,6 +73,7 @@
         "_candidates",
         "_conditions",
         "_ranked_victims",
+        "_shortages",
         "_state",
         "_stopping",
         "_urgent_accelerators",
@@ -81,6 +90,7 @@
         self._candidates = candidates
         self._stopping: set[workflow.TaskKey] = set()
         self._urgent_accelerators: dict[str, int] = {}
+        self._shortages = shortage.Shortages()
         # Runs on each worker, the cheapest to stop first.
         self._ranked_victims: dict[str, list[_Victim]] = {}
 
@@ -88,6 +98,7 @@
         self,
         pending: backlog.PendingStep,
         count: int,
+        kind: Hashable | None,
         scopes: list[list[resources.Candidate]],
     ) -> list[workflow.Placement] | None:
         """Reserve resources for some tasks, and return the runs to stop for them.
@@ -96,6 +107,9 @@
         ----------
         count : int
             Number of tasks; resources are reserved for all of them or none.
+        kind : hashable or None
+            Equal for steps that need the same resources and workers; ``None`` if no
+            other step does.
         scopes : list of list of Candidate
             Sets of workers, one of which has to hold all tasks.
 
@@ -107,13 +121,25 @@
         """
         best: list[_Choice] = []
         best_cost = float("inf")
-        if not self._is_within_guarantee(pending.entry.workflow.account):
+        account = pending.entry.workflow.account
+        is_guaranteed = self._is_within_guarantee(account)
+        # Accounts differ in what they may stop only within their guarantee.
+        request = (kind, pending.entry.queue.priority, account if is_guaranteed else "")
+        if kind is not None and self._shortages.covers(request, count):
+            return None
+        if not is_guaranteed:
             best_cost = MAX_COST_FACTOR * resources.core_seconds(pending.step)
+        has_room = False
         for candidates in scopes:
             choices, cost = self._evaluate(pending, count, candidates, best_cost)
             if choices:
                 best, best_cost = choices, cost
+            has_room = has_room or bool(choices) or cost >= best_cost
+            if choices and not cost:
+                break
         if not best:
+            if kind is not None and not has_room:
+                self._shortages.record(request, count)
             return None
         stopped: list[workflow.Placement] = []
         needs = resources.reserved(pending.step)
@@ -149,8 +175,14 @@
         """Return where the tasks would go and the total cost, changing nothing.
 
         The choice for each worker is kept from task to task, and made again only for
-        workers whose resources or victims have changed. There are no choices if they
-        would cost `max_cost` or more.
+        workers whose resources or victims have changed.
+
+        Returns
+        -------
+        list of _Choice
+            Empty if there is no room, or if the cost would be `max_cost` or more.
+        float
+            At least `max_cost` if that is the reason.
         """
         needs = resources.reserved(pending.step)
         positions = {
@@ -196,7 +228,7 @@
             choice.candidate.deallocate(needs)
             choice.candidate.adjust_task_count(pending.key, -1)
         self._unmark_stopping(stopped)
-        return (choices, total_cost) if len(choices) == count else ([], 0.0)
+        return (choices if len(choices) == count else []), total_cost
 
     def _cheapest_choice(
         self,
--- a/marjoramusher/workflows/resources.py
+++ b/marjoramusher/workflows/resources.py
@@ -16,6 +16,15 @@
     return task.workflow_id, task.occurrence, task.step
 
 
+class Pool:
+    """Sum of the free accelerators of some candidates, without negative ones."""
+
+    __slots__ = ("free_accelerators",)
+
+    def __init__(self) -> None:
+        self.free_accelerators = 0
+
+
 class Candidate:
     """A worker that a plan may use, with its free and soon free resources.
 
@@ -28,9 +37,12 @@
         All of its capacity counts as free at first.
     is_suspect : bool
         Whether other workers are preferred.
+    pool : Pool or None
+        Pool that this worker is part of.
     """
 
     __slots__ = (
+        "_pool",
         "accelerators",
         "accepts_fill",
         "cores_milli",
@@ -46,12 +58,18 @@
         "worker",
     )
 
-    def __init__(self, worker: workflow.Worker, is_suspect: bool) -> None:
+    def __init__(
+        self,
+        worker: workflow.Worker,
+        is_suspect: bool,
+        pool: Pool | None = None,
+    ) -> None:
         self.worker = worker
+        self._pool = pool
         self.is_suspect = is_suspect
         self.cores_milli = worker.capacity.cores_milli
         self.memory_mb = worker.capacity.memory_mb
-        self.accelerators = worker.capacity.accelerators
+        self.accelerators = 0
         self.expected_cores_milli = 0
         self.expected_memory_mb = 0
         self.expected_accelerators = 0
@@ -60,18 +78,26 @@
         self.serving_count = 0
         self.accepts_fill = True
         self.running: list[workflow.Placement] = []
+        self._add_accelerators(worker.capacity.accelerators)
+
+    def _add_accelerators(self, count: int) -> None:
+        before = self.accelerators
+        self.accelerators += count
+        if self._pool is not None:
+            change = max(self.accelerators, 0) - max(before, 0)
+            self._pool.free_accelerators += change
 
     def allocate(self, needs: workflow.Resources) -> None:
         """Subtract needs from the free resources."""
         self.cores_milli -= needs.cores_milli
         self.memory_mb -= needs.memory_mb
-        self.accelerators -= needs.accelerators
+        self._add_accelerators(-needs.accelerators)
 
     def deallocate(self, needs: workflow.Resources) -> None:
         """Return needs to the free resources."""
         self.cores_milli += needs.cores_milli
         self.memory_mb += needs.memory_mb
-        self.accelerators += needs.accelerators
+        self._add_accelerators(needs.accelerators)
 
     def expect_freed(self, needs: workflow.Resources) -> None:
         """Record resources that a stopping run will free."""
