Reserve nothing for a gang that is larger than its service

Cause: a gang that would not fit if all workers were empty got a reservation like any other gang that waits, and kept all workers from less urgent work for as long as it waited. Found while testing shortages.

Change: no reservation if the usable workers are too few or too small.

Measured: the new test failed before, with nothing placed.

--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -319,6 +319,8 @@
         if self._reservations >= MAX_RESERVATIONS:
             return
         needs = resources.reserved(pending.step)
+        if sum(workers.rack_sizes(needs).values()) < pending.step.count:
+            return  # it can't start even if all workers are empty
         scopes = self._gang_scopes(pending, workers)
         largest = [
             (-candidate.accelerators, -candidate.cores_milli, position, candidate)
--- a/marjoramusher/workflows/planner_test.py
+++ b/marjoramusher/workflows/planner_test.py
@@ -605,3 +605,12 @@
     harness.submit("urgent", 1, 8, account="a")
     stopped_for = {workflow_id for _, workflow_id in harness.plan().preemptions}
     assert stopped_for == {"w3"}
+
+
+def test_a_gang_larger_than_the_service_reserves_nothing():
+    """Guards against a gang that can never start and keeps others from starting."""
+    harness = Harness(size=2)
+    harness.submit("long", 5, 4, gang=True)
+    harness.submit("batch", 4, 4)
+    placed = [placement.task.workflow_id for placement in harness.plan().placements]
+    assert placed == ["w2"] * 4
