Reject calls at a gateway once an election would have ended

Cause: a gateway held each call for two seconds while no leader answered, also when it had known for seconds that there was none, and asked all callers to come back after one second.

Change: queues/outage.py decides, without network. Calls of the first two seconds after the last answer wait for the next leader. Later ones are rejected at once as not run. The time to return grows with the age of the outage and is drawn from a range. Probes close the breaker.

--- a/marjoramusher/daemon/gateway.py
+++ b/marjoramusher/daemon/gateway.py
@@ -6,7 +6,7 @@
 from ..core import clock, errors
 from ..groups import bootstrap, forward
 from ..instances import peers
-from ..queues import call
+from ..queues import call, outage
 from ..telemetry import log, metrics
 
 PROBE_INTERVAL_S = 0.5  # half the interval of the load balancer's readiness checks
@@ -36,6 +36,7 @@
         self._controllers = list(controllers)
         self._clock = time
         self._metrics = metrics_registry
+        self._rng = rng
         self._peers = peers.make_peers(instance_id, b"", time, metrics_registry)
         self._forwarder = forward.Forwarder(
             bootstrap.RECORDS,
@@ -46,15 +47,14 @@
             _refuse_local,
             rng,
         )
-        self._is_leader_reachable = False
-        self._last_reply_s = float("-inf")
+        self._outage = outage.LeaderOutage(time.monotonic())
         self._is_draining = False
         self._probe_task: asyncio.Task | None = None
 
     @property
     def is_ready(self) -> bool:
         """Return whether the load balancer should send callers here."""
-        return self._is_leader_reachable and not self._is_draining
+        return not self._outage.is_lost and not self._is_draining
 
     def start(self) -> None:
         """Start probing the leader."""
@@ -87,37 +87,57 @@
         await self._peers.stop()
         log.state_change("gateway.stopped", instance=self._instance_id)
 
-    async def call(self, request: call.AnyCall, timeout_s: float) -> call.AnyReply:
+    async def call(self, request: call.AnyCall, remaining_s: float) -> call.AnyReply:
         """Send a request to the leader and return its reply.
 
+        Parameters
+        ----------
+        remaining_s : float
+            Time until the deadline of the request.
+
         Raises
         ------
+        LeaderUnavailableError
+            If no leader accepted the request.
         NoQuorumError
-            If no leader replied in time; the outcome tells whether one may have
-            run the request.
+            If a leader may have run the request, but its answer was lost.
         """
+        now_s = self._clock.monotonic()
+        wait_s = self._outage.wait_s(now_s, remaining_s)
+        if not wait_s:
+            raise self._outage.rejection(now_s, self._rng)
+        try:
+            reply = await self._forward(call.pack_call(request), wait_s)
+        except errors.NoQuorumError as error:
+            if error.outcome is not errors.Outcome.NOT_RUN:
+                raise
+            raise self._outage.rejection(self._clock.monotonic(), self._rng) from error
+        return call.unpack_reply(reply)
+
+    async def _forward(self, body: bytes, timeout_s: float) -> bytes:
         reply = await self._forwarder.call(
-            call.METHOD, call.pack_call(request), timeout_s, idempotent=True
+            call.METHOD, body, timeout_s, idempotent=True
         )
-        self._last_reply_s = self._clock.monotonic()
-        self._set_reachable(True, "answered")
-        return call.unpack_reply(reply)
+        if self._outage.is_lost:
+            self._log_leader("leader.regained", "answered")
+        self._outage.record_answer(self._clock.monotonic())
+        return reply
 
     async def _probe(self) -> None:
+        body = call.pack_call(call.ReadVersion())
         while True:
-            started_s = self._clock.monotonic()
+            sent_s = self._clock.monotonic()
+            was_lost = self._outage.is_lost
             try:
-                await self.call(call.ReadVersion(), PROBE_TIMEOUT_S)
+                await self._forward(body, PROBE_TIMEOUT_S)
             except errors.MarjoramusherError as error:
-                if self._last_reply_s < started_s:
-                    self._set_reachable(False, error.message)
+                self._outage.record_failure(sent_s)
+                if self._outage.is_lost and not was_lost:
+                    self._log_leader("leader.lost", error.message)
             await asyncio.sleep(PROBE_INTERVAL_S)
 
-    def _set_reachable(self, is_reachable: bool, reason: str) -> None:
-        if is_reachable is not self._is_leader_reachable:
-            self._is_leader_reachable = is_reachable
-            name = "leader.regained" if is_reachable else "leader.lost"
-            log.state_change(name, instance=self._instance_id, reason=reason)
+    def _log_leader(self, name: str, reason: str) -> None:
+        log.state_change(name, instance=self._instance_id, reason=reason)
 
 
 async def _refuse_local(method: str, body: bytes, timeout_s: float) -> bytes:
