Find a new leader by one lookup at several instances that wait for it

Cause: each waiting call asked one instance after the other for the leader, with pauses of up to 0.4 s, and an instance without a leader answered at once. A leader that had not taken over yet rejected calls. Gateways regained a leader up to 1.4 s after its election.

Change: the calls of an instance share one lookup, which asks three instances at once. An instance without a leader waits 0.3 s for one, and one that was just called in vain is tried only if nobody names another. A leader answers calls once its takeover is complete, up to 0.4 s later.

--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -1,6 +1,7 @@
 """Control loop of the leader: plan placements, commit them, and have them executed."""
 
 import asyncio
+import contextlib
 
 import msgspec
 
@@ -26,6 +27,8 @@
 COMMIT_TIMEOUT_S = 3.0  # covers two elections; a later commit still takes effect
 MAX_MISSED_HEARTBEATS = 3  # a worker that is silent for longer gets no new tasks
 FORGET_INTERVAL_S = 10.0
+# A barrier takes a round trip between regions and a sync of the disk.
+TAKEOVER_WAIT_S = 0.4
 
 
 class Settings:
@@ -118,6 +121,7 @@
         self._health = health.Health()
         self._term = 0
         self._is_leading = False
+        self._has_taken_over = asyncio.Event()
         self._wake = asyncio.Event()
         self._task: asyncio.Task | None = None
         self._next_forget_s = 0.0
@@ -137,6 +141,14 @@
         """Tell whether this instance leads and has applied all earlier commands."""
         return self._is_leading and self._is_leader()
 
+    async def wait_leading(self) -> bool:
+        """Tell whether this instance leads, after the end of a takeover in progress."""
+        if not self.is_leading and self._group.is_leader:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(TAKEOVER_WAIT_S):
+                    await self._has_taken_over.wait()
+        return self.is_leading
+
     @property
     def term(self) -> int:
         """Return the term of this leadership, which is its fencing token."""
@@ -221,6 +233,7 @@
         if not self._group.is_leader:
             if self._is_leading:
                 self._is_leading = False
+                self._has_taken_over.clear()
                 self._progress.on_not_leading()
                 log.state_change("driver.stopped", term=self._term)
                 await self._close_sessions()
@@ -239,6 +252,7 @@
     async def _take_over(self) -> None:
         """Start to lead once the commands of all earlier terms are applied here."""
         self._is_leading = False
+        self._has_taken_over.clear()
         await self._close_sessions()
         term = self._group.term
         barrier = await self._group.barrier_as_leader(COMMIT_TIMEOUT_S)
@@ -247,6 +261,7 @@
             return
         self._term = term
         self._is_leading = True
+        self._has_taken_over.set()
         self._health = health.Health()
         self._demand = demand.UrgentDemand()
         self._progress.on_leading()
--- a/marjoramusher/groups/forward.py
+++ b/marjoramusher/groups/forward.py
@@ -13,11 +13,18 @@
 from . import proposer
 
 INITIAL_BACKOFF_S = 0.05
-MAX_BACKOFF_S = 0.4  # Short compared with an election, which takes 1 s to 2 s.
+# Lookups wait at the other instance for a leader, so there is little to gain by pauses
+# between them.
+MAX_BACKOFF_S = 0.15
 PROPOSE_METHOD = proposer.PROPOSE_METHOD
 BARRIER_METHOD = "barrier"
 LEADER_METHOD = "leader"
 FIND_LEADER_TIMEOUT_S = 0.5
+# How long an instance that knows no leader waits for one before it answers a lookup;
+# with a round trip between regions, the answer arrives within `FIND_LEADER_TIMEOUT_S`.
+LEADER_WAIT_S = 0.3
+# Instances that are asked for the leader at the same time.
+LOOKUP_FANOUT = 3
 # How long an unreachable instance is avoided in lookups, since an attempt to reach a
 # frozen one takes half the time of an election.
 AVOID_UNREACHABLE_S = 1.0
@@ -60,9 +67,11 @@
         "_candidates",
         "_avoided_until_s",
         "_clock",
+        "_failed_leader",
         "_proposer",
         "_group",
         "_leader_hint",
+        "_lookup",
         "_target_by_timeout",
         "_call_local",
         "_instance_id",
@@ -89,6 +98,8 @@
         self._call_local = call_local
         self._rng = rng
         self._leader_hint: str | None = None
+        self._failed_leader: str | None = None
+        self._lookup: asyncio.Task[str | None] | None = None
         self._target_by_timeout: dict[asyncio.Timeout, str | None] = {}
         self._avoided_until_s: dict[str, float] = {}
 
@@ -155,6 +166,7 @@
                         answer = await self._send(target, method, command, remaining_s)
                 except TimeoutError:
                     may_have_run = True
+                    self._failed_leader = target
                     redirect = self._leader_hint
                     continue
                 except errors.MarjoramusherError as error:
@@ -165,6 +177,7 @@
                         idempotent and is_answer_lost and error.code in _RETRYABLE_CODES
                     ):
                         self._raise_unless_retryable(error)
+                    self._failed_leader = target
                     if self._leader_hint == target:
                         self._leader_hint = None
                     redirect = _redirect(error, target)
@@ -193,6 +206,7 @@
         Without the redirection, a call could be answered much later than calls that
         were made after it, from a newer state than theirs.
         """
+        self._failed_leader = None
         if self._leader_hint == leader:
             return
         self._leader_hint = leader
@@ -225,19 +239,47 @@
                 del self._target_by_timeout[timeout]
 
     async def _find_leader(self, lookup_index: int, remaining_s: float) -> str | None:
-        """Ask the next candidate in turn for the leader of the group."""
-        candidates = self._candidates()
-        if not candidates:
+        """Return the leader that other instances know; calls share one lookup."""
+        if self._lookup is None or self._lookup.done():
+            self._lookup = asyncio.get_running_loop().create_task(
+                self._ask_candidates(lookup_index)
+            )
+        try:
+            async with asyncio.timeout(remaining_s):
+                return await asyncio.shield(self._lookup)
+        except TimeoutError:
             return None
+
+    async def _ask_candidates(self, lookup_index: int) -> str | None:
+        """Ask some candidates at once, and return the first leader that they name.
+
+        An instance that was just called without success is returned only if nobody
+        names another, since not all candidates learn of a new leader at once.
+        """
+        candidates = self._candidates()
         now = self._clock.monotonic()
         reachable = [c for c in candidates if self._avoided_until_s.get(c, now) <= now]
-        target = (reachable or candidates)[lookup_index % len(reachable or candidates)]
+        asked = reachable or candidates
+        start = lookup_index % len(asked) if asked else 0
+        targets = (asked[start:] + asked[:start])[:LOOKUP_FANOUT]
+        loop = asyncio.get_running_loop()
+        tasks = [loop.create_task(self._ask_candidate(target)) for target in targets]
+        named: str | None = None
+        try:
+            for next_answer in asyncio.as_completed(tasks):
+                leader = await next_answer
+                named = leader or named
+                if leader is not None and leader != self._failed_leader:
+                    return leader
+        finally:
+            for task in tasks:
+                task.cancel()
+        return named
+
+    async def _ask_candidate(self, target: str) -> str | None:
         try:
             leader = await self._peers.call(
-                target,
-                LEADER_METHOD,
-                self._group.encode(),
-                min(remaining_s, FIND_LEADER_TIMEOUT_S),
+                target, LEADER_METHOD, self._group.encode(), FIND_LEADER_TIMEOUT_S
             )
         except errors.MarjoramusherError as error:
             self._avoid_if_unreachable(target, error)
--- a/marjoramusher/groups/forward_test.py
+++ b/marjoramusher/groups/forward_test.py
@@ -138,3 +138,36 @@
         assert max(ended_s.values()) - min(ended_s.values()) < 0.1
 
     virtual.run(run_scenario())
+
+
+def test_a_lookup_prefers_an_instance_other_than_the_one_that_failed():
+    """Guards against calling a lost leader again that one instance still names."""
+
+    class Stale(Peers):
+        async def call(self, target, method, body, timeout_s):
+            if method == forward.LEADER_METHOD and target != "c":
+                self.calls.append((target, method))
+                return b"a"
+            return await super().call(target, method, body, timeout_s)
+
+    async def run_scenario():
+        peers = Stale("c", frozen=["a"])
+        _, forwarder = make_forwarder(peers)
+        assert await forwarder.call(METHOD, b"", 3.0, idempotent=True) == b"done"
+        assert [t for t, method in peers.calls if method == METHOD] == ["a", "c"]
+
+    virtual.run(run_scenario())
+
+
+def test_calls_that_look_for_the_leader_share_one_lookup():
+    """Guards against a burst of lookups at the instances that elect a leader."""
+
+    async def run_scenario():
+        peers = Peers("b")
+        _, forwarder = make_forwarder(peers)
+        calls = [forwarder.call(METHOD, b"", 2.0) for _ in range(50)]
+        assert await asyncio.gather(*calls) == [b"done"] * 50
+        lookups = [t for t, method in peers.calls if method == forward.LEADER_METHOD]
+        assert len(lookups) == forward.LOOKUP_FANOUT
+
+    virtual.run(run_scenario())
--- a/marjoramusher/groups/manager.py
+++ b/marjoramusher/groups/manager.py
@@ -908,7 +908,9 @@
     async def _handle_leader(self, sender: str, body: bytes) -> bytes:
         del sender
         raft_group = self._groups.get(body.decode(errors="replace"))
-        leader = raft_group.responsive_leader if raft_group is not None else None
+        if raft_group is None:
+            return b""
+        leader = await raft_group.wait_leader(forward.LEADER_WAIT_S)
         return (leader or "").encode()
 
     async def _handle_status(self, sender: str, body: bytes) -> bytes:
--- a/marjoramusher/groups/runner.py
+++ b/marjoramusher/groups/runner.py
@@ -1,6 +1,7 @@
 """Operation of one member of a consensus group on a store and the peer transport."""
 
 import asyncio
+import contextlib
 import math
 import random
 from collections.abc import Callable
@@ -383,6 +384,22 @@
             subscription.dispose()
         return True
 
+    async def wait_leader(self, timeout_s: float) -> str | None:
+        """Return the responsive leader, waiting for a new one if there is none."""
+        if self.responsive_leader is None:
+            future = asyncio.get_running_loop().create_future()
+
+            def resolve_on_leader(change: message.RoleChanged) -> None:
+                if change.leader is not None:
+                    calls.resolve(future, None)
+
+            subscription = self._roles.subscribe(resolve_on_leader)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(timeout_s):
+                    await future
+            subscription.dispose()
+        return self.responsive_leader
+
     async def barrier_as_leader(self, timeout_s: float) -> bytes:
         """Confirm leadership; return the encoded index that a read waits for."""
         self._require_node()
--- a/marjoramusher/queues/service.py
+++ b/marjoramusher/queues/service.py
@@ -54,7 +54,7 @@
             If the change was not committed in time.
         """
         request = call.unpack_call(body)
-        if not self._driver.is_leading:
+        if not await self._driver.wait_leading():
             raise errors.NotLeaderError(None)
         reply = await self._answer(request)
         # The state that other replies show may be stale; what is accepted is committed.
--- a/marjoramusher/queues/service_test.py
+++ b/marjoramusher/queues/service_test.py
@@ -11,6 +11,7 @@
 from marjoramusher.queues import call, service
 from marjoramusher.telemetry import metrics
 from marjoramusher.workflows import catalog, machine, workflow
+from standins import virtual
 
 QUEUES = (
     catalog.Queue("long", "h.example", "/a/b/", "s", 1, 3, 2.0, 100, 1000),
@@ -43,6 +44,9 @@
         class Driver(driver.Driver):
             is_leading = property(lambda _: harness.is_leading)
 
+            async def wait_leading(self):
+                return self.is_leading
+
         leader = Driver(
             group,
             self.state,
@@ -171,3 +175,39 @@
     harness.ask(call.Announce(worker(incarnation=2), 1, 0))
     harness.ask(call.Leave("w", 1))
     assert "w" in harness.state.workers
+
+
+@pytest.mark.parametrize("barrier_s, is_answered", [(0.2, True), (5.0, False)])
+def test_a_call_waits_for_a_takeover_in_progress(barrier_s, is_answered):
+    """Guards against rejecting calls that reach a new leader in its first moments."""
+
+    class Group(local.LocalGroup):
+        async def barrier_as_leader(self, timeout_s):
+            await asyncio.sleep(barrier_s)
+            return await super().barrier_as_leader(timeout_s)
+
+    async def run_scenario():
+        state = machine.WorkflowMachine()
+        time = virtual.LoopClock(asyncio.get_running_loop())
+        registry = metrics.Metrics()
+        leader = driver.Driver(
+            Group("records", state),
+            state,
+            driver.Ports(Fleet()),
+            time,
+            registry,
+            driver.Settings(),
+        )
+        queues = service.QueueService("10.0.0.1:7000", state, leader, time, registry)
+        leader.start()
+        await asyncio.sleep(0.3)
+        try:
+            return await queues.serve(call.pack_call(call.ReadVersion()))
+        finally:
+            await leader.stop()
+
+    if is_answered:
+        assert call.unpack_reply(virtual.run(run_scenario())) == call.Document(0, b"")
+    else:
+        with pytest.raises(errors.NotLeaderError):
+            virtual.run(run_scenario())
