Keep an unreleased claim known after its background retries failed

Cause: a claim whose commit was not confirmed is released in the background. After the last failed retry its serial was forgotten, so the next claim of the key by the same process found a holder that would never end, and the key stayed claimed for as long as the process lived.

Change: the serial is forgotten only after a committed release; the next claim of the key then releases it.

Measured: the new test failed before.

--- a/marjoramusher/callers/claiming.py
+++ b/marjoramusher/callers/claiming.py
@@ -165,18 +165,19 @@
         self._spawn(self._retry_release(home, commands.Release(account, key, holder)))
 
     async def _retry_release(self, home: str, command: commands.Release) -> None:
-        await self._retry(home, command)
-        self._unreleased_serials.discard(command.holder.serial)
+        if await self._retry(home, command):
+            self._unreleased_serials.discard(command.holder.serial)
 
-    async def _retry(self, home: str, command: commands.Command) -> None:
-        """Submit a command with exponential backoff until it is committed."""
+    async def _retry(self, home: str, command: commands.Command) -> bool:
+        """Submit a command with exponential backoff; tell whether it was committed."""
         for attempt in range(MAX_RETRIES):
             await asyncio.sleep(INITIAL_BACKOFF_S * 2**attempt)
             try:
                 await self._submit(home, command)
             except errors.MarjoramusherError:
                 continue
-            return
+            return True
+        return False
 
     def _spawn(self, coroutine) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
--- a/marjoramusher/callers/claiming_test.py
+++ b/marjoramusher/callers/claiming_test.py
@@ -8,6 +8,7 @@
 from marjoramusher.claims import command, machine
 from marjoramusher.core import clock, errors
 from marjoramusher.groups import local
+from standins import virtual
 
 
 class Home:
@@ -42,3 +43,30 @@
     assert resent.state is command.State.OPEN
     for task in asyncio.all_tasks() - {asyncio.current_task()}:
         task.cancel()
+
+
+def test_a_claim_whose_releases_all_failed_is_released_by_the_next_claim():
+    """Guards against a key that stays claimed for the life of its process.
+
+    The home is away for longer than the background retries last.
+    """
+
+    class LosingHome(Home):
+        async def propose(self, home, batch):
+            if self.loses_replies == "all":
+                raise errors.NoQuorumError("no leader", errors.Outcome.NOT_RUN)
+            return await super().propose(home, batch)
+
+    async def scenario():
+        home = LosingHome()
+        claims = claiming.ClaimClient(home.propose, "i1", "p", clock.ManualClock())
+        home.loses_replies = True
+        with pytest.raises(errors.MarjoramusherError):
+            await claims.claim("d1", "acme", "k", b"f", None)
+        home.loses_replies = "all"
+        await asyncio.sleep(claiming.INITIAL_BACKOFF_S * 2**claiming.MAX_RETRIES)
+        home.loses_replies = False
+        result, _ = await claims.claim("d1", "acme", "k", b"f", None)
+        assert result.state is command.State.GRANTED
+
+    virtual.run(scenario())
