Keep background loops alive after an unexpected error

Cause: the probes of a gateway, the membership and duties of the group manager, and the loops of an instance, its slots, its engine and its domain coordinators ended with the first error of another type than the project's own. Only the gateway's left a log line. A gateway stayed out of rotation after one answer that could not be decoded; a controller took no part in changes of membership any more.

Change: telemetry/supervision.py runs one step after the other, logs an unexpected error and goes on. A domain coordinator that starts again takes up its leadership anew.

--- a/marjoramusher/callers/engine.py
+++ b/marjoramusher/callers/engine.py
@@ -12,7 +12,7 @@
 from ..routing import request as requests
 from ..routing import target as targets
 from ..targets import dispatch
-from ..telemetry import log, metrics
+from ..telemetry import log, metrics, supervision
 from . import forwarding
 from . import response as responses
 
@@ -119,7 +119,9 @@
 
     def start(self) -> None:
         """Start the periodic tick."""
-        self._tick_task = asyncio.get_running_loop().create_task(self._tick())
+        self._tick_task = asyncio.get_running_loop().create_task(
+            supervision.repeat(self._tick, "engine")
+        )
 
     async def stop(self) -> None:
         """Stop the tick and cancel the requests in progress."""
@@ -227,12 +229,11 @@
             self._withdraw(request_id)
 
     async def _tick(self) -> None:
-        while True:
-            is_busy = self._routing.queued_count or self._pending
-            now = self._time.monotonic()
-            idle_s = clock.delay_to_next_tick(now, IDLE_TICK_S)
-            await asyncio.sleep(BUSY_TICK_S if is_busy else idle_s)
-            self._apply(self._routing.tick(self._time.monotonic()))
+        is_busy = self._routing.queued_count or self._pending
+        now = self._time.monotonic()
+        idle_s = clock.delay_to_next_tick(now, IDLE_TICK_S)
+        await asyncio.sleep(BUSY_TICK_S if is_busy else idle_s)
+        self._apply(self._routing.tick(self._time.monotonic()))
 
     def _apply(self, effects: Iterable[effect.Effect]) -> None:
         """Carry out the effects of the routing policy."""
--- a/marjoramusher/daemon/domain.py
+++ b/marjoramusher/daemon/domain.py
@@ -13,7 +13,7 @@
 from ..groups import group as groups
 from ..membership import member
 from ..placement import gang as placement
-from ..telemetry import metrics
+from ..telemetry import metrics, supervision
 from ..workers import client as task_clients
 from ..workers import driver
 from . import machines
@@ -111,7 +111,7 @@
         loop = asyncio.get_running_loop()
         self._background_tasks = [
             loop.create_task(self._driver.run()),
-            loop.create_task(self._run_leader_tasks()),
+            loop.create_task(supervision.repeat(self._run_leader_tasks, "coordinator")),
         ]
 
     async def stop(self) -> None:
@@ -151,6 +151,7 @@
         finally:
             subscription.dispose()
             self._slots.step_down()
+            self._is_leading = False
 
     def _update_role(self) -> None:
         is_leader = self._group.is_leader
--- a/marjoramusher/daemon/gateway.py
+++ b/marjoramusher/daemon/gateway.py
@@ -7,7 +7,7 @@
 from ..groups import bootstrap, forward
 from ..instances import peers
 from ..queues import call, outage
-from ..telemetry import log, metrics
+from ..telemetry import log, metrics, supervision
 
 PROBE_INTERVAL_S = 0.5  # half the interval of the load balancer's readiness checks
 PROBE_TIMEOUT_S = 0.5
@@ -58,8 +58,9 @@
 
     def start(self) -> None:
         """Start probing the leader."""
-        self._probe_task = asyncio.get_running_loop().create_task(self._probe())
-        log.watch_task(self._probe_task, "gateway")
+        self._probe_task = asyncio.get_running_loop().create_task(
+            supervision.repeat(self._probe, "gateway")
+        )
         log.state_change(
             "gateway.started",
             instance=self._instance_id,
@@ -124,17 +125,15 @@
         return reply
 
     async def _probe(self) -> None:
-        body = call.pack_call(call.ReadVersion())
-        while True:
-            sent_s = self._clock.monotonic()
-            was_lost = self._outage.is_lost
-            try:
-                await self._forward(body, PROBE_TIMEOUT_S)
-            except errors.MarjoramusherError as error:
-                self._outage.record_failure(sent_s)
-                if self._outage.is_lost and not was_lost:
-                    self._log_leader("leader.lost", error.message)
-            await asyncio.sleep(PROBE_INTERVAL_S)
+        sent_s = self._clock.monotonic()
+        was_lost = self._outage.is_lost
+        try:
+            await self._forward(call.pack_call(call.ReadVersion()), PROBE_TIMEOUT_S)
+        except errors.MarjoramusherError as error:
+            self._outage.record_failure(sent_s)
+            if self._outage.is_lost and not was_lost:
+                self._log_leader("leader.lost", error.message)
+        await asyncio.sleep(PROBE_INTERVAL_S)
 
     def _log_leader(self, name: str, reason: str) -> None:
         log.state_change(name, instance=self._instance_id, reason=reason)
--- a/marjoramusher/daemon/instance.py
+++ b/marjoramusher/daemon/instance.py
@@ -25,7 +25,7 @@
 from ..operators import routes, watch
 from ..routing import router
 from ..targets import announcing, dispatch
-from ..telemetry import log, metrics
+from ..telemetry import log, metrics, supervision
 from ..workers import client as task_clients
 from ..workers import handlers as worker_handlers
 from ..workers import service
@@ -168,8 +168,8 @@
         self._capacity_sharing.start()
         loop = asyncio.get_running_loop()
         self._background_tasks = [
-            loop.create_task(self._refresh_periodically()),
-            loop.create_task(self._slot_client.run()),
+            loop.create_task(supervision.repeat(self._refresh, "instance")),
+            loop.create_task(supervision.repeat(self._slot_client.run, "slots")),
         ]
         log.state_change(
             "instance.started",
@@ -395,12 +395,11 @@
 
     # Domain groups.
 
-    async def _refresh_periodically(self) -> None:
-        while True:
-            self._start_coordinators()
-            self._update_links()
-            now = self._clock.monotonic()
-            await asyncio.sleep(clock.delay_to_next_tick(now, REFRESH_INTERVAL_S))
+    async def _refresh(self) -> None:
+        self._start_coordinators()
+        self._update_links()
+        now = self._clock.monotonic()
+        await asyncio.sleep(clock.delay_to_next_tick(now, REFRESH_INTERVAL_S))
 
     def _start_coordinators(self) -> None:
         """Start a coordinator for each new domain group of this instance."""
--- a/marjoramusher/executors/throttling.py
+++ b/marjoramusher/executors/throttling.py
@@ -14,6 +14,8 @@
 
     Parameters
     ----------
+    get_worker : callable
+        Returns the worker as it is registered now; its address can change.
     token : int
         Fencing token of the leadership.
     is_leading : callable
@@ -24,18 +26,18 @@
 
     __slots__ = (
         "_clock",
+        "_get_worker",
         "_is_leading",
         "_pacer",
         "_port",
         "_spawn",
         "_state",
         "_token",
-        "_worker",
     )
 
     def __init__(
         self,
-        worker: workflow.Worker,
+        get_worker: Callable[[], workflow.Worker],
         state: machine.WorkflowMachine,
         workers: port.WorkerPort,
         token: int,
@@ -43,7 +45,7 @@
         is_leading: Callable[[], bool],
         spawn: Callable[[Coroutine[Any, Any, None]], None],
     ) -> None:
-        self._worker = worker
+        self._get_worker = get_worker
         self._state = state
         self._port = workers
         self._token = token
@@ -66,7 +68,7 @@
         """Tell whether the worker runs both fill and serving tasks."""
         steps = [
             self._state.step(task)
-            for task in self._state.placements_on(self._worker.worker_id)
+            for task in self._state.placements_on(self._get_worker().worker_id)
         ]
         known_steps = [step for step in steps if step is not None]
         return any(step.fill for step in known_steps) and any(
@@ -102,7 +104,7 @@
         if latencies and fill_runs and self._pacer.pace != previous_pace:
             log.state_change(
                 "worker.paced",
-                worker=self._worker.worker_id,
+                worker=self._get_worker().worker_id,
                 before=previous_pace,
                 pace=self._pacer.pace,
                 filling=len(fill_runs),
@@ -118,7 +120,7 @@
             return
         try:
             reply = await self._port.set_pace(
-                self._worker, placement.task, placement.run, pace, self._token
+                self._get_worker(), placement.task, placement.run, pace, self._token
             )
         except errors.MarjoramusherError as failure:
             # The pace is sent again after the next report.
@@ -126,7 +128,7 @@
                 "task.pace_unanswered",
                 task=runs.name(placement.task),
                 run=placement.run,
-                worker=self._worker.worker_id,
+                worker=self._get_worker().worker_id,
                 pace=pace,
                 reason=failure.message,
             )
--- a/marjoramusher/groups/manager.py
+++ b/marjoramusher/groups/manager.py
@@ -14,7 +14,7 @@
 from ..instances import frame, peers
 from ..membership import member, table
 from ..storage import document, error, filesystem, identity, revision, store
-from ..telemetry import log, metrics
+from ..telemetry import log, metrics, supervision
 from . import (
     bootstrap,
     formation,
@@ -260,8 +260,8 @@
         server.register(STATUS_METHOD, self._handle_status)
         loop = asyncio.get_running_loop()
         self._tasks = [
-            loop.create_task(self._run_membership()),
-            loop.create_task(self._run_duties()),
+            loop.create_task(supervision.repeat(self._tick_table, "membership")),
+            loop.create_task(supervision.repeat(self._run_duties, "duties")),
         ]
 
     async def hand_over(self) -> None:
@@ -506,11 +506,10 @@
 
     # Membership.
 
-    async def _run_membership(self) -> None:
-        while True:
-            self._step_table(table.TimerTicked())
-            due_s = self._table.due_s - self._clock.monotonic()
-            await asyncio.sleep(self._delay_to_grid(min(due_s, TICK_INTERVAL_S)))
+    async def _tick_table(self) -> None:
+        self._step_table(table.TimerTicked())
+        due_s = self._table.due_s - self._clock.monotonic()
+        await asyncio.sleep(self._delay_to_grid(min(due_s, TICK_INTERVAL_S)))
 
     def _delay_to_grid(self, delay_s: float) -> float:
         """Return the time until the first point of the timer grid after a delay."""
@@ -552,24 +551,23 @@
     # Duties: form or join a cluster, change members, reopen failed stores.
 
     async def _run_duties(self) -> None:
-        while True:
-            try:
-                await self._perform_duties()
-            except error.StoreFailedError as failure:
-                self._record_store_failure(failure)
-            except error.StoreCorruptError as failure:
-                log.state_change("store.corrupt", error=failure.message)
-                self._is_store_stale = True
-            except errors.MarjoramusherError as failure:
-                if failure.message != self._last_duty_error:
-                    log.state_change("manager.duty_failed", error=failure.message)
-                self._last_duty_error = failure.message
-            else:
-                self._last_duty_error = ""
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(self._delay_to_grid(DUTY_INTERVAL_S)):
-                    await self._duties_due.wait()
-            self._duties_due.clear()
+        try:
+            await self._perform_duties()
+        except error.StoreFailedError as failure:
+            self._record_store_failure(failure)
+        except error.StoreCorruptError as failure:
+            log.state_change("store.corrupt", error=failure.message)
+            self._is_store_stale = True
+        except errors.MarjoramusherError as failure:
+            if failure.message != self._last_duty_error:
+                log.state_change("manager.duty_failed", error=failure.message)
+            self._last_duty_error = failure.message
+        else:
+            self._last_duty_error = ""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._delay_to_grid(DUTY_INTERVAL_S)):
+                await self._duties_due.wait()
+        self._duties_due.clear()
 
     async def _perform_duties(self) -> None:
         if self._is_store_stale:
