Send the pace of fill tasks to the present address of their worker

Cause: the throttle of a worker kept the registration that it was made with. After the worker was registered at another address in the same incarnation, the session used the new address and the throttle the old one.

Change: the throttle asks its session for the worker.

--- a/marjoramusher/executors/driver_test.py
+++ b/marjoramusher/executors/driver_test.py
@@ -618,3 +618,34 @@
         assert [line["where"] for line in failed] == ["session"]
 
     virtual.run(scenario())
+
+
+def test_a_pace_goes_to_the_address_that_a_worker_has_now():
+    """Guards against fill tasks that keep their pace after their worker has moved."""
+
+    async def scenario():
+        async with Harness(21, always(900.0)) as harness:
+            serving = step(1, 1, long_running=True, target_ms=60)
+            await harness.submit("batch", serving)
+            await harness.submit("batch", step(WORKERS, 1, fill=True, max_per_worker=1))
+            await asyncio.sleep(1.0)
+            addresses = set()
+            set_pace = harness.fleet.set_pace
+
+            async def record(worker, *rest):
+                addresses.add(worker.address)
+                return await set_pace(worker, *rest)
+
+            harness.fleet.set_pace = record
+            for name in [f"x{index}" for index in range(WORKERS)]:
+                moved = msgspec.structs.replace(
+                    harness.state.workers[name].worker, address=f"new-{name}"
+                )
+                register = command.pack(command.RegisterWorker(0, moved))
+                await harness.group.propose(register, 1.0)
+            harness.fleet.disturbance_ms = 300.0
+            await asyncio.sleep(5.0)
+            assert addresses
+            assert all(address.startswith("new-") for address in addresses)
+
+    virtual.run(scenario())
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -81,7 +81,13 @@
         self._poll_task: asyncio.Task | None = None
         self._wake_event = asyncio.Event()
         self._throttle = throttling.FillThrottle(
-            worker, state, workers, token, time, lambda: leader.is_leading, self._spawn
+            lambda: self.worker,
+            state,
+            workers,
+            token,
+            time,
+            lambda: leader.is_leading,
+            self._spawn,
         )
         self._has_report = False
         self._acknowledged_end = 0
