Use a worker that missed a heartbeat only where no other fits

Cause: a worker counted as good until two calls in a row or three heartbeats were missing.

Change: one unanswered call, or a heartbeat that is a quarter late, makes a worker the last choice. Nothing that runs there is touched.

Measured: the new test failed before.

--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -26,6 +26,9 @@
 BATCH_DELAY_S = 0.01  # lets events that arrive together share one plan
 COMMIT_TIMEOUT_S = 3.0  # covers two elections; a later commit still takes effect
 MAX_MISSED_HEARTBEATS = 3  # a worker that is silent for longer gets no new tasks
+# A worker that is silent for longer is used only where no other fits. The share above 1
+# allows for heartbeats that are late.
+SUSPECT_HEARTBEATS = 1.25
 FORGET_INTERVAL_S = 10.0
 # A barrier takes a round trip between regions and a sync of the disk.
 TAKEOVER_WAIT_S = 0.4
@@ -418,10 +421,15 @@
                 current.wake()
 
     def _conditions(self, now_s: float) -> dict[str, condition.WorkerCondition]:
-        heartbeat_timeout_s = MAX_MISSED_HEARTBEATS * self._settings.heartbeat_s
+        heartbeat_s = self._settings.heartbeat_s
         conditions = {}
         for worker_id, current in self._sessions.items():
-            is_heartbeat_recent = now_s - current.last_heard_s <= heartbeat_timeout_s
+            silence_s = now_s - current.last_heard_s
+            is_heartbeat_recent = silence_s <= MAX_MISSED_HEARTBEATS * heartbeat_s
+            is_silent = (
+                silence_s > SUSPECT_HEARTBEATS * heartbeat_s
+                or current.has_unanswered_call
+            )
             verdict = self._health.verdict(worker_id, now_s)
             is_reachable = (
                 is_heartbeat_recent
@@ -433,7 +441,7 @@
                 is_reachable and is_not_draining and verdict.is_usable,
                 current.stopping,
                 current.ages_s(),
-                verdict.is_suspect,
+                verdict.is_suspect or is_silent,
                 current.serving,
                 current.accepts_fill,
             )
--- a/marjoramusher/executors/driver_test.py
+++ b/marjoramusher/executors/driver_test.py
@@ -620,6 +620,24 @@
     virtual.run(scenario())
 
 
+def test_a_worker_that_missed_a_heartbeat_is_the_last_choice():
+    """Guards against gangs that wait for a member on a worker that was just cut off.
+
+    An idle worker is not polled, so only its heartbeats tell that it is cut off.
+    """
+
+    async def scenario():
+        async with Harness(19, always(1.0)) as harness:
+            await asyncio.sleep(2 * HEARTBEAT_S)
+            harness.fleet.unreachable.update({"x0", "x1"})
+            await asyncio.sleep(1.6 * HEARTBEAT_S)
+            await harness.submit("urgent", step(2, 8, gang=True))
+            await asyncio.sleep(2.0)
+            assert harness.states() == {workflow.State.COMPLETED}
+
+    virtual.run(scenario())
+
+
 def test_a_pace_goes_to_the_address_that_a_worker_has_now():
     """Guards against fill tasks that keep their pace after their worker has moved."""
 
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -105,6 +105,11 @@
         """Tell whether several calls in a row got no reply."""
         return self._failed_calls >= MAX_FAILED_CALLS
 
+    @property
+    def has_unanswered_call(self) -> bool:
+        """Tell whether the last call got no reply."""
+        return self._failed_calls > 0
+
     @property
     def stopping(self) -> frozenset[workflow.Placement]:
         """Return the runs that are being stopped."""
