Place no member of a gang on a silent worker

Cause: a gang went to the first rack that held it, also if that needed a worker with an unanswered call, and urgent gangs took such workers before they stopped anything elsewhere. All members then waited for the one that could not start.

Change: a worker that is silent for the moment counts as full for members of gangs, in placement and in preemption. Single tasks still use it last.

Measured: the new test failed before. Idle workers behind a one-way cut are found only by a failed start, since their heartbeats still arrive.

--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -444,6 +444,7 @@
                 verdict.is_suspect or is_silent,
                 current.serving,
                 current.accepts_fill,
+                is_silent,
             )
         return conditions
 
--- a/marjoramusher/workflows/condition.py
+++ b/marjoramusher/workflows/condition.py
@@ -24,6 +24,9 @@
         Runs of long-running tasks, with or without a target, that now serve requests.
     accepts_fill : bool
         Whether fill tasks may be placed next to serving tasks.
+    is_silent : bool
+        Whether its last call got no reply, or a heartbeat of it is missing. It gets no
+        gangs, since all other members would wait for the one there.
     """
 
     is_usable: bool = True
@@ -32,3 +35,4 @@
     is_suspect: bool = False
     serving: frozenset[workflow.Placement] = frozenset()
     accepts_fill: bool = True
+    is_silent: bool = False
--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -26,8 +26,9 @@
 # may use the headroom for urgent work.
 PRESSING_FACTOR = 2.0
 
-# Service, label, rack of the data, whether fill tasks, needs, and whether in one rack.
-_RequestKind: TypeAlias = tuple[str, str, str, bool, workflow.Resources, bool]
+# Service, label, rack of the data, whether fill tasks, needs, whether a gang, and
+# whether that has to be in one rack.
+_RequestKind: TypeAlias = tuple[str, str, str, bool, workflow.Resources, bool, bool]
 
 
 class WaitReason(enum.Enum):
@@ -173,6 +174,7 @@
                 continue
             candidate = self._make_candidate(worker, status)
             candidate.accepts_fill = status.accepts_fill
+            candidate.is_silent = status.is_silent
             self._candidates.setdefault(worker.service, []).append(candidate)
             by_worker[worker.worker_id] = candidate
             free = max(candidate.accelerators, 0)
@@ -273,7 +275,15 @@
         if in_one_rack:
             rack_sizes = self._workers(pending).rack_sizes(needs)
             in_one_rack = step.count <= max(rack_sizes.values(), default=0)
-        return queue.service, step.label, step.rack, step.fill, needs, in_one_rack
+        return (
+            queue.service,
+            step.label,
+            step.rack,
+            step.fill,
+            needs,
+            step.gang,
+            in_one_rack,
+        )
 
     def _record_shortage(
         self,
@@ -558,8 +568,13 @@
 
 
 def _has_room(pending: backlog.PendingStep, candidate: resources.Candidate) -> bool:
-    """Tell whether a worker has room for another task of a step."""
+    """Tell whether a worker has room for another task of a step.
+
+    Silent workers have no room for members of gangs.
+    """
     step = pending.step
+    if step.gang and candidate.is_silent:
+        return False
     return candidate.fits(resources.reserved(step)) and candidate.has_task_slot(
         pending.key, step.max_per_worker
     )
--- a/marjoramusher/workflows/planner_test.py
+++ b/marjoramusher/workflows/planner_test.py
@@ -616,3 +616,24 @@
     harness.submit("batch", 4, 4)
     placed = [placement.task.workflow_id for placement in harness.plan().placements]
     assert placed == ["w2"] * 4
+
+
+def test_no_member_of_a_gang_is_placed_on_a_silent_worker():
+    """Guards against a burst of gangs that wait for members on workers just cut off."""
+    harness = Harness(racks=2, size=2)
+    harness.submit("batch", 4, 1, rack="r1")
+    harness.run()
+    harness.conditions["0-0"] = condition.WorkerCondition(
+        is_suspect=True, is_silent=True
+    )
+    harness.submit("urgent", 2, 8, gang=True, same_rack=True)
+    result = harness.plan()
+    assert not result.placements
+    assert {placement.worker_id for placement, _ in result.preemptions} <= {
+        "1-0",
+        "1-1",
+    }
+    assert result.preemptions
+    harness.submit("batch", 8, 1, rack="r0")
+    placed = harness.run().placements
+    assert {placement.worker_id for placement in placed} == {"0-1"}
--- a/marjoramusher/workflows/preemption.py
+++ b/marjoramusher/workflows/preemption.py
@@ -238,6 +238,8 @@
     ) -> _Choice | None:
         """Return the cheapest victims for one task on a worker, and their cost."""
         step = pending.step
+        if step.gang and candidate.is_silent:
+            return None
         if not candidate.has_task_slot(pending.key, step.max_per_worker):
             return None
         is_remote = bool(step.rack) and candidate.worker.rack != step.rack
--- a/marjoramusher/workflows/resources.py
+++ b/marjoramusher/workflows/resources.py
@@ -50,6 +50,7 @@
         "expected_cores_milli",
         "expected_memory_mb",
         "fill_count",
+        "is_silent",
         "is_suspect",
         "memory_mb",
         "running",
@@ -67,6 +68,7 @@
         self.worker = worker
         self._pool = pool
         self.is_suspect = is_suspect
+        self.is_silent = False
         self.cores_milli = worker.capacity.cores_milli
         self.memory_mb = worker.capacity.memory_mb
         self.accelerators = 0
