Stop the members of a gang of which one can not start

Cause: after two starts without an answer a member is stopped, but the others waited for it until they timed out on their own (5 s on the large site), and held their accelerators for it.

Change: a gang with a member that is being stopped is stopped as a whole. The reason is worked out once for each gang, not for each member.

--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import functools
+from collections.abc import Callable
 
 import msgspec
 
@@ -363,14 +365,22 @@
         task.add_done_callback(self._closing.discard)
 
     def _stop_obsolete_runs(self) -> None:
+        @functools.cache
+        def gang_reason(gang: resources.StepKey) -> str:
+            return gang_stop_reason(self._state, gang, self._is_stopping)
+
         for worker_id, current in self._sessions.items():
             for placement in list(self._state.placements_on(worker_id).values()):
                 reason = stop_reason(
-                    self._state, placement
+                    self._state, placement, gang_reason
                 ) or self._maintenance.stop_reason(placement)
                 if reason and not current.is_stopping(placement):
                     current.stop(placement, reason)
 
+    def _is_stopping(self, placement: workflow.Placement) -> bool:
+        current = self._sessions.get(placement.worker_id)
+        return current is not None and current.is_stopping(placement)
+
     async def _plan(self) -> None:
         """Make a plan, commit its placements, and carry it out."""
         now_s = self._clock.monotonic()
@@ -463,22 +473,51 @@
             await self.propose(command.Forget(now_ms, before_ms))
 
 
-def stop_reason(state: machine.WorkflowMachine, placement: workflow.Placement) -> str:
-    """Return why a run should be stopped, empty if it should continue."""
+def stop_reason(
+    state: machine.WorkflowMachine,
+    placement: workflow.Placement,
+    gang_reason: Callable[[resources.StepKey], str],
+) -> str:
+    """Return why a run should be stopped, empty if it should continue.
+
+    Parameters
+    ----------
+    gang_reason : callable
+        Returns why all members of a gang should be stopped.
+    """
     key = placement.task
     entry = state.entries.get(key.workflow_id)
     task = state.task(key)
     if entry is None or task is None:
         return "the workflow is not known"
-    step = entry.workflow.steps[key.step]
-    if step.gang:
-        members = entry.occurrences[key.occurrence][key.step]
+    if entry.workflow.steps[key.step].gang:
         if task.done:
             return ""  # the gang is done, so all members end by themselves
-        if any(member.placement is None for member in members):
-            return "another member of the gang is gone"
+        reason = gang_reason(resources.step_key(key))
+        if reason:
+            return reason
     elif task.done:
         return "another run is done"
     if not entry.is_active:
         return f"the workflow is {entry.state.value}"
     return ""
+
+
+def gang_stop_reason(
+    state: machine.WorkflowMachine,
+    gang: resources.StepKey,
+    is_stopping: Callable[[workflow.Placement], bool],
+) -> str:
+    """Return why the members of a gang should be stopped, empty if they should not.
+
+    A gang can't run without one of its members. If that is on a worker that does not
+    reply, the others would wait for it until they time out.
+    """
+    workflow_id, occurrence, step = gang
+    members = state.entries[workflow_id].occurrences[occurrence][step]
+    placements = [member.placement for member in members]
+    if any(placement is None for placement in placements):
+        return "another member of the gang is gone"
+    if any(is_stopping(placement) for placement in placements):
+        return "another member of the gang is being stopped"
+    return ""
--- a/marjoramusher/executors/driver_test.py
+++ b/marjoramusher/executors/driver_test.py
@@ -667,3 +667,20 @@
             assert all(address.startswith("new-") for address in addresses)
 
     virtual.run(scenario())
+
+
+def test_members_of_a_gang_that_can_not_form_are_stopped():
+    """Guards against members that hold resources until they time out on their own."""
+
+    async def scenario():
+        async with Harness(20, always(1.0)) as harness:
+            await asyncio.sleep(2 * HEARTBEAT_S)
+            harness.fleet.unreachable.add("x0")
+            await harness.submit("urgent", step(WORKERS, 8, gang=True))
+            await asyncio.sleep(fleet.GANG_TIMEOUT_S - 0.5)
+            held = [n for n in harness.state.workers if harness.state.placements_on(n)]
+            assert held == ["x0"]
+            harness.fleet.unreachable.clear()
+            await harness.check_all_end(20)
+
+    virtual.run(scenario())
