Leave half of the leader's loop to everything but plans

Cause: a plan was made 10 ms after each commit. Where one takes longer than that, the loop was busy with plans only, and leases and heartbeats waited behind them.

Change: the pause after a plan is at least as long as the plan took. The metric plan tells how long plans take. bench/plan_bench.py measures a plan after a burst on a full fleet, and the next one, at 24, 270 and 1,000 workers.

--- a/bench/main.py
+++ b/bench/main.py
@@ -58,6 +58,7 @@
         "workflow_wasted_share",
         "workflow_faults",
     ),
+    "plan_bench": ("workflow_plan_ms",),
     "telemetry_bench": (
         "log_line_us",
         "log_bytes_per_job",
--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -26,6 +26,9 @@
 
 TICK_S = 0.25  # meets due times within the tolerance of the platform
 BATCH_DELAY_S = 0.01  # lets events that arrive together share one plan
+# Pause after a plan as a multiple of the time it took. While a plan is made, the loop
+# answers no calls and sends no heartbeats, so plans take at most half of its time.
+PLAN_PAUSE_FACTOR = 1.0
 COMMIT_TIMEOUT_S = 3.0  # covers two elections; a later commit still takes effect
 MAX_MISSED_HEARTBEATS = 3  # a worker that is silent for longer gets no new tasks
 # A worker that is silent for longer is used only where no other fits. The share above 1
@@ -129,6 +132,7 @@
         self._has_taken_over = asyncio.Event()
         self._wake = asyncio.Event()
         self._task: asyncio.Task | None = None
+        self._plan_duration_s = 0.0
         self._next_forget_s = 0.0
         self._demand = demand.UrgentDemand()
         self._progress = progress.Progress(state, time, metrics_registry)
@@ -217,7 +221,9 @@
                     await self._wake.wait()
             except TimeoutError:
                 pass
-            await asyncio.sleep(BATCH_DELAY_S)
+            await asyncio.sleep(
+                max(BATCH_DELAY_S, PLAN_PAUSE_FACTOR * self._plan_duration_s)
+            )
             self._wake.clear()
             try:
                 await self._run_iteration()
@@ -397,6 +403,8 @@
             now_s,
         )
         plan = self._settings.planner(plan_input)
+        self._plan_duration_s = self._clock.monotonic() - now_s
+        self._metrics.observe("plan", self._plan_duration_s)
         self._policy.permits.retain(self._state.active)
         self._policy.query(plan.queries)
         self._progress.record_waiting(
--- a/marjoramusher/executors/driver_test.py
+++ b/marjoramusher/executors/driver_test.py
@@ -14,7 +14,14 @@
 from marjoramusher.executors import driver, session
 from marjoramusher.groups import local
 from marjoramusher.telemetry import metrics
-from marjoramusher.workflows import catalog, command, machine, wave, workflow
+from marjoramusher.workflows import (
+    catalog,
+    command,
+    machine,
+    planner,
+    wave,
+    workflow,
+)
 from standins import fleet, virtual
 
 CATALOG = catalog.Catalog(
@@ -684,3 +691,45 @@
             await harness.check_all_end(20)
 
     virtual.run(scenario())
+
+
+def test_plans_leave_half_of_the_time_to_the_rest_of_the_loop():
+    """Guards against a burst of commits that keeps the leader planning only.
+
+    The loop then renews no lease and answers no call.
+    """
+
+    class BusyClock(virtual.LoopClock):
+        busy_s = 0.0
+
+        def monotonic(self):
+            return super().monotonic() + self.busy_s
+
+    async def scenario():
+        async with Harness(22, always(0.1)) as harness:
+            clock = BusyClock(asyncio.get_running_loop())
+
+            def plan(plan_input):
+                clock.busy_s += 0.2
+                return planner.plan(plan_input)
+
+            await harness.driver.stop()
+            harness.driver = driver.Driver(
+                harness.group,
+                harness.state,
+                driver.Ports(harness.fleet),
+                clock,
+                metrics.Metrics(),
+                driver.Settings(HEARTBEAT_S, plan=plan),
+            )
+            harness.driver.start()
+            began_s = asyncio.get_running_loop().time()
+            for _ in range(200):
+                await harness.submit("batch", step(1, 1))
+                await asyncio.sleep(0.02)
+            idle_s = asyncio.get_running_loop().time() - began_s
+            assert clock.busy_s > 1.0
+            assert clock.busy_s <= idle_s + 0.2
+            await harness.driver.stop()
+
+    virtual.run(scenario())
