Test starts that a pause held back past a change of the leader

Change: a test on a virtual clock, eight seeds, in which starts of the first leader reach their workers 1 to 8 s late, after the next one took over.

--- a/marjoramusher/executors/driver_test.py
+++ b/marjoramusher/executors/driver_test.py
@@ -733,3 +733,41 @@
             await harness.driver.stop()
 
     virtual.run(scenario())
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_orders_that_were_held_back_past_a_change_of_the_leader_double_nothing(seed):
+    """Guards against a process that is paused between its check and the send.
+
+    Starts of the first leader reach their workers only after the next one has taken
+    over, in some runs after it has placed their tasks elsewhere.
+    """
+
+    async def scenario():
+        async with Harness(seed) as harness:
+            start = harness.fleet.start
+            held: list[asyncio.Task] = []
+
+            async def send_late(worker, request, delay_s):
+                await asyncio.sleep(delay_s)
+                return await start(worker, request)
+
+            async def hold_back(worker, request):
+                if request.token > 1 or harness.rng.random() < 0.5:
+                    return await start(worker, request)
+                delay_s = harness.rng.uniform(1.0, 8.0)
+                # The request is in a buffer of the paused process, so it goes out
+                # though the process has given up its sessions by then.
+                held.append(asyncio.create_task(send_late(worker, request, delay_s)))
+                return await asyncio.shield(held[-1])
+
+            harness.fleet.start = hold_back
+            await harness.submit_random(12)
+            harness.group.set_leader(False)
+            await asyncio.sleep(0.5)
+            harness.group.set_leader(True)
+            await asyncio.gather(*held, return_exceptions=True)
+            assert held
+            await harness.check_all_end(60)
+
+    virtual.run(scenario())
