Acknowledge a committed change though the leadership has ended

Cause: a leader whose leadership ended between the commit of a catalog or a wave and the reply to it answered that it does not lead. That error says that nothing was run. A caller whose time ended there was told so, and the change was in force.

Change: replies that tell what is committed are given in any case.

--- a/marjoramusher/queues/service.py
+++ b/marjoramusher/queues/service.py
@@ -57,8 +57,9 @@
         if not await self._driver.wait_leading():
             raise errors.NotLeaderError(None)
         reply = await self._answer(request)
-        # The state that other replies show may be stale; what is accepted is committed.
-        if not self._driver.is_leading and not isinstance(reply, call.Accepted):
+        # These replies tell what is committed. The state that others show may be stale.
+        is_committed = isinstance(reply, call.Accepted | call.Replaced)
+        if not is_committed and not self._driver.is_leading:
             raise errors.NotLeaderError(None)
         return codec.pack(reply)
 
--- a/marjoramusher/queues/service_test.py
+++ b/marjoramusher/queues/service_test.py
@@ -211,3 +211,22 @@
     else:
         with pytest.raises(errors.NotLeaderError):
             virtual.run(run_scenario())
+
+
+def test_a_committed_change_is_acknowledged_though_the_leadership_ends(harness):
+    """Guards against the answer "not run" for a change that is in force.
+
+    The leadership ends between the commit of the change and the reply to it.
+    """
+    propose = harness.service._driver.propose
+
+    async def commit_and_resign(command):
+        result = await propose(command)
+        harness.is_leading = False
+        return result
+
+    harness.service._driver.propose = commit_and_resign
+    document = catalog.Catalog(4, QUEUES, CATALOG.services, CATALOG.accounts)
+    reply = harness.ask(call.Replace(document, b"{}"))
+    assert reply == call.Replaced(4, False)
+    assert harness.state.index.catalog.version == 4
