Test that a restore keeps what left and what was withdrawn

Change: one test for a worker that left, one that drains, and a key, with late announcements and an older catalog after the restore.

--- a/marjoramusher/workflows/machine_test.py
+++ b/marjoramusher/workflows/machine_test.py
@@ -1,5 +1,6 @@
 """Guards the workflow state machine against lost, duplicated or resurrected work."""
 
+import msgspec
 import pytest
 
 from marjoramusher.core import codec
@@ -277,3 +278,37 @@
     assert restored.active.keys() == harness.state.active.keys()
     assert restored.has_incarnation_ended("y", 1)
     assert restored.index.match("h.example", "/q/1").name == "q"
+
+
+def test_what_left_or_was_withdrawn_stays_so_after_a_restart():
+    """Guards against a worker or key that is in use again after a restore."""
+    state = machine.WorkflowMachine()
+
+    def apply(change):
+        state.apply(0, command.pack(change))
+
+    keys = catalog.Account("a", ("old", "new"))
+    before = catalog.Catalog(1, (), (catalog.Service("s"),), (keys,))
+    apply(command.ReplaceCatalog(0, before, b"1"))
+    worker = workflow.Worker(
+        "w", 7, "address", "s", "fd", "r", (), workflow.Resources()
+    )
+    apply(command.RegisterWorker(0, worker))
+    drained = msgspec.structs.replace(worker, worker_id="d", address="d", draining=True)
+    apply(command.RegisterWorker(0, drained))
+    apply(command.RemoveWorker(0, "w", 7))
+    after = catalog.Catalog(2, (), before.services, (catalog.Account("a", ("new",)),))
+    apply(command.ReplaceCatalog(0, after, b"2"))
+    restored = machine.WorkflowMachine()
+    restored.restore(state.snapshot())
+    late = msgspec.structs.replace(drained, draining=False)
+    for change in (
+        command.RegisterWorker(0, worker),
+        command.RegisterWorker(0, late),
+        command.ReplaceCatalog(0, before, b"1"),
+    ):
+        restored.apply(0, command.pack(change))
+    assert "w" not in restored.workers
+    assert restored.workers["d"].worker.draining
+    assert restored.index.account_name("old") is None
+    assert restored.index.account_name("new") == "a"
