Dispose the subscription of a wait for a leader that is cancelled

Cause: an instance that knows no leader subscribes to role changes for a lookup. The caller cancels the lookup once another instance has answered, and the subscription stayed: memory grew with each lookup of each outage.

Change: it is disposed in any case.

--- a/marjoramusher/groups/runner.py
+++ b/marjoramusher/groups/runner.py
@@ -1,7 +1,6 @@
 """Operation of one member of a consensus group on a store and the peer transport."""
 
 import asyncio
-import contextlib
 import math
 import random
 from collections.abc import Callable
@@ -394,10 +393,13 @@
                     calls.resolve(future, None)
 
             subscription = self._roles.subscribe(resolve_on_leader)
-            with contextlib.suppress(TimeoutError):
+            try:
                 async with asyncio.timeout(timeout_s):
                     await future
-            subscription.dispose()
+            except TimeoutError:
+                pass
+            finally:
+                subscription.dispose()
         return self.responsive_leader
 
     async def barrier_as_leader(self, timeout_s: float) -> bytes:
