--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -203,6 +203,14 @@
         if current is not None and current.worker.incarnation == worker.incarnation:
             await current.end_incarnation(reason)
         else:
+            log.state_change(
+                "worker.life_over",
+                worker=worker.worker_id,
+                born=worker.incarnation,
+                address=worker.address,
+                reason=reason,
+                runs=len(self._state.placements_on(worker.worker_id)),
+            )
             await self.propose(
                 command.RemoveWorker(
                     clock.unix_ms(self._clock),
@@ -326,6 +334,10 @@
         if self._health.record_end(worker_id, end, self._clock.monotonic()):
             self._log_quarantine(worker_id)
 
+    def record_release(self, reason: str) -> None:
+        """Record that a run was released without a reported end."""
+        self._metrics.increment("runs_released", reason=reason)
+
     def record_stall(self, placement: workflow.Placement) -> None:
         """Record that a run is stopped because it made no progress."""
         self._metrics.increment("tasks_stalled")
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -37,6 +37,9 @@
     ) -> None:
         """Record that a worker rejected a start."""
 
+    def record_release(self, reason: str) -> None:
+        """Record that a run was released without a reported end."""
+
     def record_stall(self, placement: workflow.Placement) -> None:
         """Record that a run is stopped because it made no progress."""
 
@@ -520,10 +523,15 @@
         if self.has_ended:
             return
         self.has_ended = True
+        placements = self._state.placements_on(self.worker.worker_id)
         log.state_change(
-            "worker.life_over", worker=self.worker.worker_id, reason=reason
+            "worker.life_over",
+            worker=self.worker.worker_id,
+            born=self.worker.incarnation,
+            address=self.worker.address,
+            reason=reason,
+            runs=len(placements),
         )
-        placements = self._state.placements_on(self.worker.worker_id)
         await self._release([self._get_run(p) for p in placements.values()], reason)
         await self._commit(
             command.RemoveWorker(
@@ -575,6 +583,7 @@
                 number=end.number,
             )
         for run in released:
+            self._leader.record_release(reason)
             log.state_change(
                 "task.released",
                 task=runs.name(run.placement.task),
--- a/marjoramusher/queues/service.py
+++ b/marjoramusher/queues/service.py
@@ -165,13 +165,9 @@
             worker.worker_id, worker.incarnation
         ):
             return acknowledgement  # the announcement was delayed in transit
+        for former, reason in _replaced_by(worker, self._state):
+            await self._driver.end_incarnation(former, reason)
         registered = self._state.workers.get(worker.worker_id)
-        if (
-            registered is not None
-            and registered.worker.incarnation < worker.incarnation
-        ):
-            await self._driver.end_incarnation(registered.worker, "born again")
-            registered = None
         if registered is None or _is_changed(registered.worker, worker):
             await self._driver.propose(
                 command.RegisterWorker(clock.unix_ms(self._clock), worker)
@@ -183,6 +179,9 @@
                 address=worker.address,
                 service=worker.service,
                 rack=worker.rack,
+                cores_milli=worker.capacity.cores_milli,
+                memory_mb=worker.capacity.memory_mb,
+                accelerators=worker.capacity.accelerators,
                 draining=worker.draining,
                 sequence=request.sequence,
             )
@@ -285,6 +284,31 @@
     return " ".join(parts)
 
 
+def _replaced_by(
+    worker: workflow.Worker, state: machine.WorkflowMachine
+) -> list[tuple[workflow.Worker, str]]:
+    """Return the registered workers that a new incarnation shows to have ended.
+
+    Two processes can't listen on one address, so this includes a worker with another
+    id at the same address.
+
+    Returns
+    -------
+    list of (Worker, str)
+        Each with the reason why it has ended.
+    """
+    replaced = []
+    for registered in state.workers.values():
+        former = registered.worker
+        if former.incarnation >= worker.incarnation:
+            continue
+        if former.worker_id == worker.worker_id:
+            replaced.append((former, "born again"))
+        elif former.address == worker.address:
+            replaced.append((former, "replaced at its address"))
+    return replaced
+
+
 def _is_changed(registered: workflow.Worker, announced: workflow.Worker) -> bool:
     """Tell whether an announcement changes the registration.
 
--- a/marjoramusher/queues/service_test.py
+++ b/marjoramusher/queues/service_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import datetime
 
+import eliot
 import pytest
 
 from marjoramusher.core import clock, errors
@@ -171,6 +172,21 @@
     assert "w" not in harness.state.workers
 
 
+def test_the_end_of_a_worker_whose_address_is_taken_is_logged(harness):
+    """Guards against runs that vanish with their worker and leave no line."""
+    lines = []
+    harness.ask(call.Announce(worker(), 1, 0))
+    eliot.add_destinations(lines.append)
+    harness.ask(call.Announce(worker(incarnation=2, worker_id="v"), 1, 0))
+    eliot.remove_destination(lines.append)
+    assert list(harness.state.workers) == ["v"]
+    ended = [line for line in lines if line["message_type"] == "worker.life_over"]
+    # The first destination also gets the lines that were logged before.
+    assert ended[-1]["worker"] == "w"
+    assert ended[-1]["reason"] == "replaced at its address"
+    assert ended[-1]["runs"] == 0
+
+
 def test_a_departure_of_a_former_life_is_no_departure_of_the_present_one(harness):
     harness.ask(call.Announce(worker(incarnation=2), 1, 0))
     harness.ask(call.Leave("w", 1))
