--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import itertools
 import random
 from collections.abc import Awaitable, Callable
 
@@ -26,6 +27,11 @@
 IDLE_TAIL_MS = 20.0
 MAX_DISTURBANCE_S = 4.0
 STARTUP_DURATION_S = 0.5
+CRASH_DELAY_S = 0.01  # between a start and the crash that it causes
+# After this many crashes under one task, it may be started fewer times than
+# `MAX_STARTS_AFTER_CRASHES` again.
+MAX_CRASHES = 3
+MAX_STARTS_AFTER_CRASHES = 3
 MAINTENANCE_DURATION_S = 2.0
 
 
@@ -107,6 +113,14 @@
         How much a fill task at full speed adds to the tail latency.
     tickets : dict
         Ticket and expiry by worker, for each step that needs one.
+    crashing : set of TaskKey
+        Tasks under which each worker crashes shortly after it has started them.
+    crashed : dict
+        Addresses of the workers that crashed under each task.
+    restart_s : float
+        Time until a crashed worker is back.
+    restart : callable or None
+        Announces a worker that is back, under another id at its former address.
     """
 
     def __init__(
@@ -131,6 +145,13 @@
         self.disturbance_ms = 0.0
         self.wasted_core_s = 0.0
         self.tickets: dict[tuple[str, int, int], dict[str, tuple[str, float]]] = {}
+        self.crashing: set[workflow.TaskKey] = set()
+        self.crashed: dict[workflow.TaskKey, list[str]] = {}
+        self.restart_s = 3.0
+        self.restart: Callable[[workflow.Worker], Awaitable[None]] | None = None
+        self._starts_after_crashes: dict[workflow.TaskKey, int] = {}
+        self._restarts: set[asyncio.Task] = set()
+        self._incarnations = itertools.count(1000)
         self._checkpoints: dict[str, tuple[workflow.TaskKey, float]] = {}
         self._started_s: dict[workflow.TaskKey, float] = {}
         self._delayed: set[asyncio.Task] = set()
@@ -341,6 +362,8 @@
             key, restored_s = self._checkpoints.get(request.checkpoint, (None, 0.0))
             if key is None or _step_key(key) != _step_key(request.task):
                 self.violations.append(f"checkpoint of another task: {request.task}")
+        if request.task in self.crashing:
+            self._watch(self._crash_later(process, request.task))
         process.runs[request.task] = _Run(
             request.task,
             request.run,
@@ -353,6 +376,36 @@
         )
         return port.Reply(process.clock_ms(self._now))
 
+    async def _crash_later(
+        self, process: WorkerProcess, task: workflow.TaskKey
+    ) -> None:
+        await asyncio.sleep(CRASH_DELAY_S)
+        if not process.has_ended:
+            self.crashed.setdefault(task, []).append(process.worker.address)
+            self.crash(process)
+
+    def crash(self, process: WorkerProcess) -> None:
+        """End a worker without notice; it is back after a while under another id."""
+        process.has_ended = True
+        self._watch(self._restart_later(process.worker))
+
+    async def _restart_later(self, worker: workflow.Worker) -> None:
+        await asyncio.sleep(self.restart_s)
+        incarnation = next(self._incarnations)
+        name = f"{worker.address}-{incarnation}"
+        restarted = msgspec.structs.replace(
+            worker, worker_id=name, incarnation=incarnation, draining=False
+        )
+        del self.processes[worker.worker_id]
+        self.join(restarted)
+        if self.restart is not None:
+            await self.restart(restarted)
+
+    def _watch(self, coroutine) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
     def _has_ticket(self, process: WorkerProcess, request: port.StartRequest) -> bool:
         """Tell whether a request has a valid ticket, or its step needs none."""
         tickets = self.tickets.get(_step_key(request.task))
@@ -371,6 +424,11 @@
                 self.violations.append(f"already running: {context}")
         if task in self.acknowledged:
             self.violations.append(f"started after its acknowledged end: {context}")
+        if len(self.crashed.get(task, ())) >= MAX_CRASHES:
+            starts = self._starts_after_crashes.get(task, 0) + 1
+            self._starts_after_crashes[task] = starts
+            if starts >= MAX_STARTS_AFTER_CRASHES:
+                self.violations.append(f"started after many crashes: {context}")
         self._started_s[task] = self._now
         submitted = self.submitted[task.workflow_id]
         if request.payload != submitted.payload:
--- /dev/null
+++ b/standins/leader.py
@@ -0,0 +1,219 @@
+"""A leader with workers in memory on a virtual clock, and the means to disturb it."""
+
+import asyncio
+import random
+
+import msgspec
+import reactivex.subject
+
+from marjoramusher.consensus import message
+from marjoramusher.core import errors
+from marjoramusher.executors import driver
+from marjoramusher.groups import local
+from marjoramusher.queues import call, service
+from marjoramusher.telemetry import metrics
+from marjoramusher.workflows import catalog, command, machine, workflow
+
+from . import fleet, virtual
+
+CATALOG = catalog.Catalog(
+    1,
+    (
+        catalog.Queue("urgent", "h", "/u/", "s", 0, 4, 1.5, 600, 1000),
+        catalog.Queue("batch", "h", "/b/", "s", 2, 4, 3.0, 3000, 1000),
+        catalog.Queue(
+            "policed",
+            "h",
+            "/p/",
+            "s",
+            1,
+            4,
+            3.0,
+            3000,
+            1000,
+            policy=catalog.Policy(100.0, 0.0, 3000.0),
+        ),
+    ),
+    (catalog.Service("s"),),
+)
+CAPACITY = workflow.Resources(64000, 1000, 8)
+HEARTBEAT_S = 1.5
+WORKERS = 4
+CALL_RETRY_S = 0.5  # a worker that got no acknowledgement calls again
+
+
+class Group(local.LocalGroup):
+    """A group of one member whose leadership the test controls."""
+
+    def __init__(self, state):
+        super().__init__("records", state)
+        self.is_led = True
+        self.current_term = 1
+        self.changes = reactivex.subject.Subject()
+
+    @property
+    def is_leader(self):
+        """Tell whether this member leads."""
+        return self.is_led
+
+    @property
+    def term(self):
+        """Return the term, which rises with each change of the leader."""
+        return self.current_term
+
+    @property
+    def roles(self):
+        """Return the changes of the role."""
+        return self.changes
+
+    async def propose_as_leader(self, command, timeout_s):
+        """Commit a command after the time that replicas take."""
+        await asyncio.sleep(0.02)
+        if not self.is_led:
+            raise errors.NotLeaderError(None)
+        return await self.propose(command, timeout_s)
+
+    def set_leader(self, is_led):
+        """Give the leadership away, or take it back in a new term."""
+        self.is_led = is_led
+        self.current_term += is_led
+        role = message.Role.LEADER if is_led else message.Role.FOLLOWER
+        self.changes.on_next(message.RoleChanged(role, self.current_term, None))
+
+
+class Harness:
+    """A driver, its group, and workers in memory on a virtual clock."""
+
+    def __init__(self, seed, work_s=None, permitted=None):
+        loop = asyncio.get_running_loop()
+        self.rng = random.Random(seed)
+        self.fleet = fleet.Fleet(self.rng, work_s or self.work_s)
+        self.policy = fleet.Policy(self.fleet, permitted or (lambda step, name: True))
+        self.hosts = fleet.Hosts(self.fleet)
+        self.state = machine.WorkflowMachine()
+        self.group = Group(self.state)
+        self.clock = virtual.LoopClock(loop)
+        self.driver = driver.Driver(
+            self.group,
+            self.state,
+            driver.Ports(self.fleet, self.policy, self.hosts),
+            self.clock,
+            metrics.Metrics(),
+            driver.Settings(HEARTBEAT_S),
+        )
+        self.service = service.QueueService(
+            "leader", self.state, self.driver, self.clock, metrics.Metrics()
+        )
+        self.fleet.restart = self.announce
+        self.tasks = [loop.create_task(self.fleet.simulate())]
+        self.count = 0
+        self.incarnation = 0
+
+    async def __aenter__(self):
+        await self.group.propose(
+            command.pack(command.ReplaceCatalog(0, CATALOG, b"")), 1.0
+        )
+        for index in range(WORKERS):
+            await self.join(f"x{index}")
+        self.tasks.append(asyncio.create_task(self.send_heartbeats()))
+        self.driver.start()
+        return self
+
+    async def __aexit__(self, *_):
+        await self.driver.stop()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def work_s(self, task, run):
+        """Return a random duration and outcome of a run."""
+        failed = self.rng.random() < 0.05
+        outcome = workflow.RunOutcome.FAILED if failed else workflow.RunOutcome.DONE
+        return self.rng.uniform(0.2, 4.0), outcome
+
+    async def join(self, name):
+        """Start a process of a worker and register it."""
+        self.incarnation += 1
+        worker = workflow.Worker(
+            name, self.incarnation, name, "s", "fd", "r1", ("a", "r1"), CAPACITY
+        )
+        self.fleet.join(worker)
+        await self.group.propose(command.pack(command.RegisterWorker(0, worker)), 1.0)
+
+    async def announce(self, worker, sequence=1, clock_ms=None):
+        """Announce a worker to whoever leads, until that is acknowledged."""
+        request = call.pack_call(call.Announce(worker, sequence, clock_ms))
+        while True:
+            try:
+                await self.service.serve(request)
+                return
+            except errors.MarjoramusherError:
+                await asyncio.sleep(CALL_RETRY_S)
+
+    async def send_heartbeats(self):
+        """Send the heartbeats of all registered workers that can be reached."""
+        while True:
+            for name, life in list(self.fleet.processes.items()):
+                if name not in self.fleet.unreachable and not life.has_ended:
+                    if self.state.workers.get(name) is None:
+                        continue
+                    self.driver.record_heartbeat(
+                        name,
+                        life.worker.incarnation,
+                        life.clock_ms(self.clock.monotonic()),
+                    )
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def submit(self, queue, *steps):
+        """Submit a workflow and return its id."""
+        self.count += 1
+        name = f"{self.count:016x}"
+        now_ms = int(self.clock.utcnow().timestamp() * 1000)
+        submitted = workflow.Workflow(name, queue, "a", f"spec {name}", steps, now_ms)
+        self.fleet.submitted[name] = submitted
+        if queue == "policed":
+            self.fleet.tickets.update({(name, 0, i): {} for i in range(len(steps))})
+        await self.group.propose(command.pack(command.Submit(now_ms, submitted)), 1.0)
+        return name
+
+    async def submit_random(self, count):
+        """Submit workflows of random steps, some of them gangs."""
+        for _ in range(count):
+            gang = self.rng.random() < 0.4
+            first = step(self.rng.randint(1, 4), self.rng.choice([1, 2, 4]), gang=gang)
+            first = msgspec.structs.replace(
+                first, checkpointing=self.rng.random() < 0.5
+            )
+            steps = [first]
+            if self.rng.random() < 0.3:
+                steps.append(step(2, 1, after=(0,)))
+            await self.submit(self.rng.choice(["urgent", "batch"]), *steps)
+            await asyncio.sleep(self.rng.uniform(0.0, 1.0))
+
+    async def wait_until_ended(self, timeout_s):
+        """Wait until no workflow is active, or the time is over."""
+        end_s = self.clock.monotonic() + timeout_s
+        while self.state.active and self.clock.monotonic() < end_s:
+            await asyncio.sleep(0.1)
+
+    async def check_all_end(self, timeout_s):
+        """End the faults, and check that all workflows end and no rule was broken."""
+        self.fleet.loss_rate = 0.0
+        await self.wait_until_ended(timeout_s)
+        assert self.fleet.violations == []
+        assert workflow.State.ACTIVE not in self.states()
+
+    def states(self):
+        """Return the states of all workflows."""
+        return {entry.state for entry in self.state.entries.values()}
+
+
+def step(count, accelerators, **fields):
+    """Return a step of small tasks."""
+    needs = workflow.Resources(1000, 10, accelerators)
+    return workflow.Step(count, needs, 2000, **fields)
+
+
+def always(work_s, outcome=workflow.RunOutcome.DONE):
+    """Return a function for runs that all last equally long and end alike."""
+    return lambda task, run: (work_s, outcome)
--- a/tests/log_session_test.py
+++ b/tests/log_session_test.py
@@ -8,9 +8,8 @@
 import pytest
 
 from adapter import wire_test
-from marjoramusher.executors import driver_test
 from marjoramusher.workflows import command, wave, workflow
-from standins import virtual
+from standins import leader, virtual
 from tests import log_lines_test, platform_session_test
 
 LIBRARY_FIELDS = {"message_type", "timestamp", "task_uuid", "task_level"}
@@ -64,9 +63,9 @@
         outcome = workflow.RunOutcome.DONE if run > 4 else workflow.RunOutcome.FAILED
         return 0.5, outcome
 
-    async with driver_test.Harness(1, work_s) as harness:
+    async with leader.Harness(1, work_s) as harness:
         harness.hosts.rejoin = harness.join
-        steps = driver_test.step(3, 4)
+        steps = leader.step(3, 4)
         for queue in ("batch", "batch", "batch", "policed"):
             await harness.submit(queue, steps)
         harness.policy.failing = True
@@ -87,14 +86,12 @@
 
 async def paced_session():
     """Run fill tasks that slow down beside serving tasks while requests are lost."""
-    async with driver_test.Harness(2, driver_test.always(900.0)) as harness:
-        serving = driver_test.step(
-            4, 1, long_running=True, target_ms=100, max_per_worker=1
-        )
+    async with leader.Harness(2, leader.always(900.0)) as harness:
+        serving = leader.step(4, 1, long_running=True, target_ms=100, max_per_worker=1)
         await harness.submit("batch", serving)
         await asyncio.sleep(2.0)
         harness.fleet.disturbance_ms = 60.0
-        await harness.submit("batch", driver_test.step(40, 0, fill=True))
+        await harness.submit("batch", leader.step(40, 0, fill=True))
         await asyncio.sleep(2.0)
         harness.fleet.loss_rate = 0.3
         await asyncio.sleep(8.0)
