--- /dev/null
+++ b/marjoramusher/executors/capacity_test.py
@@ -0,0 +1,95 @@
+"""Guards against starts beyond the capacity of workers that shrink and grow."""
+
+import asyncio
+
+import pytest
+
+from marjoramusher.workflows import workflow
+from standins import virtual
+from standins.leader import CAPACITY, HEARTBEAT_S, Harness, always, step
+
+SMALL = workflow.Resources(64000, 1000, 2)
+
+
+def shrink_all(harness):
+    for process in list(harness.fleet.processes.values()):
+        harness.fleet.resize(process, SMALL)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_workers_that_shrink_and_grow_are_never_overcommitted(seed):
+    """Guards against starts that were planned, or preempted for, with former room."""
+
+    async def scenario():
+        async with Harness(seed) as harness:
+            harness.fleet.loss_rate = 0.05
+
+            async def resize():
+                while True:
+                    await asyncio.sleep(harness.rng.uniform(0.2, 3))
+                    process = harness.rng.choice(list(harness.fleet.processes.values()))
+                    capacity = workflow.Resources(
+                        harness.rng.choice([2000, 16000, 64000]),
+                        harness.rng.choice([20, 1000]),
+                        harness.rng.randint(0, 8),
+                    )
+                    harness.fleet.resize(process, capacity)
+
+            resizing = asyncio.create_task(resize())
+            await harness.submit_random(40)
+            resizing.cancel()
+            for process in harness.fleet.processes.values():
+                harness.fleet.resize(process, CAPACITY)
+            await harness.check_all_end(200)
+
+    virtual.run(scenario())
+
+
+def test_a_late_announcement_does_not_restore_a_former_capacity():
+    """Guards against an announcement of a worker that was sent before its last one.
+
+    A new leader has not seen the sequence numbers that the one before has.
+    """
+
+    async def scenario():
+        async with Harness(1, always(60.0)) as harness:
+            await harness.submit("batch", step(4, 1, max_per_worker=1))
+            await asyncio.sleep(2 * HEARTBEAT_S)
+            late = [
+                asyncio.create_task(
+                    harness.send_heartbeat(process, harness.sequence, 7.5)
+                )
+                for process in list(harness.fleet.processes.values())
+            ]
+            await asyncio.sleep(0.1)
+            shrink_all(harness)
+            await asyncio.sleep(7.0)
+            harness.unheard.update(harness.fleet.processes)
+            harness.lose_leadership()
+            await asyncio.sleep(0.3)
+            harness.take_over()
+            await asyncio.gather(*late)
+            await harness.submit("batch", step(32, 1))
+            await asyncio.sleep(2 * HEARTBEAT_S)
+            assert harness.fleet.violations == []
+
+    virtual.run(scenario())
+
+
+def test_a_shrunken_worker_keeps_what_it_runs_and_takes_no_more():
+    """Guards against counting what is being stopped as free, and against evictions."""
+
+    async def scenario():
+        async with Harness(4, always(20.0)) as harness:
+            await harness.submit("batch", step(32, 1))
+            await asyncio.sleep(2 * HEARTBEAT_S)
+            shrink_all(harness)
+            await harness.submit("batch", step(32, 1))
+            await asyncio.sleep(7.0)
+            assert harness.fleet.starts == 32
+            assert all(len(p.runs) == 8 for p in harness.fleet.processes.values())
+            await asyncio.sleep(15.0)
+            assert harness.fleet.starts == 40
+            assert harness.fleet.violations == []
+
+    virtual.run(scenario())
--- a/marjoramusher/queues/service.py
+++ b/marjoramusher/queues/service.py
@@ -159,7 +159,7 @@
     async def _announce(self, request: call.Announce) -> call.AnyReply:
         worker = request.worker
         acknowledgement = call.Acknowledged(self._instance_id)
-        latest = self._latest_announcements.get(worker.worker_id, (0, 0))
+        latest = self._latest_announcement(worker.worker_id)
         announced = (worker.incarnation, request.sequence)
         if announced <= latest or self._state.has_incarnation_ended(
             worker.worker_id, worker.incarnation
@@ -170,7 +170,9 @@
         registered = self._state.workers.get(worker.worker_id)
         if registered is None or _is_changed(registered.worker, worker):
             await self._driver.propose(
-                command.RegisterWorker(clock.unix_ms(self._clock), worker)
+                command.RegisterWorker(
+                    clock.unix_ms(self._clock), worker, request.sequence
+                )
             )
             log.state_change(
                 "worker.registered",
@@ -191,6 +193,21 @@
         )
         return acknowledgement
 
+    def _latest_announcement(self, worker_id: str) -> tuple[int, int]:
+        """Return incarnation and sequence number of the latest known announcement.
+
+        Of those that an earlier leader received, only the last one that changed the
+        description of the worker is known.
+        """
+        latest = self._latest_announcements.get(worker_id)
+        if latest is not None:
+            return latest
+        registered = self._state.workers.get(worker_id)
+        if registered is None:
+            return 0, 0
+        # The announcement with this number may be the next one if it was repeated.
+        return registered.worker.incarnation, registered.sequence - 1
+
     async def _leave(self, request: call.Leave) -> call.AnyReply:
         registered = self._state.workers.get(request.worker_id)
         if registered is not None and request.incarnation in (
--- a/marjoramusher/workflows/command.py
+++ b/marjoramusher/workflows/command.py
@@ -46,9 +46,16 @@
 
 
 class RegisterWorker(Command, frozen=True, tag=True):
-    """Register an incarnation of a worker, or update its description."""
+    """Register an incarnation of a worker, or update its description.
+
+    Parameters
+    ----------
+    sequence : int
+        Sequence number of the announcement, 0 if it is not known.
+    """
 
     worker: workflow.Worker
+    sequence: int = 0
 
 
 class RemoveWorker(Command, frozen=True, tag=True):
--- a/marjoramusher/workflows/machine.py
+++ b/marjoramusher/workflows/machine.py
@@ -88,11 +88,14 @@
     lapsed : dict
         Numbers of the runs that were released when its lease expired, by task. Whether
         they lapsed or the worker crashed is known only when it is heard again.
+    sequence : int
+        Sequence number of the announcement that last changed the description.
     """
 
     worker: workflow.Worker
     last_end_number: int = 0
     lapsed: dict[workflow.TaskKey, int] = {}
+    sequence: int = 0
 
 
 class _Snapshot(msgspec.Struct, frozen=True, array_like=True):
@@ -325,6 +328,9 @@
             registered is not None
             and registered.worker.incarnation == worker.incarnation
         ):
+            if 0 < register.sequence < registered.sequence:
+                return  # the announcement was delayed in transit
+            registered.sequence = register.sequence
             draining = registered.worker.draining or worker.draining
             registered.worker = msgspec.structs.replace(worker, draining=draining)
             return
@@ -341,7 +347,9 @@
                     return
                 self._record_replaced(other, register.at_ms)
                 self._unregister(other.worker)
-        self._workers[worker.worker_id] = WorkerState(worker)
+        self._workers[worker.worker_id] = WorkerState(
+            worker, sequence=register.sequence
+        )
 
     def _remove(self, remove: command.RemoveWorker) -> None:
         registered = self._workers.get(remove.worker_id)
--- a/marjoramusher/workflows/machine_test.py
+++ b/marjoramusher/workflows/machine_test.py
@@ -354,6 +354,17 @@
     assert len(harness.state.task(task_key()).crashes) == count
 
 
+def test_an_announcement_that_was_overtaken_while_it_was_committed_changes_nothing():
+    """Guards against a former capacity that is restored by commits out of order."""
+    harness = Harness()
+    small = msgspec.structs.replace(worker(), capacity=NEEDS)
+    harness.apply(command.RegisterWorker(0, small, 5))
+    harness.apply(command.RegisterWorker(0, worker(), 4))
+    assert harness.state.workers["x"].worker.capacity == NEEDS
+    harness.apply(command.RegisterWorker(0, worker(), 6))
+    assert harness.state.workers["x"].worker == worker()
+
+
 def test_a_crash_that_is_recorded_again_counts_once():
     """Guards against giving up a task because commands are repeated."""
     harness = Harness(step(1))
@@ -416,6 +427,7 @@
     harness.assign(placement())
     stored = codec.unpack(harness.state.snapshot(), list)
     assert stored[2]["w"][3][0][0][0].pop() == []  # the crashes of the task
+    assert stored[3]["x"].pop() == 0  # the sequence number of the announcement
     assert stored[3]["x"].pop() == {}  # the lapsed runs of the worker
     restored = machine.WorkflowMachine()
     restored.restore(codec.pack(stored))
