--- a/marjoramusher/executors/capacity_test.py
+++ b/marjoramusher/executors/capacity_test.py
@@ -6,7 +6,13 @@
 
 from marjoramusher.workflows import workflow
 from standins import virtual
-from standins.leader import CAPACITY, HEARTBEAT_S, Harness, always, step
+from standins.leader import (
+    CAPACITY,
+    HEARTBEAT_S,
+    Harness,
+    always,
+    step,
+)
 
 SMALL = workflow.Resources(64000, 1000, 2)
 
@@ -45,6 +51,38 @@
     virtual.run(scenario())
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_capacities_change_while_the_leader_changes(seed):
+    """Guards against capacities that only a former leader knew to be smaller."""
+
+    async def scenario():
+        async with Harness(seed) as harness:
+            rng = harness.rng
+
+            async def disturb():
+                while True:
+                    await asyncio.sleep(rng.uniform(1, 5))
+                    harness.lose_leadership()
+                    process = rng.choice(list(harness.fleet.processes.values()))
+                    accelerators = rng.randint(0, 8)
+                    harness.fleet.resize(
+                        process, workflow.Resources(64000, 1000, accelerators)
+                    )
+                    await asyncio.sleep(rng.uniform(0.05, 9))
+                    harness.take_over()
+
+            disturbing = asyncio.create_task(disturb())
+            await harness.submit_random(40)
+            disturbing.cancel()
+            if not harness.group.is_led:
+                harness.take_over()
+            for process in harness.fleet.processes.values():
+                harness.fleet.resize(process, CAPACITY)
+            await harness.check_all_end(300)
+
+    virtual.run(scenario())
+
+
 def test_a_late_announcement_does_not_restore_a_former_capacity():
     """Guards against an announcement of a worker that was sent before its last one.
 
@@ -76,6 +114,46 @@
     virtual.run(scenario())
 
 
+def test_a_worker_whose_announcements_are_missing_gets_no_tasks():
+    """Guards against a capacity that may have shrunk while only calls get through."""
+
+    async def scenario():
+        async with Harness(2, always(60.0)) as harness:
+            await harness.submit("batch", step(4, 1, max_per_worker=1))
+            await asyncio.sleep(2 * HEARTBEAT_S)
+            harness.unheard.update({"x0", "x1"})
+            shrink_all(harness)
+            await asyncio.sleep(6.0)
+            await harness.submit("batch", step(32, 1))
+            await asyncio.sleep(6.0)
+            assert harness.fleet.violations == []
+            assert harness.fleet.starts == 6
+            harness.unheard.clear()
+            await asyncio.sleep(2 * HEARTBEAT_S)
+            assert harness.fleet.starts == 8
+
+    virtual.run(scenario())
+
+
+@pytest.mark.parametrize("gap_s", [1.0, 6.0, 20.0])
+def test_a_new_leader_waits_for_announcements_after_a_gap(gap_s):
+    """Guards against capacities that shrank while nobody led."""
+
+    async def scenario():
+        async with Harness(3, always(60.0)) as harness:
+            await harness.submit("batch", step(4, 1, max_per_worker=1))
+            await asyncio.sleep(2 * HEARTBEAT_S)
+            harness.lose_leadership()
+            shrink_all(harness)
+            await harness.submit("batch", step(32, 1))
+            await asyncio.sleep(gap_s)
+            harness.take_over()
+            await asyncio.sleep(3 * HEARTBEAT_S)
+            assert harness.fleet.violations == []
+
+    virtual.run(scenario())
+
+
 def test_a_shrunken_worker_keeps_what_it_runs_and_takes_no_more():
     """Guards against counting what is being stopped as free, and against evictions."""
 
@@ -93,3 +171,27 @@
             assert harness.fleet.violations == []
 
     virtual.run(scenario())
+
+
+def test_a_delayed_announcement_is_as_old_as_its_reading_of_the_clock():
+    """Guards against an announcement that a cut link held back for seconds."""
+
+    async def scenario():
+        async with Harness(7, always(60.0)) as harness:
+            await harness.submit("batch", step(4, 1, max_per_worker=1))
+            await asyncio.sleep(2 * HEARTBEAT_S)
+            harness.unheard.update(harness.fleet.processes)
+            late = [
+                asyncio.create_task(
+                    harness.send_heartbeat(process, harness.sequence + 1, 6.0)
+                )
+                for process in list(harness.fleet.processes.values())
+            ]
+            await asyncio.sleep(0.1)
+            shrink_all(harness)
+            await asyncio.gather(*late)
+            await harness.submit("batch", step(32, 1))
+            await asyncio.sleep(1.0)
+            assert harness.fleet.violations == []
+
+    virtual.run(scenario())
--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -51,11 +51,15 @@
         How long before its due time an occurrence may start.
     retention_s : float
         How long an ended workflow can be queried.
+    announcement_valid_s : float
+        How long a worker may be used after its last announcement, since its capacity
+        can shrink at any time.
     plan : Planner
         Decides which tasks start on which workers.
     """
 
     __slots__ = (
+        "announcement_valid_s",
         "early_ms",
         "heartbeat_s",
         "lease",
@@ -71,8 +75,10 @@
         retention_s: float = 600.0,
         lease_settings: lease.Settings | None = None,
         maintenance_settings: maintenance.Settings | None = None,
+        announcement_valid_s: float = 4.0,
         plan: planner.Planner = planner.plan,
     ) -> None:
+        self.announcement_valid_s = announcement_valid_s
         self.heartbeat_s = heartbeat_s
         self.early_ms = early_ms
         self.retention_s = retention_s
@@ -128,6 +134,10 @@
         self._sessions: dict[str, session.Session] = {}
         self._closing: set[asyncio.Task] = set()
         self._health = health.Health()
+        # Incarnation and time of the last announcement of each worker.
+        self._announced: dict[str, tuple[int, float]] = {}
+        # When other workers are taken to have announced themselves to another leader.
+        self._announced_before_s = float("-inf")
         self._term = 0
         self._is_leading = False
         self._has_taken_over = asyncio.Event()
@@ -192,8 +202,12 @@
     def record_heartbeat(
         self, worker_id: str, incarnation: int, clock_ms: int | None
     ) -> None:
-        """Record a heartbeat of a registered worker."""
+        """Record a heartbeat of a registered worker, which may have been delayed."""
+        announced_s = self._clock.monotonic()
         current = self._sessions.get(worker_id)
+        if current is not None and current.worker.incarnation == incarnation:
+            announced_s -= current.age_s(clock_ms)
+        self._announced[worker_id] = (incarnation, announced_s)
         if current is not None and current.worker.incarnation == incarnation:
             current.record_heartbeat(clock_ms)
             self._wake.set()
@@ -293,6 +307,11 @@
         self._is_leading = True
         self._has_taken_over.set()
         self._health = health.Health()
+        self._announced = {}
+        self._announced_before_s = (
+            self._group.other_leader_heard_s
+            - SUSPECT_HEARTBEATS * self._settings.heartbeat_s
+        )
         self._demand = demand.UrgentDemand()
         self._progress.on_leading()
         self._maintenance.start()
@@ -479,7 +498,10 @@
             )
             is_not_draining = not self._maintenance.is_draining(worker_id)
             conditions[worker_id] = condition.WorkerCondition(
-                is_reachable and is_not_draining and verdict.is_usable,
+                is_reachable
+                and self._is_announcement_valid(current.worker, now_s)
+                and is_not_draining
+                and verdict.is_usable,
                 current.stopping,
                 current.ages_s(),
                 verdict.is_suspect or is_silent,
@@ -489,6 +511,13 @@
             )
         return conditions
 
+    def _is_announcement_valid(self, worker: workflow.Worker, now_s: float) -> bool:
+        """Tell whether a worker announced its capacity recently enough to use it."""
+        incarnation, announced_s = self._announced.get(worker.worker_id, (0, 0.0))
+        if incarnation != worker.incarnation:
+            announced_s = self._announced_before_s
+        return now_s - announced_s <= self._settings.announcement_valid_s
+
     async def _forget(self) -> None:
         """Delete workflows whose retention time is over, at a fixed interval."""
         now_s = self._clock.monotonic()
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -159,6 +159,13 @@
         if clock_ms is not None:
             self._lease.record_clock(clock_ms, now_s)
 
+    def age_s(self, clock_ms: int | None) -> float:
+        """Return the minimum age of a reading of the worker's clock, 0 if unknown."""
+        estimate_ms = self._lease.estimate_ms(self._clock.monotonic())
+        if clock_ms is None or estimate_ms is None:
+            return 0.0
+        return max(estimate_ms - clock_ms, 0.0) / 1000
+
     def open(self) -> None:
         """Start to poll the worker."""
         self._poll_task = asyncio.get_running_loop().create_task(self._poll_loop())
@@ -284,7 +291,10 @@
         self._spawn_stop(run)
 
     async def _send_start(self, run: runs.Run) -> port.Reply | None:
-        """Send a start, ``None`` if the state, the lease or the permit forbids it."""
+        """Send a start, ``None`` if something that it relied on is no longer so.
+
+        Time passes between a plan and its starts, and before a start is repeated.
+        """
         placement = run.placement
         task = self._state.task(placement.task)
         entry = self._state.entries.get(placement.task.workflow_id)
--- a/standins/leader.py
+++ b/standins/leader.py
@@ -40,6 +40,7 @@
 CAPACITY = workflow.Resources(64000, 1000, 8)
 HEARTBEAT_S = 1.5
 WORKERS = 4
+COMMIT_S = 0.02
 CALL_RETRY_S = 0.5  # a worker that got no acknowledgement calls again
 
 
@@ -52,6 +53,7 @@
         self.current_term = 1
         self.changes = reactivex.subject.Subject()
         self.other_leader_s = float("-inf")
+        self.commit_s = COMMIT_S
 
     @property
     def other_leader_heard_s(self):
@@ -75,7 +77,7 @@
 
     async def propose_as_leader(self, command, timeout_s):
         """Commit a command after the time that replicas take."""
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(self.commit_s)
         if not self.is_led:
             raise errors.NotLeaderError(None)
         return await self.propose(command, timeout_s)
