--- a/marjoramusher/executors/capacity_test.py
+++ b/marjoramusher/executors/capacity_test.py
@@ -8,7 +8,9 @@
 from standins import virtual
 from standins.leader import (
     CAPACITY,
+    COMMIT_S,
     HEARTBEAT_S,
+    WORKERS,
     Harness,
     always,
     step,
@@ -173,6 +175,47 @@
     virtual.run(scenario())
 
 
+def test_a_start_is_not_sent_once_the_announcement_is_old():
+    """Guards against starts that a slow commit holds back while a worker shrinks."""
+
+    async def scenario():
+        async with Harness(5, always(60.0)) as harness:
+            await asyncio.sleep(2 * HEARTBEAT_S + 0.1)
+            harness.unheard.update(harness.fleet.processes)
+            shrink_all(harness)
+            await asyncio.sleep(3.5)
+            harness.group.commit_s = 2.5
+            await harness.submit("batch", step(16, 2))
+            await asyncio.sleep(8.0)
+            assert harness.fleet.violations == []
+            assert harness.fleet.starts == 0
+            harness.group.commit_s = COMMIT_S
+            harness.unheard.clear()
+            await asyncio.sleep(2 * HEARTBEAT_S)
+            assert harness.fleet.starts == WORKERS
+
+    virtual.run(scenario())
+
+
+def test_a_start_is_not_sent_once_the_worker_is_known_to_have_shrunk():
+    """Guards against starts for room that is gone before their commit is done."""
+
+    async def scenario():
+        async with Harness(6, always(60.0)) as harness:
+            await asyncio.sleep(2 * HEARTBEAT_S)
+            harness.group.commit_s = 1.0
+            await harness.submit("batch", step(16, 2))
+            await asyncio.sleep(0.1)
+            shrink_all(harness)
+            harness.group.commit_s = COMMIT_S
+            for process in list(harness.fleet.processes.values()):
+                await harness.send_heartbeat(process, harness.sequence + 1)
+            await asyncio.sleep(2.0)
+            assert harness.fleet.starts == WORKERS
+
+    virtual.run(scenario())
+
+
 def test_a_delayed_announcement_is_as_old_as_its_reading_of_the_clock():
     """Guards against an announcement that a cut link held back for seconds."""
 
--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -518,6 +518,21 @@
             announced_s = self._announced_before_s
         return now_s - announced_s <= self._settings.announcement_valid_s
 
+    def has_room(self, worker: workflow.Worker) -> bool:
+        """Tell whether all runs placed on a worker fit what it announced recently."""
+        registered = self._state.workers.get(worker.worker_id)
+        if registered is None or not self._is_announcement_valid(
+            registered.worker, self._clock.monotonic()
+        ):
+            return False
+        steps = [
+            self._state.step(task)
+            for task in self._state.placements_on(worker.worker_id)
+        ]
+        needs = [resources.reserved(step) for step in steps if step is not None]
+        total = functools.reduce(resources.combined, needs, resources.NOTHING)
+        return total.fits_within(registered.worker.capacity)
+
     async def _forget(self) -> None:
         """Delete workflows whose retention time is over, at a fixed interval."""
         now_s = self._clock.monotonic()
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -46,6 +46,9 @@
     def ticket(self, placement: workflow.Placement) -> str | None:
         """Return the ticket for a start, ``None`` if a required permit is missing."""
 
+    def has_room(self, worker: workflow.Worker) -> bool:
+        """Tell whether all runs placed on a worker fit what it announced recently."""
+
 
 class Session:
     """Starts, stops and polls the runs on one incarnation of a worker.
@@ -302,6 +305,15 @@
         ticket = self._leader.ticket(placement)
         if task is None or entry is None or deadline_ms is None or ticket is None:
             return None
+        if not self._leader.has_room(self.worker):
+            log.state_change(
+                "task.start_withheld",
+                task=runs.name(placement.task),
+                run=placement.run,
+                worker=self.worker.worker_id,
+                reason="the worker has shrunk or has not announced itself recently",
+            )
+            return None
         reply = await self._port.start(
             self.worker,
             port.StartRequest(
