--- a/marjoramusher/workflows/crash.py
+++ b/marjoramusher/workflows/crash.py
@@ -15,6 +15,9 @@
 ISOLATION_CRASHES = 2
 # At most one of this many workers is spared at a time for tasks on their own.
 WORKERS_PER_ISOLATION = 8
+# Of the workers that are idle after all other work is placed, more are spared, up to
+# one of this many workers.
+WORKERS_PER_IDLE_ISOLATION = 2
 # A task is given up after this number of crashes if all of them were sudden, and it was
 # alone on the worker during the last one.
 MIN_CRASHES = 3
--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -108,6 +108,7 @@
     )
     for pending in pending_steps:
         planner.place(pending)
+    planner.place_suspects_on_idle_workers()
     return Plan(
         tuple(planner.placements),
         tuple(planner.preemptions),
@@ -164,6 +165,8 @@
         self._worker_sets: dict[tuple[str, str], _WorkerSet] = {}
         self._shortages = shortage.Shortages()
         self._shortage_reasons: dict[_RequestKind, WaitReason] = {}
+        # Tasks for which no further busy worker may be spared.
+        self._waiting_suspects: list[tuple[backlog.PendingStep, int]] = []
         self.placements: list[workflow.Placement] = []
         self.preemptions: list[tuple[workflow.Placement, str]] = []
         self.wait_reasons: dict[resources.StepKey, WaitReason] = {}
@@ -223,6 +226,25 @@
         ):
             self._add_query(pending, policy)
 
+    def place_suspects_on_idle_workers(self) -> None:
+        """Spare more workers for suspects if the plan has left them idle.
+
+        Others remain open, since urgent tasks would have to wait for closed ones.
+        """
+        for pending, index in self._waiting_suspects:
+            if not self._is_pressing(pending) and not self._leaves_headroom(pending, 1):
+                self.wait_reasons[pending.key] = WaitReason.HEADROOM
+                continue
+            candidates = self._workers(pending).candidates
+            idle = [candidate for candidate in candidates if not candidate.task_count]
+            chosen = self._spare_worker(
+                pending, index, idle, crash.WORKERS_PER_IDLE_ISOLATION
+            )
+            if chosen is None:
+                self.wait_reasons[pending.key] = WaitReason.NO_ISOLATION
+            else:
+                self._place_task(pending, index, chosen)
+
     def _place_tasks(self, pending: backlog.PendingStep) -> None:
         kind = self._request_kind(pending)
         workers = self._workers(pending)
@@ -236,7 +258,9 @@
                 pending, workers.candidates
             ):
                 spared = self._spare_worker(pending, index, workers.candidates)
-                if spared is None or spared.task_count:
+                if spared is None:
+                    self._waiting_suspects.append((pending, index))
+                elif spared.task_count:
                     self.wait_reasons[pending.key] = WaitReason.NO_ISOLATION
                 else:
                     self._place_task(pending, index, spared)
@@ -544,10 +568,9 @@
     def _needs_isolation(self, pending: backlog.PendingStep, index: int) -> bool:
         return len(self._crashes(pending, index)) >= crash.ISOLATION_CRASHES
 
-    def _isolation_limit(self, pending: backlog.PendingStep) -> int:
+    def _isolation_limit(self, service: str, workers_per_isolation: int) -> int:
         """Return how many workers may be closed to other tasks at a time."""
-        service = self._candidates.get(pending.entry.queue.service, ())
-        return max(len(service) // crash.WORKERS_PER_ISOLATION, 1)
+        return max(len(self._candidates.get(service, ())) // workers_per_isolation, 1)
 
     def _can_isolate(
         self, pending: backlog.PendingStep, candidates: list[resources.Candidate]
@@ -567,7 +590,9 @@
             for candidate in candidates
             if self._is_isolation_option(pending, candidate)
         )
-        if alone > min(len(options), self._isolation_limit(pending)):
+        service = pending.entry.queue.service
+        limit = self._isolation_limit(service, crash.WORKERS_PER_ISOLATION)
+        if alone > min(len(options), limit):
             return False
         total = sum(
             resources.max_tasks(needs, candidate.worker.capacity)
@@ -594,20 +619,22 @@
         pending: backlog.PendingStep,
         index: int,
         candidates: list[resources.Candidate],
+        workers_per_isolation: int = crash.WORKERS_PER_ISOLATION,
     ) -> resources.Candidate | None:
         """Return a worker for a task on its own, and close it to other tasks.
 
         If it is not empty, the task has to wait for the tasks there. ``None`` if no
         further worker may be closed now.
         """
-        service = self._candidates.get(pending.entry.queue.service, ())
-        closed = sum(candidate.is_closed for candidate in service)
+        service = pending.entry.queue.service
+        closed = sum(item.is_closed for item in self._candidates.get(service, ()))
         options = [
             candidate
             for candidate in candidates
             if not candidate.is_closed and self._is_isolation_option(pending, candidate)
         ]
-        if closed >= self._isolation_limit(pending) or not options:
+        limit = self._isolation_limit(service, workers_per_isolation)
+        if closed >= limit or not options:
             return None
         addresses = {item.address for item in self._crashes(pending, index)}
         rack = pending.step.rack
--- a/marjoramusher/workflows/planner_test.py
+++ b/marjoramusher/workflows/planner_test.py
@@ -3,6 +3,7 @@
 import random
 
 import msgspec
+import pytest
 
 from marjoramusher.workflows import (
     backlog,
@@ -712,6 +713,34 @@
     assert len(workers_of(plan, others)) == 112
 
 
+@pytest.mark.parametrize("size, count", [(16, 6), (8, 4), (4, 2)])
+def test_idle_workers_are_spared_for_suspects_that_would_wait(size, count):
+    """Guards against a line of suspects in front of workers with nothing to do."""
+    harness = Harness(size=size)
+    names = [harness.submit("batch", 1, 1) for _ in range(6)]
+    for name in names:
+        blame(harness, name, 0, "a", "b")
+    plan = harness.run()
+    used = [worker for name in names for worker in workers_of(plan, name)]
+    assert len(used) == len(set(used)) == count
+    assert len(plan.wait_reasons) == 6 - count
+    later = harness.submit("urgent", 1, 1)
+    assert len(workers_of(harness.run(), later)) == 1
+
+
+def test_suspects_wait_for_workers_of_their_own_while_others_are_busy():
+    """Guards against suspects that are put beside others as soon as there is room."""
+    harness = Harness(size=4)
+    harness.submit("batch", 20, 1)
+    harness.run()
+    names = [harness.submit("batch", 1, 1) for _ in range(3)]
+    for name in names:
+        blame(harness, name, 0, "a", "b")
+    plan = harness.run()
+    assert [len(workers_of(plan, name)) for name in names] == [1, 0, 0]
+    assert set(plan.wait_reasons.values()) == {planner.WaitReason.NO_ISOLATION}
+
+
 def test_a_member_with_two_crashes_is_alone_and_its_gang_is_whole():
     """Guards against gangs that never form again, or share the crash of a member."""
     harness = Harness(size=4)
