--- a/tests/log_session_test.py
+++ b/tests/log_session_test.py
@@ -97,6 +97,17 @@
         await asyncio.sleep(8.0)
 
 
+async def slow_session():
+    """Run a workflow whose commit takes longer than an announcement is valid."""
+    async with leader.Harness(3, leader.always(900.0)) as harness:
+        await asyncio.sleep(leader.HEARTBEAT_S + 0.1)
+        harness.unheard.update(harness.fleet.processes)
+        await asyncio.sleep(3.5)
+        harness.group.commit_s = 2.5
+        await harness.submit("batch", leader.step(4, 1))
+        await asyncio.sleep(4.0)
+
+
 async def refused_session(folder):
     """Run a session with a refused run, a deregistered worker and no controller left.
 
@@ -131,7 +142,7 @@
     with captured_lines() as lines:
         await platform_session_test.run_session(tmp_path / "first")
         await refused_session(tmp_path / "second")
-        for session in (disturbed_session, paced_session):
+        for session in (disturbed_session, paced_session, slow_session):
             await asyncio.to_thread(lambda run=session: virtual.run(run()))
     documented = log_lines_test.documented_fields()
     fields_by_kind = {}
