--- a/marjoramusher/consensus/election.py
+++ b/marjoramusher/consensus/election.py
@@ -36,7 +36,6 @@
     __slots__ = (
         "_retry_delay_s",
         "_leader_contact_s",
-        "_leader_message_s",
         "_votes",
         "_pre_vote",
         "_raft",
@@ -59,7 +58,6 @@
         self._settings = settings
         self._rng = rng
         self._leader_contact_s = now
-        self._leader_message_s = float("-inf")
         self._started_s = now
         self._last_round = (0, 0)  # Term and highest heartbeat round received.
         self._votes: set[message.VoterId] = set()
@@ -84,18 +82,13 @@
 
     @property
     def leader_contact_s(self) -> float:
-        """Return when a message of the leader last arrived, at least the start."""
+        """Return when a message of the leader last arrived."""
         return self._leader_contact_s
 
-    @property
-    def leader_message_s(self) -> float:
-        """Return when a message of another leader arrived, -inf if none has."""
-        return self._leader_message_s
-
     def record_leader_contact(self, round_number: int, now: float) -> None:
         """Record a message of this term's leader and restart the timeout."""
         self._last_round = max(self._last_round, (self._raft.term, round_number))
-        self._leader_contact_s = self._leader_message_s = now
+        self._leader_contact_s = now
         self._ballot_term = 0
         self._retry_delay_s = VOTE_RETRY_S
         self.reset_timeout(now)
--- a/marjoramusher/consensus/node.py
+++ b/marjoramusher/consensus/node.py
@@ -81,11 +81,6 @@
         """Return the time since the last message of the known leader."""
         return 0.0 if self._leadership else now - self._elections.leader_contact_s
 
-    @property
-    def leader_message_s(self) -> float:
-        """Return when a message of another leader arrived, -inf if none has."""
-        return self._elections.leader_message_s
-
     @property
     def config(self) -> message.GroupConfig | None:
         """Return the configuration in force, None if the node knows no group."""
--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -136,8 +136,6 @@
         self._health = health.Health()
         # Incarnation and time of the last announcement of each worker.
         self._announced: dict[str, tuple[int, float]] = {}
-        # When other workers are taken to have announced themselves to another leader.
-        self._announced_before_s = float("-inf")
         self._term = 0
         self._is_leading = False
         self._has_taken_over = asyncio.Event()
@@ -308,10 +306,6 @@
         self._has_taken_over.set()
         self._health = health.Health()
         self._announced = {}
-        self._announced_before_s = (
-            self._group.other_leader_heard_s
-            - SUSPECT_HEARTBEATS * self._settings.heartbeat_s
-        )
         self._demand = demand.UrgentDemand()
         self._progress.on_leading()
         self._maintenance.start()
@@ -513,10 +507,13 @@
 
     def _is_announcement_valid(self, worker: workflow.Worker, now_s: float) -> bool:
         """Tell whether a worker announced its capacity recently enough to use it."""
+        # A former leader's last announcements need not have been committed.
         incarnation, announced_s = self._announced.get(worker.worker_id, (0, 0.0))
-        if incarnation != worker.incarnation:
-            announced_s = self._announced_before_s
-        return now_s - announced_s <= self._settings.announcement_valid_s
+        age_s = now_s - announced_s
+        return (
+            incarnation == worker.incarnation
+            and age_s <= self._settings.announcement_valid_s
+        )
 
     def has_room(self, worker: workflow.Worker) -> bool:
         """Tell whether all runs placed on a worker fit what it announced recently."""
--- a/marjoramusher/groups/group.py
+++ b/marjoramusher/groups/group.py
@@ -59,13 +59,6 @@
     def term(self) -> int:
         """Return the current term, which rises with each change of leadership."""
 
-    @property
-    def other_leader_heard_s(self) -> float:
-        """Return when another leader was last heard, -inf if none was.
-
-        The time is that of the monotonic clock.
-        """
-
     async def propose_as_leader(self, command: bytes, timeout_s: float) -> bytes:
         """Commit a command as leader and return the result of the machine's `apply`."""
 
--- a/marjoramusher/groups/local.py
+++ b/marjoramusher/groups/local.py
@@ -40,11 +40,6 @@
         """Return the term of the only leadership."""
         return 1
 
-    @property
-    def other_leader_heard_s(self) -> float:
-        """Return minus infinity: there is no other member."""
-        return float("-inf")
-
     @property
     def leader(self) -> str | None:
         """Return the name of the only member."""
--- a/marjoramusher/groups/runner.py
+++ b/marjoramusher/groups/runner.py
@@ -162,11 +162,6 @@
         leader = self._node.leader if self._node else None
         return leader.instance if leader else None
 
-    @property
-    def other_leader_heard_s(self) -> float:
-        """Return when another leader was last heard, -inf if none was."""
-        return self._node.leader_message_s if self._node else float("-inf")
-
     @property
     def responsive_leader(self) -> str | None:
         """Return the known leader unless its last heartbeats are missing.
