--- a/marjoramusher/jobs/machine_test.py
+++ b/marjoramusher/jobs/machine_test.py
@@ -102,6 +102,19 @@
     assert job.epoch == (2 if state is STATES.QUEUED else 1)
 
 
+MAX_STARTS = 5  # as many as a task of a workflow gets on the weakest evidence
+
+
+def test_a_job_whose_workers_are_lost_right_after_each_start_is_given_up(replica):
+    """Guards against one job that takes down worker after worker."""
+    job_id = replica.submit(tasks=1, repeatable=True)
+    for start in range(MAX_STARTS):
+        epoch = 2 * start
+        replica.run(job_id, f"w{start}", epoch=epoch)
+        job = replica.stop(job_id, CAUSE.WORKER_LOST, epoch + 1)
+    assert job.state is STATES.FAILED
+
+
 def _allocated(replica):
     job_id = replica.submit()
     replica.allocate(job_id, "w1", "w2")
