--- a/marjoramusher/workflows/backlog.py
+++ b/marjoramusher/workflows/backlog.py
@@ -14,6 +14,8 @@
     ----------
     deadline_ms : float
         Unix milliseconds at which the occurrence should be complete.
+    has_suspects : bool
+        Whether workers have crashed, or may have, during runs of a task of the step.
     """
 
     entry: machine.Entry
@@ -21,6 +23,7 @@
     step_index: int
     task_indexes: tuple[int, ...]
     deadline_ms: float
+    has_suspects: bool
 
     @property
     def key(self) -> resources.StepKey:
@@ -84,8 +87,14 @@
                     deadline_ms = objective.deadline_ms(
                         entry.workflow, entry.queue, occurrence
                     )
+                    has_suspects = any(task.suspicions for task in tasks)
                     yield PendingStep(
-                        entry, occurrence, index, task_indexes, deadline_ms
+                        entry,
+                        occurrence,
+                        index,
+                        task_indexes,
+                        deadline_ms,
+                        has_suspects,
                     )
 
 
--- a/marjoramusher/workflows/machine.py
+++ b/marjoramusher/workflows/machine.py
@@ -40,7 +40,9 @@
     @property
     def suspicions(self) -> list[crash.Crash]:
         """Return the crashes and the possible ones."""
-        return [*self.crashes, *self.possible_crashes]
+        if not self.possible_crashes:
+            return self.crashes
+        return self.crashes + self.possible_crashes
 
 
 class Entry(msgspec.Struct, array_like=True):
--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -255,19 +255,7 @@
             if not self._is_pressing(pending) and not self._leaves_headroom(pending, 1):
                 self.wait_reasons[pending.key] = WaitReason.HEADROOM
                 return
-            if self._is_undecided(pending, index):
-                self.wait_reasons[pending.key] = WaitReason.CRASHES_UNDECIDED
-                continue
-            if self._needs_isolation(pending, index) and self._can_isolate(
-                pending, workers.candidates
-            ):
-                spared = self._spare_worker(pending, index, workers.candidates)
-                if spared is None:
-                    self._waiting_suspects.append((pending, index))
-                elif spared.task_count:
-                    self.wait_reasons[pending.key] = WaitReason.NO_ISOLATION
-                else:
-                    self._place_task(pending, index, spared)
+            if self._handle_suspect(pending, index, workers):
                 continue
             if kind is None or not self._shortages.covers(kind, 1):
                 if free is None:
@@ -281,8 +269,32 @@
                 return
             self._preempt(pending, 1, kind, [workers.candidates])
 
+    def _handle_suspect(
+        self, pending: backlog.PendingStep, index: int, workers: _WorkerSet
+    ) -> bool:
+        """Place a task apart from others, or let it wait; tell whether it must be."""
+        if not pending.has_suspects:
+            return False
+        if self._is_undecided(pending, index):
+            self.wait_reasons[pending.key] = WaitReason.CRASHES_UNDECIDED
+            return True
+        if not self._needs_isolation(pending, index) or not self._can_isolate(
+            pending, workers.candidates
+        ):
+            return False
+        spared = self._spare_worker(pending, index, workers.candidates)
+        if spared is None:
+            self._waiting_suspects.append((pending, index))
+        elif spared.task_count:
+            self.wait_reasons[pending.key] = WaitReason.NO_ISOLATION
+        else:
+            self._place_task(pending, index, spared)
+        return True
+
     def _place_gang(self, pending: backlog.PendingStep) -> None:
-        if any(self._is_undecided(pending, index) for index in pending.task_indexes):
+        if pending.has_suspects and any(
+            self._is_undecided(pending, index) for index in pending.task_indexes
+        ):
             self.wait_reasons[pending.key] = WaitReason.CRASHES_UNDECIDED
             return
         count = len(pending.task_indexes)
@@ -315,7 +327,7 @@
         queue = pending.entry.queue
         if step.max_per_worker or queue.policy is not None:
             return None
-        if any(self._crashes(pending, index) for index in pending.task_indexes):
+        if pending.has_suspects:
             return None
         needs = resources.reserved(step)
         in_one_rack = step.gang and step.same_rack
@@ -563,11 +575,15 @@
     def _crashes(
         self, pending: backlog.PendingStep, index: int
     ) -> Sequence[crash.Crash]:
+        if not pending.has_suspects:
+            return ()
         suspicions = pending.tasks[index].suspicions
         return crash.recent(suspicions, pending.step, self._now_ms)
 
-    def _by_crashes(self, pending: backlog.PendingStep) -> list[int]:
+    def _by_crashes(self, pending: backlog.PendingStep) -> Sequence[int]:
         """Return the pending tasks, those with most crashes first."""
+        if not pending.has_suspects:
+            return pending.task_indexes
         return sorted(
             pending.task_indexes,
             key=lambda index: -len(self._crashes(pending, index)),
@@ -591,12 +607,14 @@
 
         The other members of a gang have to fit on the remaining workers.
         """
-        needs = resources.reserved(pending.step)
+        if not pending.has_suspects:
+            return False
         alone = sum(
             self._needs_isolation(pending, index) for index in pending.task_indexes
         )
         if not pending.step.gang:
-            alone = min(alone, 1)
+            alone = 1
+        needs = resources.reserved(pending.step)
         options = sorted(
             resources.max_tasks(needs, candidate.worker.capacity)
             for candidate in candidates
