--- a/marjoramusher/executors/capacity_test.py
+++ b/marjoramusher/executors/capacity_test.py
@@ -24,6 +24,45 @@
         harness.fleet.resize(process, SMALL)
 
 
+async def resize_at_random(harness):
+    """Change the capacity of one worker after the other."""
+    rng = harness.rng
+    while True:
+        await asyncio.sleep(rng.uniform(0.2, 3))
+        process = rng.choice(list(harness.fleet.processes.values()))
+        cores_milli = rng.choice([2000, 16000, 64000])
+        capacity = workflow.Resources(
+            cores_milli, rng.choice([20, 1000]), rng.randint(0, 8)
+        )
+        harness.fleet.resize(process, capacity)
+
+
+async def delay_announcements(harness):
+    """Keep announcements of some workers back, and deliver some of them late."""
+    rng = harness.rng
+    while True:
+        await asyncio.sleep(rng.uniform(0.5, 4))
+        name = rng.choice(list(harness.fleet.processes))
+        harness.unheard.add(name)
+        if rng.random() < 0.5:
+            late = harness.send_heartbeat(
+                harness.fleet.processes[name], harness.sequence, rng.uniform(0.5, 9)
+            )
+            harness.tasks.append(asyncio.create_task(late))
+        await asyncio.sleep(rng.uniform(0.5, 8))
+        harness.unheard.discard(name)
+
+
+async def slow_down_commits(harness):
+    """Let commits take up to seconds for a while, again and again."""
+    rng = harness.rng
+    while True:
+        await asyncio.sleep(rng.uniform(0.5, 4))
+        harness.group.commit_s = rng.uniform(COMMIT_S, 2.9)
+        await asyncio.sleep(rng.uniform(0.5, 4))
+        harness.group.commit_s = COMMIT_S
+
+
 @pytest.mark.parametrize("seed", range(8))
 def test_workers_that_shrink_and_grow_are_never_overcommitted(seed):
     """Guards against starts that were planned, or preempted for, with former room."""
@@ -31,7 +70,6 @@
     async def scenario():
         async with Harness(seed) as harness:
             harness.fleet.loss_rate = 0.05
-
             resizing = asyncio.create_task(resize_at_random(harness))
             await harness.submit_random(40)
             resizing.cancel()
@@ -229,54 +267,6 @@
     virtual.run(scenario())
 
 
-async def resize_at_random(harness):
-    """Change the capacity of one worker after the other."""
-    rng = harness.rng
-    while True:
-        await asyncio.sleep(rng.uniform(0.2, 3))
-        process = rng.choice(list(harness.fleet.processes.values()))
-        cores_milli = rng.choice([2000, 16000, 64000])
-        capacity = workflow.Resources(
-            cores_milli, rng.choice([20, 1000]), rng.randint(0, 8)
-        )
-        harness.fleet.resize(process, capacity)
-
-
-async def change_leaders(harness):
-    """Lose the leadership again and again, for moments and for seconds."""
-    while True:
-        await asyncio.sleep(harness.rng.uniform(1, 6))
-        harness.lose_leadership()
-        await asyncio.sleep(harness.rng.uniform(0.05, 7))
-        harness.take_over()
-
-
-async def delay_announcements(harness):
-    """Keep announcements of some workers back, and deliver some of them late."""
-    rng = harness.rng
-    while True:
-        await asyncio.sleep(rng.uniform(0.5, 4))
-        name = rng.choice(list(harness.fleet.processes))
-        harness.unheard.add(name)
-        if rng.random() < 0.5:
-            late = harness.send_heartbeat(
-                harness.fleet.processes[name], harness.sequence, rng.uniform(0.5, 9)
-            )
-            harness.tasks.append(asyncio.create_task(late))
-        await asyncio.sleep(rng.uniform(0.5, 8))
-        harness.unheard.discard(name)
-
-
-async def slow_down_commits(harness):
-    """Let commits take up to seconds for a while, again and again."""
-    rng = harness.rng
-    while True:
-        await asyncio.sleep(rng.uniform(0.5, 4))
-        harness.group.commit_s = rng.uniform(COMMIT_S, 2.9)
-        await asyncio.sleep(rng.uniform(0.5, 4))
-        harness.group.commit_s = COMMIT_S
-
-
 @pytest.mark.parametrize("seed", [200, 203, 205, 207, 209, 211, 213, 267])
 def test_capacities_change_beside_all_other_faults(seed):
     """Guards against a capacity that a new leader knows from long ago."""
@@ -286,7 +276,7 @@
             harness.fleet.loss_rate = harness.rng.choice([0.0, 0.05, 0.2])
             disturbances = [resize_at_random(harness)]
             if seed % 2:
-                disturbances.append(change_leaders(harness))
+                disturbances.append(harness.change_leaders((1, 6), (0.05, 7)))
             if seed % 3:
                 disturbances.append(delay_announcements(harness))
             if seed % 5:
--- a/marjoramusher/executors/crash_test.py
+++ b/marjoramusher/executors/crash_test.py
@@ -25,15 +25,6 @@
     return workflow_id
 
 
-async def change_leader(harness):
-    """Give up the leadership again and again, for moments and for seconds."""
-    while True:
-        await asyncio.sleep(harness.rng.uniform(0.5, 5))
-        harness.lose_leadership()
-        await asyncio.sleep(harness.rng.uniform(0.05, 4))
-        harness.take_over()
-
-
 async def check_only_crashing_fail(harness, crashing, timeout_s=200):
     """Check that exactly the workflows with a task that crashes workers fail."""
     await harness.wait_until_ended(timeout_s)
@@ -106,7 +97,7 @@
 
     async def scenario():
         async with Harness(seed, always(2.0)) as harness:
-            change = asyncio.create_task(change_leader(harness))
+            change = asyncio.create_task(harness.change_leaders((0.5, 5), (0.05, 4)))
             crashing = set()
             for _ in range(3):
                 await harness.submit("batch", step(6, 1))
@@ -203,7 +194,9 @@
 
             disturbances = []
             if seed % 2:
-                disturbances.append(asyncio.create_task(change_leader(harness)))
+                disturbances.append(
+                    asyncio.create_task(harness.change_leaders((0.5, 5), (0.05, 4)))
+                )
             if seed % 3 == 0:
                 disturbances.append(asyncio.create_task(resize()))
             crashing = set()
--- a/standins/leader.py
+++ b/standins/leader.py
@@ -160,6 +160,20 @@
         self.service = self.make_service()
         self.group.set_leader(True)
 
+    async def change_leaders(self, led_s, absence_s):
+        """Lose the leadership and take it over until cancelled.
+
+        Parameters
+        ----------
+        led_s, absence_s : tuple of float
+            Least and greatest duration of a leadership, and of the time without one.
+        """
+        while True:
+            await asyncio.sleep(self.rng.uniform(*led_s))
+            self.lose_leadership()
+            await asyncio.sleep(self.rng.uniform(*absence_s))
+            self.take_over()
+
     async def announce(self, worker, sequence=1, clock_ms=None):
         """Announce a worker to whoever leads, until that is acknowledged."""
         request = call.pack_call(call.Announce(worker, sequence, clock_ms))
