--- a/marjoramusher/workflows/crash.py
+++ b/marjoramusher/workflows/crash.py
@@ -21,6 +21,9 @@
 # Of the workers that are idle after all other work is placed, more are spared, up to
 # one of this many workers.
 WORKERS_PER_IDLE_ISOLATION = 2
+# A suspect that has run for this long is not expected to crash its worker any more, so
+# that others may join it.
+SURVIVAL_S = 10.0
 # A task is given up after this number of crashes if all of them were sudden, and it was
 # alone on the worker during the last one.
 MIN_CRASHES = 3
--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -210,7 +210,8 @@
                 candidate.expect_freed(needs)
             else:
                 candidate.running.append(placement)
-                if len(crashes) >= crash.ISOLATION_CRASHES:
+                has_survived = status.ages_s.get(key, 0.0) >= crash.SURVIVAL_S
+                if len(crashes) >= crash.ISOLATION_CRASHES and not has_survived:
                     candidate.is_closed = True
         return candidate
 
@@ -272,7 +273,15 @@
     def _handle_suspect(
         self, pending: backlog.PendingStep, index: int, workers: _WorkerSet
     ) -> bool:
-        """Place a task apart from others, or let it wait; tell whether it must be."""
+        """Place a task on a worker of its own, or let it wait for one.
+
+        Long-running tasks do not wait, since they have to be available all the time.
+
+        Returns
+        -------
+        bool
+            Whether that was done; otherwise the task may share a worker.
+        """
         if not pending.has_suspects:
             return False
         if self._is_undecided(pending, index):
@@ -282,7 +291,12 @@
             pending, workers.candidates
         ):
             return False
-        spared = self._spare_worker(pending, index, workers.candidates)
+        candidates = workers.candidates
+        if pending.step.long_running:
+            candidates = [worker for worker in candidates if not worker.task_count]
+        spared = self._spare_worker(pending, index, candidates)
+        if spared is None and pending.step.long_running:
+            return False
         if spared is None:
             self._waiting_suspects.append((pending, index))
         elif spared.task_count:
--- a/marjoramusher/workflows/planner_test.py
+++ b/marjoramusher/workflows/planner_test.py
@@ -741,6 +741,32 @@
     assert set(plan.wait_reasons.values()) == {planner.WaitReason.NO_ISOLATION}
 
 
+@pytest.mark.parametrize("busy, shares", [(16, True), (8, False)])
+def test_a_long_running_suspect_does_not_wait_for_a_busy_worker(busy, shares):
+    """Guards against a service that is away while a worker is emptied for it."""
+    harness = Harness(size=2)
+    harness.submit("batch", busy, 1, cores=0)
+    running = list(harness.run().placements)
+    harness.end(running[:2], workflow.RunOutcome.DONE)
+    name = harness.submit("batch", 1, 1, long_running=True)
+    blame(harness, name, 0, "a", "b")
+    (worker_id,) = workers_of(harness.run(), name)
+    assert (len(harness.state.placements_on(worker_id)) > 1) is shares
+
+
+def test_a_worker_takes_others_again_once_a_suspect_has_survived_there():
+    """Guards against workers that long-running suspects keep to themselves."""
+    harness = Harness(size=1)
+    name = harness.submit("batch", 1, 1, long_running=True)
+    blame(harness, name, 0, "a", "b")
+    harness.run()
+    others = harness.submit("batch", 1, 1)
+    assert workers_of(harness.plan(), others) == []
+    ages_s = {workflow.TaskKey(name, 0, 0, 0): crash.SURVIVAL_S}
+    harness.conditions["0-0"] = condition.WorkerCondition(ages_s=ages_s)
+    assert workers_of(harness.plan(), others) == ["0-0"]
+
+
 @pytest.mark.parametrize("gang", [False, True])
 def test_a_task_waits_until_the_fate_of_its_workers_is_known(gang):
     """Guards against a third start while the first workers are still restarting."""
