--- a/marjoramusher/workflows/crash.py
+++ b/marjoramusher/workflows/crash.py
@@ -27,6 +27,8 @@
 # A task is given up after this number of crashes if all of them were sudden, and it was
 # alone on the worker during the last one.
 MIN_CRASHES = 3
+# A task is given up after this number of crashes in any case.
+MAX_CRASHES = 5
 # Long-running tasks see workers crash for other reasons, so older crashes of theirs do
 # not count.
 LONG_RUNNING_WINDOW_MS = 600_000
@@ -103,8 +105,8 @@
 def is_cause(crashes: Sequence[Crash]) -> bool:
     """Tell whether a task has to be taken for the cause of its crashes.
 
-    A crash is weaker evidence if the task had already been running for a while, if
-    other tasks were on the worker, or if all crashes are of one worker.
+    A crash is weaker evidence if the task had already been running for a while, or if
+    all crashes are of one worker. It is weakest if other tasks were on the worker.
 
     Parameters
     ----------
@@ -113,6 +115,7 @@
     """
     needed = MIN_CRASHES
     needed += not all(crash.is_sudden for crash in crashes)
-    was_alone = bool(crashes) and crashes[-1].was_alone
-    needed += not was_alone or len({crash.address for crash in crashes}) == 1
-    return len(crashes) >= needed
+    needed += len({crash.address for crash in crashes}) == 1
+    if crashes and not crashes[-1].was_alone:
+        needed = MAX_CRASHES
+    return len(crashes) >= min(needed, MAX_CRASHES)
--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -649,13 +649,10 @@
         self, pending: backlog.PendingStep, candidate: resources.Candidate
     ) -> bool:
         """Tell whether a worker has the resources for a task, and can become empty."""
-        return (
-            not candidate.is_silent
-            and resources.reserved(pending.step).fits_within(candidate.worker.capacity)
-            and not any(
-                self._state.step(placement.task).long_running
-                for placement in candidate.running
-            )
+        needs = resources.reserved(pending.step)
+        return needs.fits_within(candidate.worker.capacity) and not any(
+            self._state.step(placement.task).long_running
+            for placement in candidate.running
         )
 
     def _spare_worker(
@@ -675,7 +672,9 @@
         options = [
             candidate
             for candidate in candidates
-            if not candidate.is_closed and self._is_isolation_option(pending, candidate)
+            if not candidate.is_closed
+            and not candidate.is_silent
+            and self._is_isolation_option(pending, candidate)
         ]
         limit = self._isolation_limit(service, workers_per_isolation)
         if closed >= limit or not options:
