--- a/marjoramusher/executors/capacity_test.py
+++ b/marjoramusher/executors/capacity_test.py
@@ -224,6 +224,19 @@
     virtual.run(scenario())
 
 
+def test_workers_with_rare_heartbeats_are_used_between_them():
+    """Guards against workers that are left out although they miss no heartbeat."""
+
+    async def scenario():
+        async with Harness(8, always(60.0), heartbeat_s=6.0) as harness:
+            await asyncio.sleep(2 * harness.heartbeat_s - 0.5)
+            await harness.submit("batch", step(4, 1))
+            await asyncio.sleep(0.4)
+            assert harness.fleet.starts == 4
+
+    virtual.run(scenario())
+
+
 def test_a_start_is_not_sent_once_the_worker_is_known_to_have_shrunk():
     """Guards against starts for room that is gone before their commit is done."""
 
--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -35,6 +35,7 @@
 # A worker that is silent for longer is used only where no other fits. The share above 1
 # allows for heartbeats that are late.
 SUSPECT_HEARTBEATS = 1.25
+START_MARGIN_S = 1.5  # covers a start that is on its way to the worker
 FORGET_INTERVAL_S = 10.0
 # A barrier takes a round trip between regions and a sync of the disk.
 TAKEOVER_WAIT_S = 0.4
@@ -51,15 +52,15 @@
         How long before its due time an occurrence may start.
     retention_s : float
         How long an ended workflow can be queried.
-    announcement_valid_s : float
-        How long a worker may be used after its last announcement, since its capacity
-        can shrink at any time.
+    capacity_grace_s : float
+        How long the capacity that a worker last announced may be used, since it can
+        shrink at any time.
     plan : Planner
         Decides which tasks start on which workers.
     """
 
     __slots__ = (
-        "announcement_valid_s",
+        "capacity_grace_s",
         "early_ms",
         "heartbeat_s",
         "lease",
@@ -75,10 +76,10 @@
         retention_s: float = 600.0,
         lease_settings: lease.Settings | None = None,
         maintenance_settings: maintenance.Settings | None = None,
-        announcement_valid_s: float = 4.0,
+        capacity_grace_s: float = 5.5,
         plan: planner.Planner = planner.plan,
     ) -> None:
-        self.announcement_valid_s = announcement_valid_s
+        self.capacity_grace_s = capacity_grace_s
         self.heartbeat_s = heartbeat_s
         self.early_ms = early_ms
         self.retention_s = retention_s
@@ -351,6 +352,7 @@
             opened.open()
         for worker_id in [w for w in self._sessions if w not in self._state.workers]:
             self._close_in_background(self._sessions.pop(worker_id))
+            self._announced.pop(worker_id, None)
 
     def record_end(self, worker_id: str, end: workflow.RunEnd) -> None:
         """Record the end of a run on a worker."""
@@ -507,12 +509,12 @@
 
     def _is_announcement_valid(self, worker: workflow.Worker, now_s: float) -> bool:
         """Tell whether a worker announced its capacity recently enough to use it."""
-        # A former leader's last announcements need not have been committed.
+        # What a worker announced to a former leader may never have been committed.
         incarnation, announced_s = self._announced.get(worker.worker_id, (0, 0.0))
         age_s = now_s - announced_s
         return (
             incarnation == worker.incarnation
-            and age_s <= self._settings.announcement_valid_s
+            and age_s <= self._settings.capacity_grace_s - START_MARGIN_S
         )
 
     def has_room(self, worker: workflow.Worker) -> bool:
--- a/standins/leader.py
+++ b/standins/leader.py
@@ -39,6 +39,7 @@
 )
 CAPACITY = workflow.Resources(64000, 1000, 8)
 HEARTBEAT_S = 1.5
+CONTACT_TIMEOUT_S = 4.0
 WORKERS = 4
 COMMIT_S = 0.02
 CALL_RETRY_S = 0.5  # a worker that got no acknowledgement calls again
@@ -87,9 +88,10 @@
 class Harness:
     """A driver, its group, and workers in memory on a virtual clock."""
 
-    def __init__(self, seed, work_s=None, permitted=None):
+    def __init__(self, seed, work_s=None, permitted=None, heartbeat_s=HEARTBEAT_S):
         loop = asyncio.get_running_loop()
         self.rng = random.Random(seed)
+        self.heartbeat_s = heartbeat_s
         self.fleet = fleet.Fleet(self.rng, work_s or self.work_s)
         self.policy = fleet.Policy(self.fleet, permitted or (lambda step, name: True))
         self.hosts = fleet.Hosts(self.fleet)
@@ -102,7 +104,9 @@
             driver.Ports(self.fleet, self.policy, self.hosts),
             self.clock,
             metrics.Metrics(),
-            driver.Settings(HEARTBEAT_S),
+            driver.Settings(
+                heartbeat_s, capacity_grace_s=CONTACT_TIMEOUT_S + heartbeat_s
+            ),
         )
         self.service = self.make_service()
         self.fleet.restart = self.announce
@@ -194,7 +198,7 @@
                     self.tasks.append(
                         asyncio.create_task(self.send_heartbeat(life, self.sequence))
                     )
-            await asyncio.sleep(HEARTBEAT_S)
+            await asyncio.sleep(self.heartbeat_s)
 
     async def send_heartbeat(self, life, sequence, delay_s=0.0):
         """Announce what a worker says of itself now, once and maybe late."""
