--- a/marjoramusher/workflows/planner_test.py
+++ b/marjoramusher/workflows/planner_test.py
@@ -11,6 +11,7 @@
     command,
     condition,
     crash,
+    demand,
     machine,
     planner,
     preemption,
@@ -820,3 +821,21 @@
     harness.submit("urgent", 1, 8)
     plan = harness.plan()
     assert [victim for victim, _ in plan.preemptions] == list(placed)
+
+
+def test_small_tasks_do_not_wait_while_most_of_the_capacity_is_idle():
+    """Guards against headroom that is kept free on top of what gangs have reserved."""
+    harness = Harness(racks=3, size=8)
+    for rack in ("r0", "r1", "r2"):
+        harness.submit("batch", 5, 5, rack=rack, max_per_worker=1)
+    assert len(harness.run().placements) == 15
+    for _ in range(2):
+        harness.submit("batch", 4, 8, gang=True, same_rack=True)
+    small = harness.submit("batch", 6, 1)
+    capacity = 3 * 8 * CAPACITY.accelerators
+    headroom = int(demand.MAX_HEADROOM_SHARE * capacity)
+    plan = planner.plan(
+        planner.PlanInput(harness.state, harness.conditions, 0.0, headroom=headroom)
+    )
+    assert capacity / 2 > 15 * 5
+    assert workers_of(plan, small) != []
