Show jobs that never run after runners were cut off

A runner that is cut off with work on it for longer than its lease lasts is never called again, and never used again, although it is back. Jobs wait beside idle runners until the leader changes.

--- a/review/1/scenario.py
+++ b/review/1/scenario.py
@@ -1,54 +1,74 @@
-"""A runner is unhealthy for two seconds and has done nothing for a refused stop."""
+"""Each of four runners is cut off once, a little longer than its lease lasts."""
 
 import asyncio
 import sys
 
 from review.standins import case, platform
 
-WORK_S = 14.0
-UNHEALTHY_S = 2.0
-LATE_S = 4.0
-WATCHED_S = 12.0
+CUT_S = 6.0
+RUNNERS = 4
+WORK_S = 100.0
+FINISH_S = 14.0
+PAUSE_S = 1.0
 
 
-class Unhealthy(platform.Impairment):
-    """The first start is carried out late; then 503 to all orders for a while."""
+async def cut_off_holder(
+    test: case.Case, runners: list[platform.Runner], job_id: str
+) -> None:
+    """Cut the runner off on which the work item of a job is at work."""
 
-    def __init__(self, test: case.Case) -> None:
-        self._test = test
-        self.first_s: float | None = None
+    def holders() -> list[platform.Runner]:
+        return [
+            runner
+            for runner in runners
+            if any(run.task.startswith(job_id) for run in runner.runs)
+        ]
 
-    def on_order(self, runner, path, body):
-        """Return how an order is disturbed."""
-        now_s = self._test.record.now_s()
-        if self.first_s is None and path == "/run-start":
-            self.first_s = now_s
-            return f"late:{LATE_S}"
-        if self.first_s is not None and now_s - self.first_s < UNHEALTHY_S:
-            return "503"
-        return ""
+    await test.wait_for(lambda: bool(holders()), 8.0, "a run of the work item")
+    holder = holders()[0]
+    held_s = test.record.now_s()
+    await test.wait_for(lambda: holder.held_s > held_s, 3.0, "a call to hold")
+    await asyncio.sleep(PAUSE_S)
+    if test.trouble:
+        holder.is_cut_off = True
+        test.record.write(f"{holder.name} is cut off, and runs on")
+    await asyncio.sleep(CUT_S)
+    if test.trouble:
+        holder.is_cut_off = False
+        test.record.write(f"{holder.name} is reachable again")
+    await asyncio.sleep(PAUSE_S)
 
 
 async def scenario(test: case.Case) -> list[str]:
-    """Show two runs of a work item after a refused stop."""
+    """Show jobs that never run, beside runners that were cut off and are back."""
     await test.start()
-    impairment = Unhealthy(test) if test.trouble else platform.Impairment()
-    # The smaller runner is the fullest one, so it gets the first work item.
-    first = test.make_runner("i-1", cpu=32000, gpu=4, impairment=impairment)
-    second = test.make_runner("i-2")
-    for runner in (first, second):
+    runners = [test.make_runner(f"i-{number + 1}") for number in range(RUNNERS)]
+    for runner in runners:
         await runner.start()
     await asyncio.sleep(4.0)
-    job_id = await test.client.submit(
-        platform.BATCH,
-        WORK_S,
-        {"count": 1, "cpu": 1000, "task_memory_mb": 256, "estimated_ms": 14000},
-    )
-    await asyncio.sleep(WATCHED_S)
-    if not test.runs_of(job_id):
-        raise RuntimeError("the work item never started")
-    await test.client.state(platform.BATCH, job_id)
-    return platform.find_doubles(test.history, test.record.now_s())
+    step = {"count": 1, "cpu": 8000, "task_memory_mb": 1024, "estimated_ms": 100000}
+    first_id = await test.client.submit(platform.BATCH, WORK_S, step)
+    for _ in range(RUNNERS // 2):
+        await cut_off_holder(test, runners, first_id)
+    await test.client.cancel(platform.BATCH, first_id)
+    second_id = await test.client.submit(platform.BATCH, WORK_S, step)
+    for _ in range(RUNNERS // 2):
+        await cut_off_holder(test, runners, second_id)
+    third_id = await test.client.submit(platform.URGENT, 2.0, step)
+    await asyncio.sleep(FINISH_S)
+    broken = []
+    for prefix, name in ((platform.BATCH, second_id), (platform.URGENT, third_id)):
+        state = await test.client.state(prefix, name)
+        is_at_work = any(
+            run.task.startswith(name) for runner in runners for run in runner.runs
+        )
+        if state != "completed" and not is_at_work:
+            broken.append(
+                f"LOST {name}: its state is {state}, and nothing of it is at work "
+                f"{FINISH_S} s after all cuts have ended, beside "
+                f"{sum(not runner.runs for runner in runners)} idle runners"
+            )
+    return broken
 
 
 if __name__ == "__main__":
--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -297,6 +297,7 @@
         self.is_draining = False
         # Whether nothing reaches the runner, nor its answers anybody; it runs on.
         self.is_cut_off = False
+        self.held_s = 0.0  # when the last call to hold arrived
 
     @property
     def life(self) -> str:
@@ -517,6 +518,7 @@
         if body.get("fencing_token", 0) < self._token:
             return self._json(409, {"reason": "fence"})
         self._token = body.get("fencing_token", 0)
+        self.held_s = self._record.now_s()
         if "deadline_ms" in body:
             self._extend_lease(body["deadline_ms"])
         last_seen = body.get("last_seen", 0)
