--- a/review/5/scenario.py
+++ b/review/5/scenario.py
@@ -5,13 +5,13 @@
 
 from review.standins import case, platform
 
-JOBS = 32
+JOBS = 55
 WIDTH = 20
 SUBMIT_S = 0.33
 LINK_S = 0.03  # one way between two regions
 CUT_S = 3.0
-ENDS_AFTER_S = 14.0  # from the first job to the end of its work items
-SPREAD_S = 0.07  # between the ends of two jobs, so that they end within 2.2 s
+ENDS_AFTER_S = 22.0  # from the first job to the end of its work items
+SPREAD_S = 0.04  # between the ends of two jobs, so that they end within 2.2 s
 WATCHED_S = 12.0
 
 
@@ -33,8 +33,8 @@
             work_s,
             {
                 "count": WIDTH,
-                "cpu": 90,
-                "task_memory_mb": 256,
+                "cpu": 50,
+                "task_memory_mb": 200,
                 "estimated_ms": int(1000 * work_s),
                 "requirements": "b",
             },
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -291,9 +291,18 @@
             while not await http.is_ready(address):
                 if time.monotonic() > deadline_s:
                     raise CannotRunError(f"{address} did not become ready")
+                await self._restart_ended()
                 await asyncio.sleep(0.1)
         self.record.write("all gateways are ready")
 
+    async def _restart_ended(self) -> None:
+        """Start programs again that have ended by themselves, as the platform does."""
+        for program in self.programs:
+            code = program.process.returncode if program.process else None
+            if code is not None:
+                self.record.write(f"{program.name}: ended by itself with {code}")
+                await program.start()
+
     async def settle(self) -> None:
         """Wait until the leadership has moved to the region of the majority."""
         deadline_s = time.monotonic() + READY_TIMEOUT_S
