--- a/marjoramusher/executors/driver_test.py
+++ b/marjoramusher/executors/driver_test.py
@@ -256,6 +256,35 @@
     virtual.run(scenario())
 
 
+@pytest.mark.parametrize("members", [1, 2])
+@pytest.mark.parametrize("has_later_step", [False, True])
+def test_a_later_run_of_a_gang_that_is_done_is_stopped(members, has_later_step):
+    """Guards against work that goes on after its workflow is completed or cancelled."""
+
+    async def scenario():
+        def work_s(task, run):
+            is_first = task.step == 0 and run == 1
+            return (3.0 if is_first else 60.0), workflow.RunOutcome.DONE
+
+        async with Harness(31, work_s) as harness:
+            steps = [step(members, 1, gang=True), step(1, 1, after=(0,))]
+            name = await harness.submit("batch", *steps[: 1 + has_later_step])
+            await asyncio.sleep(1.0)
+            # The gang ends behind the cut, and is run again once its lease has lapsed.
+            harness.fleet.unreachable.update(harness.running(name))
+            await asyncio.sleep(8.0)
+            assert len(harness.running(name)) == members
+            harness.fleet.unreachable.clear()
+            await asyncio.sleep(2.0)
+            assert len(harness.running(name)) == has_later_step
+            cancel = command.pack(command.Cancel(0, name))
+            await harness.group.propose(cancel, 1.0)
+            await asyncio.sleep(1.0)
+            assert harness.running(name) == []
+
+    virtual.run(scenario())
+
+
 async def check_all_faults_together(seed):
     """Run workflows beside all faults at once, and check that each ends or is gone."""
     async with Harness(seed) as harness:
--- a/marjoramusher/queues/service_test.py
+++ b/marjoramusher/queues/service_test.py
@@ -141,6 +141,17 @@
     assert harness.ask(call.Cancel("h.example", f"/a/b/{ID}", "k1")) == call.Unknown()
 
 
+def test_a_submission_that_arrives_after_its_cancellation_does_not_run(harness):
+    """Guards against work that runs on although its caller has cancelled it."""
+    assert harness.ask(call.Cancel("h.example", f"/a/b/{ID}", "k1")) == call.Unknown()
+    assert harness.read(f"/a/b/{ID}") == call.Unknown()
+    harness.forget_announcements()
+    assert harness.submit(f"/a/b/{ID}") == call.Accepted()
+    assert not harness.state.active
+    assert harness.read(f"/a/b/{ID}") == call.Shown(call.WorkflowStatus.CANCELLED)
+    assert harness.read("/a/b/") == call.Counted(0)
+
+
 def test_a_key_and_a_queue_end_with_the_catalog_that_drops_them(harness):
     harness.submit(f"/a/b/{ID}")
     harness.ask(call.Replace(catalog.Catalog(9, QUEUES[:1], CATALOG.services), b"2"))
