Log runs that outlive their workflow, and unknown cancellations

The logs of the leader could not show how long a run outlived its workflow, what the leader knew of it and whether it was told to stop, nor a cancellation that found no workflow yet.

`task.outlived` is written once for a run that is still reported 3 s after the end of its workflow, with the phase and the stop reason; `workflow.cancel_unknown` for a cancellation without a workflow. Each has a test beside the code. No decision changes.

--- a/marjoramusher/executors/driver_test.py
+++ b/marjoramusher/executors/driver_test.py
@@ -8,7 +8,7 @@
 import msgspec
 import pytest
 
-from marjoramusher.core import errors
+from marjoramusher.core import clock, errors
 from marjoramusher.executors import driver, port, session
 from marjoramusher.queues import call
 from marjoramusher.telemetry import metrics
@@ -256,6 +256,44 @@
     virtual.run(scenario())
 
 
+def test_a_run_that_outlives_its_workflow_is_logged_once():
+    """Guards against cancelled work that goes on without a trace in the logs."""
+    lines = []
+
+    def outlived(name):
+        return [
+            (line["task"], line["stop_reason"])
+            for line in lines
+            if line["message_type"] == "task.outlived"
+            if line["task"].startswith(name)
+        ]
+
+    async def scenario():
+        async with Harness(32, always(900.0)) as harness:
+
+            async def confirm_in_vain(worker, task, run, token):
+                return port.Reply(None)
+
+            harness.fleet.stop = confirm_in_vain
+            name = await harness.submit("batch", step(2, 1))
+            await asyncio.sleep(2.0)
+            now_ms = clock.unix_ms(harness.clock)
+            cancel = command.pack(command.Cancel(now_ms, name))
+            await harness.group.propose(cancel, 1.0)
+            await asyncio.sleep(session.OUTLIVED_S - 0.5)
+            assert outlived(name) == []
+            await asyncio.sleep(5.0)
+            reason = "the workflow is cancelled"
+            assert sorted(outlived(name)) == [
+                (f"{name}.0.0.0", reason),
+                (f"{name}.0.0.1", reason),
+            ]
+
+    eliot.add_destinations(lines.append)
+    virtual.run(scenario())
+    eliot.remove_destination(lines.append)
+
+
 @pytest.mark.parametrize("members", [1, 2])
 @pytest.mark.parametrize("has_later_step", [False, True])
 def test_a_later_run_of_a_gang_that_is_done_is_stopped(members, has_later_step):
--- a/marjoramusher/executors/runs.py
+++ b/marjoramusher/executors/runs.py
@@ -44,6 +44,8 @@
         Whether its start may have reached the worker.
     is_unreported : bool
         Whether this leader has started it and no report has listed it yet.
+    has_outlived : bool
+        Whether it was logged that it outlived its workflow.
     """
 
     placement: workflow.Placement
@@ -56,6 +58,7 @@
     stop_reason: str = ""
     may_have_started: bool = True
     is_unreported: bool = False
+    has_outlived: bool = False
 
     @property
     def has_been_reported(self) -> bool:
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -21,6 +21,9 @@
 RETRY_S = 0.25  # after a call without a reply; stops have to arrive within seconds
 # A run that is still reported this long after its confirmed stop is stopped again.
 STOP_REPEAT_S = 1.5
+# A stop takes effect within a second. A run that is still reported this long after the
+# end of its workflow is logged.
+OUTLIVED_S = 3.0
 
 
 class Leader(Protocol):
@@ -660,6 +663,8 @@
             )
             self._spawn_stop(run)
         entry = self._state.entries.get(run.placement.task.workflow_id)
+        if entry is not None and not entry.is_active:
+            self._log_outlived(run, entry)
         if entry is None or run.stop_reason:
             return
         step = entry.workflow.steps[run.placement.task.step]
@@ -674,6 +679,23 @@
             self.stop(run.placement, "no progress")
             self._leader.record_stall(run.placement)
 
+    def _log_outlived(self, run: runs.Run, entry: machine.Entry) -> None:
+        """Log once if a run goes on long after the end of its workflow."""
+        outlived_s = (clock.unix_ms(self._clock) - entry.ended_ms) / 1000
+        if run.has_outlived or outlived_s <= OUTLIVED_S:
+            return
+        run.has_outlived = True
+        log.state_change(
+            "task.outlived",
+            task=runs.name(run.placement.task),
+            run=run.placement.run,
+            worker=self.worker.worker_id,
+            state=entry.state.value,
+            after_s=outlived_s,
+            phase=run.phase.value,
+            stop_reason=run.stop_reason,
+        )
+
     async def _release_expired(self) -> None:
         """Release all runs if every lease of the worker has expired."""
         now_s = self._clock.monotonic()
--- a/marjoramusher/queues/service.py
+++ b/marjoramusher/queues/service.py
@@ -154,6 +154,7 @@
     async def _cancel(self, workflow_id: str) -> call.AnyReply:
         entry = self._state.entries.get(workflow_id)
         if entry is None:
+            log.state_change("workflow.cancel_unknown", workflow=workflow_id)
             return call.Unknown()
         if entry.is_active:
             await self._driver.propose(
--- a/marjoramusher/queues/service_test.py
+++ b/marjoramusher/queues/service_test.py
@@ -141,6 +141,16 @@
     assert harness.ask(call.Cancel("h.example", f"/a/b/{ID}", "k1")) == call.Unknown()
 
 
+def test_a_cancellation_of_an_unknown_workflow_is_logged(harness):
+    """Guards against cancellations that leave no line at the leader."""
+    lines = []
+    eliot.add_destinations(lines.append)
+    harness.ask(call.Cancel("h.example", f"/a/b/{ID}", "k1"))
+    eliot.remove_destination(lines.append)
+    assert lines[-1]["message_type"] == "workflow.cancel_unknown"
+    assert lines[-1]["workflow"] == ID
+
+
 def test_a_submission_that_arrives_after_its_cancellation_does_not_run(harness):
     """Guards against work that runs on although its caller has cancelled it."""
     assert harness.ask(call.Cancel("h.example", f"/a/b/{ID}", "k1")) == call.Unknown()
--- a/tests/log_session_test.py
+++ b/tests/log_session_test.py
@@ -35,11 +35,13 @@
     "gateway.controllers",
     "gateway.drain_timeout",
     "gateway.draining",
+    "task.outlived",
     "task.stop_misdirected",
     "task.stop_repeated",
     "worker.change_not_committed",
     "worker.report_not_committed",
     "worker.unreadable_entries",
+    "workflow.cancel_unknown",
 }
 
 
