Stop a later run of a gang that is done

Cause: `stop_reason` took `done` of a gang's task for the end of the run that is placed. A gang that ends behind a cut is run again once its lease has lapsed. When the end of the first run is read after the cut, the gang is done and its second run stays at work until it ends by itself, whether its workflow is active, completed or cancelled. The class of fault: an end is trusted without the number of its run.

Change: a task keeps the number of the run that was done. Only members of that run are left alone, since they end by themselves; members of any other run are stopped as those of other tasks are.

`test_a_state_without_crashes_can_still_be_read` takes the new last field off as well, and checks its value.

--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -627,14 +627,15 @@
     task = state.task(key)
     if entry is None or task is None:
         return "the workflow is not known"
-    if entry.workflow.steps[key.step].gang:
-        if task.done:
-            return ""  # the gang is done, so all members end by themselves
+    is_gang = entry.workflow.steps[key.step].gang
+    if is_gang and task.done and placement.run == task.done_run:
+        return ""  # one member of this run is done, so all of them end by themselves
+    if task.done:
+        return "another run is done"
+    if is_gang:
         reason = gang_reason(resources.step_key(key))
         if reason:
             return reason
-    elif task.done:
-        return "another run is done"
     if not entry.is_active:
         return f"the workflow is {entry.state.value}"
     return ""
--- a/marjoramusher/workflows/machine.py
+++ b/marjoramusher/workflows/machine.py
@@ -26,6 +26,9 @@
     possible_crashes : list of Crash
         Lapsed leases of workers during runs of the task, until the worker is heard
         again or replaced.
+    done_run : int
+        Number of the run whose end was last recorded as done. A later run may be in
+        progress, if the earlier one ended on a worker that could not be reached.
     """
 
     last_run: int = 0
@@ -36,6 +39,7 @@
     placement: workflow.Placement | None = None
     crashes: list[crash.Crash] = []
     possible_crashes: list[crash.Crash] = []
+    done_run: int = 0
 
     @property
     def suspicions(self) -> list[crash.Crash]:
@@ -555,6 +559,7 @@
         if end.outcome is workflow.RunOutcome.DONE:
             for member in tasks if step.gang else (task,):
                 member.done = True
+                member.done_run = end.run
             self._record_progress(entry, end.task.occurrence, at_ms)
         elif end.outcome is workflow.RunOutcome.FAILED:
             self._record_failure(entry, tasks if step.gang else [task], end, at_ms)
--- a/marjoramusher/workflows/machine_test.py
+++ b/marjoramusher/workflows/machine_test.py
@@ -460,7 +460,8 @@
     harness = Harness(step(1))
     harness.assign(placement())
     stored = codec.unpack(harness.state.snapshot(), list)
-    assert stored[2]["w"][3][0][0][0].pop() == []  # the possible crashes of the task
+    assert stored[2]["w"][3][0][0][0].pop() == 0  # the run of the task that was done
+    assert stored[2]["w"][3][0][0][0].pop() == []  # its possible crashes
     assert stored[2]["w"][3][0][0][0].pop() == []  # its crashes
     assert stored[3]["x"].pop() == 0  # the sequence number of the announcement
     assert stored[3]["x"].pop() == {}  # the lapsed runs of the worker
