Keep a submission that follows its cancellation from running

Cause: the leader answered a cancellation from what was applied at that moment, and kept nothing if the workflow was not known. A submission that was held by a gateway while no leader answered, or sent again after a lost answer, or waited for its commit, was then accepted and run. The class of fault: one answer ("unknown now") is taken for one that lasts.

Change: a cancellation is always committed, so that it comes before or after the submission in the log. One without a workflow is remembered in the replicated state for the retention time (16,384 at most), and the submission that follows is stored as cancelled: the caller is told that it was accepted, and reads `cancelled`. A cancellation without a submission is answered as unknown, as before, and reads stay unknown.

--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -603,7 +603,7 @@
         self._next_forget_s = now_s + FORGET_INTERVAL_S
         now_ms = clock.unix_ms(self._clock)
         before_ms = now_ms - int(self._settings.retention_s * 1000)
-        if any(
+        if self._state.has_early_cancellation(before_ms) or any(
             not entry.is_active and entry.ended_ms < before_ms
             for entry in self._state.entries.values()
         ):
--- a/marjoramusher/queues/service.py
+++ b/marjoramusher/queues/service.py
@@ -149,19 +149,26 @@
             accepted=is_accepted,
         )
         self._metrics.increment("workflows_submitted", queue=queue.name)
+        entry = self._state.entries.get(workflow_id)
+        if entry is not None and entry.state is workflow.State.CANCELLED:
+            log.state_change("workflow.cancelled", workflow=workflow_id)
         return call.Accepted() if is_accepted else call.NoQueue()
 
     async def _cancel(self, workflow_id: str) -> call.AnyReply:
+        """Cancel a workflow; one that is not known yet will not run either."""
+        if not workflow_id:
+            return call.Unknown()
         entry = self._state.entries.get(workflow_id)
-        if entry is None:
+        if entry is not None and not entry.is_active:
+            return call.Accepted()
+        result = await self._driver.propose(
+            command.Cancel(clock.unix_ms(self._clock), workflow_id)
+        )
+        if not codec.unpack(result, command.WorkflowResult).known:
             log.state_change("workflow.cancel_unknown", workflow=workflow_id)
             return call.Unknown()
-        if entry.is_active:
-            await self._driver.propose(
-                command.Cancel(clock.unix_ms(self._clock), workflow_id)
-            )
-            log.state_change("workflow.cancelled", workflow=workflow_id)
-            self._metrics.increment("workflows_cancelled")
+        log.state_change("workflow.cancelled", workflow=workflow_id)
+        self._metrics.increment("workflows_cancelled")
         return call.Accepted()
 
     async def _announce(self, request: call.Announce) -> call.AnyReply:
--- a/marjoramusher/workflows/command.py
+++ b/marjoramusher/workflows/command.py
@@ -40,7 +40,7 @@
 
 
 class Cancel(Command, frozen=True, tag=True):
-    """Cancel a workflow."""
+    """Cancel a workflow; one that is not known yet is cancelled when it arrives."""
 
     workflow_id: str
 
--- a/marjoramusher/workflows/machine.py
+++ b/marjoramusher/workflows/machine.py
@@ -120,12 +120,16 @@
     workers: dict[str, WorkerState]
     removed: dict[str, int]
     waves: dict[int, wave.WaveState] = {}
+    cancelled: dict[str, int] = {}
 
 
 # Removed incarnations are remembered, since an announcement that arrives late would
 # register them again. Each takes about 60 bytes, so the limit is a number of entries.
 MAX_REMOVED_WORKERS = 4096
 MAX_WAVES = 64  # completed waves are kept, so that operators can query them
+# Cancellations of unknown workflows are remembered, since a submission may arrive after
+# its cancellation. Each takes about 100 bytes.
+MAX_EARLY_CANCELLATIONS = 16384
 
 
 class WorkflowMachine:
@@ -137,6 +141,7 @@
 
     __slots__ = (
         "_active",
+        "_cancelled_early",
         "_document",
         "_entries",
         "_index",
@@ -153,6 +158,8 @@
         self._workers: dict[str, WorkerState] = {}
         self._removed_workers: dict[str, int] = {}
         self._waves: dict[int, wave.WaveState] = {}
+        # Time of the cancellation of each workflow that was not known then.
+        self._cancelled_early: dict[str, int] = {}
         self._rebuild_indexes()
 
     @property
@@ -185,6 +192,10 @@
         """Return the maintenance waves by number."""
         return self._waves
 
+    def has_early_cancellation(self, before_ms: int) -> bool:
+        """Tell whether a workflow was cancelled unknown before a time."""
+        return any(at_ms < before_ms for at_ms in self._cancelled_early.values())
+
     def has_incarnation_ended(self, worker_id: str, incarnation: int) -> bool:
         """Tell whether an incarnation of a worker is known to have ended."""
         registered = self._workers.get(worker_id)
@@ -258,6 +269,7 @@
                 self._workers,
                 self._removed_workers,
                 self._waves,
+                self._cancelled_early,
             )
         )
 
@@ -270,6 +282,7 @@
         self._workers = stored.workers
         self._removed_workers = stored.removed
         self._waves = stored.waves
+        self._cancelled_early = stored.cancelled
         self._rebuild_indexes()
 
     def _rebuild_indexes(self) -> None:
@@ -314,11 +327,16 @@
             entry.occurrences[occurrence] = new_tasks(submitted)
         self._entries[submitted.workflow_id] = entry
         self._active[submitted.workflow_id] = entry
+        if self._cancelled_early.pop(submitted.workflow_id, None) is not None:
+            self._finish(entry, workflow.State.CANCELLED, submit.at_ms)
         return command.WorkflowResult(True)
 
     def _cancel(self, cancel: command.Cancel) -> command.WorkflowResult:
         entry = self._entries.get(cancel.workflow_id)
         if entry is None:
+            self._cancelled_early[cancel.workflow_id] = cancel.at_ms
+            while len(self._cancelled_early) > MAX_EARLY_CANCELLATIONS:
+                del self._cancelled_early[next(iter(self._cancelled_early))]
             return command.WorkflowResult(False)
         if entry.is_active:
             self._finish(entry, workflow.State.CANCELLED, cancel.at_ms)
@@ -636,6 +654,9 @@
                 task.placement for _, _, tasks in entry.tasks() for task in tasks
             ):
                 del self._entries[key]
+        for key, at_ms in list(self._cancelled_early.items()):
+            if at_ms < forget.before_ms:
+                del self._cancelled_early[key]
 
 
 def new_tasks(submitted: workflow.Workflow) -> list[list[TaskState]]:
--- a/marjoramusher/workflows/machine_test.py
+++ b/marjoramusher/workflows/machine_test.py
@@ -266,6 +266,31 @@
     assert "w" not in harness.state.entries
 
 
+def test_a_cancellation_holds_for_a_submission_that_follows_past_a_snapshot():
+    """Guards against work that runs though a former leader has cancelled it."""
+    harness = Harness()
+    harness.apply(command.Cancel(4, "w"))
+    harness.state.restore(harness.state.snapshot())
+    harness.apply(command.Submit(5, submission(step(2, gang=True))))
+    assert harness.entry.state is workflow.State.CANCELLED
+    assert harness.assign(placement(0), placement(1)) == ()
+    assert not harness.state.active
+
+
+def test_cancellations_without_a_submission_are_forgotten():
+    """Guards against cancellations of unknown workflows that fill the memory."""
+    harness = Harness()
+    harness.apply(command.Cancel(4, "w"))
+    assert not harness.state.has_early_cancellation(4)
+    assert harness.state.has_early_cancellation(5)
+    harness.apply(command.Forget(9, 5))
+    harness.apply(command.Submit(9, submission(step(1))))
+    assert harness.entry.is_active
+    for number in range(machine.MAX_EARLY_CANCELLATIONS + 1):
+        harness.apply(command.Cancel(number, f"c{number}"))
+    assert not harness.state.has_early_cancellation(1)
+
+
 def test_a_snapshot_restores_everything():
     harness = Harness(step(2, gang=True), step(1, after=(0,)))
     harness.assign(placement(0), placement(1, worker_id="y"))
@@ -460,6 +485,7 @@
     harness = Harness(step(1))
     harness.assign(placement())
     stored = codec.unpack(harness.state.snapshot(), list)
+    assert stored.pop() == {}  # the cancellations of unknown workflows
     assert stored[2]["w"][3][0][0][0].pop() == 0  # the run of the task that was done
     assert stored[2]["w"][3][0][0][0].pop() == []  # its possible crashes
     assert stored[2]["w"][3][0][0][0].pop() == []  # its crashes
