Forget a stopped run though its task runs again on its worker

Cause: a session dropped what it knew of runs by task, without the number of the run, so a run whose stop was confirmed stayed, and a session waits for the report after a confirmed stop without a long poll.

Evidence: `test_a_task_that_runs_again_on_its_worker_is_polled_as_others` fails before the change in the cases in which a poll takes 60 and 120 ms.

Change: runs are dropped by task and number.

--- a/marjoramusher/executors/driver_test.py
+++ b/marjoramusher/executors/driver_test.py
@@ -323,6 +323,42 @@
     virtual.run(scenario())
 
 
+@pytest.mark.parametrize("delay_s", [0.0, 0.06, 0.12])
+def test_a_task_that_runs_again_on_its_worker_is_polled_as_others(delay_s):
+    """Guards against polls without a pause after a stop on the same worker."""
+
+    async def scenario():
+        async with Harness(32, always(30.0)) as harness:
+            poll = harness.fleet.poll
+
+            async def poll_slowly(*args):
+                report = await poll(*args)
+                await asyncio.sleep(delay_s)
+                return report
+
+            async def count_polls(name):
+                before = harness.fleet.polls[name]
+                await asyncio.sleep(5.0)
+                return harness.fleet.polls[name] - before
+
+            harness.fleet.poll = poll_slowly
+            workflow_id = await harness.submit("batch", step(1, 8))
+            await asyncio.sleep(3.0)
+            (name,) = harness.running(workflow_id)
+            polls = await count_polls(name)
+            (placement,) = harness.state.placements_on(name).values()
+            # No other worker is used, since none of them is heard.
+            harness.unheard.update(harness.fleet.processes.keys() - {name})
+            await asyncio.sleep(8.0)
+            harness.driver._sessions[name].stop(placement, "test")
+            await asyncio.sleep(2.0)
+            assert harness.state.task(placement.task).placement.run == 2
+            assert harness.running(workflow_id) == [name]
+            assert await count_polls(name) <= polls + 2
+
+    virtual.run(scenario())
+
+
 async def check_all_faults_together(seed):
     """Run workflows beside all faults at once, and check that each ends or is gone."""
     async with Harness(seed) as harness:
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -608,7 +608,8 @@
         self._has_missing_runs = bool(missing and report.ends)
         if self._has_missing_runs:
             missing = []
-        for key in [k for k, r in self._runs.items() if k[0] not in placements]:
+        placed = {(placement.task, placement.run) for placement in placements.values()}
+        for key in self._runs.keys() - placed:
             if self._runs[key].phase is not runs.Phase.SENT:
                 del self._runs[key]
         for run_key, status in running.items():
