Clear all lapsed runs of a task when their worker is heard

Cause: a worker remembers one lapsed run for each task. The crash of a worker also left the possible crash of an earlier run there beside it, so that one crash counted twice.

Evidence: both new tests of machine_test fail before the change.

Change: a worker that is heard, or has crashed, settles all possible crashes of the task at its address up to that run.

--- a/marjoramusher/workflows/machine.py
+++ b/marjoramusher/workflows/machine.py
@@ -421,7 +421,7 @@
             task = self.task(key)
             if task is None or any(suspect.run == known.run for known in task.crashes):
                 continue
-            _drop_possible_crash(task, suspect.run)
+            _drop_possible_crashes(task, suspect.run, crashed.worker.address)
             task.crashes.append(
                 crash.Crash(
                     suspect.run,
@@ -550,7 +550,7 @@
         for key, run in heard.lapsed.items():
             task = self.task(key)
             if task is not None:
-                _drop_possible_crash(task, run)
+                _drop_possible_crashes(task, run, heard.worker.address)
         heard.lapsed = {}
 
     def _release(self, worker_id: str, release: workflow.Release) -> bool:
@@ -664,8 +664,13 @@
     return [[TaskState() for _ in range(step.count)] for step in submitted.steps]
 
 
-def _drop_possible_crash(task: TaskState, run: int) -> None:
-    task.possible_crashes = [c for c in task.possible_crashes if c.run != run]
+def _drop_possible_crashes(task: TaskState, last_run: int, address: str) -> None:
+    """Drop those of a worker; a run can lapse there after an earlier one has."""
+    task.possible_crashes = [
+        possible
+        for possible in task.possible_crashes
+        if possible.run > last_run or possible.address != address
+    ]
 
 
 def _is_placed_run(task: TaskState, worker_id: str, run: int) -> bool:
--- a/marjoramusher/workflows/machine_test.py
+++ b/marjoramusher/workflows/machine_test.py
@@ -456,6 +456,29 @@
     assert harness.state.task(task_key()).suspicions == []
 
 
+def test_a_worker_that_is_heard_has_crashed_under_no_run_that_lapsed_there():
+    """Guards against crashes that are counted although the worker was only cut off."""
+    harness = Harness(step(1))
+    for run in (1, 2):
+        assert harness.assign(placement(run=run))
+        lapsed = workflow.Release(task_key(), run, "the lease has lapsed", "", True)
+        harness.settle(releases=(lapsed,))
+    harness.apply(command.Settle(10, "x", 1, is_heard=True))
+    assert harness.state.task(task_key()).possible_crashes == []
+
+
+def test_one_crash_counts_once_though_an_earlier_run_has_lapsed_there():
+    """Guards against a lapsed lease that counts beside the crash of the same worker."""
+    harness = Harness(step(1))
+    assert harness.assign(placement(run=1))
+    lapsed = workflow.Release(task_key(), 1, "the lease has lapsed", "", True)
+    harness.settle(releases=(lapsed,))
+    assert harness.assign(placement(run=2))
+    suspects = (crash.Suspect(task_key(), 2, True),)
+    harness.apply(command.RemoveWorker(10, "x", 1, (), True, suspects))
+    assert [c.run for c in harness.state.task(task_key()).suspicions] == [2]
+
+
 def test_a_task_is_given_up_though_its_workers_never_come_back():
     """Guards against a limit that only workers with a known fate count towards."""
     harness = Harness(step(1))
