Bound early cancellations by queue and length of the id

New tests also cover what survived the reviewer's mutations: members of a run that is done get no stop, the leader proposes to forget such cancellations, an empty id cancels nothing, the line of a submission stored as cancelled, and a leader that is lost between the record of the end and the stop.

--- a/marjoramusher/executors/driver_test.py
+++ b/marjoramusher/executors/driver_test.py
@@ -323,6 +323,79 @@
     virtual.run(scenario())
 
 
+def test_the_other_members_of_a_run_that_is_done_are_not_stopped():
+    """Guards against a stop for each member of each gang that ends."""
+
+    async def scenario():
+        async with Harness(33, always(1.0)) as harness:
+            stopped = []
+            stop = harness.fleet.stop
+
+            async def record(worker, task, run, token):
+                stopped.append(task)
+                return await stop(worker, task, run, token)
+
+            harness.fleet.stop = record
+            for _ in range(5):
+                await harness.submit("batch", step(4, 8, gang=True), step(1, 1))
+            await harness.wait_until_ended(60)
+            assert harness.states() == {workflow.State.COMPLETED}
+            assert stopped == []
+
+    virtual.run(scenario())
+
+
+@pytest.mark.parametrize("members", [1, 2])
+def test_a_later_run_of_a_gang_that_is_done_is_stopped_by_the_next_leader(members):
+    """Guards against work that goes on since its leader was lost before the stop."""
+
+    async def scenario():
+        def work_s(task, run):
+            return (3.0 if run == 1 else 60.0), workflow.RunOutcome.DONE
+
+        async with Harness(31, work_s) as harness:
+            steps = [step(members, 8, gang=True), step(1, 1, after=(0,))]
+            name = await harness.submit("batch", *steps)
+            await asyncio.sleep(1.0)
+            harness.fleet.unreachable.update(harness.running(name))
+            await asyncio.sleep(8.0)
+            assert len(harness.running(name)) == members
+            stop = harness.fleet.stop
+
+            async def lose(worker, task, run, token):
+                await asyncio.sleep(60.0)
+
+            harness.fleet.stop = lose
+            harness.fleet.unreachable.clear()
+            while not harness.state.task(workflow.TaskKey(name, 0, 0, 0)).done:
+                await asyncio.sleep(0.01)
+            harness.lose_leadership()
+            harness.fleet.stop = stop
+            await asyncio.sleep(0.5)
+            harness.take_over()
+            await asyncio.sleep(2.0)
+            assert len(harness.running(name)) == 1  # the second step
+            assert harness.fleet.violations == []
+
+    virtual.run(scenario())
+
+
+def test_the_leader_forgets_cancellations_without_a_submission():
+    """Guards against cancellations of unknown workflows that are kept for ever."""
+
+    async def scenario():
+        async with Harness(34, always(1.0)) as harness:
+            now_ms = clock.unix_ms(harness.clock)
+            cancel = command.pack(command.Cancel(now_ms, "w", "batch"))
+            await harness.group.propose(cancel, 1.0)
+            await asyncio.sleep(590.0)
+            assert harness.state.has_early_cancellation(now_ms + 1)
+            await asyncio.sleep(30.0)
+            assert not harness.state.has_early_cancellation(now_ms + 1)
+
+    virtual.run(scenario())
+
+
 @pytest.mark.parametrize("delay_s", [0.0, 0.06, 0.12])
 def test_a_task_that_runs_again_on_its_worker_is_polled_as_others(delay_s):
     """Guards against polls without a pause after a stop on the same worker."""
--- a/marjoramusher/queues/service.py
+++ b/marjoramusher/queues/service.py
@@ -11,6 +11,8 @@
 # An announcement from further in the future would end the incarnation that is running,
 # and all later ones would count as older.
 MAX_CLOCK_SKEW_S = 3600.0
+# Longer ids are not remembered, which bounds the memory that one caller takes.
+MAX_EARLY_ID_LENGTH = 64
 MAX_LOGGED_IGNORED = 256  # bounds the memory and the log lines that one sender causes
 
 
@@ -110,7 +112,7 @@
             case call.Submit():
                 return await self._submit(request, queue, account or "", workflow_id)
             case call.Cancel():
-                return await self._cancel(workflow_id)
+                return await self._cancel(queue, workflow_id)
         if not workflow_id:
             return call.Counted(self._state.pending_count(queue.name))
         entry = self._state.entries.get(workflow_id)
@@ -152,17 +154,18 @@
         entry = self._state.entries.get(workflow_id)
         if entry is not None and entry.state is workflow.State.CANCELLED:
             log.state_change("workflow.cancelled", workflow=workflow_id)
+            self._metrics.increment("workflows_cancelled")
         return call.Accepted() if is_accepted else call.NoQueue()
 
-    async def _cancel(self, workflow_id: str) -> call.AnyReply:
+    async def _cancel(self, queue: catalog.Queue, workflow_id: str) -> call.AnyReply:
         """Cancel a workflow; one that is not known yet will not run either."""
-        if not workflow_id:
-            return call.Unknown()
         entry = self._state.entries.get(workflow_id)
+        if entry is None and not 0 < len(workflow_id) <= MAX_EARLY_ID_LENGTH:
+            return call.Unknown()
         if entry is not None and not entry.is_active:
             return call.Accepted()
         result = await self._driver.propose(
-            command.Cancel(clock.unix_ms(self._clock), workflow_id)
+            command.Cancel(clock.unix_ms(self._clock), workflow_id, queue.name)
         )
         if not codec.unpack(result, command.WorkflowResult).known:
             log.state_change("workflow.cancel_unknown", workflow=workflow_id)
--- a/marjoramusher/queues/service_test.py
+++ b/marjoramusher/queues/service_test.py
@@ -151,12 +151,24 @@
     assert lines[-1]["workflow"] == ID
 
 
+@pytest.mark.parametrize("workflow_id", ["", "f" * 65])
+def test_a_cancellation_without_a_usable_id_is_not_remembered(harness, workflow_id):
+    """Guards against callers that fill the memory of the leader."""
+    cancel = call.Cancel("h.example", f"/a/b/{workflow_id}", "k1")
+    assert harness.ask(cancel) == call.Unknown()
+    assert not harness.state.has_early_cancellation(2**62)
+
+
 def test_a_submission_that_arrives_after_its_cancellation_does_not_run(harness):
     """Guards against work that runs on although its caller has cancelled it."""
     assert harness.ask(call.Cancel("h.example", f"/a/b/{ID}", "k1")) == call.Unknown()
     assert harness.read(f"/a/b/{ID}") == call.Unknown()
     harness.forget_announcements()
+    lines = []
+    eliot.add_destinations(lines.append)
     assert harness.submit(f"/a/b/{ID}") == call.Accepted()
+    eliot.remove_destination(lines.append)
+    assert lines[-1]["message_type"] == "workflow.cancelled"
     assert not harness.state.active
     assert harness.read(f"/a/b/{ID}") == call.Shown(call.WorkflowStatus.CANCELLED)
     assert harness.read("/a/b/") == call.Counted(0)
--- a/marjoramusher/workflows/command.py
+++ b/marjoramusher/workflows/command.py
@@ -40,9 +40,16 @@
 
 
 class Cancel(Command, frozen=True, tag=True):
-    """Cancel a workflow; one that is not known yet is cancelled when it arrives."""
+    """Cancel a workflow; one that is not known yet is cancelled when it arrives.
+
+    Parameters
+    ----------
+    queue : str
+        Queue to which a workflow that is not known yet was meant.
+    """
 
     workflow_id: str
+    queue: str = ""
 
 
 class RegisterWorker(Command, frozen=True, tag=True):
--- a/marjoramusher/workflows/machine.py
+++ b/marjoramusher/workflows/machine.py
@@ -27,8 +27,8 @@
         Lapsed leases of workers during runs of the task, until the worker is heard
         again or replaced.
     done_run : int
-        Number of the run whose end was last recorded as done. A later run may be in
-        progress, if the earlier one ended on a worker that could not be reached.
+        Number of the latest run that is done. A later one may be in progress if this
+        one ended on a worker that could not be reached.
     """
 
     last_run: int = 0
@@ -120,7 +120,7 @@
     workers: dict[str, WorkerState]
     removed: dict[str, int]
     waves: dict[int, wave.WaveState] = {}
-    cancelled: dict[str, int] = {}
+    cancelled: dict[tuple[str, str], int] = {}
 
 
 # Removed incarnations are remembered, since an announcement that arrives late would
@@ -158,8 +158,8 @@
         self._workers: dict[str, WorkerState] = {}
         self._removed_workers: dict[str, int] = {}
         self._waves: dict[int, wave.WaveState] = {}
-        # Time of the cancellation of each workflow that was not known then.
-        self._cancelled_early: dict[str, int] = {}
+        # Time of each cancellation of an unknown workflow, by queue and id.
+        self._cancelled_early: dict[tuple[str, str], int] = {}
         self._rebuild_indexes()
 
     @property
@@ -327,14 +327,15 @@
             entry.occurrences[occurrence] = new_tasks(submitted)
         self._entries[submitted.workflow_id] = entry
         self._active[submitted.workflow_id] = entry
-        if self._cancelled_early.pop(submitted.workflow_id, None) is not None:
+        key = (submitted.queue, submitted.workflow_id)
+        if self._cancelled_early.pop(key, None) is not None:
             self._finish(entry, workflow.State.CANCELLED, submit.at_ms)
         return command.WorkflowResult(True)
 
     def _cancel(self, cancel: command.Cancel) -> command.WorkflowResult:
         entry = self._entries.get(cancel.workflow_id)
         if entry is None:
-            self._cancelled_early[cancel.workflow_id] = cancel.at_ms
+            self._cancelled_early[cancel.queue, cancel.workflow_id] = cancel.at_ms
             while len(self._cancelled_early) > MAX_EARLY_CANCELLATIONS:
                 del self._cancelled_early[next(iter(self._cancelled_early))]
             return command.WorkflowResult(False)
@@ -577,7 +578,7 @@
         if end.outcome is workflow.RunOutcome.DONE:
             for member in tasks if step.gang else (task,):
                 member.done = True
-                member.done_run = end.run
+                member.done_run = max(member.done_run, end.run)
             self._record_progress(entry, end.task.occurrence, at_ms)
         elif end.outcome is workflow.RunOutcome.FAILED:
             self._record_failure(entry, tasks if step.gang else [task], end, at_ms)
--- a/marjoramusher/workflows/machine_test.py
+++ b/marjoramusher/workflows/machine_test.py
@@ -269,7 +269,7 @@
 def test_a_cancellation_holds_for_a_submission_that_follows_past_a_snapshot():
     """Guards against work that runs though a former leader has cancelled it."""
     harness = Harness()
-    harness.apply(command.Cancel(4, "w"))
+    harness.apply(command.Cancel(4, "w", "q"))
     harness.state.restore(harness.state.snapshot())
     harness.apply(command.Submit(5, submission(step(2, gang=True))))
     assert harness.entry.state is workflow.State.CANCELLED
@@ -277,10 +277,32 @@
     assert not harness.state.active
 
 
+def test_a_cancellation_in_another_queue_cancels_no_submission_that_follows():
+    """Guards against work that is lost to a cancellation that was not meant for it."""
+    harness = Harness()
+    harness.apply(command.Cancel(4, "w", "public"))
+    harness.apply(command.Submit(5, submission(step(1))))
+    assert harness.entry.is_active
+
+
+def test_an_earlier_end_that_is_read_last_stops_no_member_of_the_last_run():
+    """Guards against stops of members that end by themselves."""
+    harness = Harness(step(2, gang=True), step(1, after=(0,)))
+    for run in (1, 2):
+        assert harness.assign(placement(0, run), placement(1, run, "y"))
+        if run == 1:
+            for name, index in (("x", 0), ("y", 1)):
+                lapsed = workflow.Release(task_key(index), 1, "", "", True)
+                harness.settle(worker_id=name, releases=(lapsed,))
+    harness.settle(run_end(1, "done", 0, run=2))
+    harness.settle(run_end(2, "done", 0, run=1))
+    assert harness.state.task(task_key(1)).done_run == 2
+
+
 def test_cancellations_without_a_submission_are_forgotten():
     """Guards against cancellations of unknown workflows that fill the memory."""
     harness = Harness()
-    harness.apply(command.Cancel(4, "w"))
+    harness.apply(command.Cancel(4, "w", "q"))
     assert not harness.state.has_early_cancellation(4)
     assert harness.state.has_early_cancellation(5)
     harness.apply(command.Forget(9, 5))
