Let the stand-in notice work that goes on after its workflow

Users saw a task that ran on though its job had been cancelled. The stand-in of the workers checked nothing about that, and random scenarios cancelled nothing but a few long-running tasks at their end.

A run whose workflow has ended, and a start after that, is now a violation once the bound of the platform has passed: 4 s and 0.9 s for the stop, counted from the last fault of the worker or the leader, and 4 s later for late starts. Every scenario that ends with check_all_end waits for that bound.

New, and off unless a scenario asks for it: lost calls that are carried out at once, later delays from 0 s on, calls and replies that overtake each other, calls that pass a cut, late polls at the next incarnation, refused polls of an older token, starts refused for want of room, a leader that is another instance, and cancellations at any moment. The scenarios with all faults, with crashes and with changing capacities use them in new tests; existing seeds are unchanged.

Evidence: test_the_stand_in_notices_a_run_that_goes_on_after_its_workflow.

--- a/marjoramusher/executors/capacity_test.py
+++ b/marjoramusher/executors/capacity_test.py
@@ -280,31 +280,44 @@
     virtual.run(scenario())
 
 
+async def check_changing_capacities(seed, has_cancellations=False):
+    """Run workflows while capacities change, and check that each ends or is gone."""
+    async with Harness(seed) as harness:
+        harness.fleet.loss_rate = harness.rng.choice([0.0, 0.05, 0.2])
+        disturbances = [resize_at_random(harness)]
+        if has_cancellations:
+            harness.disturb_calls()
+            harness.fleet.rejects_overload = harness.rng.random() < 0.5
+            harness.replaces_leader = harness.rng.random() < 0.5
+            disturbances.append(harness.cancel_at_random())
+        if seed % 2:
+            disturbances.append(harness.change_leaders((1, 6), (0.05, 7)))
+        if seed % 3:
+            disturbances.append(delay_announcements(harness))
+        if seed % 5:
+            disturbances.append(slow_down_commits(harness))
+        tasks = [asyncio.create_task(coroutine) for coroutine in disturbances]
+        await harness.submit_random(40)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        if not harness.group.is_led:
+            harness.take_over()
+        harness.unheard.clear()
+        harness.group.commit_s = COMMIT_S
+        harness.fleet.refusal_rate = 0.0
+        for process in harness.fleet.processes.values():
+            harness.fleet.resize(process, CAPACITY)
+        await harness.check_all_end(300)
+
+
 @pytest.mark.parametrize("seed", [200, 203, 205, 207, 209, 211, 213, 267])
 def test_capacities_change_beside_all_other_faults(seed):
     """Guards against a capacity that a new leader knows from long ago."""
+    virtual.run(check_changing_capacities(seed))
 
-    async def scenario():
-        async with Harness(seed) as harness:
-            harness.fleet.loss_rate = harness.rng.choice([0.0, 0.05, 0.2])
-            disturbances = [resize_at_random(harness)]
-            if seed % 2:
-                disturbances.append(harness.change_leaders((1, 6), (0.05, 7)))
-            if seed % 3:
-                disturbances.append(delay_announcements(harness))
-            if seed % 5:
-                disturbances.append(slow_down_commits(harness))
-            tasks = [asyncio.create_task(coroutine) for coroutine in disturbances]
-            await harness.submit_random(40)
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
-            if not harness.group.is_led:
-                harness.take_over()
-            harness.unheard.clear()
-            harness.group.commit_s = COMMIT_S
-            for process in harness.fleet.processes.values():
-                harness.fleet.resize(process, CAPACITY)
-            await harness.check_all_end(300)
 
-    virtual.run(scenario())
+@pytest.mark.parametrize("seed", range(6))
+def test_cancellations_beside_changing_capacities_leave_nothing_running(seed):
+    """Guards against refused and cancelled runs that go on after their workflow."""
+    virtual.run(check_changing_capacities(seed, has_cancellations=True))
--- a/marjoramusher/executors/crash_test.py
+++ b/marjoramusher/executors/crash_test.py
@@ -222,6 +222,53 @@
     virtual.run(scenario())
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_cancellations_beside_crashes_leave_nothing_running(seed):
+    """Guards against runs that go on after the workflow of a crashing task has ended.
+
+    Such a workflow fails or is cancelled at any moment, on workers that come and go.
+    """
+
+    async def scenario():
+        async with Harness(seed) as harness:
+            rng = harness.rng
+            harness.disturb_calls()
+            harness.replaces_leader = rng.random() < 0.5
+            harness.fleet.keeps_id = rng.random() < 0.7
+            harness.fleet.restart_s = rng.uniform(0.3, 10)
+            disturbances = [asyncio.create_task(harness.cancel_at_random())]
+            if seed % 2:
+                disturbances.append(
+                    asyncio.create_task(harness.change_leaders((0.5, 5), (0.05, 4)))
+                )
+            crashing = set()
+            for _ in range(4):
+                await harness.submit_random(3)
+                crashing.add(await submit_crashing(harness, "urgent", step(2, 2)))
+                gang = step(3, 2, gang=True)
+                crashing.add(await submit_crashing(harness, "batch", gang))
+                await harness.submit("batch", step(2, 1, long_running=True))
+                await asyncio.sleep(rng.uniform(0, 6))
+            for disturbance in disturbances:
+                disturbance.cancel()
+            await asyncio.gather(*disturbances, return_exceptions=True)
+            if not harness.group.is_led:
+                harness.take_over()
+            harness.fleet.refusal_rate = harness.fleet.loss_rate = 0.0
+            for name, entry in harness.state.entries.items():
+                if entry.workflow.steps[0].long_running:
+                    await harness.cancel(name)
+            await harness.check_all_end(300)
+            completed = {
+                name
+                for name in crashing
+                if state_of(harness, name) is workflow.State.COMPLETED
+            }
+            assert completed == set()
+
+    virtual.run(scenario())
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_tasks_survive_workers_that_crash_on_their_own(seed):
     """Guards against giving up tasks because their workers are unreliable."""
--- a/marjoramusher/executors/driver_test.py
+++ b/marjoramusher/executors/driver_test.py
@@ -432,14 +432,27 @@
     virtual.run(scenario())
 
 
-async def check_all_faults_together(seed):
-    """Run workflows beside all faults at once, and check that each ends or is gone."""
+async def check_all_faults_together(seed, has_cancellations=False):
+    """Run workflows beside all faults at once, and check that each ends or is gone.
+
+    Parameters
+    ----------
+    has_cancellations : bool
+        Whether workflows are cancelled at any moment, calls are late in all ways, and
+        each leader is another instance.
+    """
     async with Harness(seed) as harness:
         rng, faulty = harness.rng, harness.fleet
-        faulty.loss_rate = rng.choice([0.02, 0.1, 0.2])
-        faulty.refusal_rate = rng.choice([0.0, 0.1, 0.3])
-        # Ends on an incarnation that has not announced itself fit into one list.
-        faulty.max_listed_ends = rng.choice([20, 500])
+        shortest_cut_s = 0.5
+        if has_cancellations:
+            shortest_cut_s = rng.choice([0.5, 6.0])
+            harness.disturb_calls()
+            harness.replaces_leader = rng.random() < 0.7
+        else:
+            faulty.loss_rate = rng.choice([0.02, 0.1, 0.2])
+            faulty.refusal_rate = rng.choice([0.0, 0.1, 0.3])
+            # Ends on an incarnation that has not announced itself fit into one list.
+            faulty.max_listed_ends = rng.choice([20, 500])
 
         async def cut_or_restart():
             while True:
@@ -447,7 +460,7 @@
                 name = rng.choice(list(faulty.processes))
                 if rng.random() < 0.5:
                     faulty.unreachable.add(name)
-                    await asyncio.sleep(rng.uniform(0.5, 12))
+                    await asyncio.sleep(rng.uniform(shortest_cut_s, 12))
                     faulty.unreachable.discard(name)
                     continue
                 faulty.processes[name].has_ended = True
@@ -469,6 +482,8 @@
         if seed % 2:
             change = harness.change_leaders((2, 9), (0.05, 2))
             faults.append(asyncio.create_task(change))
+        if has_cancellations:
+            faults.append(asyncio.create_task(harness.cancel_at_random()))
         names = []
         for _ in range(6):
             await harness.submit_random(4)
@@ -504,6 +519,33 @@
     virtual.run(check_all_faults_together(seed))
 
 
+def test_the_stand_in_notices_a_run_that_goes_on_after_its_workflow():
+    """Guards against a check in the stand-in that no run can fail."""
+
+    async def scenario():
+        async with Harness(22, always(900.0)) as harness:
+
+            async def confirm_in_vain(worker, task, run, token):
+                return port.Reply(None)
+
+            harness.fleet.stop = confirm_in_vain
+            name = await harness.submit("batch", step(2, 1, long_running=True))
+            await asyncio.sleep(2.0)
+            await harness.cancel(name)
+            await asyncio.sleep(fleet.CANCEL_S + fleet.STOP_TIMEOUT_S - 0.1)
+            assert harness.fleet.violations == []
+            await asyncio.sleep(0.3)
+            assert len(harness.fleet.violations) == 2
+
+    virtual.run(scenario())
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_cancellations_beside_all_faults_leave_nothing_running(seed):
+    """Guards against runs that go on after a cancellation was acknowledged."""
+    virtual.run(check_all_faults_together(seed, has_cancellations=True))
+
+
 def test_a_cancelled_workflow_is_stopped_though_orders_are_lost():
     async def scenario():
         async with Harness(3, always(60.0)) as harness:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import contextlib
 import functools
 import itertools
 import random
@@ -39,6 +40,11 @@
 MAX_STARTS_AFTER_CRASHES = 3
 MAINTENANCE_DURATION_S = 2.0
 UNANSWERED_S = 2.0  # how long a caller of the host service waits for a reply
+# The bounds of the platform: how long after the end of its workflow a run may start,
+# how long a stop may take, and how much later both are due after a late start.
+CANCEL_S = 4.0
+STOP_TIMEOUT_S = 0.9
+CONTACT_TIMEOUT_S = 4.0
 
 
 class _Run(msgspec.Struct):
@@ -53,6 +59,8 @@
     pace: int = 100  # percent of the full speed
     # Since when fill tasks have made the run miss its latency target.
     target_missed_s: float | None = None
+    is_reported: bool = False  # as one that goes on after its workflow
+    is_late: bool = False  # its start was carried out after the call had failed
 
 
 class WorkerProcess(msgspec.Struct):
@@ -108,8 +116,23 @@
     ----------
     loss_rate : float
         Share of the calls that get no response.
+    executed_rate : float
+        Share of the lost calls that are carried out at once.
     delayed_rate : float
-        Share of the lost calls that are carried out later.
+        Share of the other lost calls that are carried out later.
+    delay_range_s : tuple of float
+        How much later they are carried out.
+    slow_rate : float
+        Share of the calls that are carried out or answered late, but in time, so that
+        calls and replies overtake each other.
+    passes_cuts : bool
+        Whether calls to an unreachable worker are carried out like lost ones.
+    has_late_polls : bool
+        Whether a late poll reaches the incarnation that has the id by then.
+    fences_polls : bool
+        Whether polls with a lower fencing token are refused, not only without effect.
+    rejects_overload : bool
+        Whether workers refuse starts for which they have no room.
     max_listed_ends : int
         Number of ends that a report lists at most; the others follow.
     refusal_rate : float
@@ -143,6 +166,10 @@
         Announces a worker that is back.
     is_known : callable
         Tells whether an incarnation of a worker is registered.
+    end_s : callable
+        Returns when a workflow has ended, ``None`` while it is active.
+    leader_fault_s : callable
+        Returns when the last fault of the leader was seen.
     """
 
     def __init__(
@@ -153,7 +180,14 @@
         self.rng = rng
         self._work_s = work_s
         self.loss_rate = 0.0
+        self.executed_rate = 0.0
         self.delayed_rate = 0.5
+        self.delay_range_s = DELAY_RANGE_S
+        self.slow_rate = 0.0
+        self.passes_cuts = False
+        self.has_late_polls = False
+        self.fences_polls = False
+        self.rejects_overload = False
         self.max_listed_ends = 500
         self.refusal_rate = 0.0
         self.processes: dict[str, WorkerProcess] = {}
@@ -177,6 +211,10 @@
         self.keeps_address = True
         self.restart: Callable[[workflow.Worker], Awaitable[None]] | None = None
         self.is_known: Callable[[workflow.Worker], bool] = lambda worker: False
+        self.end_s: Callable[[str], float | None] = lambda workflow_id: None
+        self.leader_fault_s: Callable[[], float] = lambda: 0.0
+        self._fault_s: dict[str, float] = {}
+        self._is_late = False
         self._starts_after_crashes: dict[workflow.TaskKey, int] = {}
         self._restarts: set[asyncio.Task] = set()
         self._incarnations = itertools.count(1000)
@@ -194,6 +232,7 @@
             self.processes[worker.worker_id].has_ended = True
         process = WorkerProcess(worker, self._now, self.rng.choice([1.0, 0.98]))
         self.processes[worker.worker_id] = process
+        self._record_fault(worker.worker_id)
         return process
 
     def resize(self, process: WorkerProcess, capacity: workflow.Resources) -> None:
@@ -205,11 +244,37 @@
         """Advance all runs, lease expiries and stops until cancelled."""
         while True:
             now = self._now
+            for worker_id in self.unreachable:
+                self._record_fault(worker_id)
             for process in self.processes.values():
                 if not process.has_ended:
                     self._advance(process, now)
+                    self._check_ended_workflows(process, now)
             await asyncio.sleep(TICK_S)
 
+    def _record_fault(self, worker_id: str) -> None:
+        self._fault_s[worker_id] = self._now
+
+    def _check_ended_workflows(self, process: WorkerProcess, now: float) -> None:
+        """Record runs that go on although their workflow has ended.
+
+        The time counts from the last fault of the worker or the leader.
+        """
+        calm_s = max(self._fault_s[process.worker.worker_id], self.leader_fault_s())
+        for run in process.runs.values():
+            ended_s = self.end_s(run.task.workflow_id)
+            if ended_s is None:
+                continue
+            since_s = max(ended_s, calm_s)
+            if run.is_late:
+                since_s = max(since_s, run.started_s + CONTACT_TIMEOUT_S)
+            if now - since_s > CANCEL_S + STOP_TIMEOUT_S and not run.is_reported:
+                run.is_reported = True
+                self.violations.append(
+                    f"{run.task} run {run.run} goes on on {process.worker.worker_id} "
+                    f"at {now:.2f}, its workflow ended at {ended_s:.2f}"
+                )
+
     def _advance(self, process: WorkerProcess, now: float) -> None:
         if process.clock_ms(now) > process.lease_ms:
             process.lease_expired_s = now
@@ -347,32 +412,56 @@
 
     async def _call(self, worker: workflow.Worker, handler, is_order: bool = False):
         await asyncio.sleep(self.rng.uniform(0.001, 0.03))
+        is_slow = bool(self.slow_rate) and self.rng.random() < self.slow_rate
+        if is_slow:
+            await asyncio.sleep(self.rng.uniform(0.0, TIMEOUT_S / 2))
         process = self.processes.get(worker.worker_id)
         if worker.worker_id in self.unreachable or process is None or process.has_ended:
+            if self.passes_cuts and process is not None and not process.has_ended:
+                self._lose(process, handler, is_order)
             await asyncio.sleep(TIMEOUT_S)
             raise _unreachable(worker)
         if self.rng.random() < self.loss_rate:
-            if self.rng.random() < self.delayed_rate:
-                self._schedule_delayed(process, handler, is_order)
+            self._lose(process, handler, is_order)
             await asyncio.sleep(TIMEOUT_S)
             raise _unreachable(worker)
         if is_order and self.refusal_rate and self.rng.random() < self.refusal_rate:
+            self._record_fault(worker.worker_id)
             return self._refused(process, port.Refusal.UNHEALTHY)
-        return handler(process)
+        reply = handler(process)
+        if is_slow:
+            await asyncio.sleep(self.rng.uniform(0.0, TIMEOUT_S / 2))
+        return reply
+
+    def _lose(self, process: WorkerProcess, handler, is_order: bool) -> None:
+        """Carry out a call that gets no reply at once, later or not at all."""
+        self._record_fault(process.worker.worker_id)
+        if self.executed_rate and self.rng.random() < self.executed_rate:
+            with contextlib.suppress(port.WorkerUnreachableError):
+                handler(process)
+        elif self.rng.random() < self.delayed_rate:
+            self._schedule_delayed(process, handler, is_order or self.has_late_polls)
 
     def _schedule_delayed(
-        self, process: WorkerProcess, handler, is_order: bool
+        self, process: WorkerProcess, handler, reaches_successor: bool
     ) -> None:
         async def carry_out() -> None:
-            await asyncio.sleep(self.rng.uniform(*DELAY_RANGE_S))
-            # An order names the id of its worker only, so a later process accepts it.
+            await asyncio.sleep(self.rng.uniform(*self.delay_range_s))
+            # A call names the id of its worker only, so a later process accepts it.
             # No leader can prevent that before it knows of the process.
             current = process
-            if is_order:
+            if reaches_successor:
                 current = self.processes.get(process.worker.worker_id, process)
             is_same = current is process
-            if not current.has_ended and (is_same or self.is_known(current.worker)):
+            if current.has_ended or not (is_same or self.is_known(current.worker)):
+                return
+            self._is_late = True
+            try:
                 handler(current)
+            except port.WorkerUnreachableError:
+                pass  # nobody waits for the reply
+            finally:
+                self._is_late = False
 
         task = asyncio.get_running_loop().create_task(carry_out())
         self._delayed.add(task)
@@ -391,6 +480,8 @@
         process.token = request.token
         if request.deadline_ms <= process.clock_ms(self._now):
             return self._refused(process, port.Refusal.LEASE_EXPIRED)
+        # The lease is also taken from a start that is refused as stale or for want of
+        # room.
         self._extend_lease(process, request.deadline_ms)
         current = process.runs.get(request.task)
         if current is not None and current.run == request.run:
@@ -403,6 +494,8 @@
         if not self._has_ticket(process, request):
             self.refused_tickets += 1
             return self._refused(process, port.Refusal.INVALID_TICKET)
+        if self.rejects_overload and not self._has_room(process, request.task):
+            return self._refused(process, port.Refusal.NO_CAPACITY)
         self._check_start(process, request)
         self.starts += 1
         work_s, outcome = self._work_s(request.task, request.run)
@@ -422,6 +515,7 @@
             None,
             None,
             outcome,
+            is_late=self._is_late,
         )
         return port.Reply(process.clock_ms(self._now))
 
@@ -467,6 +561,17 @@
         ticket, expires_s = tickets.get(process.worker.worker_id, ("", 0.0))
         return bool(ticket) and request.ticket == ticket and self._now < expires_s
 
+    def _has_room(self, process: WorkerProcess, task: workflow.TaskKey) -> bool:
+        return self._needs(process, task).fits_within(process.worker.capacity)
+
+    def _needs(
+        self, process: WorkerProcess, task: workflow.TaskKey
+    ) -> workflow.Resources:
+        """Return what all runs on a worker and one more need."""
+        used = [resources.reserved(self._step(key)) for key in process.runs]
+        used.append(resources.reserved(self._step(task)))
+        return functools.reduce(resources.combined, used)
+
     def _check_start(self, process: WorkerProcess, request: port.StartRequest) -> None:
         task = request.task
         context = (
@@ -483,6 +588,10 @@
             if starts >= MAX_STARTS_AFTER_CRASHES:
                 self.violations.append(f"started after many crashes: {context}")
         self._started_s[task] = self._now
+        ended_s = self.end_s(task.workflow_id)
+        since_s = max(ended_s or 0.0, self.leader_fault_s())
+        if ended_s is not None and not self._is_late and self._now - since_s > CANCEL_S:
+            self.violations.append(f"its workflow has ended: {context}")
         submitted = self.submitted[task.workflow_id]
         if request.payload != submitted.payload:
             self.violations.append(f"wrong payload: {context}")
@@ -493,9 +602,7 @@
                 )
                 if key not in self.done:
                     self.violations.append(f"dependency has not ended: {context}")
-        used = [resources.reserved(self._step(key)) for key in process.runs]
-        used.append(resources.reserved(self._step(task)))
-        total = functools.reduce(resources.combined, used)
+        total = self._needs(process, task)
         capacities = [process.worker.capacity] + [
             capacity
             for until_s, capacity in process.former_capacities
@@ -563,6 +670,8 @@
         last_end_number: int,
         deadline_ms: int | None,
     ) -> port.WorkerReport:
+        if self.fences_polls and token < process.token:
+            raise _unreachable(process.worker)
         if token >= process.token:
             process.token = token
             if deadline_ms is not None:
--- a/standins/leader.py
+++ b/standins/leader.py
@@ -8,7 +8,7 @@
 import reactivex.subject
 
 from marjoramusher.consensus import message
-from marjoramusher.core import errors
+from marjoramusher.core import clock, errors
 from marjoramusher.executors import driver
 from marjoramusher.groups import local
 from marjoramusher.queues import call, service
@@ -39,9 +39,10 @@
 )
 CAPACITY = workflow.Resources(64000, 1000, 8)
 HEARTBEAT_S = 1.5
-CONTACT_TIMEOUT_S = 4.0
 WORKERS = 4
 COMMIT_S = 0.02
+RUN_ON_S = fleet.CONTACT_TIMEOUT_S + fleet.CANCEL_S + fleet.STOP_TIMEOUT_S + 1.0
+LONG_WORK_S = 40.0
 CALL_RETRY_S = 0.5  # a worker that got no acknowledgement calls again
 
 
@@ -51,9 +52,8 @@
     def __init__(self, state):
         super().__init__("records", state)
         self.is_led = True
-        # Whether a majority has answered recently; it can be missing for a moment
-        # within one term.
-        self.has_fresh_quorum = True
+        self._has_fresh_quorum = True
+        self.fault_s = 0.0  # time of the last change of the leadership or the quorum
         self.current_term = 1
         self.changes = reactivex.subject.Subject()
         self.commit_s = COMMIT_S
@@ -63,6 +63,19 @@
         """Tell whether this member leads."""
         return self.is_led and self.has_fresh_quorum
 
+    @property
+    def has_fresh_quorum(self):
+        """Tell whether a majority has answered recently.
+
+        It can be missing for a moment within one term.
+        """
+        return self._has_fresh_quorum
+
+    @has_fresh_quorum.setter
+    def has_fresh_quorum(self, is_fresh):
+        self._has_fresh_quorum = is_fresh
+        self.fault_s = asyncio.get_running_loop().time()
+
     @property
     def term(self):
         """Return the term, which rises with each change of the leader."""
@@ -86,10 +99,33 @@
         """Give the leadership away, or take it back in a new term."""
         self.is_led = is_led
         self.current_term += is_led
+        self.fault_s = asyncio.get_running_loop().time()
         role = message.Role.LEADER if is_led else message.Role.FOLLOWER
         self.changes.on_next(message.RoleChanged(role, self.current_term, None))
 
 
+class Member:
+    """An instance's view of the group, which ends when another instance leads."""
+
+    def __init__(self, group):
+        self._group = group
+        self.has_left = False
+
+    def __getattr__(self, name):
+        return getattr(self._group, name)
+
+    @property
+    def is_leader(self):
+        """Tell whether this instance leads."""
+        return not self.has_left and self._group.is_leader
+
+    async def propose_as_leader(self, command, timeout_s):
+        """Commit a command unless another instance leads by then."""
+        if self.has_left:
+            raise errors.NotLeaderError(None)
+        return await self._group.propose_as_leader(command, timeout_s)
+
+
 class Harness:
     """A driver, its group, and workers in memory on a virtual clock."""
 
@@ -103,19 +139,17 @@
         self.state = machine.WorkflowMachine()
         self.group = Group(self.state)
         self.clock = virtual.LoopClock(loop)
-        self.driver = driver.Driver(
-            self.group,
-            self.state,
-            driver.Ports(self.fleet, self.policy, self.hosts),
-            self.clock,
-            metrics.Metrics(),
-            driver.Settings(
-                heartbeat_s, capacity_grace_s=CONTACT_TIMEOUT_S + heartbeat_s
-            ),
-        )
+        self.member = Member(self.group)
+        self.driver = self.make_driver()
         self.service = self.make_service()
+        # Whether a new leader is another instance, which knows only what is committed.
+        self.replaces_leader = False
+        self.long_share = 0.0  # of the runs, which last longer than all faults
+        self.ended_s = {}
         self.fleet.restart = self.announce
         self.fleet.is_known = self.is_registered
+        self.fleet.end_s = self.end_s
+        self.fleet.leader_fault_s = self.leader_fault_s
         self.tasks = [loop.create_task(self.fleet.simulate())]
         self.count = 0
         self.incarnation = 0
@@ -148,6 +182,10 @@
             return 900.0, workflow.RunOutcome.DONE
         failed = self.rng.random() < 0.05
         outcome = workflow.RunOutcome.FAILED if failed else workflow.RunOutcome.DONE
+        # All members of a gang last long, or none.
+        members = random.Random(f"{task.workflow_id}.{task.step}.{run}")
+        if members.random() < self.long_share:
+            return LONG_WORK_S, outcome
         return self.rng.uniform(0.2, 4.0), outcome
 
     async def join(self, name):
@@ -176,6 +214,46 @@
         self.fleet.join(worker)
         return worker
 
+    def end_s(self, workflow_id):
+        """Return since when a workflow has been seen to have ended."""
+        entry = self.state.entries.get(workflow_id)
+        if entry is not None and entry.is_active:
+            return None
+        return self.ended_s.setdefault(workflow_id, self.clock.monotonic())
+
+    def leader_fault_s(self):
+        """Return the time of the last fault of the leader, now if it lasts."""
+        is_steady = self.group.is_leader and self.group.commit_s == COMMIT_S
+        return self.group.fault_s if is_steady else self.clock.monotonic()
+
+    def make_driver(self):
+        """Return a driver that knows only what is committed."""
+        return driver.Driver(
+            self.member,
+            self.state,
+            driver.Ports(self.fleet, self.policy, self.hosts),
+            self.clock,
+            metrics.Metrics(),
+            driver.Settings(
+                self.heartbeat_s,
+                capacity_grace_s=fleet.CONTACT_TIMEOUT_S + self.heartbeat_s,
+            ),
+        )
+
+    def disturb_calls(self):
+        """Let calls fail, and be late, in all ways that the protocol allows."""
+        faulty, rng = self.fleet, self.rng
+        self.long_share = rng.choice([0.0, 0.3])
+        faulty.loss_rate = rng.choice([0.02, 0.1, 0.2])
+        faulty.refusal_rate = rng.choice([0.0, 0.1, 0.3])
+        faulty.executed_rate = rng.choice([0.0, 0.3, 0.6])
+        faulty.delay_range_s = rng.choice([fleet.DELAY_RANGE_S, (0.0, 3.0)])
+        faulty.slow_rate = rng.choice([0.0, 0.3])
+        faulty.passes_cuts = rng.random() < 0.5
+        faulty.fences_polls = rng.random() < 0.5
+        # Ends on an incarnation that has not announced itself fit into one list.
+        faulty.max_listed_ends = rng.choice([20, 500])
+
     def make_service(self):
         """Return a service without any memory of announcements."""
         return service.QueueService(
@@ -189,6 +267,12 @@
     def take_over(self):
         """Lead as an instance that knows only what was committed."""
         self.state.restore(self.state.snapshot())
+        if self.replaces_leader:
+            self.member.has_left = True
+            self.tasks.append(asyncio.create_task(self.driver.stop()))
+            self.member = Member(self.group)
+            self.driver = self.make_driver()
+            self.driver.start()
         self.service = self.make_service()
         self.group.set_leader(True)
 
@@ -262,6 +346,30 @@
             await self.submit(self.rng.choice(["urgent", "batch"]), *steps)
             await asyncio.sleep(self.rng.uniform(0.0, 1.0))
 
+    async def cancel(self, workflow_id):
+        """Cancel a workflow, again and again until that is acknowledged."""
+        cancel = command.Cancel(clock.unix_ms(self.clock), workflow_id)
+        while True:
+            try:
+                await self.driver.propose(cancel)
+                return
+            except errors.MarjoramusherError:
+                await asyncio.sleep(CALL_RETRY_S)
+
+    async def cancel_at_random(self):
+        """Cancel workflows in any state, some of them twice, until cancelled.
+
+        Half of them are the latest, which may have been submitted just now.
+        """
+        while True:
+            await asyncio.sleep(self.rng.uniform(0.05, 2.0))
+            names = list(self.fleet.submitted)
+            if not names:
+                continue
+            name = names[-1] if self.rng.random() < 0.5 else self.rng.choice(names)
+            for _ in range(self.rng.choice([1, 1, 2])):
+                self.tasks.append(asyncio.create_task(self.cancel(name)))
+
     async def wait_until_ended(self, timeout_s):
         """Wait until no workflow is active, or the time is over."""
         end_s = self.clock.monotonic() + timeout_s
@@ -269,9 +377,13 @@
             await asyncio.sleep(0.1)
 
     async def check_all_end(self, timeout_s):
-        """End the faults, and check that all workflows end and no rule was broken."""
+        """End the faults, and check that all workflows end and no rule was broken.
+
+        Runs that go on after their workflow show after the bound for late starts.
+        """
         self.fleet.loss_rate = 0.0
         await self.wait_until_ended(timeout_s)
+        await asyncio.sleep(RUN_ON_S)
         assert self.fleet.violations == [], self.fleet.violations
         assert workflow.State.ACTIVE not in self.states(), "a workflow has not ended"
 
