Count with leases that late calls renew for a later incarnation

What callers would see: two runs of a task at the same time, for up to 5 s. No user has reported it; found by reading for ids trusted without their incarnation.

Cause: a poll, and a start, name their worker by id. One without a reply may be carried out seconds later by an incarnation that has the id by then. Its clock has started anew, so that the old end of the lease is far ahead and gives a full lease. The session knows only of its own grants and releases the runs while the worker goes on with them.

Evidence: two of three cases of test_a_poll_that_reaches_the_next_incarnation_doubles_nothing (1 and 3 s) fail before the change.

Change: the leader remembers such calls for 15 s, and the session of a new incarnation counts with the lease that they may still grant. Runs of a worker that restarts and is lost for good within that time are released up to 15 s later.

Measured: all three cases pass, and so do the tests of executors, queues, workflows and hosts, and tests/log_session_test.py.

--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -146,6 +146,7 @@
         self._closing: set[asyncio.Task] = set()
         self._health = health.Health()
         self._unanswered = unanswered.UnansweredStarts()
+        self._unanswered_polls = unanswered.UnansweredPolls()
         # Incarnation and time of the last announcement of each worker.
         self._announced: dict[str, tuple[int, float]] = {}
         self._term = 0
@@ -423,6 +424,23 @@
         """Record that each start of a run got a reply."""
         self._unanswered.forget(placement)
 
+    def record_poll(self, worker: workflow.Worker, sent_s: float) -> None:
+        """Record that a poll is sent that renews the lease, which may happen late."""
+        self._unanswered_polls.record(worker, sent_s)
+
+    def record_poll_answered(self, worker: workflow.Worker, sent_s: float) -> None:
+        """Record that a poll got a reply or was not sent."""
+        self._unanswered_polls.forget(worker, sent_s)
+
+    def late_lease_s(self, worker: workflow.Worker) -> float:
+        """Return until when calls for a former incarnation may renew the lease."""
+        now_s = self._clock.monotonic()
+        name, incarnation = worker.worker_id, worker.incarnation
+        return max(
+            self._unanswered.latest_s(name, incarnation, now_s),
+            self._unanswered_polls.latest_s(name, incarnation),
+        )
+
     def record_release(self, reason: str) -> None:
         """Record that a run was released without a reported end."""
         self._metrics.increment("runs_released", reason=reason)
@@ -601,6 +619,7 @@
         if now_s < self._next_forget_s:
             return
         self._next_forget_s = now_s + FORGET_INTERVAL_S
+        self._unanswered_polls.forget_old(now_s)
         now_ms = clock.unix_ms(self._clock)
         before_ms = now_ms - int(self._settings.retention_s * 1000)
         if self._state.has_early_cancellation(before_ms) or any(
--- a/marjoramusher/executors/driver_test.py
+++ b/marjoramusher/executors/driver_test.py
@@ -731,6 +731,36 @@
     virtual.run(scenario())
 
 
+@pytest.mark.parametrize("late_s", [1.0, 3.0, 5.0])
+def test_a_poll_that_reaches_the_next_incarnation_doubles_nothing(late_s):
+    """Guards against a lease that a late call for a former incarnation extends."""
+
+    async def scenario():
+        async with Harness(26, always(30.0)) as harness:
+            await asyncio.sleep(30.0)
+            first = await harness.submit("batch", step(1, 1))
+            await asyncio.sleep(1.5)
+            (name,) = harness.running(first)
+            harness.fleet.held_back.add(name)
+            await asyncio.sleep(1.7)
+            harness.fleet.held_back.clear()
+            await harness.announce(harness.restart(name))
+            full = await harness.submit("batch", step(16, 1))
+            await harness.submit("batch", step(15, 1))
+            await asyncio.sleep(1.5)
+            assert harness.fleet.processes[name].runs
+            await harness.cancel(full)
+            await asyncio.sleep(0.7)
+            harness.fleet.unreachable.add(name)
+            await asyncio.sleep(late_s)
+            harness.fleet.release_calls()
+            await asyncio.sleep(20.0)
+            harness.fleet.unreachable.clear()
+            await harness.check_all_end(60)
+
+    virtual.run(scenario())
+
+
 def test_tasks_of_a_worker_that_left_are_run_elsewhere_though_a_commit_failed():
     """Guards against a session that ends while its worker stays registered."""
 
--- a/marjoramusher/executors/lease.py
+++ b/marjoramusher/executors/lease.py
@@ -65,10 +65,14 @@
         estimate_ms = self.estimate_ms(now_s)
         if estimate_ms is None:
             return None
+        self.extend(now_s)
+        return int(estimate_ms + self._settings.lease_s * 1000)
+
+    def extend(self, granted_s: float) -> None:
+        """Take into account that a full lease may be granted until `granted_s`."""
         self._expires_s = max(
-            self._expires_s, now_s + self._upper_bound_s(self._settings.lease_s)
+            self._expires_s, granted_s + self._upper_bound_s(self._settings.lease_s)
         )
-        return int(estimate_ms + self._settings.lease_s * 1000)
 
     def _age_s(self, now_s: float) -> float:
         return now_s - self._clock_read_s
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -53,6 +53,15 @@
     def may_start_late(self, placement: workflow.Placement) -> bool:
         """Tell whether a start of a run got no reply and may still be carried out."""
 
+    def record_poll(self, worker: workflow.Worker, sent_s: float) -> None:
+        """Record that a poll is sent that renews the lease, which may happen late."""
+
+    def record_poll_answered(self, worker: workflow.Worker, sent_s: float) -> None:
+        """Record that a poll got a reply or was not sent."""
+
+    def late_lease_s(self, worker: workflow.Worker) -> float:
+        """Return until when calls for a former incarnation may renew the lease."""
+
     def record_release(self, reason: str) -> None:
         """Record that a run was released without a reported end."""
 
@@ -97,6 +106,7 @@
         self._leader = leader
         now_s = time.monotonic()
         self._lease = lease.Lease(settings, now_s)
+        self._lease.extend(leader.late_lease_s(worker))
         self._runs: dict[tuple[workflow.TaskKey, int], runs.Run] = {}
         self._tasks: set[asyncio.Task] = set()
         self._pending_stops: set[tuple[workflow.TaskKey, int]] = set()
@@ -524,12 +534,11 @@
         deadline_ms = None if self._failed_calls else self._lease.grant_ms(sent_s)
         last_end_number = registered.last_end_number
         acknowledged_end = last_end_number if self._is_incarnation_certain else 0
-        report = await self._port.poll(
-            self.worker,
-            self._token,
+        report = await self._send_poll(
             acknowledged_end,
             deadline_ms,
             self._wait_s() if can_wait else 0.0,
+            sent_s,
         )
         if self._failed_calls:
             log.state_change("worker.heard", worker=self.worker.worker_id)
@@ -557,6 +566,31 @@
             )
         await self._process_report(report, sent_s, last_end_number)
 
+    async def _send_poll(
+        self,
+        acknowledged_end: int,
+        deadline_ms: int | None,
+        wait_s: float,
+        sent_s: float,
+    ) -> port.WorkerReport:
+        """Send a poll; one that renews the lease is recorded until it has a reply."""
+        worker = self.worker
+        if deadline_ms is not None:
+            self._leader.record_poll(worker, sent_s)
+        try:
+            report = await self._port.poll(
+                worker, self._token, acknowledged_end, deadline_ms, wait_s
+            )
+        except port.WorkerUnreachableError as failure:
+            if failure.outcome is errors.Outcome.NOT_RUN:
+                self._leader.record_poll_answered(worker, sent_s)
+            raise
+        except port.WorkerReplacedError:
+            self._leader.record_poll_answered(worker, sent_s)
+            raise
+        self._leader.record_poll_answered(worker, sent_s)
+        return report
+
     def _wait_s(self) -> float:
         """Return the long-poll timeout; shared workers are polled more often."""
         return SHARED_POLL_WAIT_S if self._throttle.is_shared() else POLL_WAIT_S
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -140,6 +140,8 @@
         nothing.
     unreachable : set of str
         Ids of workers whose calls all fail.
+    held_back : set of str
+        Ids of workers to which calls are held back until `release_calls`.
     violations : list of str
         Violations of the protocol.
     polls : Counter
@@ -192,6 +194,8 @@
         self.refusal_rate = 0.0
         self.processes: dict[str, WorkerProcess] = {}
         self.unreachable: set[str] = set()
+        self.held_back: set[str] = set()
+        self._held_calls: list[tuple[str, Callable[[WorkerProcess], object]]] = []
         self.violations: list[str] = []
         self.submitted: dict[str, workflow.Workflow] = {}
         self.done: set[workflow.TaskKey] = set()
@@ -415,6 +419,11 @@
         is_slow = bool(self.slow_rate) and self.rng.random() < self.slow_rate
         if is_slow:
             await asyncio.sleep(self.rng.uniform(0.0, TIMEOUT_S / 2))
+        if worker.worker_id in self.held_back:
+            self._record_fault(worker.worker_id)
+            self._held_calls.append((worker.worker_id, handler))
+            await asyncio.sleep(TIMEOUT_S)
+            raise _unreachable(worker)
         process = self.processes.get(worker.worker_id)
         if worker.worker_id in self.unreachable or process is None or process.has_ended:
             if self.passes_cuts and process is not None and not process.has_ended:
@@ -433,6 +442,12 @@
             await asyncio.sleep(self.rng.uniform(0.0, TIMEOUT_S / 2))
         return reply
 
+    def release_calls(self) -> None:
+        """Carry out the calls that were held back, by whoever has the id by now."""
+        held, self._held_calls = self._held_calls, []
+        for worker_id, handler in held:
+            self._carry_out_late(self.processes[worker_id], handler)
+
     def _lose(self, process: WorkerProcess, handler, is_order: bool) -> None:
         """Carry out a call that gets no reply at once, later or not at all."""
         self._record_fault(process.worker.worker_id)
@@ -455,18 +470,21 @@
             is_same = current is process
             if current.has_ended or not (is_same or self.is_known(current.worker)):
                 return
-            self._is_late = True
-            try:
-                handler(current)
-            except port.WorkerUnreachableError:
-                pass  # nobody waits for the reply
-            finally:
-                self._is_late = False
+            self._carry_out_late(current, handler)
 
         task = asyncio.get_running_loop().create_task(carry_out())
         self._delayed.add(task)
         task.add_done_callback(self._delayed.discard)
 
+    def _carry_out_late(self, process: WorkerProcess, handler) -> None:
+        """Carry out a call for whose reply nobody waits any more."""
+        self._is_late = True
+        try:
+            with contextlib.suppress(port.WorkerUnreachableError):
+                handler(process)
+        finally:
+            self._is_late = False
+
     def _refused(self, process: WorkerProcess, refusal: port.Refusal) -> port.Reply:
         return port.Reply(process.clock_ms(self._now), refusal)
 
