Stop starts of former leaders before a worker is registered again

What callers would see: two runs of a task at the same time for some 0.3 s, or a cancelled task that starts once more for 0.3 s, after a worker has restarted under its id within seconds of a change of the leader. No user has reported it.

Cause: starts without a reply are remembered by the leader that has sent them. The next leader registers the new incarnation, releases the runs of the former one and places them again, and only then polls it, which shows such a run and raises the fencing token.

--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -150,6 +150,7 @@
         # Incarnation and time of the last announcement of each worker.
         self._announced: dict[str, tuple[int, float]] = {}
         self._term = 0
+        self._led_since_s = float("-inf")
         self._is_leading = False
         self._has_taken_over = asyncio.Event()
         self._wake = asyncio.Event()
@@ -295,6 +296,25 @@
         if placements:
             await misdirected.stop_runs(placements, worker, self._port, self._term)
 
+    async def stop_starts_of_former_leaders(self, worker: workflow.Worker) -> None:
+        """Stop what a new incarnation runs on starts that a former leader has sent.
+
+        Only the leader that has sent a start remembers it. It can reach an incarnation
+        whose id is in use for longer, until that has seen the new fencing token.
+
+        Raises
+        ------
+        WorkerUnreachableError
+            If that is not confirmed in time.
+        """
+        is_new_id = (
+            worker.worker_id not in self._state.workers
+            and not self._state.has_incarnation_ended(worker.worker_id, 1)
+        )
+        led_s = self._clock.monotonic() - self._led_since_s
+        if led_s <= unanswered.MAX_DELAY_S and not is_new_id:
+            await misdirected.stop_all(worker, self._port, self._term)
+
     def _is_leader(self) -> bool:
         return self._group.is_leader and self._group.term == self._term
 
@@ -355,6 +375,7 @@
             self._wake.set()
             return
         self._term = term
+        self._led_since_s = self._clock.monotonic()
         self._is_leading = True
         self._has_taken_over.set()
         self._health = health.Health()
--- a/marjoramusher/executors/driver_test.py
+++ b/marjoramusher/executors/driver_test.py
@@ -731,6 +731,52 @@
     virtual.run(scenario())
 
 
+@pytest.mark.parametrize("arrives_s", [-0.5, 0.0, 0.01, 0.02, 0.03, 0.05, 0.5])
+def test_a_start_of_a_former_leader_that_reaches_the_next_incarnation_doubles_nothing(
+    arrives_s,
+):
+    """Guards against starts that only the memory of a former leader knows of.
+
+    They arrive before or after the incarnation has announced itself.
+    """
+
+    async def scenario():
+        async with Harness(26, always(30.0)) as harness:
+            harness.replaces_leader = True
+            faulty = harness.fleet
+            await asyncio.sleep(20.0)
+            start, held = faulty.start, []
+
+            async def hold_back(worker, request):
+                if len(held) == session.START_ATTEMPTS:
+                    return await start(worker, request)
+                held.append(worker.worker_id)
+                faulty.held_back.add(worker.worker_id)
+                try:
+                    return await start(worker, request)
+                finally:
+                    faulty.held_back.discard(worker.worker_id)
+
+            faulty.start = hold_back
+            await harness.submit("batch", step(1, 1))
+            await asyncio.sleep(4.0)
+            harness.lose_leadership()
+            await asyncio.sleep(0.5)
+            harness.take_over()
+            await asyncio.sleep(1.0)
+            worker = harness.restart(held[0])
+            if arrives_s < 0:
+                faulty.release_calls()
+                await asyncio.sleep(-arrives_s)
+            await harness.announce(worker)
+            if arrives_s >= 0:
+                await asyncio.sleep(arrives_s)
+                faulty.release_calls()
+            await harness.check_all_end(60)
+
+    virtual.run(scenario())
+
+
 @pytest.mark.parametrize("late_s", [1.0, 3.0, 5.0])
 def test_a_poll_that_reaches_the_next_incarnation_doubles_nothing(late_s):
     """Guards against a lease that a late call for a former incarnation extends."""
--- a/marjoramusher/executors/misdirected.py
+++ b/marjoramusher/executors/misdirected.py
@@ -49,6 +49,29 @@
     raise _unconfirmed(successor, "misdirected runs have not stopped yet")
 
 
+async def stop_all(
+    successor: workflow.Worker, workers: port.WorkerPort, token: int
+) -> None:
+    """Stop all runs on an incarnation that is not registered yet.
+
+    From this call on, it also rejects the starts of former leaders.
+
+    Raises
+    ------
+    WorkerUnreachableError
+        If it is not confirmed in time that it runs nothing.
+    """
+    report = await workers.poll(successor, token, 0, None, 0.0)
+    placements = [
+        workflow.Placement(
+            status.task, status.run, successor.worker_id, successor.incarnation
+        )
+        for status in report.running
+    ]
+    if placements:
+        await stop_runs(placements, successor, workers, token)
+
+
 async def _stop(
     placement: workflow.Placement,
     successor: workflow.Worker,
--- a/marjoramusher/queues/service.py
+++ b/marjoramusher/queues/service.py
@@ -187,6 +187,9 @@
         if fault:
             self._log_ignored(worker, fault)
             return acknowledgement
+        registered = self._state.workers.get(worker.worker_id)
+        if registered is None or registered.worker.incarnation < worker.incarnation:
+            await self._driver.stop_starts_of_former_leaders(worker)
         for former, reason in _replaced_by(worker, self._state):
             is_same = former.worker_id == worker.worker_id
             await self._driver.end_incarnation(
