--- a/marjoramusher/executors/driver_test.py
+++ b/marjoramusher/executors/driver_test.py
@@ -432,7 +432,9 @@
     virtual.run(scenario())
 
 
-async def check_all_faults_together(seed, has_cancellations=False):
+async def check_all_faults_together(
+    seed, has_cancellations=False, has_late_polls=False
+):
     """Run workflows beside all faults at once, and check that each ends or is gone.
 
     Parameters
@@ -440,9 +442,12 @@
     has_cancellations : bool
         Whether workflows are cancelled at any moment, calls are late in all ways, and
         each leader is another instance.
+    has_late_polls : bool
+        Whether late polls reach the incarnation that has the id by then.
     """
     async with Harness(seed) as harness:
         rng, faulty = harness.rng, harness.fleet
+        faulty.has_late_polls = has_late_polls
         shortest_cut_s = 0.5
         if has_cancellations:
             shortest_cut_s = rng.choice([0.5, 6.0])
@@ -546,6 +551,12 @@
     virtual.run(check_all_faults_together(seed, has_cancellations=True))
 
 
+@pytest.mark.parametrize("seed", [0, 1, 2, 28])
+def test_late_polls_beside_all_faults_double_nothing(seed):
+    """Guards against leases that polls for a former incarnation extend."""
+    virtual.run(check_all_faults_together(seed, True, has_late_polls=True))
+
+
 def test_a_cancelled_workflow_is_stopped_though_orders_are_lost():
     async def scenario():
         async with Harness(3, always(60.0)) as harness:
