--- a/marjoramusher/workflows/crash.py
+++ b/marjoramusher/core/crash.py
@@ -1,4 +1,4 @@
-"""Attribution of worker crashes to the tasks that ran on the workers.
+"""Attribution of worker crashes to the tasks or jobs that ran on the workers.
 
 All tasks on a worker are suspects when it crashes, and most of them only ran beside
 the cause. So a suspect is started again apart from other suspects, and after a second
@@ -9,11 +9,10 @@
 """
 
 from collections.abc import Sequence
+from typing import TypeVar
 
 import msgspec
 
-from . import workflow
-
 # From this number of crashes, a task is placed on a worker of its own.
 ISOLATION_CRASHES = 2
 # At most one of this many workers is spared at a time for tasks on their own.
@@ -29,19 +28,21 @@
 MIN_CRASHES = 3
 # A task is given up after this number of crashes in any case.
 MAX_CRASHES = 5
-# Long-running tasks see workers crash for other reasons, so older crashes of theirs do
+# Whatever runs for long sees workers crash for other reasons, so older crashes of it do
 # not count.
-LONG_RUNNING_WINDOW_MS = 600_000
+WINDOW_MS = 600_000
 # A worker that has not been heard for this long after its lease is taken to have
 # crashed.
 MAX_ABSENCE_MS = 20_000
 
 
 class Crash(msgspec.Struct, frozen=True, array_like=True):
-    """A crash of a worker during a run of a task.
+    """A crash of a worker during a run of a task or job.
 
     Parameters
     ----------
+    run : int
+        Number of the run; of a job, the epoch of its attempt.
     address : str
         Address of the worker; its id changes with a restart.
     at_ms : int
@@ -59,32 +60,17 @@
     was_alone: bool = False
 
 
-class Suspect(msgspec.Struct, frozen=True, array_like=True):
-    """A task that may have been running when its worker crashed.
-
-    Parameters
-    ----------
-    is_sudden : bool
-        Whether the worker never reported the run.
-    """
-
-    task: workflow.TaskKey
-    run: int
-    is_sudden: bool = False
+CrashT = TypeVar("CrashT", bound=Crash)
 
 
-def recent(
-    crashes: Sequence[Crash], step: workflow.Step, now_ms: float
-) -> Sequence[Crash]:
-    """Return the crashes that count at a point in time."""
-    if not step.long_running:
-        return crashes
-    return [crash for crash in crashes if crash.at_ms > now_ms - LONG_RUNNING_WINDOW_MS]
+def recent(crashes: Sequence[CrashT], now_ms: float) -> list[CrashT]:
+    """Return the crashes that are younger than `WINDOW_MS`."""
+    return [crash for crash in crashes if crash.at_ms > now_ms - WINDOW_MS]
 
 
 def settled(
-    crashes: Sequence[Crash], possible: Sequence[Crash], now_ms: float
-) -> list[Crash]:
+    crashes: Sequence[CrashT], possible: Sequence[CrashT], now_ms: float
+) -> list[CrashT]:
     """Return the crashes by run, with those of workers that are still absent."""
     absent = [item for item in possible if item.at_ms <= now_ms - MAX_ABSENCE_MS]
     return sorted([*crashes, *absent], key=lambda item: item.run)
--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -16,11 +16,11 @@
     backlog,
     command,
     condition,
-    crash,
     demand,
     machine,
     planner,
     resources,
+    suspicion,
     workflow,
 )
 from . import (
@@ -272,7 +272,7 @@
                     worker.incarnation,
                     has_crashed=has_crashed,
                     suspects=tuple(
-                        crash.Suspect(placement.task, placement.run)
+                        suspicion.Suspect(placement.task, placement.run)
                         for placement in placements.values()
                     ),
                 )
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -7,7 +7,7 @@
 
 from ..core import clock, errors
 from ..telemetry import log
-from ..workflows import command, crash, machine, workflow
+from ..workflows import command, machine, suspicion, workflow
 from . import lease, misdirected, port, runs, throttling
 
 POLL_WAIT_S = 1.5  # a quarter of a lease, so that three renewals may be lost
@@ -841,7 +841,7 @@
             if (placement.task, placement.run) not in ended
         ]
         suspects = [
-            crash.Suspect(run.placement.task, run.placement.run, run.is_unreported)
+            suspicion.Suspect(run.placement.task, run.placement.run, run.is_unreported)
             for run in released
             if run.may_have_started
         ]
--- a/marjoramusher/workflows/command.py
+++ b/marjoramusher/workflows/command.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from ..core import codec
-from . import catalog, crash, wave, workflow
+from . import catalog, suspicion, wave, workflow
 
 
 class Command(msgspec.Struct, frozen=True, tag=True, array_like=True):
@@ -84,7 +84,7 @@
     incarnation: int
     releases: tuple[workflow.Release, ...] = ()
     has_crashed: bool = False
-    suspects: tuple[crash.Suspect, ...] = ()
+    suspects: tuple[suspicion.Suspect, ...] = ()
     ends: tuple[workflow.RunEnd, ...] = ()
 
 
--- a/marjoramusher/workflows/machine.py
+++ b/marjoramusher/workflows/machine.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from ..core import codec
-from . import catalog, command, crash, wave, workflow
+from ..core import codec, crash
+from . import catalog, command, suspicion, wave, workflow
 
 
 class TaskState(msgspec.Struct, array_like=True):
@@ -407,16 +407,16 @@
         if not former.worker.draining:
             placements = self.placements_on(former.worker.worker_id)
             suspects = [
-                crash.Suspect(key, placement.run)
+                suspicion.Suspect(key, placement.run)
                 for key, placement in placements.items()
             ]
             self._record_crash(former, suspects, at_ms)
 
     def _record_crash(
-        self, crashed: WorkerState, suspects: Iterable[crash.Suspect], at_ms: int
+        self, crashed: WorkerState, suspects: Iterable[suspicion.Suspect], at_ms: int
     ) -> None:
         """Count a crash for all tasks that may have been running on the worker."""
-        lapsed = [crash.Suspect(key, run) for key, run in crashed.lapsed.items()]
+        lapsed = [suspicion.Suspect(key, run) for key, run in crashed.lapsed.items()]
         by_task = {suspect.task: suspect for suspect in [*lapsed, *suspects]}
         for key, suspect in by_task.items():
             task = self.task(key)
@@ -442,7 +442,7 @@
             return
         crashes = crash.settled(task.crashes, task.possible_crashes, at_ms)
         step = entry.workflow.steps[key.step]
-        if crash.is_cause(crash.recent(crashes, step, at_ms)):
+        if crash.is_cause(suspicion.recent(crashes, step, at_ms)):
             self._finish(entry, workflow.State.FAILED, at_ms)
 
     def _unregister(self, worker: workflow.Worker) -> None:
--- a/marjoramusher/workflows/machine_test.py
+++ b/marjoramusher/workflows/machine_test.py
@@ -3,8 +3,8 @@
 import msgspec
 import pytest
 
-from marjoramusher.core import codec
-from marjoramusher.workflows import catalog, command, crash, machine, workflow
+from marjoramusher.core import codec, crash
+from marjoramusher.workflows import catalog, command, machine, suspicion, workflow
 
 QUEUE = catalog.Queue("q", "h.example", "/q/", "s", 1, 2, 2.0, 100, 1000)
 CATALOG = catalog.Catalog(
@@ -363,7 +363,7 @@
 
 def crash_worker(harness, worker_id, *indexes, run=1, incarnation=1, sudden=True):
     """Remove a worker that has crashed during runs of some tasks."""
-    suspects = tuple(crash.Suspect(task_key(i), run, sudden) for i in indexes)
+    suspects = tuple(suspicion.Suspect(task_key(i), run, sudden) for i in indexes)
     harness.apply(command.RemoveWorker(9, worker_id, incarnation, (), True, suspects))
 
 
@@ -517,10 +517,10 @@
     harness = Harness(step(1, long_running=True))
     for run in range(1, 8):
         name = f"c{run}"
-        at_ms = run * crash.LONG_RUNNING_WINDOW_MS
+        at_ms = run * crash.WINDOW_MS
         harness.apply(command.RegisterWorker(0, worker(name, run)))
         harness.assign(placement(0, run, name, run))
-        suspects = (crash.Suspect(task_key(), run, True),)
+        suspects = (suspicion.Suspect(task_key(), run, True),)
         harness.apply(command.RemoveWorker(at_ms, name, run, (), True, suspects))
     assert harness.entry.is_active
 
--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -7,16 +7,17 @@
 
 import msgspec
 
+from ..core import crash
 from . import (
     backlog,
     catalog,
     condition,
-    crash,
     machine,
     permit,
     preemption,
     resources,
     shortage,
+    suspicion,
     workflow,
 )
 
@@ -207,7 +208,7 @@
             candidate.fill_count += step.fill
             candidate.serving_count += step.target_ms > 0
             task = entry.occurrences[key.occurrence][key.step][key.index]
-            crashes = crash.recent(task.suspicions, step, self._now_ms)
+            crashes = suspicion.recent(task.suspicions, step, self._now_ms)
             candidate.crash_suspects += bool(crashes)
             if placement in status.stopping or not entry.is_active:
                 candidate.expect_freed(needs)
@@ -602,7 +603,7 @@
         if not pending.has_suspects:
             return ()
         suspicions = pending.tasks[index].suspicions
-        return crash.recent(suspicions, pending.step, self._now_ms)
+        return suspicion.recent(suspicions, pending.step, self._now_ms)
 
     def _by_crashes(self, pending: backlog.PendingStep) -> Sequence[int]:
         """Return the pending tasks, those with most crashes first."""
--- a/marjoramusher/workflows/planner_test.py
+++ b/marjoramusher/workflows/planner_test.py
@@ -5,12 +5,12 @@
 import msgspec
 import pytest
 
+from marjoramusher.core import crash
 from marjoramusher.workflows import (
     backlog,
     catalog,
     command,
     condition,
-    crash,
     demand,
     machine,
     planner,
