Give up a job that crashes the workers that start it

What callers saw: a repeatable job that takes its worker down right after each start was queued again without limit, and ended worker after worker.

Cause: a crash was no event of its own. The attempt ended as worker_lost or start_failed, like one on a worker that is cut off, and GangStopped named neither the worker nor its incarnation, so nothing could be counted. A mere count would have failed the jobs beside the cause, which were placed with it again.

Change: the leader tells in GangStopped on which workers a task may have run when they were replaced (crashed) or when its lease lapsed without a word (lapsed), and settles the latter by WorkerHeard once the worker is heard. The machine keeps the crashes with the job, and with the attempt the incarnations of its workers and those that other jobs have used meanwhile. The limits are those of workflows. The placer keeps suspects apart, gives them workers of their own after the second crash, and rejects a job whose workers stay away. Silent workers that come back, reported ends and workers drained by an operator do not count. State and entries of earlier versions are read; their losses right after a start are the weakest evidence. An earlier version skips WorkerHeard, so all instances of a failure domain are to be updated together.

A cause ends after 3 crashes in virtual time, after 4 if all are at one worker (loopback).

--- a/marjoramusher/core/job.py
+++ b/marjoramusher/core/job.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from . import errors, resource
+from . import crash, errors, resource
 
 
 class JobState(enum.Enum):
@@ -70,6 +70,24 @@
     guarantee: str | None = None
 
 
+class WorkerCrash(crash.Crash, frozen=True, omit_defaults=True, array_like=False):
+    """A crash of a worker during an attempt of a job.
+
+    Parameters
+    ----------
+    address : str
+        Id of the worker, which a restart doesn't change.
+    is_sudden : bool
+        Whether the gang began to stop soon after its allocation.
+    was_alone : bool
+        Whether no other job used the worker during the attempt.
+    incarnation : int
+        Incarnation of the worker that the attempt was bound to.
+    """
+
+    incarnation: int = 0
+
+
 class Job(msgspec.Struct, frozen=True, omit_defaults=True):
     """State of a job in the group of its failure domain.
 
@@ -79,6 +97,10 @@
         Unix time in seconds by the clock of the leader.
     progress_s : float
         Run time that the last checkpoint covers.
+    crashes : tuple of WorkerCrash
+        Recent crashes of workers during attempts, whatever their cause.
+    possible_crashes : tuple of WorkerCrash
+        Workers whose leases lapsed without a word, until they are heard again.
     """
 
     job_id: str
@@ -94,3 +116,5 @@
     attempts: int = 0
     failed_on: tuple[str, ...] = ()
     error: errors.ErrorBody | None = None
+    crashes: tuple[WorkerCrash, ...] = ()
+    possible_crashes: tuple[WorkerCrash, ...] = ()
--- a/marjoramusher/jobs/command.py
+++ b/marjoramusher/jobs/command.py
@@ -81,6 +81,8 @@
         Declared capacity of each of these workers, which the ledger must not exceed.
     guarantee : str or None
         Guaranteed shape that the gang is charged to; ``None`` if it borrows.
+    incarnations : dict of str to int
+        Incarnation of each of these workers; empty in entries of earlier versions.
     """
 
     job_id: str
@@ -88,6 +90,7 @@
     workers: tuple[str, ...]
     capacities: dict[str, resource.Resources]
     guarantee: str | None = None
+    incarnations: dict[str, int] = {}
 
 
 class GangStarted(_Command, frozen=True):
@@ -116,6 +119,11 @@
         Run time saved in the checkpoint.
     may_have_run : bool
         False only if no task can have started.
+    crashed : tuple of str or None
+        Workers that crashed while a task may have been running there. ``None`` in
+        entries of earlier versions, whose leaders did not tell a crash from silence.
+    lapsed : tuple of str
+        Workers on which the leases lapsed, and that have not been heard since.
     """
 
     job_id: str
@@ -123,6 +131,8 @@
     checkpoint: str = ""
     progress_s: float = 0.0
     may_have_run: bool = True
+    crashed: tuple[str, ...] | None = None
+    lapsed: tuple[str, ...] = ()
 
 
 class GangEnded(_Command, frozen=True):
@@ -142,6 +152,23 @@
     message: str = ""
 
 
+class WorkerHeard(_Command, frozen=True):
+    """Record that a worker is heard after leases have lapsed there.
+
+    Its possible crashes become crashes if a later incarnation is heard.
+
+    Parameters
+    ----------
+    is_planned : bool
+        Whether the end of the earlier incarnation is no crash, since an operator has
+        drained the worker.
+    """
+
+    worker: str
+    incarnation: int
+    is_planned: bool = False
+
+
 class RejectJob(_Command, frozen=True):
     """Fail a queued job that can never run."""
 
@@ -191,6 +218,7 @@
     | GangStopped
     | GangEnded
     | TaskFailed
+    | WorkerHeard
     | RejectJob
     | ContractExpired
     | QuarantineWorker
@@ -212,6 +240,12 @@
     repeated: bool = False
 
 
+class JobsResult(msgspec.Struct, frozen=True, tag=True):
+    """Jobs that an accepted command changed."""
+
+    jobs: tuple[model.Job, ...] = ()
+
+
 class CountResult(msgspec.Struct, frozen=True, tag=True):
     """Number of jobs or workers that an accepted command changed."""
 
@@ -224,7 +258,7 @@
     error: errors.ErrorBody
 
 
-Result: TypeAlias = JobResult | CountResult | Refused
+Result: TypeAlias = JobResult | JobsResult | CountResult | Refused
 
 
 def encode(command: Command) -> bytes:
@@ -243,7 +277,7 @@
     return codec.unpack(data, Command)
 
 
-def decode_result(data: bytes) -> JobResult | CountResult:
+def decode_result(data: bytes) -> JobResult | JobsResult | CountResult:
     """Return the decoded result of an accepted command.
 
     Raises
--- a/marjoramusher/jobs/machine.py
+++ b/marjoramusher/jobs/machine.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ..core import codec, errors
+from ..core import codec, crash, errors, suspect
 from ..core import job as model
 from . import command, ledger
 
@@ -42,6 +42,13 @@
 )
 """Causes that let a gang write a checkpoint before it stops."""
 
+# A worker that crashes right after a start is missed within this time, also if its
+# gang has to be prepared first.
+SUDDEN_LOSS_S = 5.0
+
+LOSS_CAUSES = frozenset({command.StopCause.WORKER_LOST, command.StopCause.START_FAILED})
+"""Causes that a crash of a worker may have."""
+
 
 class PendingStop(msgspec.Struct, frozen=True, omit_defaults=True):
     """Cause and deadline of a gang stop that has not completed.
@@ -51,10 +58,31 @@
     until : float
         Deadline for the tasks to stop, in seconds since the Unix epoch; 0 means as
         soon as possible.
+    at : float
+        Time at which the stop was committed, in seconds since the Unix epoch.
     """
 
     cause: command.StopCause
     until: float = 0.0
+    at: float = 0.0
+
+
+class Attempt(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What attributes a crash of a worker to the present attempt of a job.
+
+    Parameters
+    ----------
+    at : float
+        Time of the allocation, in seconds since the Unix epoch.
+    incarnations : dict of str to int
+        Incarnation of each worker that the attempt is bound to.
+    shared : tuple of str
+        Workers that other jobs have used during the attempt.
+    """
+
+    at: float
+    incarnations: dict[str, int]
+    shared: tuple[str, ...] = ()
 
 
 class KeyEntry(msgspec.Struct, frozen=True, array_like=True):
@@ -84,6 +112,8 @@
         Time of the machine, in seconds since the Unix epoch.
     finished : list of str
         Ids of the finished jobs, oldest first.
+    attempts : dict of str to Attempt
+        Attempts by job id, except those allocated by an earlier version.
     """
 
     format: int
@@ -96,6 +126,7 @@
     keys: list[KeyEntry]
     quarantines: dict[str, str]
     recovered_at: float | None = None
+    attempts: dict[str, Attempt] = {}
 
 
 class JobsMachine:
@@ -117,6 +148,8 @@
         self._jobs: dict[str, model.Job] = {}
         self._number_by_id: dict[str, int] = {}
         self._pending_stops: dict[str, PendingStop] = {}
+        self._attempts: dict[str, Attempt] = {}
+        self._ids_by_lapsed_worker: dict[str, dict[str, None]] = {}
         self._key_entries: dict[tuple[str, str], KeyEntry] = {}
         self._quarantines: dict[str, str] = {}
         self._recovered_at: float | None = None
@@ -162,6 +195,14 @@
         """Return the pending stop of a job, or None if the job is not stopping."""
         return self._pending_stops.get(job_id)
 
+    def attempt(self, job_id: str) -> Attempt | None:
+        """Return the present attempt of a job, or None if its workers are unknown."""
+        return self._attempts.get(job_id)
+
+    def has_lapsed(self, worker: str) -> bool:
+        """Return whether leases have lapsed on a worker that was not heard since."""
+        return worker in self._ids_by_lapsed_worker
+
     def jobs(self, *states: model.JobState) -> list[model.Job]:
         """Return the jobs in the given states, or all unfinished jobs if none given."""
         selected = states or tuple(
@@ -232,6 +273,7 @@
                 keys=list(self._key_entries.values()),
                 quarantines=self._quarantines,
                 recovered_at=self._recovered_at,
+                attempts=self._attempts,
             )
         )
 
@@ -260,6 +302,7 @@
         self._key_entries = {(entry.account, entry.key): entry for entry in state.keys}
         self._quarantines = dict(state.quarantines)
         self._recovered_at = state.recovered_at
+        self._attempts = dict(state.attempts)
         for job in state.jobs:
             self._store(job)
             self._ledger.allocate(job)
@@ -378,10 +421,27 @@
             allocation=model.Allocation(epoch, tasks, cmd.guarantee),
             attempts=job.attempts + 1,
         )
+        self._add_attempt(job.job_id, cmd)
         self._ledger.allocate(job)
         self._store(job)
         return command.JobResult(job)
 
+    def _add_attempt(self, job_id: str, cmd: command.AllocateGang) -> None:
+        """Record an attempt before its resources are added to the ledger."""
+        shared = []
+        for worker in sorted(set(cmd.workers)):
+            others = {item.job_id for item in self._ledger.holdings(worker)}
+            if others:
+                shared.append(worker)
+            for other_id in others:
+                other = self._attempts.get(other_id)
+                if other is not None and worker not in other.shared:
+                    self._attempts[other_id] = msgspec.structs.replace(
+                        other, shared=tuple(sorted((*other.shared, worker)))
+                    )
+        if cmd.incarnations:
+            self._attempts[job_id] = Attempt(self._now, cmd.incarnations, tuple(shared))
+
     def _apply_gang_started(self, cmd: command.GangStarted) -> command.Result:
         job = self._get_allocated_job(cmd.job_id, cmd.epoch)
         if job.state is model.JobState.RUNNING:
@@ -409,6 +469,8 @@
             job = msgspec.structs.replace(
                 job, checkpoint=cmd.checkpoint, progress_s=cmd.progress_s
             )
+        previous_job = job
+        job = self._record_crashes(job, pending_stop, cmd)
         if pending_stop.cause is command.StopCause.CANCELLED:
             return self._finish(job, model.JobState.CANCELLED, None)
         if pending_stop.cause is command.StopCause.CONTRACT_EXPIRED:
@@ -421,8 +483,110 @@
             return self._finish(
                 job, model.JobState.FAILED, _interruption_error(pending_stop.cause)
             )
+        cause_error = suspect.find_cause_error(job, self._now * 1000)
+        if cause_error is not None and job is not previous_job:
+            return self._finish(job, model.JobState.FAILED, cause_error)
         return self._requeue(job, job.epoch + 1)
 
+    def _record_crashes(
+        self, job: model.Job, pending_stop: PendingStop, cmd: command.GangStopped
+    ) -> model.Job:
+        """Record the crashes and possible crashes of an attempt that has stopped."""
+        attempt = self._attempts.get(job.job_id)
+        now_ms = int(self._now * 1000)
+        crashes, lapsed = [], []
+        if cmd.crashed is None:
+            crashes = self._untold_crashes(job, pending_stop, cmd)
+        elif attempt is not None:
+            is_sudden = (
+                pending_stop.cause in LOSS_CAUSES
+                and pending_stop.at < attempt.at + SUDDEN_LOSS_S
+            )
+            crashes, lapsed = (
+                [
+                    model.WorkerCrash(
+                        job.epoch,
+                        worker,
+                        now_ms,
+                        is_sudden,
+                        worker not in attempt.shared,
+                        attempt.incarnations[worker],
+                    )
+                    for worker in workers
+                    if worker in attempt.incarnations
+                ]
+                for workers in (cmd.crashed, cmd.lapsed)
+            )
+        if not crashes and not lapsed:
+            return job
+        return msgspec.structs.replace(
+            job,
+            crashes=tuple(crash.recent([*job.crashes, *crashes], now_ms)),
+            possible_crashes=tuple(
+                crash.recent([*job.possible_crashes, *lapsed], now_ms)
+            ),
+        )
+
+    def _untold_crashes(
+        self, job: model.Job, pending_stop: PendingStop, cmd: command.GangStopped
+    ) -> list[model.WorkerCrash]:
+        """Return the crash that a leader of an earlier version may have seen.
+
+        It may have been mere silence, so it is the weakest evidence. Only what earlier
+        versions keep, too, decides about it, since their snapshots hold nothing else.
+        """
+        if (
+            pending_stop.cause is not command.StopCause.WORKER_LOST
+            or not cmd.may_have_run
+            or job.allocation is None
+            or job.started_at is None
+            or cmd.at >= job.started_at + crash.SURVIVAL_S
+        ):
+            return []
+        worker = job.allocation.tasks[0].worker
+        return [
+            model.WorkerCrash(job.epoch, worker, int(self._now * 1000), is_sudden=True)
+        ]
+
+    def _apply_worker_heard(self, cmd: command.WorkerHeard) -> command.Result:
+        changed = []
+        # Sorted for the same reason as in `_apply_recover_with_loss`.
+        job_ids = sorted(
+            self._ids_by_lapsed_worker.get(cmd.worker, ()),
+            key=self._number_by_id.__getitem__,
+        )
+        for job_id in job_ids:
+            job = self._jobs[job_id]
+            heard = [
+                item
+                for item in job.possible_crashes
+                if item.address == cmd.worker and item.incarnation <= cmd.incarnation
+            ]
+            if not heard:
+                continue
+            confirmed = [
+                item
+                for item in heard
+                if item.incarnation < cmd.incarnation and not cmd.is_planned
+            ]
+            job = msgspec.structs.replace(
+                job,
+                crashes=(*job.crashes, *confirmed),
+                possible_crashes=tuple(
+                    item for item in job.possible_crashes if item not in heard
+                ),
+            )
+            changed.append(self._settle(job))
+        return command.JobsResult(tuple(changed))
+
+    def _settle(self, job: model.Job) -> model.Job:
+        """Store a job with further crashes; fail it if it is queued and their cause."""
+        cause_error = suspect.find_cause_error(job, self._now * 1000)
+        if job.state is model.JobState.QUEUED and cause_error is not None:
+            return self._finish(job, model.JobState.FAILED, cause_error).job
+        self._store(job)
+        return job
+
     def _apply_gang_ended(self, cmd: command.GangEnded) -> command.Result:
         job = self._get_job(cmd.job_id)
         if job.state in model.FINAL_STATES and job.epoch == cmd.epoch:
@@ -516,14 +680,15 @@
     def _mark_stopping(
         self, job: model.Job, pending_stop: PendingStop
     ) -> command.JobResult:
-        self._pending_stops[job.job_id] = pending_stop
+        self._pending_stops[job.job_id] = msgspec.structs.replace(
+            pending_stop, at=self._now
+        )
         job = msgspec.structs.replace(job, state=model.JobState.STOPPING)
         self._store(job)
         return command.JobResult(job)
 
     def _requeue(self, job: model.Job, epoch: int) -> command.JobResult:
-        self._ledger.release(job)
-        self._pending_stops.pop(job.job_id, None)
+        self._release(job)
         job = msgspec.structs.replace(
             job,
             state=model.JobState.QUEUED,
@@ -539,8 +704,7 @@
         state: model.JobState,
         error: errors.ErrorBody | None,
     ) -> command.JobResult:
-        self._ledger.release(job)
-        self._pending_stops.pop(job.job_id, None)
+        self._release(job)
         # The payload of a finished job is never read again and may be much larger than
         # the rest of the job.
         job = msgspec.structs.replace(
@@ -550,11 +714,17 @@
             ended_at=self._now,
             error=error,
             allocation=None,
+            possible_crashes=(),
         )
         self._store(job)
         self._finished_ids[job.job_id] = None
         return command.JobResult(job)
 
+    def _release(self, job: model.Job) -> None:
+        self._ledger.release(job)
+        self._pending_stops.pop(job.job_id, None)
+        self._attempts.pop(job.job_id, None)
+
     def _store(self, job: model.Job) -> None:
         job_id = job.job_id
         previous = self._jobs.get(job_id)
@@ -570,6 +740,8 @@
             self._unfinished_ids_by_contract.setdefault(job.spec.contract, {})[
                 job_id
             ] = None
+        for item in job.possible_crashes:
+            self._ids_by_lapsed_worker.setdefault(item.address, {})[job_id] = None
         self._changed_ids[job_id] = None
 
     def _unindex(self, job: model.Job) -> None:
@@ -581,6 +753,8 @@
             _remove_from_index(
                 self._unfinished_ids_by_contract, job.spec.contract, job.job_id
             )
+        for worker in {item.address for item in job.possible_crashes}:
+            _remove_from_index(self._ids_by_lapsed_worker, worker, job.job_id)
 
     def _remove_expired(self) -> None:
         while self._finished_ids:
@@ -662,6 +836,7 @@
     command.GangStopped: JobsMachine._apply_gang_stopped,
     command.GangEnded: JobsMachine._apply_gang_ended,
     command.TaskFailed: JobsMachine._apply_task_failed,
+    command.WorkerHeard: JobsMachine._apply_worker_heard,
     command.RejectJob: JobsMachine._apply_reject_job,
     command.ContractExpired: JobsMachine._apply_contract_expired,
     command.QuarantineWorker: JobsMachine._apply_quarantine_worker,
--- a/marjoramusher/jobs/machine_test.py
+++ b/marjoramusher/jobs/machine_test.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 
-from marjoramusher.core import errors, resource
+from marjoramusher.core import codec, crash, errors, resource
 from marjoramusher.core import job as model
 from marjoramusher.jobs import command, machine
 
@@ -40,6 +40,28 @@
         capacities = dict.fromkeys(workers, capacity)
         return self(command.AllocateGang, job_id, epoch, workers, capacities)
 
+    def start(self, job_id, *workers, incarnation=1):
+        """Run a job on known incarnations of its workers; return the epoch."""
+        epoch = self.machine.job(job_id).epoch
+        self(
+            command.AllocateGang,
+            job_id,
+            epoch,
+            workers,
+            dict.fromkeys(workers, CAPACITY),
+            None,
+            dict.fromkeys(workers, incarnation),
+        )
+        self(command.GangStarted, job_id, epoch + 1)
+        return epoch + 1
+
+    def lose(self, job_id, crashed=(), lapsed=()):
+        """Stop a job after the loss of workers."""
+        epoch = self.machine.job(job_id).epoch
+        return self.stop(
+            job_id, CAUSE.WORKER_LOST, epoch, crashed=crashed, lapsed=lapsed
+        )
+
     def run(self, job_id, *workers, epoch=0):
         self.allocate(job_id, *workers, epoch=epoch)
         self(command.GangStarted, job_id, epoch + 1)
@@ -115,6 +137,202 @@
     assert job.state is STATES.FAILED
 
 
+def _crash(replica, job_id, worker, ran_s=0.0, neighbour=None):
+    """Crash a worker while a job runs there, with another job beside it or not."""
+    replica.start(job_id, worker)
+    if neighbour is not None:
+        replica.start(neighbour, worker)
+    replica.at += ran_s
+    job = replica.lose(job_id, crashed=(worker,))
+    if neighbour is not None:
+        replica.stop(neighbour, CAUSE.RECLAIM, replica.machine.job(neighbour).epoch)
+    return job
+
+
+CRASH_CASES = {
+    "sudden, alone": (3, ["w0", "w1", "w2", "w3", "w4"], 0.0, False),
+    "sudden, alone, always the same worker": (4, ["w0"] * 5, 0.0, False),
+    "after a while, alone": (4, ["w0", "w1", "w2", "w3", "w4"], 30.0, False),
+    "beside another job": (5, ["w0", "w1", "w2", "w3", "w4"], 0.0, True),
+}
+
+
+@pytest.mark.parametrize("name", CRASH_CASES)
+def test_weaker_evidence_takes_more_crashes(replica, name):
+    """Guards against jobs that are given up for having run beside the cause."""
+    starts, workers, ran_s, is_shared = CRASH_CASES[name]
+    job_id = replica.submit(tasks=1, accelerators=4)
+    other_id = replica.submit(tasks=1, accelerators=4) if is_shared else None
+    for worker in workers[: starts - 1]:
+        job = _crash(replica, job_id, worker, ran_s, other_id)
+        assert job.state is STATES.QUEUED
+    job = _crash(replica, job_id, workers[starts - 1], ran_s, other_id)
+    assert job.state is STATES.FAILED
+    assert (job.error.code, job.error.outcome) == (
+        errors.ErrorCode.TARGET_FAILED,
+        errors.Outcome.UNKNOWN,
+    )
+    assert all(worker in job.error.message for worker in workers[:starts])
+
+
+def test_order_of_releases_does_not_decide_who_was_alone(replica):
+    """Guards against blaming the job that is released last after a crash."""
+    first, last = (replica.submit(tasks=1, accelerators=4) for _ in range(2))
+    replica.start(first, "w1")
+    replica.start(last, "w1")
+    for job_id in (first, last):
+        job = replica.lose(job_id, crashed=("w1",))
+        assert [item.was_alone for item in job.crashes] == [False]
+    replica.start(last, "w2")
+    assert replica.lose(last, crashed=("w2",)).crashes[-1].was_alone
+
+
+def test_a_gang_that_loses_many_workers_has_one_crash(replica):
+    """Guards against giving up a large gang after one failure of a rack."""
+    job_id = replica.submit(tasks=5)
+    workers = [f"w{n}" for n in range(5)]
+    replica.start(job_id, *workers)
+    job = replica.lose(job_id, crashed=workers[:4], lapsed=workers[4:])
+    assert job.state is STATES.QUEUED
+    replica.start(job_id, *workers)
+    assert replica.lose(job_id, crashed=workers).state is STATES.QUEUED
+    replica.start(job_id, *workers)
+    assert replica.lose(job_id, crashed=workers).state is STATES.FAILED
+
+
+HEARD_CASES = {
+    "the same incarnation": (1, False, 0, 0),
+    "a later incarnation": (2, False, 1, 0),
+    "a later incarnation of a drained worker": (2, True, 0, 0),
+    "a late announcement of an earlier incarnation": (0, False, 0, 1),
+}
+
+
+@pytest.mark.parametrize("name", HEARD_CASES)
+def test_a_lapsed_lease_is_a_crash_once_the_worker_was_replaced(replica, name):
+    """Guards against counting silence as a crash, or losing a crash in silence."""
+    incarnation, is_planned, crashes, possible = HEARD_CASES[name]
+    job_id = replica.submit(tasks=1)
+    replica.start(job_id, "w1")
+    job = replica.lose(job_id, lapsed=("w1",))
+    assert (len(job.crashes), len(job.possible_crashes)) == (0, 1)
+    replica(command.WorkerHeard, "w2", 5)
+    assert replica.machine.job(job_id) == job
+    replica(command.WorkerHeard, "w1", incarnation, is_planned)
+    job = replica.machine.job(job_id)
+    assert (len(job.crashes), len(job.possible_crashes)) == (crashes, possible)
+    assert replica.machine.has_lapsed("w1") is bool(possible)
+
+
+def test_a_late_crash_gives_up_a_queued_job(replica):
+    """Guards against another start after the crash that decided was confirmed."""
+    job_id = replica.submit(tasks=1)
+    for n in range(crash.MIN_CRASHES):
+        replica.start(job_id, f"w{n}")
+        assert replica.lose(job_id, lapsed=(f"w{n}",)).state is STATES.QUEUED
+    for n in range(crash.MIN_CRASHES):
+        replica(command.WorkerHeard, f"w{n}", 2)
+    assert replica.machine.job(job_id).state is STATES.FAILED
+    assert not any(replica.machine.has_lapsed(f"w{n}") for n in range(9))
+
+
+def test_old_crashes_are_dropped(replica):
+    """Guards against a job that is given up for crashes of several days."""
+    job_id = replica.submit(tasks=1)
+    for n in range(2 * crash.MAX_CRASHES):
+        job = _crash(replica, job_id, f"w{n}")
+        assert job.state is STATES.QUEUED and len(job.crashes) == 1
+        replica.at += crash.WINDOW_MS / 1000
+
+
+def test_a_crash_that_only_silence_suggests_needs_a_sudden_loss(replica):
+    """Guards against counting each lost worker that an earlier version recorded."""
+    job_id = replica.submit(tasks=1)
+    for n in range(2 * MAX_STARTS):
+        replica.run(job_id, f"w{n}", epoch=2 * n)
+        replica.at += crash.SURVIVAL_S
+        assert replica.stop(job_id, CAUSE.WORKER_LOST, 2 * n + 1).crashes == ()
+
+
+def test_crashes_survive_a_snapshot(replica):
+    """Guards against a count that starts anew on a replica that was restored."""
+    job_id, other_id = (replica.submit(tasks=1, accelerators=4) for _ in range(2))
+    _crash(replica, job_id, "w1")
+    _crash(replica, job_id, "w2")
+    replica.start(other_id, "w4")
+    replica.lose(other_id, lapsed=("w4",))
+    replica.start(job_id, "w3")
+    replica.start(other_id, "w3")
+    restored = Replica()
+    restored.machine.restore(replica.machine.snapshot())
+    for copy in (replica, restored):
+        copy.lose(other_id, crashed=("w3",))
+        copy.lose(job_id, crashed=("w3",))
+        copy(command.WorkerHeard, "w4", 2)
+        assert len(copy.machine.job(other_id).crashes) == 2
+        assert [c.was_alone for c in copy.machine.job(job_id).crashes] == [
+            True,
+            True,
+            False,
+        ]
+    assert replica.machine.snapshot() == restored.machine.snapshot()
+
+
+OLD_SNAPSHOT = {
+    "format": 1,
+    "failure_domain": "fd-a",
+    "at": 1000.0,
+    "next_number": 2,
+    "jobs": [
+        {
+            "job_id": "job-fd-a-1",
+            "spec": {
+                "account": "acct",
+                "contract": "contract",
+                "shape": {"each": {"accelerators": 8}},
+            },
+            "state": "stopping",
+            "submitted_at": 1000.0,
+            "epoch": 1,
+            "allocation": {
+                "epoch": 1,
+                "tasks": [{"task_id": "job-fd-a-1.0", "worker": "w1"}],
+            },
+            "started_at": 1000.0,
+            "attempts": 1,
+        }
+    ],
+    "stopping": {"job-fd-a-1": {"cause": "worker_lost"}},
+    "finished": [],
+    "keys": [],
+    "quarantines": {},
+}
+OLD_ALLOCATION = {
+    "type": "AllocateGang",
+    "at": 1000.0,
+    "job_id": "job-fd-a-1",
+    "expected_epoch": 0,
+    "workers": ["w1"],
+    "capacities": {"w1": {"accelerators": 8, "cores": 64, "memory_mb": 1000}},
+}
+OLD_STOP = {"type": "GangStopped", "at": 1000.0, "job_id": "job-fd-a-1", "epoch": 1}
+
+
+def test_state_of_an_earlier_version_is_read(replica):
+    """Guards against a replica that can't start after an update."""
+    replica.machine.restore(codec.pack(OLD_SNAPSHOT))
+    job_id = OLD_STOP["job_id"]
+    replica.machine.apply(1, codec.pack(OLD_STOP))
+    job = replica.machine.job(job_id)
+    assert job.state is STATES.QUEUED
+    replica.machine.apply(2, codec.pack(OLD_ALLOCATION | {"expected_epoch": 2}))
+    assert replica.machine.job(job_id).state is STATES.ALLOCATED
+    # The incarnation of the worker is not known, so this is no crash.
+    replica(command.GangStopping, job_id, 3, CAUSE.WORKER_LOST)
+    later = replica(command.GangStopped, job_id, 3, crashed=("w1",)).job
+    assert later.state is STATES.QUEUED and later.crashes == job.crashes
+
+
 def _allocated(replica):
     job_id = replica.submit()
     replica.allocate(job_id, "w1", "w2")
--- a/marjoramusher/placement/allocator.py
+++ b/marjoramusher/placement/allocator.py
@@ -79,6 +79,7 @@
             self._state.plan.unassign_unsatisfiable(holding.amounts)
         self._state.accounts.adjust_usage(holding, 1, now)
         self._state.quarantine.record_start(job_record.job_id, now)
+        self._state.isolation.record_start(job_record, holding.amounts, now)
 
     def stop(
         self,
--- a/marjoramusher/placement/attempt.py
+++ b/marjoramusher/placement/attempt.py
@@ -2,7 +2,7 @@
 
 import math
 
-from ..core import errors, resource
+from ..core import errors, resource, suspect
 from . import (
     allocator,
     charge,
@@ -60,6 +60,13 @@
             # The leader commits the expiry later; the job is not placed until then.
             self._state.queue.remove(job_id)
             return []
+        if queued.job.crashes or queued.job.possible_crashes:
+            decisions = self._try_suspect(subqueue, queued, now)
+            if decisions is not None:
+                return decisions
+            if self._must_wait(queued, now):
+                subqueue.blocked_at_release = self._state.ledger.releases
+                return None
         for name in subqueue.usable_guarantees or ():
             decisions = self._guarantee_charger.charge(name, queued, subqueue.rank, now)
             if decisions is not None:
@@ -85,6 +92,47 @@
             subqueue.blocked_at_release = self._state.ledger.releases
         return decisions
 
+    def _try_suspect(
+        self, subqueue: queue.SubQueue, queued: queue.QueuedJob, now: float
+    ) -> list[decision.Decision] | None:
+        """Reject a job that crashes its workers, or isolate a suspect if it needs it.
+
+        ``None`` if it is not to be rejected, and no workers of its own are needed or
+        idle.
+        """
+        job_record, isolation = queued.job, self._state.isolation
+        error = suspect.find_cause_error(job_record, isolation.wall_ms(now))
+        if error is not None:
+            self._state.queue.remove(job_record.job_id)
+            return [decision.Reject(job_record.job_id, error)]
+        if (
+            not job_record.spec.repeatable
+            or not isolation.needs_isolation(job_record, now)
+            or suspect.is_undecided(job_record, isolation.wall_ms(now))
+        ):
+            return None
+        excluded = self._state.quarantine.paused_workers(now).union(
+            job_record.failed_on
+        )
+        for avoided in (isolation.crashed_under(job_record, now), set()):
+            workers = self._state.cell_indexes.locate(
+                queued.shape, ledger.idle, excluded | avoided
+            )
+            if workers is not None and isolation.may_close(workers):
+                rank = subqueue.rank
+                return [self._allocator.place(queued, workers, rank, None, now)]
+        return None
+
+    def _must_wait(self, queued: queue.QueuedJob, now: float) -> bool:
+        """Tell whether a suspect must not be placed beside other jobs yet."""
+        job_record, isolation = queued.job, self._state.isolation
+        if suspect.is_undecided(job_record, isolation.wall_ms(now)):
+            return True
+        if not isolation.needs_isolation(job_record, now):
+            isolation.forget(job_record.job_id)
+            return False
+        return not isolation.may_share(job_record.job_id, now)
+
     def _excluded_workers(
         self, subqueue: queue.SubQueue, queued: queue.QueuedJob, now: float
     ) -> tuple[set[str], tuple[str, ...]]:
@@ -96,6 +144,9 @@
         excluded = self._state.quarantine.paused_workers(now)
         if queued.job.failed_on:
             excluded = excluded.union(queued.job.failed_on)
+        occupied = self._state.isolation.occupied_by_others(queued.job, now)
+        if occupied:
+            excluded = excluded | occupied
         binding: tuple[str, ...] = ()
         if subqueue.rank < 2 and not self._may_outlast_reservations(
             queued, subqueue.rank, now
@@ -128,12 +179,17 @@
             self.failed_at_release.get((demand_id, binding)),
         ):
             return None
-        workers = self._locate(queued, excluded, now)
+        crashed_under = self._state.isolation.crashed_under(queued.job, now)
+        workers = None
+        if crashed_under:
+            workers = self._locate(queued, excluded | crashed_under, now)
+        if workers is None:
+            workers = self._locate(queued, excluded, now)
         if workers is not None:
             return workers
         if not excluded or not self._fits(queued.shape):
             self.failed_at_release[demand_id, ()] = releases
-        elif not queued.job.failed_on:
+        elif not subqueue.is_retry:
             self.failed_at_release[demand_id, binding] = releases
         return None
 
--- a/marjoramusher/placement/charge.py
+++ b/marjoramusher/placement/charge.py
@@ -49,7 +49,8 @@
         if not entries or self._must_wait(entries[0], queued, rank, now):
             return None
         excluded = self._state.quarantine.paused_workers(now).union(
-            queued.job.failed_on
+            queued.job.failed_on,
+            self._state.isolation.occupied_by_others(queued.job, now),
         )
         usable_entries = [e for e in entries if not excluded.intersection(e.workers)]
         if not usable_entries and self._state.plan.relocate(entries[0], excluded):
--- a/marjoramusher/placement/gang.py
+++ b/marjoramusher/placement/gang.py
@@ -1,7 +1,7 @@
 """The placer of a failure domain."""
 
 import random
-from collections.abc import Iterator, Sequence
+from collections.abc import Collection, Iterator, Sequence
 
 from ..core import announcement, job, record, resource
 from . import (
@@ -120,6 +120,9 @@
             self._lifecycle.finish(job, now)
         else:
             self._lifecycle.set_running(job, now)
+            self._close_isolated_workers()
+        if job.job_id not in self._state.ledger.holdings:
+            self._reopen_workers(self._state.isolation.record_end(job.job_id))
 
     def task_checkpointed(self, job_id: str, progress_s: float, now: float) -> None:
         """Record the run time saved in a checkpoint."""
@@ -168,6 +171,13 @@
         return fragmentation.stranded_share(self._state.ledger, shape)
 
     def _decide(self, now: float) -> Iterator[decision.Decision]:
+        self._reopen_workers(self._state.isolation.end_survived(now))
+        for item in self._decide_on_jobs(now):
+            if isinstance(item, decision.Place):
+                self._close_isolated_workers()
+            yield item
+
+    def _decide_on_jobs(self, now: float) -> Iterator[decision.Decision]:
         yield from self._allocator.stop_lost_gangs(now)
         yield from self._decide_on_failures_and_overuse(now)
         self._state.plan.repair()
@@ -193,6 +203,14 @@
             else:
                 yield item
 
+    def _close_isolated_workers(self) -> None:
+        for worker_id in sorted(self._state.isolation.closed_workers):
+            self._update_enabled(worker_id)
+
+    def _reopen_workers(self, workers: Collection[str]) -> None:
+        for worker_id in sorted(workers):
+            self._update_enabled(worker_id)
+
     def _update_enabled(self, worker_id: str) -> None:
         configuration = self._state.configuration
         is_excluded = any(
@@ -200,7 +218,11 @@
             and operator_record.failure_domain == self._failure_domain
             for records in (configuration.drains, configuration.quarantines)
         )
-        is_excluded = is_excluded or worker_id in self._silent_workers
+        is_excluded = (
+            is_excluded
+            or worker_id in self._silent_workers
+            or worker_id in self._state.isolation.closed_workers
+        )
         is_enabled = (
             not is_excluded
             and worker_id not in self._state.quarantine.quarantined_workers
--- a/marjoramusher/placement/ledger.py
+++ b/marjoramusher/placement/ledger.py
@@ -215,6 +215,13 @@
     return (min(a[0], b[0]), min(a[1], b[1]), min(a[2], b[2]))
 
 
+def idle(worker: Worker) -> Amounts:
+    """Return the whole capacity of a worker that no job uses or waits for."""
+    if worker.jobs or any(worker.claimed):
+        return ZERO
+    return worker.capacity
+
+
 def free_after_preemption(worker: Worker) -> Amounts:
     """Return the amounts free after the stop of all best effort borrowers."""
     a, b = free(worker), worker.best_effort
--- a/marjoramusher/placement/lifecycle.py
+++ b/marjoramusher/placement/lifecycle.py
@@ -95,6 +95,7 @@
         self._state.reservations.cancel(job_id)
         self._state.profiles.forget(job_id)
         self._state.moved_at.pop(job_id, None)
+        self._state.isolation.forget(job_id)
         self._state.jobs.pop(job_id, None)
 
     def dequeue_rejected(self, job_id: str) -> bool:
--- a/marjoramusher/placement/preemption.py
+++ b/marjoramusher/placement/preemption.py
@@ -77,7 +77,8 @@
             return None
         wait_s = ready_at - now
         excluded = self._state.quarantine.paused_workers(now).union(
-            queued.job.failed_on
+            queued.job.failed_on,
+            self._state.isolation.occupied_by_others(queued.job, now),
         )
         move = fragmentation.choose_move(
             self._state.ledger,
--- a/marjoramusher/placement/queue.py
+++ b/marjoramusher/placement/queue.py
@@ -141,7 +141,7 @@
     demand_id : int
         Number of the demand, since hashing a shape on each attempt costs more.
     is_retry : bool
-        True if the job has failed before.
+        True if the job has failed before, or workers have crashed during it.
     usable_guarantees : tuple of str or None
         Guarantees that the jobs may use; ``None`` before they are looked up.
     exact_guarantees : tuple of str
@@ -237,9 +237,9 @@
     def add(self, queued: QueuedJob, rank: int) -> None:
         """Append a job to the sub-queue of its equals.
 
-        A job that has failed gets its own sub-queue, since it avoids workers that
-        equal jobs may use. Stopped jobs have sub-queues of their own, so that they
-        don't wait behind new jobs.
+        A job that has failed, or during which workers have crashed, gets its own
+        sub-queue, since it avoids workers that equal jobs may use. Stopped jobs have
+        sub-queues of their own, so that they don't wait behind new jobs.
         """
         spec = queued.job.spec
         self._added_count += 1
@@ -250,7 +250,10 @@
             (queued.shape, spec.repeatable), self._added_count
         )
         retry_key = "stopped" if queued.job.epoch else ""
-        if queued.job.failed_on:
+        is_retry = bool(
+            queued.job.failed_on or queued.job.crashes or queued.job.possible_crashes
+        )
+        if is_retry:
             retry_key = queued.job.job_id
         # Only jobs of similar length share a sub-queue, so that a long job at the head
         # does not keep short ones from being backfilled.
@@ -259,7 +262,6 @@
         subqueues = self._subqueues.setdefault(demand_id, {})
         subqueue = subqueues.get(key)
         if subqueue is None:
-            is_retry = bool(queued.job.failed_on)
             cell_demand = cell.cell_demand(queued.shape)
             subqueue = subqueues[key] = SubQueue(
                 spec.account, rank, demand_id, is_retry, cell_demand
--- a/marjoramusher/placement/state.py
+++ b/marjoramusher/placement/state.py
@@ -8,6 +8,7 @@
     cell,
     counts,
     guarantee,
+    isolation,
     ledger,
     overuse,
     profile,
@@ -31,6 +32,7 @@
         "cell_indexes",
         "configuration",
         "count_plan",
+        "isolation",
         "jobs",
         "ledger",
         "moved_at",
@@ -63,6 +65,7 @@
             self.count_plan = counts.CountPlan(self.ledger, self.plan)
         self.queue = queue.Queue()
         self.quarantine = quarantine.Quarantine(rng, self.ledger)
+        self.isolation = isolation.Isolation(self.ledger, wall_offset_s)
         self.overuse = overuse.OveruseTracker(self.ledger)
         self.reservations = reservations.Reservations(self.ledger, self.cell_indexes)
         self.accounts = account.Accounts(self.ledger)
--- a/marjoramusher/workers/attempt.py
+++ b/marjoramusher/workers/attempt.py
@@ -47,6 +47,12 @@
 
 LIVE_STATES = (announcement.TaskState.PREPARED, announcement.TaskState.RUNNING)
 
+ENDED_STATES = (
+    announcement.TaskState.DONE,
+    announcement.TaskState.FAILED,
+    announcement.TaskState.STOPPED,
+)
+
 STARTED_STATES = (
     announcement.TaskState.RUNNING,
     announcement.TaskState.DONE,
@@ -70,12 +76,18 @@
         Whether the task has answered the checkpoint call of the current stop.
     next_stop_at : float
         Monotonic time of the next stop call; infinite while a call is in flight.
+    has_reported_end : bool
+        Whether the worker itself has reported the end of the task.
+    has_lost_worker : bool
+        Whether a later incarnation of the worker was heard that omits the task.
     """
 
     __slots__ = (
         "checkpoint",
         "confirmed_at",
         "has_checkpointed",
+        "has_lost_worker",
+        "has_reported_end",
         "index",
         "may_have_started",
         "missed_reports",
@@ -100,6 +112,8 @@
         self.has_checkpointed = False
         self.usage = None
         self.next_stop_at = 0.0
+        self.has_reported_end = False
+        self.has_lost_worker = False
 
 
 class Gang:
@@ -151,6 +165,25 @@
         """Return whether every task has one of the statuses."""
         return all(task.status in statuses for task in self.tasks.values())
 
+    def workers_without_ends(self) -> tuple[tuple[str, ...], tuple[str, ...]]:
+        """Return the workers on which a task may have run until its lease lapsed.
+
+        Returns
+        -------
+        crashed : tuple of str
+            Those of which a later incarnation was heard.
+        lapsed : tuple of str
+            The others.
+        """
+        open_tasks = [
+            task
+            for task in self.tasks.values()
+            if task.may_have_started and not task.has_reported_end
+        ]
+        crashed = {task.worker for task in open_tasks if task.has_lost_worker}
+        lapsed = {task.worker for task in open_tasks} - crashed
+        return tuple(sorted(crashed)), tuple(sorted(lapsed))
+
     def common_checkpoint(self) -> tuple[str, float]:
         """Return the checkpoint that all tasks hold and its least saved run time.
 
--- a/marjoramusher/workers/call_results.py
+++ b/marjoramusher/workers/call_results.py
@@ -44,7 +44,7 @@
         elif call.method is rpc.Method.CHECKPOINT:
             self._handle_checkpoint_result(gang, task, event)
         elif call.method is rpc.Method.STOP:
-            self._handle_stop_result(task, event)
+            self._handle_stop_result(gang, task, event)
         self._lifecycle.advance(gang)
 
     def _handle_prepare_result(
@@ -96,9 +96,13 @@
         task.has_checkpointed = True
 
     def _handle_stop_result(
-        self, task: attempt.Task, event: events.CallCompleted
+        self, gang: attempt.Gang, task: attempt.Task, event: events.CallCompleted
     ) -> None:
         task_report = event.report
+        # A worker that does not hold the task answers with the epoch of the call. It
+        # may have been started again.
+        if task_report is not None and task_report.epoch == gang.epoch:
+            task.has_reported_end = True
         if task_report is None:
             # Retries to a dead rack must not delay calls to other workers. The leases
             # of its tasks expire in any case.
--- a/marjoramusher/workers/decisions.py
+++ b/marjoramusher/workers/decisions.py
@@ -175,5 +175,10 @@
                 placer_decision.workers,
                 capacities,
                 placer_decision.guarantee,
+                {
+                    worker_id: worker.announcement.incarnation
+                    for worker_id, worker in workers.items()
+                    if worker is not None
+                },
             )
         )
--- a/marjoramusher/workers/domain.py
+++ b/marjoramusher/workers/domain.py
@@ -78,6 +78,11 @@
             worker.is_schedulable = False
             self.policy.worker_silent(worker_id, self.now)
 
+    def is_drained(self, worker_id: str) -> bool:
+        """Return whether an operator has drained a worker, so that it may restart."""
+        drain = self.configuration.drains.get(worker_id)
+        return drain is not None and drain.failure_domain == self.jobs.failure_domain
+
     def is_awaiting_reports(self, gang: attempt.Gang) -> bool:
         """Return whether a worker may yet report a task of an inherited gang."""
         return any(
--- a/marjoramusher/workers/driver.py
+++ b/marjoramusher/workers/driver.py
@@ -267,7 +267,14 @@
                 await self._group.propose(data, PROPOSE_TIMEOUT_S)
             )
             if isinstance(outcome, command.JobResult) and not outcome.repeated:
+                if isinstance(cmd, command.GangStopped):
+                    self._log_crashes(outcome.job)
                 self._record_job_change(outcome.job)
+            elif isinstance(outcome, command.JobsResult):
+                for job in outcome.jobs:
+                    self._log_crashes(job)
+                    if job.state is model.JobState.FAILED:
+                        self._record_job_change(job)
         except errors.MarjoramusherError as failure:
             error = failure.body()
             self._metrics.increment("job_proposals_refused", code=error.code.value)
@@ -294,4 +301,18 @@
             job_id=job.job_id,
             state=job.state.value,
             epoch=job.epoch,
+            reason="" if job.error is None else job.error.message,
+        )
+
+    def _log_crashes(self, job: model.Job) -> None:
+        if not job.crashes and not job.possible_crashes:
+            return
+        log.state_change(
+            "job.suspected",
+            job_id=job.job_id,
+            crashes=len(job.crashes),
+            possible=len(job.possible_crashes),
+            workers=" ".join(
+                item.address for item in (*job.crashes, *job.possible_crashes)
+            ),
         )
--- a/marjoramusher/workers/driver_test.py
+++ b/marjoramusher/workers/driver_test.py
@@ -5,12 +5,13 @@
 import json
 import time
 
+import eliot
 import pytest
 import reactivex.subject
 from aiohttp import web
 
 from marjoramusher.consensus import message
-from marjoramusher.core import announcement, errors, record, resource
+from marjoramusher.core import announcement, crash, errors, record, resource
 from marjoramusher.core import job as model
 from marjoramusher.groups import composite, local
 from marjoramusher.http import errors as http_errors
@@ -104,22 +105,30 @@
         worker_handlers.add_to(app.router)
         await self.runner.setup()
         await web.TCPSite(self.runner, "127.0.0.1", 0).start()
-        url = "http://{}:{}".format(*self.runner.addresses[0][:2])
         self.driver_task = asyncio.create_task(self.driver.run())
+        self.url = "http://{}:{}".format(*self.runner.addresses[0][:2])
         for number in range(3):
-            standin_worker = standin.Worker(
-                f"w{number}",
-                "fd-a",
-                "r1",
-                resource.Resources(8, 64, 1000),
-                [url],
-                "t",
-                self.path / "history",
-            )
-            await standin_worker.start()
-            self.workers.append(standin_worker)
+            self.workers.append(await self.start_worker(number))
         return self
 
+    async def start_worker(self, number):
+        standin_worker = standin.Worker(
+            f"w{number}",
+            "fd-a",
+            "r1",
+            resource.Resources(8, 64, 1000),
+            [self.url],
+            "t",
+            self.path / "history",
+        )
+        await standin_worker.start()
+        return standin_worker
+
+    async def restart_worker(self, number):
+        """End a worker without a word to the leader, and start it again."""
+        await self.workers[number].stop()
+        self.workers[number] = await self.start_worker(number)
+
     async def __aexit__(self, *error):
         self.driver_task.cancel()
         await asyncio.gather(self.driver_task, return_exceptions=True)
@@ -195,6 +204,28 @@
     assert job.epoch == 1 and len(domain.history("started")) == 3
 
 
+async def test_a_job_that_crashes_a_worker_is_given_up_and_the_log_says_why(domain):
+    """Guards against endless starts, and an end that operators can't explain."""
+    lines = []
+    eliot.add_destinations(lines.append)
+    job_id, crashes = await domain.submit('{"run_s": 60}'), 0
+    while (job := domain.jobs.job(job_id)).state not in model.FINAL_STATES:
+        if job.state is STATES.RUNNING and job.attempts > crashes:
+            crashes = job.attempts
+            await domain.restart_worker(1)
+        await asyncio.sleep(0.01)
+    eliot.remove_destination(lines.append)
+    error = domain.jobs.job(job_id).error
+    assert error.code is errors.ErrorCode.TARGET_FAILED and "w1" in error.message
+    assert crash.MIN_CRASHES < crashes <= crash.MAX_CRASHES  # all on one worker
+    about_job = [line for line in lines if line.get("job_id") == job_id]
+    assert about_job[-1]["reason"] == error.message
+    assert any(
+        line["message_type"] == "job.suspected" and line["workers"] == "w1"
+        for line in about_job
+    )
+
+
 async def test_fault_of_the_placer_neither_reaches_the_group_nor_ends_the_driver(
     domain, monkeypatch
 ):
--- a/marjoramusher/workers/presence.py
+++ b/marjoramusher/workers/presence.py
@@ -8,6 +8,7 @@
 # within this time does not show that the task is missing.
 MISSING_DELAY_S = 2.0
 MIN_MISSED_REPORTS = 2  # a single announcement may be delayed for longer
+SETTLEMENT_RETRY_S = 2.0  # longer than a proposal takes
 
 
 class PresenceTracker:
@@ -65,8 +66,9 @@
             if gang.stop_cause is None or gang.phase is attempt.Phase.GRACE:
                 renewals.append(self._renew(gang, task))
         self._handle_missing_tasks(
-            worker_announcement.id, reported_ids, changed_gangs, change
+            worker_announcement, reported_ids, changed_gangs, change
         )
+        self._propose_heard(worker)
         self._update_placer(worker, change, runs_unknown_tasks)
         self._state.effects.append(
             events.AnnouncementReply(tuple(renewals), tuple(unknown_task_ids))
@@ -97,20 +99,44 @@
         self._state.workers.renew_lease(task.task_id, self._state.now)
         return announcement.LeaseRenewal(task.task_id, gang.epoch, table.TASK_LEASE_S)
 
+    def _propose_heard(self, worker: table.Worker) -> None:
+        """Settle the possible crashes of a worker; repeated until it is committed."""
+        heard = worker.announcement
+        if (
+            self._state.jobs.has_lapsed(heard.id)
+            and self._state.now >= worker.next_settlement_at
+        ):
+            worker.next_settlement_at = self._state.now + SETTLEMENT_RETRY_S
+            self._state.propose(
+                command.WorkerHeard(
+                    self._state.wall_time,
+                    heard.id,
+                    heard.incarnation,
+                    self._state.is_drained(heard.id),
+                )
+            )
+
     def _handle_missing_tasks(
         self,
-        worker_id: str,
+        worker_announcement: announcement.WorkerAnnouncement,
         reported_ids: set[str],
         changed_gangs: dict[str, attempt.Gang],
         change: table.AnnouncementChange,
     ) -> None:
         has_restarted = change is table.AnnouncementChange.RESTARTED
+        worker_id = worker_announcement.id
         for holding in self._state.jobs.ledger.holdings(worker_id):
             gang = self._state.gangs.get(holding.job_id)
             if gang is not None and holding.task_id not in reported_ids:
-                self._handle_missing_task(
-                    gang, gang.tasks[holding.task_id], has_restarted
-                )
+                task = gang.tasks[holding.task_id]
+                # The table does not know the incarnations that former leaders saw.
+                current = self._state.jobs.attempt(holding.job_id)
+                heard = worker_announcement.incarnation
+                if current is not None and (
+                    heard > current.incarnations.get(worker_id, heard)
+                ):
+                    task.has_lost_worker = True
+                self._handle_missing_task(gang, task, has_restarted)
                 if (
                     gang.stop_cause is not None
                     or gang.phase is attempt.Phase.RECONCILING
--- a/marjoramusher/workers/proposal.py
+++ b/marjoramusher/workers/proposal.py
@@ -62,6 +62,8 @@
                     self._decision_executor.schedule_refresh(cmd.job_id)
             case command.ContractExpired():
                 self._contract_expiry.handle_proposal_completed(cmd.contract)
+            case command.WorkerHeard():
+                pass  # a later announcement may tell more
             case _ if may_be_lost:
                 self._retries.append((self._state.now + domain.RETRY_S, cmd))
 
--- a/marjoramusher/workers/report.py
+++ b/marjoramusher/workers/report.py
@@ -48,6 +48,8 @@
         self, gang: attempt.Gang, task: attempt.Task, report: announcement.TaskReport
     ) -> None:
         """Update a task that has ended, and request the stop of its gang if needed."""
+        if report.epoch == gang.epoch and report.state in attempt.ENDED_STATES:
+            task.has_reported_end = True
         if task.status in attempt.ENDED_STATUSES:
             return
         if report.state is announcement.TaskState.DONE:
--- a/marjoramusher/workers/stop.py
+++ b/marjoramusher/workers/stop.py
@@ -98,6 +98,10 @@
             )
         elif all(task.status in attempt.ENDED_STATUSES for task in gang.tasks.values()):
             checkpoint, progress_s = gang.common_checkpoint()
+            crashed, lapsed = (
+                tuple(name for name in names if not self._state.is_drained(name))
+                for names in gang.workers_without_ends()
+            )
             cmd = command.GangStopped(
                 self._state.wall_time,
                 gang.job_id,
@@ -105,5 +109,7 @@
                 checkpoint,
                 progress_s,
                 any(task.may_have_started for task in gang.tasks.values()),
+                crashed,
+                lapsed,
             )
             self._state.propose_for_gang(gang, cmd)
--- a/marjoramusher/workers/table.py
+++ b/marjoramusher/workers/table.py
@@ -52,6 +52,8 @@
         Number of consecutive calls without an answer.
     backoff_until : float
         Monotonic time until which the worker gets no new work.
+    next_settlement_at : float
+        Earliest monotonic time of the next proposal to settle its possible crashes.
     """
 
     __slots__ = (
@@ -60,6 +62,7 @@
         "backoff_until",
         "is_known_to_placer",
         "is_schedulable",
+        "next_settlement_at",
         "silence",
         "unanswered_calls",
     )
@@ -74,6 +77,7 @@
         self.is_known_to_placer = False
         self.unanswered_calls = 0
         self.backoff_until = 0.0
+        self.next_settlement_at = 0.0
 
     def record_call(self, is_answered: bool, now: float) -> None:
         """Record whether a call was answered; back off exponentially if it was not."""
