--- a/marjoramusher/workflows/machine_test.py
+++ b/marjoramusher/workflows/machine_test.py
@@ -496,7 +496,7 @@
     lapsed = workflow.Release(task_key(), 1, "the lease has lapsed", "", True)
     harness.settle(releases=(lapsed,))
     assert harness.assign(placement(run=2))
-    suspects = (crash.Suspect(task_key(), 2, True),)
+    suspects = (suspicion.Suspect(task_key(), 2, True),)
     harness.apply(command.RemoveWorker(10, "x", 1, (), True, suspects))
     assert [c.run for c in harness.state.task(task_key()).suspicions] == [2]
 
