Share failed attempts to place suspects in one plan

What operators would see: slow plans after many workers are lost at once, since each job from there is a suspect and was tried by itself after each release.

Cause: an attempt of a suspect was not remembered for equal demands, and the set of workers to avoid was built anew for each attempt.

Change: the workers of other suspects count as a restriction like those of urgent jobs, so one failed attempt speaks for all suspects of a demand. Their set is kept until a suspect starts or ends. Two tests close gaps that changes broken on purpose had shown: a job waits while it is undecided which workers have crashed, and a worker that is back at once is a certain crash.

--- a/marjoramusher/placement/attempt.py
+++ b/marjoramusher/placement/attempt.py
@@ -138,15 +138,13 @@
     ) -> tuple[set[str], tuple[str, ...]]:
         """Return the workers to exclude, and the jobs whose reservations exclude some.
 
-        ``standby`` among the job ids stands for the workers kept for urgent jobs.
+        ``standby`` among the job ids stands for the workers kept for urgent jobs, and
+        ``isolation`` for those of other suspects.
         """
         spec = queued.job.spec
         excluded = self._state.quarantine.paused_workers(now)
         if queued.job.failed_on:
             excluded = excluded.union(queued.job.failed_on)
-        occupied = self._state.isolation.occupied_by_others(queued.job, now)
-        if occupied:
-            excluded = excluded | occupied
         binding: tuple[str, ...] = ()
         if subqueue.rank < 2 and not self._may_outlast_reservations(
             queued, subqueue.rank, now
@@ -160,6 +158,10 @@
             if standby_workers:
                 excluded = excluded | standby_workers
                 binding += ("standby",)
+        occupied = self._state.isolation.occupied_by_others(queued.job, now)
+        if occupied:
+            excluded = excluded | occupied
+            binding += ("isolation",)
         return excluded, binding
 
     def _find_workers(
@@ -189,7 +191,7 @@
             return workers
         if not excluded or not self._fits(queued.shape):
             self.failed_at_release[demand_id, ()] = releases
-        elif not subqueue.is_retry:
+        elif not queued.job.failed_on:
             self.failed_at_release[demand_id, binding] = releases
         return None
 
--- a/marjoramusher/placement/isolation.py
+++ b/marjoramusher/placement/isolation.py
@@ -44,6 +44,7 @@
         self._wall_offset_s = wall_offset_s
         self._runs: dict[str, Run] = {}
         self._waiting_since: dict[str, float] = {}
+        self._occupied: frozenset[str] | None = None  # None after a change
 
     @property
     def closed_workers(self) -> set[str]:
@@ -64,16 +65,18 @@
         crashes = suspect.suspicions(job_record, self.wall_ms(now))
         return len(crashes) >= crash.ISOLATION_CRASHES
 
-    def occupied_by_others(self, job_record: job.Job, now: float) -> set[str]:
-        """Return the workers that a suspect must not share; none for other jobs."""
+    def occupied_by_others(self, job_record: job.Job, now: float) -> frozenset[str]:
+        """Return the workers that a queued suspect must not share.
+
+        There are none for a job that is no suspect.
+        """
         if not self._runs or not suspect.suspicions(job_record, self.wall_ms(now)):
-            return set()
-        return {
-            worker
-            for job_id, run in self._runs.items()
-            if job_id != job_record.job_id
-            for worker in run.workers
-        }
+            return frozenset()
+        if self._occupied is None:
+            self._occupied = frozenset(
+                worker for run in self._runs.values() for worker in run.workers
+            )
+        return self._occupied
 
     def crashed_under(self, job_record: job.Job, now: float) -> set[str]:
         """Return the workers that have recently crashed during runs of a job."""
@@ -104,10 +107,13 @@
         if suspect.suspicions(job_record, self.wall_ms(now)):
             is_isolated = self.needs_isolation(job_record, now)
             self._runs[job_id] = Run(frozenset(workers), now, is_isolated)
+            self._occupied = None
 
     def record_end(self, job_id: str) -> frozenset[str]:
         """Record the end of a run; return the workers that it had closed."""
         run = self._runs.pop(job_id, None)
+        if run is not None:
+            self._occupied = None
         return run.workers if run is not None and run.is_isolated else frozenset()
 
     def forget(self, job_id: str) -> None:
--- a/marjoramusher/placement/isolation_test.py
+++ b/marjoramusher/placement/isolation_test.py
@@ -127,6 +127,17 @@
     assert not set(placed["j0"]) & set(placed["j1"])
 
 
+def test_a_job_waits_until_it_is_known_which_workers_have_crashed(placer, monkeypatch):
+    """Guards against another start while the decisive workers are still absent."""
+    monkeypatch.setattr(isolation, "MAX_WAIT_S", 0.0)
+    lost = crashes("w7", "w8", "w9")
+    queue(placer, "suspect", crashes=lost[:1], possible_crashes=lost[1:])
+    assert not placer.plan(0.0)
+    assert not placer.plan(4.0)
+    queue(placer, "suspect", crashes=lost[:1], possible_crashes=lost[1:2], now=5.0)
+    assert plan(placer, 5.0).keys() == {"suspect"}
+
+
 def test_workers_that_stay_away_are_taken_to_have_crashed(placer):
     """Guards against a job that takes down all workers for good."""
     lost = crashes("w7", "w8", "w9")
--- a/marjoramusher/workers/crash_test.py
+++ b/marjoramusher/workers/crash_test.py
@@ -102,6 +102,16 @@
     assert len({worker for _, _, worker in session.crashes}) == crash.MIN_CRASHES
 
 
+def test_a_worker_that_is_back_at_once_has_certainly_crashed():
+    """Guards against a crash that is counted only if it is confirmed later."""
+    session = CrashSession(restart_s=1.0)
+    job_id = session.submit_cause()
+    while not session.job(job_id).crashes:
+        assert session.now < 20.0, session.job(job_id)
+        session.run(TICK_S)
+    assert not any("WorkerHeard" in line for line in session.trace)
+
+
 def test_a_gang_that_crashes_its_workers_is_given_up():
     """Guards against counting each worker of a gang as an attempt, or none of them."""
     session = CrashSession(workers=9)
