Test that a late start on an idle worker leaves nothing running

A worker without placements isn't polled, and the stops of a run end once it is released with its lapsed lease. A start that is carried out there later would be noticed by nobody. It turned out to be right: the start names the end of its lease on the worker's clock, so that it is refused after the release and lapses before.

--- a/marjoramusher/executors/driver_test.py
+++ b/marjoramusher/executors/driver_test.py
@@ -742,6 +742,57 @@
     virtual.run(scenario())
 
 
+def hold_back_first_start(faulty):
+    """Hold back all attempts of the first start, and return the workers they name."""
+    start, held = faulty.start, []
+
+    async def hold_back(worker, request):
+        if len(held) == session.START_ATTEMPTS:
+            return await start(worker, request)
+        held.append(worker.worker_id)
+        faulty.held_back.add(worker.worker_id)
+        try:
+            return await start(worker, request)
+        finally:
+            faulty.held_back.discard(worker.worker_id)
+
+    faulty.start = hold_back
+    return held
+
+
+@pytest.mark.parametrize("is_cancelled", [False, True])
+@pytest.mark.parametrize("late_s", [2.0, 4.0, 5.5, 7.0, 9.5, 12.0])
+def test_a_start_that_reaches_an_idle_worker_late_leaves_nothing_running(
+    late_s, is_cancelled
+):
+    """Guards against runs that nobody polls for, since their placement was released.
+
+    The worker is cut off past its lease from the start on, and is idle afterwards.
+    """
+
+    async def scenario():
+        async with Harness(27, always(30.0)) as harness:
+            faulty = harness.fleet
+            held = hold_back_first_start(faulty)
+            await asyncio.sleep(10.0)
+            name = await harness.submit("batch", step(1, 1))
+            await asyncio.sleep(1.4)
+            faulty.unreachable.update(held)
+            if is_cancelled:
+                await harness.cancel(name)
+            loop = asyncio.get_running_loop()
+            loop.call_later(7.0, faulty.unreachable.clear)
+            await asyncio.sleep(late_s - 1.4)
+            starts = faulty.starts
+            faulty.release_calls()
+            assert faulty.starts - starts == (late_s < 6.0)
+            await asyncio.sleep(10.0)
+            assert harness.running(name).count(held[0]) == 0
+            await harness.check_all_end(60)
+
+    virtual.run(scenario())
+
+
 @pytest.mark.parametrize("arrives_s", [-0.5, 0.0, 0.01, 0.02, 0.03, 0.05, 0.5])
 def test_a_start_of_a_former_leader_that_reaches_the_next_incarnation_doubles_nothing(
     arrives_s,
@@ -756,19 +807,7 @@
             harness.replaces_leader = True
             faulty = harness.fleet
             await asyncio.sleep(20.0)
-            start, held = faulty.start, []
-
-            async def hold_back(worker, request):
-                if len(held) == session.START_ATTEMPTS:
-                    return await start(worker, request)
-                held.append(worker.worker_id)
-                faulty.held_back.add(worker.worker_id)
-                try:
-                    return await start(worker, request)
-                finally:
-                    faulty.held_back.discard(worker.worker_id)
-
-            faulty.start = hold_back
+            held = hold_back_first_start(faulty)
             await harness.submit("batch", step(1, 1))
             await asyncio.sleep(4.0)
             harness.lose_leadership()
