Keep a connection that a burst of calls has opened

Seen once as a failure of `test_many_calls_in_progress_do_not_hold_up_ another`, beside a load average of 17 to 20: "instance b did not answer". By itself it passed 60 times beside a load of 8 to 15, so it was traced from the log of the failure.

What callers would see: of a burst of calls to an instance without a connection, the later ones fail with "not run" after 2 s, and the connection is given up although it works.

Cause: calls that begin while the connection is being opened queue for it one by one, each behind the work of those before it. The time that this takes counted as time to connect, and the last caller discarded the open connection that all others use.

Evidence: `test_a_burst_of_calls_keeps_the_connection_that_it_has_opened` fails before the change.

Change: a call whose time to connect is over goes on if the channel is open by then.

--- a/marjoramusher/instances/client.py
+++ b/marjoramusher/instances/client.py
@@ -274,6 +274,11 @@
         self._call_count = 0
         self._is_abandoned = False
 
+    @property
+    def is_open(self) -> bool:
+        """Tell whether the channel is connected."""
+        return self.channel._connected
+
     @contextlib.contextmanager
     def use(self):
         """Keep the channel open during a call, even if it is abandoned meanwhile."""
@@ -473,6 +478,9 @@
             async with asyncio.timeout(min(timeout_s, CONNECT_TIMEOUT_S)):
                 await connection.channel.__connect__()
         except (OSError, TimeoutError) as error:
+            # In a burst, a call also waits here for the calls before it.
+            if connection.is_open:
+                return connection
             self._discard(connection)
             raise errors.PeerUnreachableError(
                 instance_id, errors.Outcome.NOT_RUN
--- a/marjoramusher/instances/peer_test.py
+++ b/marjoramusher/instances/peer_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 
 import grpclib.client
 import grpclib.const
@@ -301,6 +302,22 @@
     await asyncio.gather(*hanging, return_exceptions=True)
 
 
+async def test_a_burst_of_calls_keeps_the_connection_that_it_has_opened(
+    pair, monkeypatch
+):
+    """Guards against giving up a connection, with all its calls, that works."""
+    count_sent = client._Peer._count_sent
+
+    def send_slowly(peer, envelope):
+        time.sleep(0.01)
+        count_sent(peer, envelope)
+
+    monkeypatch.setattr(client._Peer, "_count_sent", send_slowly)
+    count = int(1.5 * client.CONNECT_TIMEOUT_S / 0.01)
+    calls = [pair.client.call("b", "echo", b"1", 30) for _ in range(count)]
+    assert await asyncio.gather(*calls) == [b"a:1"] * count
+
+
 async def test_unread_streams_do_not_hold_up_other_traffic(pair):
     streams = [pair.client.stream("b", "parts", b"long", 30) for _ in range(8)]
     for stream in streams:
