Cut workers off past their lease at random beside cancellations

check_cuts_past_leases cuts off busy workers past their lease, lets later runs last long, and cancels at the end what is still active.

--- a/marjoramusher/executors/driver_test.py
+++ b/marjoramusher/executors/driver_test.py
@@ -557,6 +557,56 @@
     virtual.run(check_all_faults_together(seed, True, has_late_polls=True))
 
 
+async def check_cuts_past_leases(seed):
+    """Cut workers off past their lease, so that ends are listed after a later start.
+
+    Later runs last long. They go on unless they are stopped.
+    """
+
+    def work_s(task, run):
+        return 2.0 + seed % 3 if run == 1 else 60.0, workflow.RunOutcome.DONE
+
+    async with Harness(seed, work_s) as harness:
+        rng, faulty = harness.rng, harness.fleet
+        faulty.loss_rate = rng.choice([0.0, 0.02])
+        faulty.passes_cuts = rng.random() < 0.5
+
+        async def cut():
+            while True:
+                busy = [name for name, life in faulty.processes.items() if life.runs]
+                name = rng.choice(busy or list(faulty.processes))
+                faulty.unreachable.add(name)
+                await asyncio.sleep(rng.uniform(6.0, 10.0))
+                faulty.unreachable.discard(name)
+                await asyncio.sleep(rng.uniform(0.0, 3.0))
+
+        faults = [asyncio.create_task(cut())]
+        if seed % 2:
+            change = harness.change_leaders((4, 15), (0.05, 1))
+            faults.append(asyncio.create_task(change))
+        for _ in range(10):
+            first = step(rng.randint(1, 3), 1, gang=rng.random() < 0.7)
+            steps = [first, step(1, 1, after=(0,))]
+            await harness.submit("batch", *steps[: rng.randint(1, 2)])
+            await asyncio.sleep(rng.uniform(0.5, 3.0))
+        for fault in faults:
+            fault.cancel()
+        await asyncio.gather(*faults, return_exceptions=True)
+        faulty.unreachable.clear()
+        if not harness.group.is_led:
+            harness.take_over()
+        await asyncio.sleep(3.0)
+        for name in list(harness.state.active):
+            await harness.cancel(name)
+        await harness.check_all_end(10)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_cancellations_after_cuts_past_the_lease_leave_nothing_running(seed):
+    """Guards against a later run that goes on since an earlier one has ended."""
+    virtual.run(check_cuts_past_leases(seed))
+
+
 def test_a_cancelled_workflow_is_stopped_though_orders_are_lost():
     async def scenario():
         async with Harness(3, always(60.0)) as harness:
