--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -336,6 +336,7 @@
                 log.state_change(
                     "driver.step_failed",
                     code=failure.code.value,
+                    outcome=failure.outcome.value,
                     reason=failure.message,
                     term=self._term,
                 )
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -488,6 +488,7 @@
         log.state_change(
             "worker.report_not_committed",
             worker=self.worker.worker_id,
+            outcome=failure.outcome.value,
             reason=failure.message,
         )
 
@@ -920,6 +921,7 @@
                 "worker.change_not_committed",
                 worker=self.worker.worker_id,
                 change=type(proposed).__name__,
+                outcome=failure.outcome.value,
                 reason=failure.message,
             )
             return False
