Answer a call by the outcome of all its attempts

What callers saw: REFUSED; a task ran, and each attempt to submit its job had been turned away.

Cause: within one call, a gateway sends a submission to the leader more than once. When the answer to the first attempt was lost, and a later attempt was rejected, the call ended as that rejection says: a full leader (overloaded) or any other code that is not retried became a 503, which promises that nothing runs; a queue or key that was dropped meanwhile became a 404 or 401; an answer that could not be decoded counted as a bad request, which promises the same. The first attempt was in the log all the while.

Class: a promise that is taken from the last of several attempts.

Change: the forwarder keeps the code of a later rejection and reports its outcome as unknown; the gateway tells it which answers to a submission are rejections. Replies that can't be decoded have an unknown outcome. A call of which no earlier answer was lost is rejected as before.

--- a/marjoramusher/daemon/gateway.py
+++ b/marjoramusher/daemon/gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from ..core import clock, errors
 from ..groups import bootstrap, forward
@@ -100,24 +101,34 @@
         ------
         LeaderUnavailableError
             If no leader accepted the request.
-        NoQuorumError
-            If a leader may have run the request, but its answer was lost.
+        MarjoramusherError
+            With outcome ``unknown`` if a leader may have run the request, but its
+            answer was lost; ``not_run`` if the leader rejects it.
         """
         now_s = self._clock.monotonic()
         wait_s = self._outage.wait_s(now_s, remaining_s)
         if not wait_s:
             raise self._outage.rejection(now_s, self._rng)
         try:
-            reply = await self._forward(call.pack_call(request), wait_s)
+            reply = await self._forward(
+                call.pack_call(request),
+                wait_s,
+                call.is_rejection if isinstance(request, call.Submit) else None,
+            )
         except errors.NoQuorumError as error:
             if error.outcome is not errors.Outcome.NOT_RUN:
                 raise
             raise self._outage.rejection(self._clock.monotonic(), self._rng) from error
         return call.unpack_reply(reply)
 
-    async def _forward(self, body: bytes, timeout_s: float) -> bytes:
+    async def _forward(
+        self,
+        body: bytes,
+        timeout_s: float,
+        is_rejection: Callable[[bytes], bool] | None = None,
+    ) -> bytes:
         reply = await self._forwarder.call(
-            call.METHOD, body, timeout_s, idempotent=True
+            call.METHOD, body, timeout_s, idempotent=True, is_rejection=is_rejection
         )
         if self._outage.is_lost:
             self._log_leader("leader.regained", "answered")
--- a/marjoramusher/groups/forward.py
+++ b/marjoramusher/groups/forward.py
@@ -116,12 +116,16 @@
         known_leader: Callable[[], str | None] | None = None,
         *,
         idempotent: bool = False,
+        is_rejection: Callable[[bytes], bool] | None = None,
     ) -> bytes:
         """Call the leader, and retry until the deadline while the call was not run.
 
         The call is sent only to an instance known or reported as the leader. A call
         sent to an instance that is cut off is lost, and its outcome unknown.
 
+        The outcome covers all attempts. Once an answer was lost, a later rejection says
+        only that the later attempt was not run.
+
         Parameters
         ----------
         known_leader : callable or None
@@ -130,12 +134,17 @@
         idempotent : bool
             Whether a call whose answer is lost may be retried too. Each attempt then
             takes `ATTEMPT_TIMEOUT_S` at most.
+        is_rejection : callable or None
+            Tells whether an answer says that the call was not run.
 
         Raises
         ------
         NoQuorumError
             With outcome ``not_run`` if no leader accepted the call before the
             deadline, ``unknown`` if an answer was lost.
+        MarjoramusherError
+            If the leader rejects the call; with outcome ``unknown`` if an earlier
+            answer was lost.
         """
         deadline_s = self._clock.monotonic() + timeout_s
         backoff_s = INITIAL_BACKOFF_S
@@ -176,7 +185,7 @@
                     if not (
                         idempotent and is_answer_lost and error.code in _RETRYABLE_CODES
                     ):
-                        self._raise_unless_retryable(error)
+                        self._raise_unless_retryable(error, may_have_run)
                     self._failed_leader = target
                     if self._leader_hint == target:
                         self._leader_hint = None
@@ -186,6 +195,11 @@
                         continue
                 else:
                     self._record_leader(target)
+                    if may_have_run and is_rejection and is_rejection(answer):
+                        raise errors.NoQuorumError(
+                            "an answer was lost, and a later attempt was rejected",
+                            errors.Outcome.UNKNOWN,
+                        )
                     return answer
             remaining_s = max(deadline_s - self._clock.monotonic(), 0)
             pause_s = min(remaining_s, backoff_s * self._rng.uniform(0.5, 1.0))
@@ -306,9 +320,21 @@
             command = codec.pack(BarrierCall(self._group, remaining_s))
         return await self._peers.call(target, method, command, remaining_s)
 
-    def _raise_unless_retryable(self, error: errors.MarjoramusherError) -> None:
-        """Raise unless the call was certainly not run and may be retried."""
+    def _raise_unless_retryable(
+        self, error: errors.MarjoramusherError, may_have_run: bool
+    ) -> None:
+        """Raise unless the call was certainly not run and may be retried.
+
+        Parameters
+        ----------
+        may_have_run : bool
+            Whether this attempt or an earlier one may have run.
+        """
         if error.code not in _RETRYABLE_CODES:
+            if may_have_run and error.outcome is errors.Outcome.NOT_RUN:
+                raise errors.MarjoramusherError(
+                    error.code, error.message, errors.Outcome.UNKNOWN, error.details
+                ) from error
             raise error
         if error.outcome is not errors.Outcome.NOT_RUN:
             raise errors.NoQuorumError(error.message, error.outcome) from error
--- a/marjoramusher/groups/forward_test.py
+++ b/marjoramusher/groups/forward_test.py
@@ -171,3 +171,85 @@
         assert len(lookups) == forward.LOOKUP_FANOUT
 
     virtual.run(run_scenario())
+
+
+class Attempts:
+    """Fake peer client whose leader treats each attempt in a given way."""
+
+    def __init__(self, *outcomes):
+        self.outcomes = list(outcomes)
+
+    async def call(self, target, method, body, timeout_s):
+        await asyncio.sleep(0.03)
+        if method == forward.LEADER_METHOD:
+            return b"a"
+        if target != "a":
+            raise errors.NotLeaderError("a")
+        outcome = self.outcomes.pop(0)
+        if isinstance(outcome, errors.MarjoramusherError):
+            raise outcome
+        return outcome
+
+
+LOST = errors.PeerUnreachableError("a")
+NOT_SENT = errors.PeerUnreachableError("a", errors.Outcome.NOT_RUN)
+REJECTIONS = [
+    errors.MarjoramusherError(code, "rejected")
+    for code in errors.ErrorCode
+    if code not in forward._RETRYABLE_CODES
+]
+
+
+@pytest.mark.parametrize("rejection", REJECTIONS, ids=lambda error: error.code.value)
+@pytest.mark.parametrize(
+    "first, outcome",
+    [(LOST, errors.Outcome.UNKNOWN), (NOT_SENT, errors.Outcome.NOT_RUN)],
+    ids=["lost", "not sent"],
+)
+def test_a_rejection_promises_nothing_for_an_earlier_attempt(first, outcome, rejection):
+    """Guards against "not run" for a call whose first attempt runs after all."""
+
+    async def run_scenario():
+        _, forwarder = make_forwarder(Attempts(first, rejection))
+        with pytest.raises(errors.MarjoramusherError) as caught:
+            await forwarder.call(METHOD, b"", 3.0, idempotent=True)
+        assert caught.value.code is rejection.code
+        assert caught.value.outcome is outcome
+
+    virtual.run(run_scenario())
+
+
+@pytest.mark.parametrize(
+    "first, is_rejected", [(LOST, False), (NOT_SENT, True)], ids=["lost", "not sent"]
+)
+def test_an_answer_that_rejects_promises_nothing_for_an_earlier_attempt(
+    first, is_rejected
+):
+    """Guards against a 404 for a call whose first attempt runs after all."""
+
+    async def run_scenario():
+        _, forwarder = make_forwarder(Attempts(first, b"no such queue"))
+        answer = forwarder.call(
+            METHOD, b"", 3.0, idempotent=True, is_rejection=b"no such queue".__eq__
+        )
+        if is_rejected:
+            assert await answer == b"no such queue"
+            return
+        with pytest.raises(errors.NoQuorumError) as caught:
+            await answer
+        assert caught.value.outcome is errors.Outcome.UNKNOWN
+
+    virtual.run(run_scenario())
+
+
+def test_an_acceptance_settles_an_earlier_attempt():
+    """Guards against an unknown outcome for a call that has certainly run."""
+
+    async def run_scenario():
+        _, forwarder = make_forwarder(Attempts(LOST, b"accepted"))
+        answer = await forwarder.call(
+            METHOD, b"", 3.0, idempotent=True, is_rejection=b"no such queue".__eq__
+        )
+        assert answer == b"accepted"
+
+    virtual.run(run_scenario())
--- a/marjoramusher/instances/client.py
+++ b/marjoramusher/instances/client.py
@@ -151,7 +151,10 @@
             instance_id, self._envelope(method, body), timeout_s
         )
         await self._fail_if_cut(instance_id, timeout_s)
-        reply = codec.unpack(data, frame.Reply)
+        try:
+            reply = codec.unpack(data, frame.Reply)
+        except errors.BadRequestError as error:
+            raise errors.PeerUnreachableError(instance_id) from error
         if reply.error is not None:
             raise errors.from_body(reply.error)
         return reply.body
--- a/marjoramusher/queues/call.py
+++ b/marjoramusher/queues/call.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from ..core import codec
+from ..core import codec, errors
 from ..workflows import catalog, wave, workflow
 
 METHOD = "queues"
@@ -237,7 +237,19 @@
 
     Raises
     ------
-    BadRequestError
-        If the data is not an encoded reply.
+    MarjoramusherError
+        With outcome ``unknown`` if the data is not an encoded reply.
     """
-    return codec.unpack(data, AnyReply)
+    try:
+        return codec.unpack(data, AnyReply)
+    except errors.BadRequestError as error:
+        raise errors.MarjoramusherError(
+            errors.ErrorCode.OUTCOME_UNKNOWN,
+            f"the reply can't be decoded: {error.message}",
+            errors.Outcome.UNKNOWN,
+        ) from error
+
+
+def is_rejection(data: bytes) -> bool:
+    """Tell whether an encoded reply says that a submission was not stored."""
+    return isinstance(unpack_reply(data), NoQueue | Unauthorized)
