Report an unknown outcome for what a failed store may have kept

What callers saw: REFUSED; a task ran whose submission had been turned away.

Cause: a leader recorded that a proposal is in the log after the batch with it had been written. A store that writes a batch and then fails (a failed sync) left the proposal as one that was never accepted, so that it ended as not_leader, not_run. After a restart on the same store the command is applied. The same held for any unexpected error between the write and that record.

Class: a promise that is made before it is known what is durable.

Change: what is about to be written counts as accepted from before the write. Proposals that come after the failure are still rejected as not run (second test). That the users' run met a failed store is not shown.

--- a/marjoramusher/groups/runner.py
+++ b/marjoramusher/groups/runner.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 import reactivex
@@ -460,6 +460,7 @@
         try:
             effects = [e for event in events for e in self._node.step(event, now)]
             for persist, effects_after in batch.split(effects):
+                self._accept_proposals(effects_after)
                 self._persist(persist)
                 for effect in effects_after:
                     self._execute(effect)
@@ -491,6 +492,15 @@
         )
         self._metrics.observe("disk_sync", self._clock.monotonic() - started_s)
 
+    def _accept_proposals(self, effects: Iterable[message.Effect]) -> None:
+        """Record what is about to be persisted.
+
+        The store may keep a batch although it fails, and so may later effects.
+        """
+        for effect in effects:
+            if isinstance(effect, message.ProposalAccepted):
+                self._pending_calls.accept_proposal(effect)
+
     def _execute(self, effect: message.Effect) -> None:
         match effect:
             case message.Send(message=outgoing):
@@ -499,8 +509,6 @@
                 )
             case message.Commit(entries=entries):
                 self._apply(entries)
-            case message.ProposalAccepted():
-                self._pending_calls.accept_proposal(effect)
             case message.ProposalRefused():
                 self._pending_calls.refuse_proposal(effect)
             case message.ReadReady():
