Hold a suspect of a crash back no longer than free workers may wait

What callers saw: LOST; jobs with nothing running while a task of each could run, with most workers free.

With three crashes of which one is only possible, a task waited up to 20 s for the fate of the workers, also a long-running one, for which crashes of any age counted. With two crashes, it waited for a worker of its own until other tasks ended, however long that took and however much room there was. A gang waited as a whole for one such member.

Class: a task that could run is held back by a count or by a preference, without a bound in time.

Change: the wait for the fate of workers is 1.5 s, half of the 3 s for which ready work may stand beside free workers. It stays at 20 s where one more start could be the third after three crashes (five suspicions), which is the number that must not be reached. A suspect whose workflow has to run (nothing of it is placed, and less than half of the service is in use) waits 1.5 s for a worker of its own, then joins tasks that have survived their start, unless its next crash could give it up.

--- a/marjoramusher/core/crash.py
+++ b/marjoramusher/core/crash.py
@@ -34,6 +34,9 @@
 # A worker that has not been heard for this long after its lease is taken to have
 # crashed.
 MAX_ABSENCE_MS = 20_000
+# Nothing may be ready beside free workers for 3 s. So a task waits for the fate of
+# workers, or for a worker of its own, for half of that, which leaves time for a start.
+MAX_HOLD_MS = 1_500
 
 
 class Crash(msgspec.Struct, frozen=True, array_like=True):
@@ -77,15 +80,32 @@
 
 
 def is_undecided(
-    crashes: Sequence[Crash], possible: Sequence[Crash], now_ms: float
+    crashes: Sequence[Crash],
+    possible: Sequence[Crash],
+    now_ms: float,
+    hold_ms: float = MAX_ABSENCE_MS,
 ) -> bool:
     """Tell whether a task has to wait until it is known which workers have crashed.
 
     Otherwise it could take down more workers while the first ones are still restarting.
+
+    Parameters
+    ----------
+    hold_ms : float
+        How long it waits at most, unless another start could be one too many.
+    """
+    count = len(crashes) + len(possible)
+    if count >= MAX_CRASHES:
+        return any(item.at_ms > now_ms - MAX_ABSENCE_MS for item in possible)
+    return count >= MIN_CRASHES and has_fresh(possible, now_ms, hold_ms)
+
+
+def has_fresh(crashes: Sequence[Crash], now_ms: float, hold_ms: float) -> bool:
+    """Tell whether a crash is younger than a duration.
+
+    One in the future is not: the clock has been set back since.
     """
-    return len(crashes) + len(possible) >= MIN_CRASHES and any(
-        item.at_ms > now_ms - MAX_ABSENCE_MS for item in possible
-    )
+    return any(0 <= now_ms - item.at_ms < hold_ms for item in crashes)
 
 
 def is_cause(crashes: Sequence[Crash]) -> bool:
--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -30,6 +30,10 @@
 # Tasks with less time to their deadline than this multiple of their estimated run time
 # may use the headroom for urgent work.
 PRESSING_FACTOR = 2.0
+# Below this share in use, a service must not let a workflow wait that has room.
+MAX_IDLE_USE = 0.5
+# A task that crashes its worker does so sooner than this after its start.
+STARTING_S = 0.5
 
 # Service, label, rack of the data, whether fill tasks, needs, whether a gang, and
 # whether that has to be in one rack.
@@ -172,6 +176,7 @@
         self._shortage_reasons: dict[_RequestKind, WaitReason] = {}
         # Tasks for which no further busy worker may be spared.
         self._waiting_suspects: list[tuple[backlog.PendingStep, int]] = []
+        self._placed_workflows: set[str] = set()
         self.placements: list[workflow.Placement] = []
         self.preemptions: list[tuple[workflow.Placement, str]] = []
         self.wait_reasons: dict[resources.StepKey, WaitReason] = {}
@@ -207,6 +212,7 @@
             candidate.adjust_task_count((key.workflow_id, key.occurrence, key.step), 1)
             candidate.fill_count += step.fill
             candidate.serving_count += step.target_ms > 0
+            candidate.starting_count += status.ages_s.get(key, 0.0) < STARTING_S
             task = entry.occurrences[key.occurrence][key.step][key.index]
             crashes = suspicion.recent(task.suspicions, step, self._now_ms)
             candidate.crash_suspects += bool(crashes)
@@ -242,10 +248,11 @@
                 self.wait_reasons[pending.key] = WaitReason.HEADROOM
                 continue
             candidates = self._workers(pending).candidates
-            idle = [candidate for candidate in candidates if not candidate.task_count]
             chosen = self._spare_worker(
-                pending, index, idle, crash.WORKERS_PER_IDLE_ISOLATION
+                pending, index, _idle(candidates), crash.WORKERS_PER_IDLE_ISOLATION
             )
+            if chosen is None:
+                chosen = self._shared_worker(pending, index, candidates)
             if chosen is None:
                 self.wait_reasons[pending.key] = WaitReason.NO_ISOLATION
             else:
@@ -277,7 +284,7 @@
     def _handle_suspect(
         self, pending: backlog.PendingStep, index: int, workers: _WorkerSet
     ) -> bool:
-        """Place a task on a worker of its own, or let it wait for one.
+        """Place a task on a worker of its own, or let it wait for one for a while.
 
         Long-running tasks do not wait, since they have to be available all the time.
 
@@ -296,8 +303,9 @@
         ):
             return False
         candidates = workers.candidates
-        if pending.step.long_running:
-            candidates = [worker for worker in candidates if not worker.task_count]
+        may_wait = self._may_wait_for_isolation(pending, index)
+        if not may_wait:
+            candidates = _idle(candidates)
         spared = self._spare_worker(pending, index, candidates)
         if spared is None and pending.step.long_running:
             return False
@@ -566,9 +574,12 @@
         can_isolate = self._can_isolate(pending, candidates)
         for index in self._by_crashes(pending):
             if can_isolate and self._needs_isolation(pending, index):
-                best = self._spare_worker(pending, index, candidates)
+                may_wait = self._may_wait_for_isolation(pending, index)
+                options = candidates if may_wait else _idle(candidates)
+                best = self._spare_worker(pending, index, options)
                 if best is not None and best.task_count:
                     best = None
+                best = best or self._shared_worker(pending, index, candidates)
             else:
                 best = self._best_candidate(pending, index, free, best)
             if best is None:
@@ -585,6 +596,7 @@
         """Count a task on a worker."""
         candidate.allocate(resources.reserved(pending.step))
         candidate.adjust_task_count(pending.key, 1)
+        candidate.starting_count += 1
         candidate.crash_suspects += bool(self._crashes(pending, index))
 
     def _vacate(
@@ -593,6 +605,7 @@
         """Undo `_occupy` after a trial."""
         candidate.deallocate(resources.reserved(pending.step))
         candidate.adjust_task_count(pending.key, -1)
+        candidate.starting_count -= 1
         candidate.crash_suspects -= bool(self._crashes(pending, index))
 
     # Tasks during which workers have crashed.
@@ -617,9 +630,85 @@
     def _needs_isolation(self, pending: backlog.PendingStep, index: int) -> bool:
         return len(self._crashes(pending, index)) >= crash.ISOLATION_CRASHES
 
+    def _may_wait_for_isolation(self, pending: backlog.PendingStep, index: int) -> bool:
+        """Tell whether a suspect may wait until it has a worker of its own.
+
+        One whose next crash could give it up waits, so that it crashes alone.
+        """
+        if pending.step.long_running:
+            return False
+        suspected = self._crashes(pending, index)
+        certain = pending.tasks[index].crashes
+        return (
+            len(certain) >= crash.MIN_CRASHES
+            or crash.has_fresh(suspected, self._now_ms, crash.MAX_HOLD_MS)
+            or not self._has_to_run(pending)
+        )
+
+    def _shared_worker(
+        self,
+        pending: backlog.PendingStep,
+        index: int,
+        candidates: list[resources.Candidate],
+    ) -> resources.Candidate | None:
+        """Return a worker for a suspect that can't wait for one of its own any more.
+
+        An idle worker remains open to others. Other workers are taken only if no task
+        there has just started, so that a crash tells more about its cause.
+        """
+        if self._may_wait_for_isolation(pending, index):
+            return None
+        settled = [item for item in candidates if not item.starting_count]
+        return self._best_candidate(
+            pending, index, settled, None
+        ) or self._best_candidate(pending, index, settled, None, opened=True)
+
+    def _has_to_run(self, pending: backlog.PendingStep) -> bool:
+        """Tell whether tasks must not wait beside workers that have room for them.
+
+        Long-running tasks have to be available all the time. Of other workflows
+        something has to run while less than half of the service is in use.
+        """
+        return pending.step.long_running or not (
+            self._is_running(pending.entry)
+            or self._used_share(pending.entry.queue.service) >= MAX_IDLE_USE
+        )
+
+    def _is_running(self, entry: machine.Entry) -> bool:
+        """Tell whether a task of a workflow is placed, or will be by this plan."""
+        return entry.workflow.workflow_id in self._placed_workflows or any(
+            task.placement is not None
+            for _, _, tasks in entry.tasks()
+            for task in tasks
+        )
+
+    def _used_share(self, service: str) -> float:
+        """Return the used share of the scarcer resource of a service."""
+        used = capacity = resources.NOTHING
+        for registered in self._state.workers.values():
+            if registered.worker.service == service:
+                capacity = resources.combined(capacity, registered.worker.capacity)
+                for key in self._state.placements_on(registered.worker.worker_id):
+                    step = self._state.entries[key.workflow_id].workflow.steps[key.step]
+                    used = resources.combined(used, resources.reserved(step))
+        for placement in self.placements:
+            entry = self._state.entries[placement.task.workflow_id]
+            if entry.queue.service == service:
+                step = entry.workflow.steps[placement.task.step]
+                used = resources.combined(used, resources.reserved(step))
+        return max(
+            used.accelerators / max(capacity.accelerators, 1),
+            used.cores_milli / max(capacity.cores_milli, 1),
+        )
+
     def _is_undecided(self, pending: backlog.PendingStep, index: int) -> bool:
-        task = pending.tasks[index]
-        return crash.is_undecided(task.crashes, task.possible_crashes, self._now_ms)
+        task, step = pending.tasks[index], pending.step
+        return crash.is_undecided(
+            suspicion.recent(task.crashes, step, self._now_ms),
+            task.possible_crashes,
+            self._now_ms,
+            crash.MAX_HOLD_MS,
+        )
 
     def _isolation_limit(self, service: str, workers_per_isolation: int) -> int:
         """Return how many workers may be closed to other tasks at a time."""
@@ -712,6 +801,8 @@
         index: int,
         candidates: Iterable[resources.Candidate],
         previous: resources.Candidate | None,
+        *,
+        opened: bool = False,
     ) -> resources.Candidate | None:
         """Return the worker for a task, ``None`` if it has to wait.
 
@@ -724,6 +815,7 @@
         - Fill tasks are spread, since they share the remaining cores.
         - Tasks during which a worker has crashed are kept apart from each other and
           from others, and away from that worker, so that the next crash tells more.
+          One that could not get a worker of its own goes where it meets fewest others.
 
         Parameters
         ----------
@@ -731,6 +823,8 @@
             Workers from `_with_room`.
         previous : Candidate or None
             Worker of the preceding task of the step.
+        opened : bool
+            Whether workers that are closed to other tasks may be chosen, too.
         """
         step = pending.step
         crashes = self._crashes(pending, index)
@@ -746,8 +840,9 @@
         best: resources.Candidate | None = None
         best_rank: tuple[bool, bool, int, int, int, int] | None = None
         is_urgent = pending.entry.queue.priority == 0
+        needs_isolation = self._needs_isolation(pending, index)
         for candidate in candidates:
-            if not _has_room(pending, candidate):
+            if not _has_room(pending, candidate, opened=opened):
                 continue
             rack_free_accelerators = (
                 0 if is_urgent else self._rack_free_accelerators[candidate.worker.rack]
@@ -755,6 +850,8 @@
             interferes = resources.interferes(candidate, step)
             has_crashed = candidate.worker.address in crash_addresses
             separation = candidate.crash_suspects + has_crashed
+            if needs_isolation:
+                separation += candidate.task_count
             if step.fill:
                 rank = (
                     interferes,
@@ -784,6 +881,7 @@
         self._rack_free_accelerators[candidate.worker.rack] -= (
             pending.step.needs.accelerators
         )
+        self._placed_workflows.add(pending.entry.workflow.workflow_id)
         last_run = pending.tasks[index].last_run
         if pending.step.gang:
             last_run = max(task.last_run for task in pending.tasks)
@@ -797,15 +895,31 @@
         )
 
 
-def _has_room(pending: backlog.PendingStep, candidate: resources.Candidate) -> bool:
+def _idle(candidates: list[resources.Candidate]) -> list[resources.Candidate]:
+    return [candidate for candidate in candidates if not candidate.task_count]
+
+
+def _has_room(
+    pending: backlog.PendingStep,
+    candidate: resources.Candidate,
+    *,
+    opened: bool = False,
+) -> bool:
     """Tell whether a worker has room for another task of a step.
 
     Silent workers have no room for members of gangs.
+
+    Parameters
+    ----------
+    opened : bool
+        Whether a worker that is closed to other tasks has room, too.
     """
     step = pending.step
     if step.gang and candidate.is_silent:
         return False
-    return candidate.fits(resources.reserved(step)) and candidate.has_task_slot(
+    if candidate.is_closed and not opened:
+        return False
+    return candidate.has_free(resources.reserved(step)) and candidate.has_task_slot(
         pending.key, step.max_per_worker
     )
 
--- a/marjoramusher/workflows/resources.py
+++ b/marjoramusher/workflows/resources.py
@@ -81,6 +81,8 @@
     ----------
     crash_suspects : int
         Number of tasks there during which a worker has crashed before.
+    starting_count : int
+        Number of tasks there that have not run for long enough to crash it.
     is_closed : bool
         Whether it takes no further tasks, since it is spared for a single one.
     """
@@ -101,6 +103,7 @@
         "memory_mb",
         "running",
         "serving_count",
+        "starting_count",
         "task_counts",
         "worker",
     )
@@ -116,6 +119,7 @@
         self.is_suspect = is_suspect
         self.is_silent = False
         self.crash_suspects = 0
+        self.starting_count = 0
         self.is_closed = False
         self.cores_milli = worker.capacity.cores_milli
         self.memory_mb = worker.capacity.memory_mb
@@ -169,9 +173,12 @@
 
     def fits(self, needs: workflow.Resources) -> bool:
         """Tell whether needs fit into the free resources of a worker that is open."""
+        return not self.is_closed and self.has_free(needs)
+
+    def has_free(self, needs: workflow.Resources) -> bool:
+        """Tell whether needs fit into the free resources."""
         return (
-            not self.is_closed
-            and needs.accelerators <= self.accelerators
+            needs.accelerators <= self.accelerators
             and needs.cores_milli <= self.cores_milli
             and needs.memory_mb <= self.memory_mb
         )
