Place overdue work against preferences while most of a service is idle

What callers saw: LOST; a job with nothing running, a task of which could run, with most of the workers' room free.

Cause: several preferences hold ready work back without any bound in time: the rack of the data, one rack for a gang, room that is kept for urgent work (a share of all registered workers, compared with the free room of the usable ones), and room that is reserved for a waiting gang. Each is worth a wait in a busy service; none of them looks at how long it has lasted, or at how much of the service is idle.

Change: the leader remembers since when each waiting step has had nothing of its workflow placed. Limits are kept: capacity, labels, tasks per worker, permits, the number of starts after crashes. workflow.held_back and steps_held_back tell operators which preference had to give way.

--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -25,6 +25,7 @@
 )
 from . import (
     health,
+    held,
     lease,
     misdirected,
     policy,
@@ -158,6 +159,7 @@
         self._plan_duration_s = 0.0
         self._next_forget_s = 0.0
         self._demand = demand.UrgentDemand()
+        self._held = held.HeldSteps(state)
         self._progress = progress.Progress(state, time, metrics_registry)
         self._policy = policy.PolicyClient(
             ports.policy, time, metrics_registry, self._wake.set
@@ -382,6 +384,7 @@
         self._health = health.Health()
         self._announced = {}
         self._demand = demand.UrgentDemand()
+        self._held = held.HeldSteps(self._state)
         self._progress.on_leading()
         self._maintenance.start()
         log.state_change(
@@ -542,12 +545,15 @@
             self._demand.headroom(urgent, backlog.total_accelerators(self._state)),
             self._policy.permits,
             now_s,
+            self._held.overdue(now_s),
         )
         plan = self._settings.planner(plan_input)
         self._plan_duration_s = self._clock.monotonic() - now_s
         self._metrics.observe("plan", self._plan_duration_s)
         self._policy.permits.retain(self._state.active)
         self._policy.query(plan.queries)
+        self._held.record(plan.wait_reasons, plan.placements, now_s)
+        self._progress.record_held_back(plan.held_back)
         self._progress.record_waiting(
             plan.wait_reasons, len(self._sessions), self._group.applied_index
         )
--- a/marjoramusher/executors/progress.py
+++ b/marjoramusher/executors/progress.py
@@ -99,6 +99,20 @@
             )
         self._wait_reasons = wait_reasons
 
+    def record_held_back(
+        self, held_back: dict[resources.StepKey, planner.WaitReason]
+    ) -> None:
+        """Log the steps that were placed because they were overdue beside room."""
+        for (workflow_id, occurrence, step), reason in held_back.items():
+            self._metrics.increment("steps_held_back", reason=reason.value)
+            log.state_change(
+                "workflow.held_back",
+                workflow=workflow_id,
+                occurrence=occurrence,
+                step=step,
+                reason=reason.value,
+            )
+
     def not_started(
         self, placements: Iterable[workflow.Placement]
     ) -> list[machine.Entry]:
--- a/marjoramusher/workflows/machine.py
+++ b/marjoramusher/workflows/machine.py
@@ -78,6 +78,13 @@
             for step, tasks in enumerate(steps):
                 yield occurrence, step, tasks
 
+    @property
+    def has_placement(self) -> bool:
+        """Tell whether a run of a task may be in progress."""
+        return any(
+            task.placement is not None for _, _, tasks in self.tasks() for task in tasks
+        )
+
     def is_ready(self, occurrence: int, step: int) -> bool:
         """Tell whether all tasks of the steps that a step depends on are done."""
         steps = self.occurrences[occurrence]
--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -2,7 +2,7 @@
 
 import enum
 import heapq
-from collections.abc import Iterable, Iterator, Mapping, Sequence
+from collections.abc import Collection, Iterable, Iterator, Mapping, Sequence
 from typing import Protocol, TypeAlias
 
 import msgspec
@@ -64,12 +64,15 @@
         Why tasks of a step were not placed, by key of the step.
     queries : tuple of PolicyQuery
         Queries to the policy service for pending tasks, the most urgent first.
+    held_back : dict
+        Why steps had waited that were overdue beside room for them, by key of the step.
     """
 
     placements: tuple[workflow.Placement, ...] = ()
     preemptions: tuple[tuple[workflow.Placement, str], ...] = ()
     wait_reasons: dict[resources.StepKey, WaitReason] = {}
     queries: tuple[permit.PolicyQuery, ...] = ()
+    held_back: dict[resources.StepKey, WaitReason] = {}
 
 
 class PlanInput(msgspec.Struct, frozen=True):
@@ -89,6 +92,8 @@
         Permits for steps of queues with a policy.
     now_s : float
         Time on the monotonic clock, on which permits expire.
+    overdue : collection of StepKey
+        Steps that have been ready for too long without a run of their workflow.
     """
 
     state: machine.WorkflowMachine
@@ -98,6 +103,7 @@
     headroom: int = 0
     permits: permit.Permits = msgspec.field(default_factory=permit.Permits)
     now_s: float = 0.0
+    overdue: Collection[resources.StepKey] = ()
 
 
 class Planner(Protocol):
@@ -118,11 +124,13 @@
     for pending in pending_steps:
         planner.place(pending)
     planner.place_suspects_on_idle_workers()
+    planner.place_overdue(pending_steps)
     return Plan(
         tuple(planner.placements),
         tuple(planner.preemptions),
         planner.wait_reasons,
         tuple(planner.queries),
+        planner.held_back,
     )
 
 
@@ -176,11 +184,15 @@
         self._shortage_reasons: dict[_RequestKind, WaitReason] = {}
         # Tasks for which no further busy worker may be spared.
         self._waiting_suspects: list[tuple[backlog.PendingStep, int]] = []
+        self._overdue = plan_input.overdue
+        self._reserved: list[tuple[resources.Candidate, workflow.Resources]] = []
         self._placed_workflows: set[str] = set()
+        self._used_shares: dict[str, tuple[int, float]] = {}
         self.placements: list[workflow.Placement] = []
         self.preemptions: list[tuple[workflow.Placement, str]] = []
         self.wait_reasons: dict[resources.StepKey, WaitReason] = {}
         self.queries: list[permit.PolicyQuery] = []
+        self.held_back: dict[resources.StepKey, WaitReason] = {}
         by_worker: dict[str, resources.Candidate] = {}
         for registered in state.workers.values():
             worker = registered.worker
@@ -258,6 +270,67 @@
             else:
                 self._place_task(pending, index, chosen)
 
+    def place_overdue(self, pending_steps: Iterable[backlog.PendingStep]) -> None:
+        """Place overdue steps on any worker with room.
+
+        Room that is kept or reserved for others, or that is away from the data, is
+        worth more than an idle service.
+        """
+        for pending in pending_steps:
+            key = pending.key
+            is_waiting = key in self._overdue and key in self.wait_reasons
+            if not is_waiting or not self._has_to_run(pending):
+                continue
+            while self._reserved:
+                candidate, needs = self._reserved.pop()
+                candidate.deallocate(needs)
+            count = len(self.placements)
+            if pending.step.gang:
+                self._place_gang_anywhere(pending)
+            else:
+                self._place_tasks_anywhere(pending)
+            if len(self.placements) > count:
+                self.held_back[key] = self.wait_reasons.pop(key)
+                workflow_id = pending.entry.workflow.workflow_id
+                self.preemptions = [
+                    (victim, beneficiary)
+                    for victim, beneficiary in self.preemptions
+                    if beneficiary != workflow_id
+                ]
+
+    def _place_tasks_anywhere(self, pending: backlog.PendingStep) -> None:
+        candidates = self._workers(pending).candidates
+        placed = {placement.task for placement in self.placements}
+        for index in self._by_crashes(pending):
+            is_waiting = self._is_undecided(pending, index) or (
+                self._needs_isolation(pending, index)
+                and self._may_wait_for_isolation(pending, index)
+            )
+            if is_waiting or pending.task_key(index) in placed:
+                continue
+            best = (
+                self._best_candidate(
+                    pending, index, _with_room(pending, candidates), None
+                )
+                or self._best_candidate(pending, index, candidates, None)
+                or self._best_candidate(pending, index, candidates, None, opened=True)
+            )
+            if best is None:
+                return
+            self._place_task(pending, index, best)
+
+    def _place_gang_anywhere(self, pending: backlog.PendingStep) -> None:
+        if any(self._is_undecided(pending, index) for index in pending.task_indexes):
+            return
+        workers = self._workers(pending)
+        scopes = self._gang_scopes(pending, workers)
+        chosen = next(
+            filter(None, (self._fit_gang(pending, scope) for scope in scopes)),
+            None,
+        ) or self._fit_gang(pending, workers.candidates, near_data=False)
+        for index, candidate in chosen.items():
+            self._place_task(pending, index, candidate)
+
     def _place_tasks(self, pending: backlog.PendingStep) -> None:
         kind = self._request_kind(pending)
         workers = self._workers(pending)
@@ -438,6 +511,7 @@
         for _ in pending.task_indexes:
             _, _, position, candidate = largest[0]
             candidate.reserve(needs)
+            self._reserved.append((candidate, needs))
             rank = (-candidate.accelerators, -candidate.cores_milli)
             heapq.heapreplace(largest, (*rank, position, candidate))
 
@@ -561,7 +635,11 @@
         ]
 
     def _fit_gang(
-        self, pending: backlog.PendingStep, candidates: list[resources.Candidate]
+        self,
+        pending: backlog.PendingStep,
+        candidates: list[resources.Candidate],
+        *,
+        near_data: bool = True,
     ) -> dict[int, resources.Candidate]:
         """Return a worker for each member, none if not all members fit.
 
@@ -569,7 +647,7 @@
         since other tasks would fill them again.
         """
         chosen: dict[int, resources.Candidate] = {}
-        free = _with_room(pending, candidates)
+        free = _with_room(pending, candidates) if near_data else candidates
         best: resources.Candidate | None = None
         can_isolate = self._can_isolate(pending, candidates)
         for index in self._by_crashes(pending):
@@ -676,14 +754,14 @@
 
     def _is_running(self, entry: machine.Entry) -> bool:
         """Tell whether a task of a workflow is placed, or will be by this plan."""
-        return entry.workflow.workflow_id in self._placed_workflows or any(
-            task.placement is not None
-            for _, _, tasks in entry.tasks()
-            for task in tasks
-        )
+        is_placed = entry.workflow.workflow_id in self._placed_workflows
+        return is_placed or entry.has_placement
 
     def _used_share(self, service: str) -> float:
         """Return the used share of the scarcer resource of a service."""
+        count, share = self._used_shares.get(service, (-1, 0.0))
+        if count == len(self.placements):
+            return share
         used = capacity = resources.NOTHING
         for registered in self._state.workers.values():
             if registered.worker.service == service:
@@ -696,10 +774,12 @@
             if entry.queue.service == service:
                 step = entry.workflow.steps[placement.task.step]
                 used = resources.combined(used, resources.reserved(step))
-        return max(
+        share = max(
             used.accelerators / max(capacity.accelerators, 1),
             used.cores_milli / max(capacity.cores_milli, 1),
         )
+        self._used_shares[service] = len(self.placements), share
+        return share
 
     def _is_undecided(self, pending: backlog.PendingStep, index: int) -> bool:
         task, step = pending.tasks[index], pending.step
--- a/marjoramusher/workflows/planner_test.py
+++ b/marjoramusher/workflows/planner_test.py
@@ -947,3 +947,165 @@
     assert 15 + len(workers_of(plan, small)) >= capacity / 2
     # One of the gangs keeps a rack, so that small tasks do not starve it.
     assert 15 + len(workers_of(plan, small)) < 0.7 * capacity
+
+
+def held(harness, name, **fields):
+    """Return a step's placements by a plan, and by one for which it is overdue."""
+    plan_input = planner.PlanInput(harness.state, harness.conditions, 0.0, **fields)
+    in_time = planner.plan(plan_input)
+    overdue = planner.plan(
+        msgspec.structs.replace(plan_input, overdue=frozenset([(name, 0, 0)]))
+    )
+    assert set(overdue.held_back) <= {(name, 0, 0)}
+    return workers_of(in_time, name), workers_of(overdue, name)
+
+
+@pytest.mark.parametrize("used, count", [(11, 2), (12, 0)])
+@pytest.mark.parametrize("gang", [False, True])
+def test_overdue_tasks_run_away_from_their_data(used, count, gang):
+    """Guards against a full rack that makes tasks wait while others are idle.
+
+    They wait for it while half of the service is in use.
+    """
+    harness = Harness(racks=3, size=8)
+    harness.submit("batch", 8, 8, rack="r1")
+    harness.submit("batch", used - 8, 8, rack="r2")
+    assert len(harness.run().placements) == used
+    name = harness.submit("batch", 2, 1, rack="r1", gang=gang)
+    in_time, overdue = held(harness, name)
+    assert in_time == []
+    assert len(overdue) == count
+
+
+def test_overdue_tasks_do_not_queue_up_for_the_last_usable_worker_of_a_rack():
+    """Guards against a rack of which one worker is left, which is busy."""
+    harness = Harness(racks=3, size=8)
+    harness.submit("batch", 1, 8, rack="r0")
+    harness.run()
+    for index in range(1, 8):
+        harness.conditions[f"0-{index}"] = condition.WorkerCondition(is_usable=False)
+    name = harness.submit("batch", 4, 1, rack="r0")
+    in_time, overdue = held(harness, name)
+    assert in_time == []
+    assert len(overdue) == 4
+
+
+def test_an_overdue_gang_takes_room_that_is_kept_for_urgent_work():
+    """Guards against a large gang that is held back while most workers are idle."""
+    harness = Harness(racks=3, size=8)
+    harness.submit("batch", 8, 8)
+    harness.run()
+    name = harness.submit("batch", 8, 8, gang=True)
+    capacity = 3 * 8 * CAPACITY.accelerators
+    headroom = int(demand.MAX_HEADROOM_SHARE * capacity)
+    in_time, overdue = held(harness, name, headroom=headroom)
+    assert in_time == []
+    assert len(overdue) == 8
+
+
+def test_overdue_tasks_run_although_most_workers_are_unusable():
+    """Guards against room for urgent work that is a share of unusable workers."""
+    harness = Harness(racks=3, size=8)
+    for name in list(harness.conditions)[8:]:
+        harness.conditions[name] = condition.WorkerCondition(is_usable=False)
+    harness.submit("batch", 2, 8)
+    harness.run()
+    name = harness.submit("batch", 1, 1)
+    capacity = 3 * 8 * CAPACITY.accelerators
+    headroom = int(demand.MAX_HEADROOM_SHARE * capacity)
+    in_time, overdue = held(harness, name, headroom=headroom)
+    assert in_time == []
+    assert len(overdue) == 1
+
+
+def test_overdue_tasks_take_room_that_is_reserved_for_a_gang():
+    """Guards against a gang that keeps an idle service from all smaller work."""
+    harness = Harness(size=8)
+    harness.submit("batch", 8, 1, max_per_worker=1)
+    harness.run()
+    harness.submit("long", 8, 8, gang=True)
+    name = harness.submit("batch", 1, 4)
+    in_time, overdue = held(harness, name)
+    assert in_time == []
+    assert len(overdue) == 1
+
+
+def test_an_overdue_gang_runs_on_several_racks():
+    """Guards against a gang that waits for one rack beside idle workers of three."""
+    harness = Harness(racks=3, size=8)
+    for rack in range(3):
+        harness.submit("batch", 3, 8, rack=f"r{rack}")
+    harness.run()
+    name = harness.submit("batch", 6, 8, gang=True, same_rack=True)
+    in_time, overdue = held(harness, name)
+    assert in_time == []
+    assert len(overdue) == 6
+
+
+def test_an_overdue_task_joins_a_suspect_only_where_there_is_no_other_room():
+    """Guards against tasks that wait for workers which are closed for suspects."""
+    harness = Harness(size=2)
+    suspect = harness.submit("batch", 1, 1)
+    blame(harness, suspect, 0, "a", "b")
+    (closed,) = workers_of(harness.run(), suspect)
+    (other,) = set(harness.conditions) - {closed}
+    name = harness.submit("batch", 1, 1)
+    assert held(harness, name) == ([other], [other])
+    harness.conditions[other] = condition.WorkerCondition(is_usable=False)
+    assert held(harness, name) == ([], [closed])
+
+
+@pytest.mark.parametrize("fields", [{}, {"gang": True}, {"long_running": True}])
+def test_an_overdue_task_waits_where_another_start_could_be_one_too_many(fields):
+    """Guards against a third start after three crashes that are not certain yet."""
+    harness = Harness(size=4)
+    name = harness.submit("urgent", 1, 2, **fields)
+    task = harness.state.task(workflow.TaskKey(name, 0, 0, 0))
+    task.possible_crashes.extend(crash.Crash(run, "b", 0) for run in range(1, 6))
+    assert held(harness, name) == ([], [])
+
+
+def test_overdue_tasks_get_no_more_than_workers_have():
+    """Guards against overcommitted workers once reservations are given back."""
+    rng = random.Random(3)
+    harness = Harness(racks=3, size=4)
+    for _ in range(40):
+        for _ in range(4):
+            harness.submit(
+                rng.choice(["urgent", "long", "batch"]),
+                rng.randint(1, 6),
+                rng.choice([1, 2, 4, 8]),
+                rng.choice([1000, 26000, 40000]),
+                gang=rng.random() < 0.5,
+                same_rack=rng.random() < 0.3,
+                rack=rng.choice(["", "r0", "r1"]),
+            )
+        overdue = frozenset(
+            (name, 0, 0) for name in harness.state.active if rng.random() < 0.7
+        )
+        plan = planner.plan(
+            planner.PlanInput(
+                harness.state,
+                harness.conditions,
+                rng.uniform(0, 9000),
+                headroom=rng.randint(0, 30),
+                overdue=overdue,
+            )
+        )
+        tasks = [placement.task for placement in plan.placements]
+        assert len(tasks) == len(set(tasks))
+        harness.apply(command.Assign(0, plan.placements))
+        placed = [
+            p
+            for worker_id in harness.conditions
+            for p in harness.state.placements_on(worker_id).values()
+        ]
+        assert {p.task for p in placed} >= set(tasks)
+        for worker_id in harness.conditions:
+            needs = [
+                harness.state.step(task).needs
+                for task in harness.state.placements_on(worker_id)
+            ]
+            assert sum(each.accelerators for each in needs) <= CAPACITY.accelerators
+            assert sum(each.cores_milli for each in needs) <= CAPACITY.cores_milli
+        harness.end(rng.sample(placed, len(placed) // 2), workflow.RunOutcome.DONE)
--- a/standins/leader.py
+++ b/standins/leader.py
@@ -188,11 +188,11 @@
             return LONG_WORK_S, outcome
         return self.rng.uniform(0.2, 4.0), outcome
 
-    async def join(self, name):
+    async def join(self, name, rack="r1"):
         """Start a process of a worker and register it."""
         self.incarnation += 1
         worker = workflow.Worker(
-            name, self.incarnation, name, "s", "fd", "r1", ("a", "r1"), CAPACITY
+            name, self.incarnation, name, "s", "fd", rack, ("a", rack), CAPACITY
         )
         self.fleet.join(worker)
         await self.group.propose(command.pack(command.RegisterWorker(0, worker)), 1.0)
