Wait for the rack of the data only while it can hold the work

Cause: a task with data near a rack waited for room there as long as the rack had one usable worker. A gang that is larger than the usable workers of that rack waited for ever, and so did a task larger than each of them (workers that were drained, have crashed, are cut off or have shrunk). In the same way, a gang for one rack counted a rack as large enough without regard to the limit of tasks per worker, and then never fitted.

Class: waiting for something that can't come.

Change: the rack binds only while its usable workers, if empty, could hold the task, or the whole gang with its limit per worker.

--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -148,21 +148,18 @@
     def __init__(self, candidates: Iterable[resources.Candidate]) -> None:
         self.candidates = list(candidates)
         self.by_rack: dict[str, list[resources.Candidate]] = {}
-        self._rack_sizes: dict[workflow.Resources, dict[str, int]] = {}
+        self._rack_sizes: dict[tuple[workflow.Resources, int], dict[str, int]] = {}
         for candidate in self.candidates:
             self.by_rack.setdefault(candidate.worker.rack, []).append(candidate)
 
-    def rack_sizes(self, needs: workflow.Resources) -> dict[str, int]:
-        """Return how many tasks each rack would hold if it were empty."""
-        if needs not in self._rack_sizes:
-            self._rack_sizes[needs] = {
-                rack: sum(
-                    resources.max_tasks(needs, candidate.worker.capacity)
-                    for candidate in members
-                )
-                for rack, members in self.by_rack.items()
+    def rack_sizes(self, step: workflow.Step) -> dict[str, int]:
+        """Return how many tasks of a step each rack would hold if it were empty."""
+        key = (resources.reserved(step), step.max_per_worker)
+        if key not in self._rack_sizes:
+            self._rack_sizes[key] = {
+                rack: _size(step, members) for rack, members in self.by_rack.items()
             }
-        return self._rack_sizes[needs]
+        return self._rack_sizes[key]
 
 
 class _PlanBuilder:
@@ -431,7 +428,7 @@
         needs = resources.reserved(step)
         in_one_rack = step.gang and step.same_rack
         if in_one_rack:
-            rack_sizes = self._workers(pending).rack_sizes(needs)
+            rack_sizes = self._workers(pending).rack_sizes(step)
             in_one_rack = step.count <= max(rack_sizes.values(), default=0)
         return (
             queue.service,
@@ -491,7 +488,7 @@
         if self._reservations >= MAX_RESERVATIONS or pool is None:
             return
         needs = resources.reserved(pending.step)
-        if sum(workers.rack_sizes(needs).values()) < pending.step.count:
+        if sum(workers.rack_sizes(pending.step).values()) < pending.step.count:
             return  # it can't start even if all workers are empty
         scopes = self._gang_scopes(pending, workers)
         largest = [
@@ -624,7 +621,7 @@
         """
         if not pending.step.same_rack:
             return [workers.candidates]
-        sizes = workers.rack_sizes(resources.reserved(pending.step))
+        sizes = workers.rack_sizes(pending.step)
         large_racks = [
             workers.by_rack[rack]
             for rack, size in sizes.items()
@@ -975,6 +972,14 @@
         )
 
 
+def _size(step: workflow.Step, candidates: Iterable[resources.Candidate]) -> int:
+    """Return how many tasks of a step some workers would hold if they were empty."""
+    needs = resources.reserved(step)
+    sizes = (resources.max_tasks(needs, item.worker.capacity) for item in candidates)
+    limit = step.max_per_worker
+    return sum(min(size, limit) if limit else size for size in sizes)
+
+
 def _idle(candidates: list[resources.Candidate]) -> list[resources.Candidate]:
     return [candidate for candidate in candidates if not candidate.task_count]
 
@@ -1010,12 +1015,14 @@
     """Return the workers with room for a task of a step.
 
     A task takes several times as long away from its data, so it waits for free
-    resources there as long as the rack has a usable worker.
+    resources there as long as the usable workers of the rack could hold it, or all
+    members of its gang.
     """
-    rack = pending.step.rack
-    if rack:
-        near = [candidate for candidate in candidates if candidate.worker.rack == rack]
-        candidates = near or candidates
+    step = pending.step
+    if step.rack:
+        near = [item for item in candidates if item.worker.rack == step.rack]
+        if _size(step, near) >= (step.count if step.gang else 1):
+            candidates = near
     return [candidate for candidate in candidates if _has_room(pending, candidate)]
 
 
--- a/marjoramusher/workflows/planner_test.py
+++ b/marjoramusher/workflows/planner_test.py
@@ -1109,3 +1109,41 @@
             assert sum(each.accelerators for each in needs) <= CAPACITY.accelerators
             assert sum(each.cores_milli for each in needs) <= CAPACITY.cores_milli
         harness.end(rng.sample(placed, len(placed) // 2), workflow.RunOutcome.DONE)
+
+
+def shrink(harness, worker_id, accelerators):
+    """Let a worker announce fewer accelerators."""
+    worker = harness.state.workers[worker_id].worker
+    capacity = msgspec.structs.replace(worker.capacity, accelerators=accelerators)
+    harness.apply(
+        command.RegisterWorker(0, msgspec.structs.replace(worker, capacity=capacity))
+    )
+
+
+@pytest.mark.parametrize("unusable, count", [(0, 9), (5, 4), (7, 2)])
+@pytest.mark.parametrize("same_rack", [False, True])
+def test_a_gang_larger_than_the_rack_of_its_data_runs_elsewhere(
+    same_rack, unusable, count
+):
+    """Guards against a gang that waits for ever for a rack that can't hold it."""
+    harness = Harness(racks=3, size=8)
+    for index in range(unusable):
+        harness.conditions[f"0-{index}"] = condition.WorkerCondition(is_usable=False)
+    name = harness.submit("batch", count, 8, gang=True, same_rack=same_rack, rack="r0")
+    assert len(workers_of(harness.plan(), name)) == count
+
+
+def test_a_task_larger_than_the_workers_near_its_data_runs_elsewhere():
+    """Guards against a task that waits for ever for a worker that has shrunk."""
+    harness = Harness(racks=2, size=1)
+    shrink(harness, "0-0", 4)
+    name = harness.submit("batch", 1, 8, rack="r0")
+    assert workers_of(harness.plan(), name) == ["1-0"]
+
+
+@pytest.mark.parametrize("fields", [{"rack": "r0"}, {"same_rack": True}])
+def test_a_gang_that_has_to_be_spread_wider_than_a_rack_starts(fields):
+    """Guards against a rack that counts as large enough although tasks are spread."""
+    harness = Harness(racks=2, size=2)
+    name = harness.submit("batch", 3, 1, gang=True, max_per_worker=1, **fields)
+    assert len(workers_of(harness.plan(), name)) == 3
