Check that nothing stands beside room once faults are over

The random tests of faults wait up to 300 s for the end of all workflows, so a task that is held back for 20 s, or until others end, never failed one. The new check looks at what the stand-in's workers run: from 4 s after the last fault no workflow may have nothing running for 3 s beside room for it twice over, while less than half of the capacity is in use.

The stand-in's log can now be held up (commands are committed in order, later than the leader waits) and confirmations can be lost, so that the outcome of a commit is unknown to the leader; before, a commit either succeeded or was never made.

--- a/marjoramusher/executors/held_test.py
+++ b/marjoramusher/executors/held_test.py
@@ -5,8 +5,7 @@
 import pytest
 
 from marjoramusher.executors import held
-from marjoramusher.workflows import backlog, resources
-from standins import virtual
+from standins import fleet, virtual
 from standins.leader import Harness, always, step
 
 MAX_STANDING_S = 3.0  # how long nothing of a workflow may run beside room for it
@@ -20,6 +19,22 @@
     await asyncio.sleep(1.0)
 
 
+async def submit_wide(harness):
+    """Submit a workflow whose data may be near a rack that can't hold it."""
+    rng = harness.rng
+    is_large = rng.random() < 0.2
+    await harness.submit(
+        rng.choice(["urgent", "batch", "batch"]),
+        step(
+            rng.randint(2, 6) if is_large else rng.randint(1, 4),
+            8 if is_large else rng.choice([1, 2, 4]),
+            gang=rng.random() < 0.5,
+            same_rack=rng.random() < 0.5,
+            rack=rng.choice(["", "r1", "r1", "r2"]),
+        ),
+    )
+
+
 class Standing:
     """Longest time for which nothing of a workflow ran beside room for it twice."""
 
@@ -27,43 +42,59 @@
         self._harness = harness
         self._since_s = {}
         self.longest_s = 0.0
+        self.longest = ""
 
     async def watch(self):
         while True:
             now_s = self._harness.clock.monotonic()
-            now_ms = self._harness.clock.utcnow().timestamp() * 1000
-            standing = set(self._standing(now_ms))
-            self._since_s = {name: self._since_s.get(name, now_s) for name in standing}
-            for since_s in self._since_s.values():
-                self.longest_s = max(self.longest_s, now_s - since_s)
+            self._since_s = {
+                name: self._since_s.get(name, now_s) for name in set(self._standing())
+            }
+            for name, since_s in self._since_s.items():
+                if now_s - since_s > self.longest_s:
+                    self.longest_s = now_s - since_s
+                    self.longest = name
             await asyncio.sleep(0.05)
 
-    def _standing(self, now_ms):
+    def _standing(self):
+        """Yield the workflows that could run and do not, by what workers run."""
         state = self._harness.state
-        free = {}
+        free = []
         used = total = 0
-        for name, registered in state.workers.items():
-            capacity = registered.worker.capacity
-            needs = [state.step(key).needs for key in state.placements_on(name)]
+        running = set()
+        for process in self._harness.fleet.processes.values():
+            if process.has_ended:
+                continue
+            capacity = process.worker.capacity
+            running |= {key.workflow_id for key in process.runs}
+            needs = [state.step(key).needs for key in process.runs if state.step(key)]
             accelerators = sum(each.accelerators for each in needs)
             cores_milli = sum(each.cores_milli for each in needs)
-            free[name] = (
-                capacity.accelerators - accelerators,
-                capacity.cores_milli - cores_milli,
+            free.append(
+                (
+                    capacity.accelerators - accelerators,
+                    capacity.cores_milli - cores_milli,
+                )
             )
             used += accelerators
             total += capacity.accelerators
         if 2 * used >= total:
             return
-        for pending in backlog.pending_steps(state, now_ms):
-            needs = resources.reserved(pending.step)
-            slots = sum(
-                min(accelerators // needs.accelerators, cores // needs.cores_milli)
-                for accelerators, cores in free.values()
-            )
-            count = pending.step.count if pending.step.gang else 1
-            if not pending.entry.has_placement and slots >= 2 * count:
-                yield pending.entry.workflow.workflow_id
+        for name, entry in state.active.items():
+            for occurrence, index, tasks in entry.tasks():
+                is_ready = entry.is_ready(occurrence, index)
+                if name in running or not is_ready or all(task.done for task in tasks):
+                    continue
+                step = entry.workflow.steps[index]
+                slots = sum(
+                    min(
+                        accelerators // step.needs.accelerators,
+                        cores_milli // step.needs.cores_milli,
+                    )
+                    for accelerators, cores_milli in free
+                )
+                if slots >= 2 * (step.count if step.gang else 1):
+                    yield name
 
 
 @pytest.mark.parametrize("gang", [False, True])
@@ -96,22 +127,12 @@
             standing = Standing(harness)
             watch = asyncio.create_task(standing.watch())
             for _ in range(40):
-                large = rng.random() < 0.2
-                await harness.submit(
-                    rng.choice(["urgent", "batch", "batch"]),
-                    step(
-                        rng.randint(2, 6) if large else rng.randint(1, 4),
-                        8 if large else rng.choice([1, 2, 4]),
-                        gang=rng.random() < 0.5,
-                        same_rack=rng.random() < 0.5,
-                        rack=rng.choice(["", "r1", "r1", "r2"]),
-                    ),
-                )
+                await submit_wide(harness)
                 await asyncio.sleep(rng.uniform(0, 2.0))
             await harness.wait_until_ended(120)
             watch.cancel()
             assert harness.fleet.violations == []
-            assert standing.longest_s < MAX_STANDING_S
+            assert standing.longest_s < MAX_STANDING_S, standing.longest
 
     virtual.run(scenario())
 
@@ -139,3 +160,59 @@
             assert steps.overdue(2.0) == {keys[0]}
 
     virtual.run(scenario())
+
+
+async def check_all_runs_after_faults(seed):
+    """Disturb everything, then check that nothing stands once it has been calm."""
+    async with Harness(seed) as harness:
+        rng, faulty = harness.rng, harness.fleet
+        await join_racks(harness)
+        harness.disturb_calls()
+        harness.replaces_leader = rng.random() < 0.7
+        harness.group.unconfirmed_rate = rng.choice([0.0, 0.05, 0.2])
+
+        async def cut_or_restart():
+            while True:
+                await asyncio.sleep(rng.uniform(0.5, 3))
+                name = rng.choice(list(faulty.processes))
+                if rng.random() < 0.5:
+                    faulty.unreachable.add(name)
+                    await asyncio.sleep(rng.uniform(0.5, 12))
+                    faulty.unreachable.discard(name)
+                    continue
+                faulty.processes[name].has_ended = True
+                await asyncio.sleep(rng.uniform(0.3, 3.0))
+                worker = harness.restart(name)
+                await asyncio.sleep(rng.uniform(0.0, 2.0))
+                await harness.announce(worker)
+
+        faults = [asyncio.create_task(cut_or_restart()) for _ in range(3)]
+        if seed % 2:
+            change = harness.change_leaders((2, 9), (0.05, 2))
+            faults.append(asyncio.create_task(change))
+        for _ in range(24):
+            await submit_wide(harness)
+            await asyncio.sleep(rng.uniform(0, 1))
+        for fault in faults:
+            fault.cancel()
+        await asyncio.gather(*faults, return_exceptions=True)
+        faulty.unreachable.clear()
+        faulty.refusal_rate = faulty.loss_rate = faulty.slow_rate = 0.0
+        harness.group.unconfirmed_rate = 0.0
+        if not harness.group.is_led:
+            harness.take_over()
+        for name, process in list(faulty.processes.items()):
+            worker = harness.restart(name) if process.has_ended else process.worker
+            await harness.announce(worker)
+        await asyncio.sleep(fleet.CONTACT_TIMEOUT_S)
+        standing = Standing(harness)
+        watch = asyncio.create_task(standing.watch())
+        await harness.check_all_end(200)
+        watch.cancel()
+        assert standing.longest_s < MAX_STANDING_S, standing.longest
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_nothing_stands_for_long_once_faults_are_over(seed):
+    """Guards against work that waits for what a fault has left behind."""
+    virtual.run(check_all_runs_after_faults(seed))
--- a/standins/leader.py
+++ b/standins/leader.py
@@ -41,6 +41,7 @@
 HEARTBEAT_S = 1.5
 WORKERS = 4
 COMMIT_S = 0.02
+MAX_COMMIT_DELAY_S = 5.0  # longer than the leader waits
 RUN_ON_S = fleet.CONTACT_TIMEOUT_S + fleet.CANCEL_S + fleet.STOP_TIMEOUT_S + 1.0
 LONG_WORK_S = 40.0
 CALL_RETRY_S = 0.5  # a worker that got no acknowledgement calls again
@@ -57,6 +58,12 @@
         self.current_term = 1
         self.changes = reactivex.subject.Subject()
         self.commit_s = COMMIT_S
+        # Share of the commands that hold up the log, and of those whose confirmation
+        # is lost.
+        self.unconfirmed_rate = 0.0
+        self.rng = random.Random(0)
+        self._log = asyncio.Lock()
+        self._appended = set()
 
     @property
     def is_leader(self):
@@ -93,7 +100,33 @@
             raise errors.NotLeaderError(None)
         if not self.has_fresh_quorum:
             raise errors.NoQuorumError("records has no fresh quorum")
-        return await self.propose(command, timeout_s)
+        term = self.current_term
+        appended = asyncio.create_task(self._append(command, term))
+        self._appended.add(appended)
+        appended.add_done_callback(self._appended.discard)
+        appended.add_done_callback(asyncio.Task.exception)
+        try:
+            async with asyncio.timeout(timeout_s):
+                result = await asyncio.shield(appended)
+        except TimeoutError as error:
+            raise self._unconfirmed() from error
+        if self.rng.random() < self.unconfirmed_rate:
+            raise self._unconfirmed()
+        return result
+
+    async def _append(self, command, term):
+        """Commit a command after all earlier ones, unless the leadership ends first."""
+        async with self._log:
+            if self.rng.random() < self.unconfirmed_rate:
+                await asyncio.sleep(self.rng.uniform(0.0, MAX_COMMIT_DELAY_S))
+            if not self.is_led or term != self.current_term:
+                raise self._unconfirmed()
+            return await self.propose(command, 1.0)
+
+    def _unconfirmed(self):
+        return errors.NoQuorumError(
+            "records did not answer in time", errors.Outcome.UNKNOWN
+        )
 
     def set_leader(self, is_led):
         """Give the leadership away, or take it back in a new term."""
@@ -138,6 +171,7 @@
         self.hosts = fleet.Hosts(self.fleet)
         self.state = machine.WorkflowMachine()
         self.group = Group(self.state)
+        self.group.rng = self.rng
         self.clock = virtual.LoopClock(loop)
         self.member = Member(self.group)
         self.driver = self.make_driver()
