Use workers in quarantine for overdue work without other room

Cause: a worker on which tasks of two workflows fail in a row gets nothing for 6 s, since it may be sick. Hopeless workflows fail wherever they run, so enough of them take most workers of a service out of use, and sound workflows wait beside idle workers, again and again.

Class: a count that is trusted without what it was counted of.

Change: the condition of a worker tells a quarantine from a worker that can't be used. Overdue work (nothing of its workflow placed for 1.5 s, less than half of the service in use) that finds no other room may go to quarantined workers, which are the last choice. A worker that refuses starts as unhealthy is still left alone for 2 s.

--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -613,6 +613,7 @@
                 current.serving,
                 current.accepts_fill,
                 is_silent,
+                verdict.is_quarantined,
             )
         return conditions
 
--- a/marjoramusher/executors/health.py
+++ b/marjoramusher/executors/health.py
@@ -14,15 +14,20 @@
 
 
 class Verdict(msgspec.Struct, frozen=True):
-    """Whether a worker may be used, and whether other workers are preferred."""
+    """Whether a worker may be used, and whether other workers are preferred.
+
+    One in quarantine is the last choice: the workflows may be at fault themselves.
+    """
 
     is_usable: bool = True
     is_suspect: bool = False
+    is_quarantined: bool = False
 
 
 class _Record(msgspec.Struct):
     failed_workflows: set[str] = set()
     quarantined_until_s: float = 0.0
+    refuses_until_s: float = 0.0
 
 
 class Health:
@@ -38,7 +43,7 @@
         record = self._records.setdefault(worker_id, _Record())
         if end.outcome is workflow.RunOutcome.DONE:
             record.failed_workflows = set()
-            record.quarantined_until_s = 0.0
+            record.quarantined_until_s = record.refuses_until_s = 0.0
             return False
         if end.outcome is not workflow.RunOutcome.FAILED:
             return False
@@ -61,9 +66,7 @@
     def record_refusal(self, worker_id: str, now_s: float) -> None:
         """Pause placement on a worker that reports itself as unhealthy."""
         record = self._records.setdefault(worker_id, _Record())
-        record.quarantined_until_s = max(
-            record.quarantined_until_s, now_s + REFUSAL_BACKOFF_S
-        )
+        record.refuses_until_s = now_s + REFUSAL_BACKOFF_S
 
     def verdict(self, worker_id: str, now_s: float) -> Verdict:
         """Return whether and how a worker may be used."""
@@ -71,5 +74,7 @@
         if record is None:
             return Verdict()
         return Verdict(
-            now_s >= record.quarantined_until_s, bool(record.failed_workflows)
+            now_s >= record.refuses_until_s,
+            bool(record.failed_workflows),
+            now_s < record.quarantined_until_s,
         )
--- a/marjoramusher/executors/held_test.py
+++ b/marjoramusher/executors/held_test.py
@@ -5,6 +5,7 @@
 import pytest
 
 from marjoramusher.executors import held
+from marjoramusher.workflows import workflow
 from standins import fleet, virtual
 from standins.leader import Harness, always, step
 
@@ -216,3 +217,39 @@
 def test_nothing_stands_for_long_once_faults_are_over(seed):
     """Guards against work that waits for what a fault has left behind."""
     virtual.run(check_all_runs_after_faults(seed))
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("share", [0.3, 0.6, 0.9])
+def test_sound_workflows_do_not_stand_beside_hopeless_ones(seed, share):
+    """Guards against workers that count as sick because of what they are given."""
+
+    async def scenario():
+        async with Harness(seed) as harness:
+            rng = harness.rng
+            hopeless = set()
+
+            def work_s(task, run):
+                is_failed = task.workflow_id in hopeless
+                outcome = workflow.RunOutcome.FAILED
+                return (
+                    rng.uniform(0.2, 2.0),
+                    outcome if is_failed else workflow.RunOutcome.DONE,
+                )
+
+            harness.fleet._work_s = work_s
+            await join_racks(harness)
+            standing = Standing(harness)
+            watch = asyncio.create_task(standing.watch())
+            for _ in range(40):
+                if rng.random() < share:
+                    hopeless.add(f"{harness.count + 1:016x}")
+                size = (rng.randint(1, 4), rng.choice([1, 2, 4]))
+                await harness.submit("batch", step(*size, gang=rng.random() < 0.5))
+                await asyncio.sleep(rng.uniform(0, 0.8))
+            await harness.wait_until_ended(100)
+            watch.cancel()
+            assert harness.fleet.violations == []
+            assert standing.longest_s < MAX_STANDING_S, standing.longest
+
+    virtual.run(scenario())
--- a/marjoramusher/workflows/condition.py
+++ b/marjoramusher/workflows/condition.py
@@ -27,6 +27,9 @@
     is_silent : bool
         Whether its last call got no reply, or a heartbeat of it is missing. It gets no
         gangs, since all other members would wait for the one there.
+    is_quarantined : bool
+        Whether tasks of several workflows have failed there in a row. Only overdue
+        tasks without other room are placed there.
     """
 
     is_usable: bool = True
@@ -36,3 +39,4 @@
     serving: frozenset[workflow.Placement] = frozenset()
     accepts_fill: bool = True
     is_silent: bool = False
+    is_quarantined: bool = False
--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -182,6 +182,9 @@
         # Tasks for which no further busy worker may be spared.
         self._waiting_suspects: list[tuple[backlog.PendingStep, int]] = []
         self._overdue = plan_input.overdue
+        self._quarantined: dict[
+            str, list[tuple[workflow.Worker, condition.WorkerCondition]]
+        ] = {}
         self._reserved: list[tuple[resources.Candidate, workflow.Resources]] = []
         self._placed_workflows: set[str] = set()
         self._used_shares: dict[str, tuple[int, float]] = {}
@@ -196,17 +199,26 @@
             status = conditions.get(worker.worker_id)
             if status is None or not status.is_usable or worker.draining:
                 continue
-            candidate = self._make_candidate(worker, status)
-            candidate.accepts_fill = status.accepts_fill
-            candidate.is_silent = status.is_silent
-            self._candidates.setdefault(worker.service, []).append(candidate)
-            by_worker[worker.worker_id] = candidate
-            free = max(candidate.accelerators, 0)
-            self._rack_free_accelerators[worker.rack] = (
-                self._rack_free_accelerators.get(worker.rack, 0) + free
-            )
+            if status.is_quarantined:
+                quarantined = self._quarantined.setdefault(worker.service, [])
+                quarantined.append((worker, status))
+                continue
+            by_worker[worker.worker_id] = self._add_candidate(worker, status)
         self._preemptor = preemption.Preemptor(state, conditions, by_worker)
 
+    def _add_candidate(
+        self, worker: workflow.Worker, status: condition.WorkerCondition
+    ) -> resources.Candidate:
+        candidate = self._make_candidate(worker, status)
+        candidate.accepts_fill = status.accepts_fill
+        candidate.is_silent = status.is_silent
+        self._candidates.setdefault(worker.service, []).append(candidate)
+        free = max(candidate.accelerators, 0)
+        self._rack_free_accelerators[worker.rack] = (
+            self._rack_free_accelerators.get(worker.rack, 0) + free
+        )
+        return candidate
+
     def _make_candidate(
         self, worker: workflow.Worker, status: condition.WorkerCondition
     ) -> resources.Candidate:
@@ -270,8 +282,8 @@
     def place_overdue(self, pending_steps: Iterable[backlog.PendingStep]) -> None:
         """Place overdue steps on any worker with room.
 
-        Room that is kept or reserved for others, or that is away from the data, is
-        worth more than an idle service.
+        Room that is kept or reserved for others, away from the data, or on a worker
+        that may fail it, is worth more to a workflow than an idle service.
         """
         for pending in pending_steps:
             key = pending.key
@@ -282,10 +294,9 @@
                 candidate, needs = self._reserved.pop()
                 candidate.deallocate(needs)
             count = len(self.placements)
-            if pending.step.gang:
-                self._place_gang_anywhere(pending)
-            else:
-                self._place_tasks_anywhere(pending)
+            self._place_anywhere(pending)
+            if len(self.placements) == count and self._add_quarantined(pending):
+                self._place_anywhere(pending)
             if len(self.placements) > count:
                 self.held_back[key] = self.wait_reasons.pop(key)
                 workflow_id = pending.entry.workflow.workflow_id
@@ -295,6 +306,21 @@
                     if beneficiary != workflow_id
                 ]
 
+    def _place_anywhere(self, pending: backlog.PendingStep) -> None:
+        if pending.step.gang:
+            self._place_gang_anywhere(pending)
+        else:
+            self._place_tasks_anywhere(pending)
+
+    def _add_quarantined(self, pending: backlog.PendingStep) -> bool:
+        """Add the workers in quarantine as the last choice; tell if there are any."""
+        quarantined = self._quarantined.pop(pending.entry.queue.service, [])
+        for worker, status in quarantined:
+            self._add_candidate(worker, status)
+        if quarantined:
+            self._worker_sets.clear()
+        return bool(quarantined)
+
     def _place_tasks_anywhere(self, pending: backlog.PendingStep) -> None:
         candidates = self._workers(pending).candidates
         placed = {placement.task for placement in self.placements}
--- a/marjoramusher/workflows/planner_test.py
+++ b/marjoramusher/workflows/planner_test.py
@@ -1147,3 +1147,18 @@
     harness = Harness(racks=2, size=2)
     name = harness.submit("batch", 3, 1, gang=True, max_per_worker=1, **fields)
     assert len(workers_of(harness.plan(), name)) == 3
+
+
+@pytest.mark.parametrize("fields", [{}, {"gang": True}])
+def test_overdue_tasks_run_on_quarantined_workers_if_there_is_no_other_room(fields):
+    """Guards against hopeless workflows that take a whole service out of use."""
+    harness = Harness(size=3)
+    for index in (0, 1):
+        harness.conditions[f"0-{index}"] = condition.WorkerCondition(
+            is_suspect=True, is_quarantined=True
+        )
+    name = harness.submit("batch", 1, 8, **fields)
+    assert held(harness, name) == (["0-2"], ["0-2"])
+    harness.run()
+    name = harness.submit("batch", 1, 8, **fields)
+    assert held(harness, name) == ([], ["0-0"])
