Let the stand-in's workers announce what they are at each attempt

A worker whose announcement was not acknowledged repeated it with the capacity of its first attempt, seconds later and under the same sequence number, which no worker of the platform does.

--- a/standins/leader.py
+++ b/standins/leader.py
@@ -327,9 +327,17 @@
             self.take_over()
 
     async def announce(self, worker, sequence=1, clock_ms=None):
-        """Announce a worker to whoever leads, until that is acknowledged."""
-        request = call.pack_call(call.Announce(worker, sequence, clock_ms))
+        """Announce a worker to whoever leads, until that is acknowledged.
+
+        Each attempt says what the worker is by then.
+        """
         while True:
+            process = self.fleet.processes.get(worker.worker_id)
+            if process is not None and (
+                process.worker.incarnation == worker.incarnation
+            ):
+                worker = process.worker
+            request = call.pack_call(call.Announce(worker, sequence, clock_ms))
             try:
                 await self.service.serve(request)
                 return
