--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -280,7 +280,7 @@
                 self._place_task(pending, index, chosen)
 
     def place_overdue(self, pending_steps: Iterable[backlog.PendingStep]) -> None:
-        """Place overdue steps on any worker if there is room for them twice.
+        """Place overdue steps on any worker with ample room.
 
         Room that is kept or reserved for others, away from the data, or on a worker
         that may fail it, is worth more to a workflow than an idle service.
@@ -294,9 +294,9 @@
                 candidate, needs = self._reserved.pop()
                 candidate.deallocate(needs)
             count = len(self.placements)
-            self._place_with_ease(pending)
+            self._place_if_ample(pending)
             if len(self.placements) == count and self._add_quarantined(pending):
-                self._place_with_ease(pending)
+                self._place_if_ample(pending)
             if len(self.placements) > count:
                 self.held_back[key] = self.wait_reasons.pop(key)
                 workflow_id = pending.entry.workflow.workflow_id
@@ -306,8 +306,8 @@
                     if beneficiary != workflow_id
                 ]
 
-    def _place_with_ease(self, pending: backlog.PendingStep) -> None:
-        """Place a step on any worker unless it would take most of what is free."""
+    def _place_if_ample(self, pending: backlog.PendingStep) -> None:
+        """Place a step on any worker if there is room for it twice."""
         step = pending.step
         free = _size(step, self._workers(pending).candidates, is_free=True)
         if free < 2 * (step.count if step.gang else 1):
@@ -736,7 +736,7 @@
     def _may_wait_for_isolation(self, pending: backlog.PendingStep, index: int) -> bool:
         """Tell whether a suspect may wait until it has a worker of its own.
 
-        One whose next crash could give it up waits, so that it crashes alone.
+        One whose next crash could give it up waits, so that it is alone if that comes.
         """
         if pending.step.long_running:
             return False
