Let the disturbed session last until its wave has begun

On that line was written at 26.0 s of virtual time, the very end of the session, since the stand-in's host service loses half of its calls; now that workers in quarantine take overdue work, the session runs in another order. It lasts 10 s longer, and the check is the same. workflow.held_back is written in it, so it leaves the list of rare lines.

--- a/tests/log_session_test.py
+++ b/tests/log_session_test.py
@@ -42,7 +42,6 @@
     "worker.report_not_committed",
     "worker.unreadable_entries",
     "workflow.cancel_unknown",
-    "workflow.held_back",
 }
 
 
@@ -86,7 +85,7 @@
         start_wave = command.StartWave(0, wave.Wave(1, hosts, 10.0, 1))
         harness.hosts.loss_rate = 0.5
         await harness.group.propose(command.pack(start_wave), 1.0)
-        await asyncio.sleep(15.0)
+        await asyncio.sleep(25.0)
         harness.group.set_leader(False)
         await asyncio.sleep(1.0)
 
