--- a/marjoramusher/executors/driver_test.py
+++ b/marjoramusher/executors/driver_test.py
@@ -459,21 +459,6 @@
             # Ends on an incarnation that has not announced itself fit into one list.
             faulty.max_listed_ends = rng.choice([20, 500])
 
-        async def cut_or_restart():
-            while True:
-                await asyncio.sleep(rng.uniform(1, 5))
-                name = rng.choice(list(faulty.processes))
-                if rng.random() < 0.5:
-                    faulty.unreachable.add(name)
-                    await asyncio.sleep(rng.uniform(shortest_cut_s, 12))
-                    faulty.unreachable.discard(name)
-                    continue
-                faulty.processes[name].has_ended = True
-                await asyncio.sleep(rng.uniform(0.3, 3.0))
-                worker = harness.restart(name)
-                await asyncio.sleep(rng.uniform(0.0, 2.0))
-                await harness.announce(worker)
-
         async def lose_quorum():
             while True:
                 await asyncio.sleep(rng.uniform(0.2, 2.0))
@@ -481,7 +466,10 @@
                 await asyncio.sleep(rng.uniform(0.01, 0.3))
                 harness.group.has_fresh_quorum = True
 
-        faults = [asyncio.create_task(cut_or_restart()) for _ in range(2)]
+        faults = [
+            asyncio.create_task(harness.cut_or_restart((1, 5), (shortest_cut_s, 12)))
+            for _ in range(2)
+        ]
         if seed % 3 == 0:
             faults.append(asyncio.create_task(lose_quorum()))
         if seed % 2:
--- a/marjoramusher/executors/held_test.py
+++ b/marjoramusher/executors/held_test.py
@@ -172,22 +172,10 @@
         harness.replaces_leader = rng.random() < 0.7
         harness.group.unconfirmed_rate = rng.choice([0.0, 0.05, 0.2])
 
-        async def cut_or_restart():
-            while True:
-                await asyncio.sleep(rng.uniform(0.5, 3))
-                name = rng.choice(list(faulty.processes))
-                if rng.random() < 0.5:
-                    faulty.unreachable.add(name)
-                    await asyncio.sleep(rng.uniform(0.5, 12))
-                    faulty.unreachable.discard(name)
-                    continue
-                faulty.processes[name].has_ended = True
-                await asyncio.sleep(rng.uniform(0.3, 3.0))
-                worker = harness.restart(name)
-                await asyncio.sleep(rng.uniform(0.0, 2.0))
-                await harness.announce(worker)
-
-        faults = [asyncio.create_task(cut_or_restart()) for _ in range(3)]
+        faults = [
+            asyncio.create_task(harness.cut_or_restart((0.5, 3), (0.5, 12)))
+            for _ in range(3)
+        ]
         if seed % 2:
             change = harness.change_leaders((2, 9), (0.05, 2))
             faults.append(asyncio.create_task(change))
--- a/standins/leader.py
+++ b/standins/leader.py
@@ -326,6 +326,29 @@
             await asyncio.sleep(self.rng.uniform(*absence_s))
             self.take_over()
 
+    async def cut_or_restart(self, pause_s, cut_s):
+        """Cut one worker off, or restart it, again and again until cancelled.
+
+        Parameters
+        ----------
+        pause_s, cut_s : tuple of float
+            Least and greatest pause before each fault, and duration of a cut.
+        """
+        rng, processes = self.rng, self.fleet.processes
+        while True:
+            await asyncio.sleep(rng.uniform(*pause_s))
+            name = rng.choice(list(processes))
+            if rng.random() < 0.5:
+                self.fleet.unreachable.add(name)
+                await asyncio.sleep(rng.uniform(*cut_s))
+                self.fleet.unreachable.discard(name)
+                continue
+            processes[name].has_ended = True
+            await asyncio.sleep(rng.uniform(0.3, 3.0))
+            worker = self.restart(name)
+            await asyncio.sleep(rng.uniform(0.0, 2.0))
+            await self.announce(worker)
+
     async def announce(self, worker, sequence=1, clock_ms=None):
         """Announce a worker to whoever leads, until that is acknowledged.
 
