--- a/review/bed/runner.py
+++ b/review/bed/runner.py
@@ -71,6 +71,9 @@
         self.finished: list[list[Any]] = []
         self._site: web.AppRunner | None = None
         self._tasks: set[asyncio.Task] = set()
+        self._late: set[asyncio.Task] = set()
+        self.late_share = 0.0
+        self.renewed_s = 0.0
 
     async def boot(self, born_ms: int | None = None) -> None:
         """Begin a lifetime that knows nothing of earlier ones."""
@@ -109,6 +112,9 @@
         for run in self.active.values():
             run.task.cancel()
         self.active = {}
+        for connection in self._site.server.connections if self._site else ():
+            if connection.transport is not None:
+                connection.transport.abort()
         tasks = [*self._tasks]
         self._tasks.clear()
         for task in tasks:
@@ -247,12 +253,40 @@
         return min(int(100 * age_s / whole_s), 100 if run.spec.get("lasts") else 99)
 
     async def _receive(self, request: web.Request) -> dict[str, Any]:
-        """Return the body, unless the request is lost on its way."""
+        """Return the body, unless the request is lost on its way or held up."""
         body = await request.json()
         if self.is_cut:
             await self._lose(request)
+        if "X-Late" not in request.headers and random.random() < self.late_share:
+            self._hold_up(request, body)
+            await self._lose(request)
         return body
 
+    def _hold_up(self, request: web.Request, body: dict[str, Any]) -> None:
+        """Carry a request out seconds later, in whatever lifetime is there then."""
+        path = request.path
+        headers = {
+            "X-Expected-Instance": request.headers["X-Expected-Instance"],
+            "X-Late": "1",
+        }
+
+        async def deliver() -> None:
+            await asyncio.sleep(random.uniform(2.0, 12.0))
+            self.record(event="late_order", path=path, runner=self.name, body=body)
+            url = f"http://{self.address[0]}:{self.address[1]}{path}"
+            try:
+                async with (
+                    aiohttp.ClientSession() as session,
+                    session.post(url, json=body, headers=headers) as response,
+                ):
+                    await response.read()
+            except (aiohttp.ClientError, OSError):
+                pass  # nobody listens there now
+
+        task = asyncio.get_running_loop().create_task(deliver())
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+
     async def _lose(self, request: web.Request) -> None:
         """Give no answer: the packets of a cut are lost, and the caller gives up."""
         while request.transport is not None and not request.transport.is_closing():
@@ -262,7 +296,7 @@
     async def _reply(
         self, request: web.Request, status: int = 200, **body: Any
     ) -> web.Response:
-        if self.is_cut:
+        if self.is_cut or not self.is_up:
             await self._lose(request)
         return web.json_response({"clock_ms": self.clock_ms, **body}, status=status)
 
@@ -347,6 +381,7 @@
             return await self._reply(request, 409, reason="fence")
         self.token = body.get("fencing_token", 0)
         self._extend(body.get("deadline_ms"))
+        self.renewed_s = time.monotonic()
         seen = body.get("last_seen", 0)
         self.finished = [end for end in self.finished if end[0] > seen]
         if not self.finished and body.get("wait_ms"):
