--- a/review/bed/system.py
+++ b/review/bed/system.py
@@ -87,8 +87,6 @@
         self.runners: dict[str, runner.Runner] = {}
         self.specs: dict[str, dict[str, Any]] = {}
         self.recommendation: str | None = None
-        self.cloud: str | None = None
-        self._version = 0
         self._logs: list[Any] = []
 
     @property
@@ -169,9 +167,7 @@
             "bounds": BOUNDS,
             "control_mode": "invocation",
             "recommendation": self.recommendation,
-            "cloud_api": {"address": self.cloud, "rate_per_s": 60.0, "duty_per_s": 60.0}
-            if self.cloud
-            else None,
+            "cloud_api": None,
         }
         path = self._folder / f"boot-{address}.json"
         path.write_text(json.dumps(settings))
@@ -453,7 +449,8 @@
             try:
                 async with asyncio.timeout(110):
                     broken = await case(bed, has_trouble)
-            except (CannotRunError, TimeoutError) as failure:
+            except Exception as failure:
+                # Whatever stops the case itself says nothing about the rule.
                 bed.record(event="cannot_run", reason=repr(failure))
                 print(f"could not run: {failure!r}")
                 return 2
