--- a/review/bed/advice.py
+++ b/review/bed/advice.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Container
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
@@ -36,7 +36,6 @@
         self._waiting = 0
         self._tickets: dict[tuple[str, str, int], tuple[str, float]] = {}
         self.born: dict[str, int] = {}
-        self.denied: Container[str] = ()
 
     async def start(self, host: str) -> str:
         """Serve on a free port, and return the address."""
@@ -74,7 +73,7 @@
             self._waiting -= 1
         rows = []
         for worker in workers:
-            if worker in self.denied or worker not in self.born:
+            if worker not in self.born:
                 continue
             ticket = f"t-{body['step_id']}-{worker}"
             until_s = time.monotonic() + self._validity_ms / 1000
--- a/review/bed/system.py
+++ b/review/bed/system.py
@@ -206,25 +206,6 @@
         status, _ = await self.send("GET", f"http://{gateway}:8523/readiness", 1.0)
         return status == 200
 
-    def signal(self, address: str, number: int) -> None:
-        """Send a signal to the process of an address."""
-        self.record(event="signal", address=address, number=int(number))
-        self.processes[address].send_signal(number)
-
-    async def find_leader(self, timeout_s: float = 10.0) -> str:
-        """Return the address of the leader, by the log lines of the programs."""
-        deadline_s = self.now_s + timeout_s
-        while self.now_s < deadline_s:
-            for address in self.controllers:
-                log = (self._folder / f"log-{address}.txt").read_text(errors="replace")
-                started = log.rfind('"driver.started"')
-                stopped = log.rfind('"driver.stopped"')
-                process = self.processes[address]
-                if started > stopped and process.returncode is None:
-                    return address
-            await asyncio.sleep(0.1)
-        raise CannotRunError("no leader was found")
-
     # Calls.
 
     async def send(
