--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,7 @@
 """A start that is carried out late runs in the next lifetime beside a later run."""
 
 import asyncio
+import os
 import pathlib
 import sys
 from typing import Any
@@ -12,6 +13,7 @@
 from bed import runner, system  # noqa: E402
 
 RUNNERS = 12
+OTHERS = 24  # work items whose starts are not late
 LATE_S = 8.9  # after the first attempt at the start: 2 to 12 s
 CUT_AT_S, CUT_S = 3.0, 5.0
 CRASH_AT_S, BOOT_AT_S = 4.0, 5.0
@@ -31,9 +33,11 @@
 async def _case(bed: system.Bed, has_trouble: bool) -> str:
     held: list[runner.Runner] = []
 
+    job = f"{1:016x}"
+
     def delay_by(one: runner.Runner) -> Any:
         def delay_of(path: str, body: Any) -> float | None:
-            if held or path != "/run-start":
+            if held or path != "/run-start" or not body["task"].startswith(job):
                 return None
             held.append(one)
             bed.record(
@@ -49,8 +53,10 @@
             one.delay_of = delay_by(one)
     await bed.start(MANIFEST)
     await bed.wait_registered()
-    await asyncio.sleep(2)
-    job, _ = await bed.submit("/survey/", "key-one", [STEP], {"run_s": 20.0})
+    others = {**STEP, "count": OTHERS, "estimated_ms": 1000}
+    await bed.submit("/survey/", "key-one", [others], {"run_s": 1.0})
+    await asyncio.sleep(3)
+    await bed.submit("/survey/", "key-one", [STEP], {"run_s": 20.0}, job)
     started_s = bed.now_s
     if has_trouble:
         while not held:
@@ -73,4 +79,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(system.run_case(_case, str(FOLDER)))
+    HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+    sys.exit(system.run_case(_case, str(FOLDER), has_trouble=HAS_TROUBLE))
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,6 +1,7 @@
 """A job whose queue needs advice waits for ever behind others that can't start."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -12,7 +13,10 @@
 
 RUNNERS = 12
 BUSY = ("i-10", "i-11")  # of kind b, and in use by work that lasts
-BURST = 24
+# The usual rate of water-alert, and its largest burst in the site file.
+RATE_PER_S = 1.05
+BURST_FACTOR, BURST_S = 2.3, 6.0
+JOBS = 24
 RECOMMENDATION = {"decision_ms": 200, "per_worker_ms": 5, "validity_ms": 3000}
 FINISH_S = system.BOUNDS["finish_s"]
 MANIFEST = system.make_manifest(
@@ -65,7 +69,10 @@
         await bed.submit("/serve/", "key-one", [lasting], {"lasts": True})
     await asyncio.sleep(2)
     if has_trouble:
-        for _ in range(BURST):
+        begun_s = bed.now_s
+        for _ in range(JOBS):
+            is_burst = bed.now_s - begun_s < BURST_S
+            await asyncio.sleep(1 / RATE_PER_S / (BURST_FACTOR if is_burst else 1))
             job = f"{len(guarded):016x}"
             guarded.add(job)
             await bed.submit(
@@ -102,4 +109,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(system.run_case(_case, str(FOLDER)))
+    HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+    sys.exit(system.run_case(_case, str(FOLDER), has_trouble=HAS_TROUBLE))
--- a/review/bed/system.py
+++ b/review/bed/system.py
@@ -415,17 +415,18 @@
     return f"TWICE: {'; '.join(found)}" if found else ""
 
 
-def run_case(case: Any, folder: str) -> int:
+def run_case(case: Any, folder: str, *, has_trouble: bool) -> int:
     """Run a case; return 1 if its rule was broken, 0 if it held, 2 if it did not run.
 
     Parameters
     ----------
     case : callable
         ``await case(bed, has_trouble)`` returns what broke the rule, empty if nothing.
+    has_trouble : bool
+        Whether the case has its disruption.
     """
 
     async def play() -> int:
-        has_trouble = os.environ.get("TROUBLE", "1") != "0"
         async with Bed(pathlib.Path(folder)) as bed:
             try:
                 async with asyncio.timeout(110):
