Let steps take turns at the policy service

Cause: the service handles one call at a time, and the client sent the first query of each plan, which lists them by urgency. Permits of steps without room ran out before the last of these steps was asked about, and renewing them took every call. policy.answered names the urgent steps in turn and no other.

--- a/marjoramusher/executors/driver_test.py
+++ b/marjoramusher/executors/driver_test.py
@@ -1194,6 +1194,50 @@
     virtual.run(scenario())
 
 
+@pytest.mark.parametrize("count, call_s", [(12, 0.3), (24, 0.21), (80, 0.21)])
+@pytest.mark.parametrize("gang", [False, True])
+def test_permits_of_steps_without_room_hold_back_no_other_queue(count, call_s, gang):
+    """Guards against renewals that take all the time of the policy service."""
+
+    async def scenario():
+        async with Harness(28) as harness:
+            harness.policy.call_s = call_s
+            lasting = step(WORKERS, 2, long_running=True, max_per_worker=1)
+            await harness.submit("batch", lasting)
+            await asyncio.sleep(2.0)
+            for _ in range(count):
+                await harness.submit("policed-urgent", step(1, 8, gang=gang))
+                await asyncio.sleep(2 * call_s)
+            for _ in range(3):
+                name = await harness.submit("policed", step(1, 1))
+                await asyncio.sleep(MAX_IDLE_S)
+                assert harness.state.entries[name].is_started
+
+    virtual.run(scenario())
+
+
+@pytest.mark.parametrize("count", [1, 2, 4])
+@pytest.mark.parametrize("hanging", [False, True])
+def test_steps_whose_queries_fail_hold_back_no_other(count, hanging):
+    """Guards against urgent steps that are queried in vain before all others."""
+
+    async def scenario():
+        async with Harness(28) as harness:
+            harness.policy.hanging = hanging
+            for _ in range(count):
+                name = await harness.submit("policed-urgent", step(1, 1))
+                harness.policy.failing_steps.add((name, 0, 0))
+            await asyncio.sleep(2.0 * count)  # until each of them has failed
+            for _ in range(3):
+                name = await harness.submit("policed", step(1, 1))
+                await asyncio.sleep(MAX_IDLE_S)
+                assert harness.state.entries[name].is_started
+            harness.policy.failing_steps.clear()
+            await harness.check_all_end(20)
+
+    virtual.run(scenario())
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_permits_are_asked_for_again_after_changes_of_the_leader(seed):
     async def scenario():
--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -10,7 +10,6 @@
 from ..core import crash
 from . import (
     backlog,
-    catalog,
     condition,
     machine,
     permit,
@@ -63,7 +62,8 @@
     wait_reasons : dict
         Why tasks of a step were not placed, by key of the step.
     queries : tuple of PolicyQuery
-        Queries to the policy service for pending tasks, the most urgent first.
+        Queries to the policy service for pending tasks, one a step, the most urgent
+        first.
     held_back : dict
         Why steps had waited that were overdue beside room for them, by key of the step.
     """
@@ -129,7 +129,7 @@
         tuple(planner.placements),
         tuple(planner.preemptions),
         planner.wait_reasons,
-        tuple(planner.queries),
+        tuple(planner.queries.values()),
         planner.held_back,
     )
 
@@ -191,7 +191,7 @@
         self.placements: list[workflow.Placement] = []
         self.preemptions: list[tuple[workflow.Placement, str]] = []
         self.wait_reasons: dict[resources.StepKey, WaitReason] = {}
-        self.queries: list[permit.PolicyQuery] = []
+        self.queries: dict[resources.StepKey, permit.PolicyQuery] = {}
         self.held_back: dict[resources.StepKey, WaitReason] = {}
         by_worker: dict[str, resources.Candidate] = {}
         for registered in state.workers.values():
@@ -252,12 +252,8 @@
             self._place_gang(pending)
         else:
             self._place_tasks(pending)
-        policy = pending.entry.queue.policy
-        if policy is not None and self.wait_reasons.get(pending.key) not in (
-            None,
-            WaitReason.HEADROOM,
-        ):
-            self._add_query(pending, policy)
+        if self.wait_reasons.get(pending.key) not in (None, WaitReason.HEADROOM):
+            self._add_query(pending)
 
     def place_suspects_on_idle_workers(self) -> None:
         """Spare more workers for suspects if the plan has left them idle.
@@ -299,6 +295,7 @@
                 self._place_if_ample(pending)
             if len(self.placements) > count:
                 self.held_back[key] = self.wait_reasons.pop(key)
+                self.queries.pop(key, None)
                 workflow_id = pending.entry.workflow.workflow_id
                 self.preemptions = [
                     (victim, beneficiary)
@@ -553,14 +550,17 @@
             workflow_id = pending.entry.workflow.workflow_id
             self.preemptions.extend((victim, workflow_id) for victim in victims)
 
-    def _add_query(self, pending: backlog.PendingStep, policy: catalog.Policy) -> None:
-        """Query permits for further workers that could run a pending step.
+    def _add_query(self, pending: backlog.PendingStep) -> None:
+        """Query permits for further workers that could run a pending step, if needed.
 
         Expired permits of steps that are not urgent are renewed only for workers that
         have free resources now, since a permit expires before other runs end.
         """
+        queue = pending.entry.queue
+        if queue.policy is None:
+            return
         needs = resources.reserved(pending.step)
-        is_urgent = pending.entry.queue.priority == 0
+        is_urgent = queue.priority == 0
         permits = self._permits
         candidates = [
             candidate
@@ -583,7 +583,27 @@
         workers = tuple(
             candidate.worker for candidate in candidates[: permit.MAX_QUERIED_WORKERS]
         )
-        self.queries.append(permit.PolicyQuery(pending.key, workers, policy))
+        # An urgent step may preempt others, but only where it is permitted.
+        can_start = self._has_room_for_step(pending, candidates) or (
+            is_urgent and not permits.is_answered(pending.key)
+        )
+        self.queries[pending.key] = permit.PolicyQuery(
+            pending.key, workers, queue.policy, queue.priority, can_start
+        )
+
+    def _has_room_for_step(
+        self, pending: backlog.PendingStep, queried: list[resources.Candidate]
+    ) -> bool:
+        """Tell whether a task could start on one of some workers if it was permitted.
+
+        A gang needs room for all members, also on workers that are permitted already.
+        """
+        if not any(_has_room(pending, candidate) for candidate in queried):
+            return False
+        if not pending.step.gang:
+            return True
+        free = _size(pending.step, self._suitable(pending), is_free=True)
+        return free >= len(pending.task_indexes)
 
     def _query_rank(
         self, pending: backlog.PendingStep, candidate: resources.Candidate
--- a/marjoramusher/workflows/planner_test.py
+++ b/marjoramusher/workflows/planner_test.py
@@ -13,18 +13,24 @@
     condition,
     demand,
     machine,
+    permit,
     planner,
     preemption,
     resources,
     workflow,
 )
 
+POLICY = catalog.Policy(200.0, 5.0, 3000.0)
 CATALOG = catalog.Catalog(
     1,
     (
         catalog.Queue("urgent", "h", "/u/", "s", 0, 3, 1.5, 600, 1000),
         catalog.Queue("long", "h", "/l/", "s", 1, 3, 3.0, 1500, 1000),
         catalog.Queue("batch", "h", "/b/", "s", 2, 3, 3.0, 3000, 1000),
+        catalog.Queue("policed", "h", "/p/", "s", 2, 3, 3.0, 3000, 1000, policy=POLICY),
+        catalog.Queue(
+            "policed-urgent", "h", "/q/", "s", 0, 3, 1.5, 600, 1000, policy=POLICY
+        ),
     ),
     (catalog.Service("s"),),
     (catalog.Account("a", ("k",), 8), catalog.Account("b", ("l",), 4)),
@@ -1165,3 +1171,44 @@
     harness.run()
     name = harness.submit("batch", 1, 8, **fields)
     assert held(harness, name) == ([], ["0-0"])
+
+
+def permit_all(plan, permits, now_s=0.0):
+    """Answer the queries of a plan with permits for all workers."""
+    for query in plan.queries:
+        tickets = {worker.worker_id: "t" for worker in query.workers}
+        permits.record(query.step, query.workers, tickets, now_s + 3.0)
+
+
+@pytest.mark.parametrize("gang", [False, True])
+@pytest.mark.parametrize(
+    "queue, used, is_answered, can_start",
+    [
+        ("policed", 8, True, True),
+        ("policed", 16, False, False),
+        ("policed-urgent", 16, False, True),
+        ("policed-urgent", 16, True, False),
+        ("policed-urgent", 8, True, True),
+    ],
+)
+def test_queries_tell_whether_a_permit_would_let_tasks_start(
+    queue, used, is_answered, can_start, gang
+):
+    """Guards against steps without room that are queried before others.
+
+    The first query of an urgent step counts, too, since it may preempt others.
+    """
+    harness = Harness(size=2)
+    if used:
+        harness.submit("batch", used, 1, long_running=True)
+        harness.run()
+    name = harness.submit(queue, 1, 8, gang=gang)
+    permits = permit.Permits()
+    plan_input = planner.PlanInput(
+        harness.state, harness.conditions, 0.0, permits=permits
+    )
+    if is_answered:
+        permit_all(planner.plan(plan_input), permits, -10.0)
+    (query,) = planner.plan(plan_input).queries
+    assert query.step == (name, 0, 0)
+    assert query.can_start == can_start
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -781,6 +781,17 @@
         Validity of the tickets.
     call_s : float
         Duration of a call.
+
+    Attributes
+    ----------
+    calls : list
+        Workers that each call names.
+    failing : bool
+        Whether all calls fail.
+    failing_steps : set
+        Steps whose calls fail.
+    hanging : bool
+        Whether failing calls take until their timeout.
     """
 
     def __init__(
@@ -793,17 +804,21 @@
         self._fleet = fleet
         self._is_permitted = is_permitted
         self._validity_s = validity_s
-        self._call_s = call_s
+        self.call_s = call_s
         self.calls: list[tuple[str, ...]] = []
         self.failing = False
+        self.failing_steps: set[tuple[str, int, int]] = set()
+        self.hanging = False
 
     async def request_permits(
         self, step: tuple[str, int, int], worker_ids: tuple[str, ...], timeout_s: float
     ) -> port.PolicyDecision:
         """Return tickets for the workers that may run a step."""
         self.calls.append(worker_ids)
-        await asyncio.sleep(min(self._call_s, timeout_s))
-        if self.failing:
+        is_failing = self.failing or step in self.failing_steps
+        is_hanging = self.hanging and is_failing
+        await asyncio.sleep(timeout_s if is_hanging else min(self.call_s, timeout_s))
+        if is_failing:
             raise port.PolicyUnavailableError("429")
         expires_s = asyncio.get_running_loop().time() + self._validity_s
         step_tickets = self._fleet.tickets.setdefault(step, {})
--- a/standins/leader.py
+++ b/standins/leader.py
@@ -34,6 +34,18 @@
             1000,
             policy=catalog.Policy(100.0, 0.0, 3000.0),
         ),
+        catalog.Queue(
+            "policed-urgent",
+            "h",
+            "/q/",
+            "s",
+            0,
+            4,
+            3.0,
+            600,
+            1000,
+            policy=catalog.Policy(100.0, 0.0, 3000.0),
+        ),
     ),
     (catalog.Service("s"),),
 )
@@ -397,7 +409,7 @@
         now_ms = int(self.clock.utcnow().timestamp() * 1000)
         submitted = workflow.Workflow(name, queue, "a", f"spec {name}", steps, now_ms)
         self.fleet.submitted[name] = submitted
-        if queue == "policed":
+        if queue.startswith("policed"):
             self.fleet.tickets.update({(name, 0, i): {} for i in range(len(steps))})
         await self.group.propose(command.pack(command.Submit(now_ms, submitted)), 1.0)
         return name
