Query permits for all workers that an overdue step may use

What callers would see: a step of a queue with advice waits for ever beside idle workers that are kept for urgent work, reserved for a gang, in quarantine, or away from its data.

Cause: a step that has waited for 1.5 s may use such workers, but only with a permit, and none was asked for: steps that wait for headroom were not asked about at all, expired permits were renewed only where there was room beside all reservations, and full workers of a rack came before idle ones elsewhere.

Change: an overdue step asks about all workers that it may use, those with room first, also after reservations and quarantine were set aside for it.

--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -252,7 +252,11 @@
             self._place_gang(pending)
         else:
             self._place_tasks(pending)
-        if self.wait_reasons.get(pending.key) not in (None, WaitReason.HEADROOM):
+        reason = self.wait_reasons.get(pending.key)
+        # Steps that wait for headroom need no permit until they are overdue.
+        if reason not in (None, WaitReason.HEADROOM) or (
+            reason is not None and pending.key in self._overdue
+        ):
             self._add_query(pending)
 
     def place_suspects_on_idle_workers(self) -> None:
@@ -293,7 +297,9 @@
             self._place_if_ample(pending)
             if len(self.placements) == count and self._add_quarantined(pending):
                 self._place_if_ample(pending)
-            if len(self.placements) > count:
+            if len(self.placements) == count:
+                self._add_query(pending)
+            else:
                 self.held_back[key] = self.wait_reasons.pop(key)
                 self.queries.pop(key, None)
                 workflow_id = pending.entry.workflow.workflow_id
@@ -554,13 +560,15 @@
         """Query permits for further workers that could run a pending step, if needed.
 
         Expired permits of steps that are not urgent are renewed only for workers that
-        have free resources now, since a permit expires before other runs end.
+        have free resources now, since a permit expires before other runs end. Overdue
+        steps may use what is kept or reserved for others.
         """
         queue = pending.entry.queue
         if queue.policy is None:
             return
         needs = resources.reserved(pending.step)
         is_urgent = queue.priority == 0
+        renews_full = is_urgent or pending.key in self._overdue
         permits = self._permits
         candidates = [
             candidate
@@ -568,7 +576,7 @@
             if needs.fits_within(candidate.worker.capacity)
             and permits.can_query(pending.key, candidate.worker, self._now_s)
             and (
-                is_urgent
+                renews_full
                 or candidate.fits(needs)
                 or not permits.has_answer(pending.key, candidate.worker)
             )
@@ -607,16 +615,18 @@
 
     def _query_rank(
         self, pending: backlog.PendingStep, candidate: resources.Candidate
-    ) -> tuple[bool, bool, bool, int]:
+    ) -> tuple[bool, bool, bool, bool, int]:
         """Return the sort key of a worker to query, the lowest first.
 
         Workers near the data come first, then workers with free resources, then those
         without recent failures, then those on the rack with most free accelerators.
+        Overdue steps may run anywhere, so for them free resources come first.
         """
         step = pending.step
         is_remote = bool(step.rack) and candidate.worker.rack != step.rack
         is_full = not candidate.fits(resources.reserved(step))
         return (
+            is_full and pending.key in self._overdue,
             is_remote,
             is_full,
             candidate.is_suspect,
--- a/marjoramusher/workflows/planner_test.py
+++ b/marjoramusher/workflows/planner_test.py
@@ -1180,6 +1180,50 @@
         permits.record(query.step, query.workers, tickets, now_s + 3.0)
 
 
+@pytest.mark.parametrize("cause", ["headroom", "reservation", "quarantine", "rack"])
+@pytest.mark.parametrize("gang", [False, True])
+def test_overdue_steps_query_permits_for_all_workers_they_may_use(cause, gang):
+    """Guards against a step that waits for ever, as no query names its workers."""
+    harness = Harness(racks=3, size=40) if cause == "rack" else Harness(size=8)
+    headroom = 0
+    rack = ""
+    if cause == "rack":
+        rack = "r1"
+        harness.submit("batch", 40, 8, rack=rack)
+        harness.run()
+    elif cause == "headroom":
+        headroom = 7 * CAPACITY.accelerators
+        harness.submit("batch", 1, 8)
+        harness.run()
+    elif cause == "reservation":
+        harness.submit("batch", 8, 1, max_per_worker=1)
+        harness.run()
+        harness.submit("long", 8, 8, gang=True)
+    else:
+        harness.conditions = dict.fromkeys(
+            harness.conditions,
+            condition.WorkerCondition(is_suspect=True, is_quarantined=True),
+        )
+    name = harness.submit("policed", 1, 4, gang=gang, rack=rack)
+    permits = permit.Permits()
+    for now_s in (0.0, 4.0):
+        # The second time, the permits of the first have expired.
+        plan_input = planner.PlanInput(
+            harness.state,
+            harness.conditions,
+            0.0,
+            headroom=headroom,
+            permits=permits,
+            now_s=now_s,
+        )
+        assert workers_of(planner.plan(plan_input), name) == []
+        plan_input = msgspec.structs.replace(
+            plan_input, overdue=frozenset([(name, 0, 0)])
+        )
+        permit_all(planner.plan(plan_input), permits, now_s)
+        assert len(workers_of(planner.plan(plan_input), name)) == 1
+
+
 @pytest.mark.parametrize("gang", [False, True])
 @pytest.mark.parametrize(
     "queue, used, is_answered, can_start",
