Release the runs of a worker that leaves when it runs nothing any more

Cause: a departure counted as the end of the worker, which ends only when it is answered, or some seconds later. Its runs were released at once, neither stopped nor waited for.

Change: the worker is polled with a new fencing token and its runs are stopped. The departure is acknowledged when it runs nothing any more, or when it refuses connections, so that it has ended. Otherwise its runs wait for their lease.

--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -24,10 +24,10 @@
     workflow,
 )
 from . import (
+    fencing,
     health,
     held,
     lease,
-    misdirected,
     policy,
     port,
     progress,
@@ -271,9 +271,7 @@
         else:
             ends: list[workflow.RunEnd] = []
             if successor is not None and successor.address == worker.address:
-                ends = await misdirected.fence(
-                    successor, self._port, self.issue_token()
-                )
+                ends = await fencing.stop_all(successor, self._port, self.issue_token())
             placements = self._state.placements_on(worker.worker_id)
             has_crashed = has_crashed and not worker.draining
             session.log_incarnation_end(worker, reason, has_crashed, len(placements))
@@ -287,10 +285,28 @@
                         suspicion.Suspect(placement.task, placement.run)
                         for placement in placements.values()
                     ),
-                    ends=misdirected.ends_of(placements.values(), ends),
+                    ends=fencing.ends_of(placements.values(), ends),
                 )
             )
 
+    async def end_departing(self, worker: workflow.Worker) -> None:
+        """Remove an incarnation of a worker that leaves, once it runs nothing.
+
+        Raises
+        ------
+        NotLeaderError
+            If this instance does not lead.
+        NoQuorumError
+            If the removal was not committed in time.
+        WorkerUnreachableError
+            If the worker may still be at work.
+        """
+        current = self._sessions.get(worker.worker_id)
+        if current is not None and current.worker.incarnation == worker.incarnation:
+            await current.end_departing()
+        else:
+            await self.end_incarnation(worker, "it has left")
+
     async def fence(self, worker: workflow.Worker) -> None:
         """Keep starts for former incarnations away from one that is to be registered.
 
@@ -300,7 +316,7 @@
             If it is not confirmed in time that it runs nothing.
         """
         if self._state.is_known(worker.worker_id):
-            await misdirected.fence(worker, self._port, self.issue_token())
+            await fencing.stop_all(worker, self._port, self.issue_token())
 
     def _is_leader(self) -> bool:
         return self._group.is_leader and self._group.term == self._term
--- a/marjoramusher/executors/driver_test.py
+++ b/marjoramusher/executors/driver_test.py
@@ -835,6 +835,17 @@
     virtual.run(scenario())
 
 
+@pytest.fixture
+def kinds():
+    """Return the types of the log lines of a test."""
+    lines = []
+    eliot.add_destinations(lines.append)
+    # The first destination also gets the lines that were logged before.
+    lines.clear()
+    yield lambda: {line.get("message_type") for line in lines}
+    eliot.remove_destination(lines.append)
+
+
 async def run_behind_cut(harness, attempts):
     """Start a task by the last of some attempts, and restart its worker behind a cut.
 
@@ -926,7 +937,9 @@
 
 
 @pytest.mark.parametrize("led_s", [2.0, 20.0])
-def test_an_incarnation_that_answers_nothing_does_not_hold_back_finished_ones(led_s):
+def test_an_incarnation_that_answers_nothing_does_not_hold_back_finished_ones(
+    led_s, kinds
+):
     """Guards against work that waits for replies which it does not depend on."""
 
     async def scenario():
@@ -941,6 +954,7 @@
             await asyncio.sleep(MAX_IDLE_S)
             (other_id,) = harness.running(name)
             assert other_id != worker_id
+            assert "worker.fence_unanswered" in kinds()
             harness.fleet.unreachable.clear()
             await harness.check_all_end(60)
 
@@ -1011,6 +1025,84 @@
     virtual.run(scenario())
 
 
+async def leave(harness, worker):
+    """Send the departure of a worker until it is answered."""
+    request = call.pack_call(call.Leave(worker.worker_id, worker.incarnation))
+    while True:
+        try:
+            await harness.service.serve(request)
+            return
+        except errors.MarjoramusherError:
+            await asyncio.sleep(0.5)
+
+
+@pytest.mark.parametrize("lost", [0.0, 0.3])
+@pytest.mark.parametrize("up_s", [0.0, 0.3, 1.0, 5.0])
+def test_a_worker_that_is_up_after_its_departure_doubles_nothing(up_s, lost, kinds):
+    """Guards against a departure that is taken for the end of the worker.
+
+    The answer to it is lost, so that the worker goes on for a while.
+    """
+
+    async def scenario():
+        async with Harness(7, always(8.0)) as harness:
+            await harness.submit("batch", step(WORKERS * 4, 1, checkpointing=True))
+            await asyncio.sleep(3.0)
+            process = harness.fleet.processes["x1"]
+            assert process.runs
+            harness.fleet.loss_rate = lost
+            left = asyncio.create_task(leave(harness, process.worker))
+            await asyncio.sleep(up_s)
+            process.has_ended = True
+            harness.fleet.refuses_connections = True
+            await left
+            await harness.check_all_end(60)
+            assert "task.stop_departing" in kinds() or lost or not up_s
+
+    virtual.run(scenario())
+
+
+def test_tasks_of_a_departing_worker_that_has_ended_are_run_elsewhere_at_once():
+    """Guards against work that waits for the lease of a worker that is gone."""
+
+    async def scenario():
+        async with Harness(7, always(8.0)) as harness:
+            name = await harness.submit("batch", step(1, 1))
+            await asyncio.sleep(2.0)
+            (worker_id,) = harness.running(name)
+            process = harness.fleet.processes[worker_id]
+            process.has_ended = True
+            harness.fleet.refuses_connections = True
+            await leave(harness, process.worker)
+            await asyncio.sleep(0.5)
+            assert len(harness.running(name)) == 1
+            await harness.check_all_end(60)
+
+    virtual.run(scenario())
+
+
+def test_a_departing_worker_that_does_not_answer_keeps_its_tasks_until_its_lease(kinds):
+    """Guards against a departure that releases runs behind a cut."""
+
+    async def scenario():
+        async with Harness(7, always(30.0)) as harness:
+            name = await harness.submit("batch", step(1, 1))
+            await asyncio.sleep(2.0)
+            (worker_id,) = harness.running(name)
+            harness.fleet.unreachable.add(worker_id)
+            worker = harness.fleet.processes[worker_id].worker
+            harness.tasks.append(asyncio.create_task(leave(harness, worker)))
+            await asyncio.sleep(4.0)
+            assert harness.running(name) == [worker_id]
+            assert "worker.departure_unconfirmed" in kinds()
+            await asyncio.sleep(5.0)
+            assert len(harness.running(name)) == 1
+            assert harness.running(name) != [worker_id]
+            await harness.check_all_end(60)
+
+    virtual.run(scenario())
+
+
 def test_tasks_of_a_worker_that_left_are_run_elsewhere_though_a_commit_failed():
     """Guards against a session that ends while its worker stays registered."""
 
--- a/marjoramusher/executors/misdirected.py
+++ b/marjoramusher/executors/fencing.py
@@ -1,4 +1,4 @@
-"""Keep the starts for one incarnation of a worker away from the next one.
+"""Stop all runs on an incarnation of a worker, and keep out late starts.
 
 A start names its worker by id only, so that a later incarnation accepts it, also one
 that is carried out late. The fencing token is what tells them apart.
@@ -16,10 +16,14 @@
 MAX_STOP_CHECKS = 8  # reports within which stopped runs have to be gone
 
 
-async def fence(
-    successor: workflow.Worker, workers: port.WorkerPort, token: int
+async def stop_all(
+    worker: workflow.Worker,
+    workers: port.WorkerPort,
+    token: int,
+    *,
+    is_departing: bool = False,
 ) -> list[workflow.RunEnd]:
-    """Stop all runs on an incarnation that nothing was meant for yet.
+    """Stop all runs on an incarnation that is to run nothing.
 
     From the first reply on, it also rejects all starts with a lower token.
 
@@ -27,6 +31,8 @@
     ----------
     token : int
         Fencing token above that of each earlier start.
+    is_departing : bool
+        Whether the runs were meant for the incarnation, which leaves.
 
     Returns
     -------
@@ -40,19 +46,22 @@
     WorkerReplacedError
         If a worker with another id has taken its address.
     """
-    report = await workers.poll(successor, token, 0, None, 0.0)
+    report = await workers.poll(worker, token, 0, None, 0.0)
     checks = 0
     while report.running:
         if checks == MAX_STOP_CHECKS:
-            raise _unconfirmed(successor, "misdirected runs have not stopped yet")
+            raise _unconfirmed(worker, "the runs have not stopped yet")
         if not checks:
             await asyncio.gather(
-                *(_stop(run, successor, workers, token) for run in report.running)
+                *(
+                    _stop(run, worker, workers, token, is_departing)
+                    for run in report.running
+                )
             )
         else:
             await asyncio.sleep(RETRY_S)
         checks += 1
-        report = await workers.poll(successor, token, 0, None, 0.0)
+        report = await workers.poll(worker, token, 0, None, 0.0)
     return list(report.ends)
 
 
@@ -66,20 +75,31 @@
 
 async def _stop(
     run: port.RunStatus,
-    successor: workflow.Worker,
+    worker: workflow.Worker,
     workers: port.WorkerPort,
     token: int,
+    is_departing: bool,
 ) -> None:
-    reply = await workers.stop(successor, run.task, run.run, token)
+    reply = await workers.stop(worker, run.task, run.run, token)
     if not reply.is_stopped:
-        raise _unconfirmed(successor, "it refused to stop a misdirected run")
-    log.state_change(
-        "task.stop_misdirected",
-        task=runs.name(run.task),
-        run=run.run,
-        worker=successor.worker_id,
-        born=successor.incarnation,
-    )
+        raise _unconfirmed(worker, "it refused to stop a run")
+    name, born = runs.name(run.task), worker.incarnation
+    if is_departing:
+        log.state_change(
+            "task.stop_departing",
+            task=name,
+            run=run.run,
+            worker=worker.worker_id,
+            born=born,
+        )
+    else:
+        log.state_change(
+            "task.stop_misdirected",
+            task=name,
+            run=run.run,
+            worker=worker.worker_id,
+            born=born,
+        )
 
 
 def _unconfirmed(worker: workflow.Worker, reason: str) -> port.WorkerUnreachableError:
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -8,7 +8,7 @@
 from ..core import clock, errors
 from ..telemetry import log
 from ..workflows import command, machine, suspicion, workflow
-from . import lease, misdirected, port, runs, throttling
+from . import fencing, lease, port, runs, throttling
 
 POLL_WAIT_S = 1.5  # a quarter of a lease, so that three renewals may be lost
 # On workers that run both fill and serving tasks, the period over which they measure
@@ -19,6 +19,9 @@
 # worker is detected 0.75 s later than with a limit of 1.
 MAX_FAILED_CALLS = 2
 RETRY_S = 0.25  # after a call without a reply; stops have to arrive within seconds
+# Calls to a worker that leaves; its process may have closed the pooled connections.
+DEPARTURE_ATTEMPTS = 3
+DEPARTURE_RETRY_S = 0.05
 # A run that is still reported this long after its confirmed stop is stopped again.
 STOP_REPEAT_S = 1.5
 # A stop takes effect within a second. A run that is still reported this long after the
@@ -759,7 +762,7 @@
         """
         self._raise_token()
         try:
-            return await misdirected.fence(successor, self._port, self._token)
+            return await fencing.stop_all(successor, self._port, self._token)
         except port.WorkerReplacedError:
             return []  # the successor has ended, and other workers reject the starts
         except port.WorkerUnreachableError as failure:
@@ -781,6 +784,49 @@
                 raise
             return []
 
+    async def end_departing(self) -> None:
+        """End an incarnation that leaves, as soon as it runs nothing any more.
+
+        It is up until its departure is acknowledged. If nothing listens at its address,
+        it has ended before.
+
+        Raises
+        ------
+        NoQuorumError
+            If the removal was not committed in time; it has to be tried again.
+        WorkerUnreachableError
+            If the worker may still be at work.
+        """
+        async with self._end_lock:
+            if self.has_ended:
+                return
+            self._raise_token()
+            await self._remove("it has left", False, await self._stop_departing())
+            self.has_ended = True
+
+    async def _stop_departing(self) -> list[workflow.RunEnd]:
+        for attempt in range(1, DEPARTURE_ATTEMPTS + 1):
+            try:
+                return await fencing.stop_all(
+                    self.worker, self._port, self._token, is_departing=True
+                )
+            except port.WorkerReplacedError:
+                break
+            except port.WorkerUnreachableError as failure:
+                log.state_change(
+                    "worker.departure_unconfirmed",
+                    worker=self.worker.worker_id,
+                    attempt=attempt,
+                    outcome=failure.outcome.value,
+                    reason=failure.message,
+                )
+                if failure.outcome is errors.Outcome.NOT_RUN:
+                    break
+                if attempt == DEPARTURE_ATTEMPTS:
+                    raise
+                await asyncio.sleep(DEPARTURE_RETRY_S)
+        return []
+
     async def _end_replaced(self) -> bool:
         """End an incarnation whose address a worker with another id has taken.
 
@@ -803,7 +849,7 @@
     ) -> None:
         """Commit the end of this incarnation and the release of its runs."""
         placements = self._state.placements_on(self.worker.worker_id)
-        ends = misdirected.ends_of(placements.values(), successor_ends)
+        ends = fencing.ends_of(placements.values(), successor_ends)
         has_crashed = has_crashed and not self.worker.draining
         log_incarnation_end(self.worker, reason, has_crashed, len(placements))
         ended = {(end.task, end.run) for end in ends}
--- a/marjoramusher/queues/service.py
+++ b/marjoramusher/queues/service.py
@@ -283,7 +283,7 @@
                 reason="the registered incarnation has not announced that it leaves",
             )
         elif registered is not None:
-            await self._driver.end_incarnation(registered.worker, "it has left")
+            await self._driver.end_departing(registered.worker)
             log.state_change(
                 "worker.left",
                 worker=request.worker_id,
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -146,6 +146,8 @@
         nothing.
     unreachable : set of str
         Ids of workers whose calls all fail.
+    refuses_connections : bool
+        Whether a worker that has ended refuses connections at once.
     held_back : set of str
         Ids of workers to which calls are held back until `release_calls`.
     violations : list of str
@@ -201,6 +203,7 @@
         self.refusal_rate = 0.0
         self.processes: dict[str, WorkerProcess] = {}
         self.unreachable: set[str] = set()
+        self.refuses_connections = False
         self.held_back: set[str] = set()
         self._held_calls: list[tuple[str, Callable[[WorkerProcess], object]]] = []
         self.violations: list[str] = []
@@ -432,6 +435,8 @@
             await asyncio.sleep(TIMEOUT_S)
             raise _unreachable(worker)
         process = self.processes.get(worker.worker_id)
+        if self.refuses_connections and process is not None and process.has_ended:
+            raise _unreachable(worker, errors.Outcome.NOT_RUN)
         if worker.worker_id in self.unreachable or process is None or process.has_ended:
             if self.passes_cuts and process is not None and not process.has_ended:
                 self._lose(process, handler, is_order)
@@ -933,10 +938,10 @@
             raise host_port.HostsUnavailableError("no response")
 
 
-def _unreachable(worker: workflow.Worker) -> port.WorkerUnreachableError:
-    return port.WorkerUnreachableError(
-        worker.worker_id, "no response", errors.Outcome.UNKNOWN
-    )
+def _unreachable(
+    worker: workflow.Worker, outcome: errors.Outcome = errors.Outcome.UNKNOWN
+) -> port.WorkerUnreachableError:
+    return port.WorkerUnreachableError(worker.worker_id, "no response", outcome)
 
 
 def _step_key(task: workflow.TaskKey) -> tuple[str, int, int]:
