Count workflows as pending until a task has started

Cause: a committed placement was taken for a start.

Change: a workflow has begun once a worker has answered a start or listed a run. The leader asks its sessions for the runs that are placed; ends, and releases of runs that had started, are committed with that.

--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -198,6 +198,21 @@
         current = self._sessions.get(placement.worker_id)
         return current is None or not current.is_serving(placement)
 
+    def has_begun(self, entry: machine.Entry) -> bool:
+        """Tell whether a worker is known to have started a task of a workflow.
+
+        A placement alone does not tell that, since its start may not have arrived.
+        """
+        return entry.has_begun or any(
+            task.placement is not None and self._has_started(task.placement)
+            for _, _, tasks in entry.tasks()
+            for task in tasks
+        )
+
+    def _has_started(self, placement: workflow.Placement) -> bool:
+        current = self._sessions.get(placement.worker_id)
+        return current is not None and current.has_started(placement)
+
     def start(self) -> None:
         """Start the control loop."""
         self._task = asyncio.get_running_loop().create_task(self._run())
--- a/marjoramusher/executors/driver_test.py
+++ b/marjoramusher/executors/driver_test.py
@@ -1062,6 +1062,44 @@
     virtual.run(scenario())
 
 
+@pytest.mark.parametrize("changes_leader", [False, True])
+@pytest.mark.parametrize("cut_s", [3.0, 5.5, 9.0])
+def test_a_workflow_whose_starts_never_arrive_is_pending(cut_s, changes_leader):
+    """Guards against a count that takes a placement for a start."""
+
+    async def scenario():
+        async with Harness(7, always(8.0)) as harness:
+
+            async def read(path):
+                request = call.pack_call(call.Read("h", path, "k"))
+                return call.unpack_reply(await harness.service.serve(request))
+
+            await asyncio.sleep(5.0)
+            harness.fleet.unreachable.update(harness.fleet.processes)
+            names = [await harness.submit("batch", step(1, 1)) for _ in range(3)]
+            for _ in range(int(cut_s * 4)):
+                await asyncio.sleep(0.25)
+                assert await read("/b/") == call.Counted(3)
+                shown = await read(f"/b/{names[0]}")
+                assert shown == call.Shown(call.WorkflowStatus.QUEUED)
+            if changes_leader:
+                harness.lose_leadership()
+                harness.take_over()
+                await asyncio.sleep(0.25)
+                assert await read("/b/") == call.Counted(3)
+            harness.fleet.unreachable.clear()
+            await asyncio.sleep(4.0)
+            assert all(harness.running(name) for name in names)
+            assert await read("/b/") == call.Counted(0)
+            harness.fleet.unreachable.update(harness.fleet.processes)
+            await asyncio.sleep(8.0)
+            # Workflows that have begun are not pending while they wait again.
+            assert not any(harness.running(name) for name in names)
+            assert await read("/b/") == call.Counted(0)
+
+    virtual.run(scenario())
+
+
 def test_tasks_of_a_departing_worker_that_has_ended_are_run_elsewhere_at_once():
     """Guards against work that waits for the lease of a worker that is gone."""
 
--- a/marjoramusher/executors/runs.py
+++ b/marjoramusher/executors/runs.py
@@ -70,6 +70,11 @@
         """Tell whether this incarnation of the worker has listed the run."""
         return self.progress_percent >= 0
 
+    @property
+    def has_started(self) -> bool:
+        """Tell whether the worker is known to have started the run."""
+        return self.started_s > 0.0 or self.has_been_reported
+
     def is_confined(self, now_s: float) -> bool:
         """Tell whether the run can only be on the incarnation that has listed it."""
         has_late_start = (
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -167,6 +167,11 @@
             and not run.stop_reason
         )
 
+    def has_started(self, placement: workflow.Placement) -> bool:
+        """Tell whether the worker is known to have started a run."""
+        run = self._runs.get((placement.task, placement.run))
+        return run is not None and run.has_started
+
     @property
     def accepts_fill(self) -> bool:
         """Tell whether more fill tasks may be placed next to serving tasks."""
@@ -947,7 +952,12 @@
 
 def _release(run: runs.Run, reason: str, has_lapsed: bool = False) -> workflow.Release:
     return workflow.Release(
-        run.placement.task, run.placement.run, reason, run.checkpoint, has_lapsed
+        run.placement.task,
+        run.placement.run,
+        reason,
+        run.checkpoint,
+        has_lapsed,
+        run.has_started,
     )
 
 
--- a/marjoramusher/queues/service.py
+++ b/marjoramusher/queues/service.py
@@ -114,9 +114,18 @@
             case call.Cancel():
                 return await self._cancel(queue, workflow_id)
         if not workflow_id:
-            return call.Counted(self._state.pending_count(queue.name))
+            return call.Counted(self._pending_count(queue))
         entry = self._state.entries.get(workflow_id)
-        return call.Unknown() if entry is None else call.Shown(workflow_status(entry))
+        if entry is None:
+            return call.Unknown()
+        return call.Shown(workflow_status(entry, self._driver.has_begun(entry)))
+
+    def _pending_count(self, queue: catalog.Queue) -> int:
+        """Return the number of active workflows of a queue that have not begun."""
+        return sum(
+            entry.queue.name == queue.name and not self._driver.has_begun(entry)
+            for entry in self._state.active.values()
+        )
 
     async def _submit(
         self,
@@ -324,14 +333,12 @@
         return call.Replaced(started.number, conflict)
 
 
-def workflow_status(entry: machine.Entry) -> call.WorkflowStatus:
+def workflow_status(entry: machine.Entry, has_begun: bool) -> call.WorkflowStatus:
     """Return the status of a workflow as shown to callers."""
     match entry.state:
         case workflow.State.ACTIVE:
             return (
-                call.WorkflowStatus.RUNNING
-                if entry.is_started
-                else call.WorkflowStatus.QUEUED
+                call.WorkflowStatus.RUNNING if has_begun else call.WorkflowStatus.QUEUED
             )
         case workflow.State.COMPLETED:
             return call.WorkflowStatus.COMPLETED
--- a/marjoramusher/workflows/machine.py
+++ b/marjoramusher/workflows/machine.py
@@ -62,6 +62,8 @@
         Whether a task was ever placed.
     ended_ms : int
         Unix milliseconds at which the workflow ended, 0 while it is active.
+    has_begun : bool
+        Whether a run that has ended or was released is known to have started.
     """
 
     workflow: workflow.Workflow
@@ -71,6 +73,7 @@
     finished_occurrences: set[int] = set()
     is_started: bool = False
     ended_ms: int = 0
+    has_begun: bool = False
 
     def tasks(self) -> Iterator[tuple[int, int, list[TaskState]]]:
         """Yield occurrence, index and tasks of each step."""
@@ -236,13 +239,6 @@
             return None
         return self._entries[key.workflow_id].workflow.steps[key.step]
 
-    def pending_count(self, queue: str) -> int:
-        """Return the number of active workflows of a queue that were never placed."""
-        return sum(
-            entry.queue.name == queue and not entry.is_started
-            for entry in self._active.values()
-        )
-
     def apply(self, index: int, data: bytes) -> bytes:
         """Apply one command and return its encoded result."""
         del index
@@ -571,6 +567,7 @@
         if task is None or not _is_placed_run(task, worker_id, release.run):
             return False
         self._clear_placement(task)
+        self._entries[release.task.workflow_id].has_begun |= release.has_started
         self._record_checkpoint(release.task, release.run, release.checkpoint)
         return True
 
@@ -579,6 +576,7 @@
         if task is None:
             return
         entry = self._entries[end.task.workflow_id]
+        entry.has_begun = True
         step = entry.workflow.steps[end.task.step]
         tasks = entry.occurrences[end.task.occurrence][end.task.step]
         if _is_placed_run(task, worker_id, end.run):
--- a/marjoramusher/workflows/workflow.py
+++ b/marjoramusher/workflows/workflow.py
@@ -183,6 +183,8 @@
     ----------
     has_lapsed : bool
         Whether the run has ended with the lease of its worker, which may have crashed.
+    has_started : bool
+        Whether the worker is known to have started the run.
     """
 
     task: TaskKey
@@ -190,6 +192,7 @@
     reason: str
     checkpoint: str = ""
     has_lapsed: bool = False
+    has_started: bool = True
 
 
 class Worker(msgspec.Struct, frozen=True, array_like=True):
--- a/standins/leader.py
+++ b/standins/leader.py
@@ -48,6 +48,7 @@
         ),
     ),
     (catalog.Service("s"),),
+    (catalog.Account("a", ("k",), 0),),
 )
 CAPACITY = workflow.Resources(64000, 1000, 8)
 HEARTBEAT_S = 1.5
