Let guaranteed work stop what lasts beyond a guarantee, and come first

Change: guaranteed work may stop urgent runs that last of accounts beyond their guarantee, within the disruption budget, and is placed before other urgent work.

--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -119,7 +119,7 @@
     now_ms = plan_input.now_ms
     pending_steps = sorted(
         backlog.pending_steps(plan_input.state, now_ms + plan_input.early_ms),
-        key=lambda pending: _urgency(pending, now_ms),
+        key=lambda pending: _urgency(pending, now_ms, planner.is_guaranteed(pending)),
     )
     for pending in pending_steps:
         planner.place(pending)
@@ -134,10 +134,17 @@
     )
 
 
-def _urgency(pending: backlog.PendingStep, now_ms: float) -> tuple[int, bool, float]:
-    """Sort by priority, then deadline; steps that missed theirs come last."""
+def _urgency(
+    pending: backlog.PendingStep, now_ms: float, is_guaranteed: bool
+) -> tuple[int, bool, bool, float]:
+    """Sort by priority, then deadline; steps that missed theirs come last.
+
+    Guaranteed work comes first. Otherwise runs that are stopped for it take the room
+    again, if their deadline is earlier.
+    """
     is_late = pending.deadline_ms < now_ms
-    return pending.entry.queue.priority, is_late, pending.deadline_ms
+    priority = pending.entry.queue.priority
+    return priority, not is_guaranteed, is_late, pending.deadline_ms
 
 
 class _WorkerSet:
@@ -246,6 +253,13 @@
                     candidate.is_closed = True
         return candidate
 
+    def is_guaranteed(self, pending: backlog.PendingStep) -> bool:
+        """Tell whether a step is urgent and within the guarantee of its account."""
+        account = pending.entry.workflow.account
+        return pending.entry.queue.priority == 0 and (
+            self._preemptor.is_within_guarantee(account)
+        )
+
     def place(self, pending: backlog.PendingStep) -> None:
         """Place tasks of a step, or preempt others for them if they are urgent."""
         if pending.step.gang:
--- a/marjoramusher/workflows/planner_test.py
+++ b/marjoramusher/workflows/planner_test.py
@@ -453,6 +453,51 @@
     assert len(stopped) == 2
 
 
+@pytest.mark.parametrize(
+    "max_unavailable, count, expected", [(0, 1, 1), (0, 2, 0), (1, 1, 1)]
+)
+@pytest.mark.parametrize("gang", [False, True])
+def test_guaranteed_work_stops_urgent_serving_tasks_beyond_a_guarantee(
+    max_unavailable, count, expected, gang
+):
+    """Guards against guaranteed work that never begins beside work that lasts.
+
+    Two tasks exceed the guarantee of their own account, so that they may stop none.
+    """
+    harness = Harness(size=2)
+    harness.submit(
+        "urgent",
+        2,
+        8,
+        account="b",
+        long_running=True,
+        max_unavailable=max_unavailable,
+    )
+    placed = harness.run().placements
+    harness.conditions = dict.fromkeys(
+        harness.conditions, condition.WorkerCondition(serving=frozenset(placed))
+    )
+    harness.submit("urgent", count, 8, account="a", gang=gang)
+    assert len(harness.plan().preemptions) == expected
+
+
+@pytest.mark.parametrize("long_running", [False, True])
+def test_guaranteed_work_takes_the_room_that_was_freed_for_it(long_running):
+    """Guards against runs that are stopped and started again without end.
+
+    The work that was stopped has the earlier deadline.
+    """
+    harness = Harness(size=2)
+    harness.submit("urgent", 2, 8, account="b", long_running=long_running)
+    placed = harness.run().placements
+    harness.conditions = dict.fromkeys(
+        harness.conditions, condition.WorkerCondition(serving=frozenset(placed))
+    )
+    name = harness.submit("urgent", 1, 8, estimate_ms=9000, account="a")
+    harness.end([stopped for stopped, _ in harness.plan().preemptions])
+    assert len(workers_of(harness.plan(), name)) == 1
+
+
 def test_urgent_work_beyond_its_guarantee_stops_no_serving_task():
     harness = serving_harness()
     harness.submit("urgent", 9, 1, account="a", cores=500)
--- a/marjoramusher/workflows/preemption.py
+++ b/marjoramusher/workflows/preemption.py
@@ -122,7 +122,7 @@
         best: list[_Choice] = []
         best_cost = float("inf")
         account = pending.entry.workflow.account
-        is_guaranteed = self._is_within_guarantee(account)
+        is_guaranteed = self.is_within_guarantee(account)
         # Accounts differ in what they may stop only within their guarantee.
         request = (kind, pending.entry.queue.priority, account if is_guaranteed else "")
         if kind is not None and self._shortages.covers(request, count):
@@ -152,7 +152,7 @@
             self._drop_stopping(worker_id)
         return stopped
 
-    def _is_within_guarantee(self, name: str) -> bool:
+    def is_within_guarantee(self, name: str) -> bool:
         """Tell whether all active urgent work of an account fits its guarantee."""
         if name not in self._urgent_accelerators:
             self._urgent_accelerators[name] = sum(
@@ -309,12 +309,11 @@
         """
         account = pending.entry.workflow.account
         if victim.priority > pending.entry.queue.priority:
-            return not victim.is_long_running or self._is_within_guarantee(account)
+            return not victim.is_long_running or self.is_within_guarantee(account)
         return (
-            not victim.is_long_running
-            and victim.account != account
-            and not self._is_within_guarantee(victim.account)
-            and self._is_within_guarantee(account)
+            victim.account != account
+            and not self.is_within_guarantee(victim.account)
+            and self.is_within_guarantee(account)
         )
 
     def _can_stop(
