Let guaranteed work use workers in quarantine if there are no others

Cause: workers in quarantine were left out of plans, and of preemption, but for overdue work on a service that is mostly idle.

Change: guaranteed steps that are still waiting at the end of a plan are placed, or preempt others, on workers in quarantine. Other work does not use them.

--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -123,6 +123,7 @@
     )
     for pending in pending_steps:
         planner.place(pending)
+    planner.place_guaranteed(pending_steps)
     planner.place_suspects_on_idle_workers()
     planner.place_overdue(pending_steps)
     return Plan(
@@ -200,7 +201,8 @@
         self.wait_reasons: dict[resources.StepKey, WaitReason] = {}
         self.queries: dict[resources.StepKey, permit.PolicyQuery] = {}
         self.held_back: dict[resources.StepKey, WaitReason] = {}
-        by_worker: dict[str, resources.Candidate] = {}
+        self._by_worker: dict[str, resources.Candidate] = {}
+        self._preempted_counts: dict[resources.StepKey, int] = {}
         for registered in state.workers.values():
             worker = registered.worker
             status = conditions.get(worker.worker_id)
@@ -210,13 +212,14 @@
                 quarantined = self._quarantined.setdefault(worker.service, [])
                 quarantined.append((worker, status))
                 continue
-            by_worker[worker.worker_id] = self._add_candidate(worker, status)
-        self._preemptor = preemption.Preemptor(state, conditions, by_worker)
+            self._add_candidate(worker, status)
+        self._preemptor = preemption.Preemptor(state, conditions, self._by_worker)
 
     def _add_candidate(
         self, worker: workflow.Worker, status: condition.WorkerCondition
-    ) -> resources.Candidate:
+    ) -> None:
         candidate = self._make_candidate(worker, status)
+        self._by_worker[worker.worker_id] = candidate
         candidate.accepts_fill = status.accepts_fill
         candidate.is_silent = status.is_silent
         self._candidates.setdefault(worker.service, []).append(candidate)
@@ -224,7 +227,6 @@
         self._rack_free_accelerators[worker.rack] = (
             self._rack_free_accelerators.get(worker.rack, 0) + free
         )
-        return candidate
 
     def _make_candidate(
         self, worker: workflow.Worker, status: condition.WorkerCondition
@@ -273,6 +275,30 @@
         ):
             self._add_query(pending)
 
+    def place_guaranteed(self, pending_steps: Iterable[backlog.PendingStep]) -> None:
+        """Place guaranteed steps on workers in quarantine if no others can take them.
+
+        Failing work of other accounts must not keep them from their accelerators.
+        """
+        settled = (None, WaitReason.PREEMPTING, WaitReason.CRASHES_UNDECIDED)
+        for pending in pending_steps:
+            if self.wait_reasons.get(pending.key) in settled:
+                continue
+            if self.is_guaranteed(pending) and self._add_quarantined(pending):
+                self.place(self._remaining(pending))
+
+    def _remaining(self, pending: backlog.PendingStep) -> backlog.PendingStep:
+        """Return a step without the tasks that were placed or are preempted for."""
+        del self.wait_reasons[pending.key]
+        placed = {placement.task for placement in self.placements}
+        indexes = [
+            index
+            for index in pending.task_indexes
+            if pending.task_key(index) not in placed
+        ]
+        count = self._preempted_counts.get(pending.key, 0)
+        return msgspec.structs.replace(pending, task_indexes=tuple(indexes[count:]))
+
     def place_suspects_on_idle_workers(self) -> None:
         """Spare more workers for suspects if the plan has left them idle.
 
@@ -336,11 +362,18 @@
 
     def _add_quarantined(self, pending: backlog.PendingStep) -> bool:
         """Add the workers in quarantine as the last choice; tell if there are any."""
-        quarantined = self._quarantined.pop(pending.entry.queue.service, [])
-        for worker, status in quarantined:
+        quarantined = self._quarantined.get(pending.entry.queue.service, [])
+        added = [
+            (worker, status)
+            for worker, status in quarantined
+            if worker.worker_id not in self._by_worker
+        ]
+        for worker, status in added:
             self._add_candidate(worker, status)
-        if quarantined:
+        if added:
             self._worker_sets.clear()
+            self._shortages = shortage.Shortages()
+            self._preemptor.forget_shortages()
         return bool(quarantined)
 
     def _place_tasks_anywhere(self, pending: backlog.PendingStep) -> None:
@@ -567,6 +600,9 @@
         victims = self._preemptor.preempt(pending, count, kind, scopes)
         if victims is not None:
             self.wait_reasons[pending.key] = WaitReason.PREEMPTING
+            self._preempted_counts[pending.key] = (
+                self._preempted_counts.get(pending.key, 0) + count
+            )
             workflow_id = pending.entry.workflow.workflow_id
             self.preemptions.extend((victim, workflow_id) for victim in victims)
 
--- a/marjoramusher/workflows/planner_test.py
+++ b/marjoramusher/workflows/planner_test.py
@@ -498,6 +498,39 @@
     assert len(workers_of(harness.plan(), name)) == 1
 
 
+@pytest.mark.parametrize("used, preempted", [(0, 0), (6, 2)])
+@pytest.mark.parametrize("count, gang", [(1, False), (1, True), (4, False), (4, True)])
+def test_guaranteed_work_runs_on_quarantined_workers(used, preempted, count, gang):
+    """Guards against failing work that takes guaranteed accelerators out of use."""
+    harness = Harness(size=2)
+    harness.submit("urgent", 1, 8, account="a")
+    harness.run()
+    (busy,) = [name for name in harness.conditions if harness.state.placements_on(name)]
+    harness.submit("batch", used, 1)
+    harness.run()
+    (other,) = harness.conditions.keys() - {busy}
+    harness.conditions[other] = condition.WorkerCondition(
+        is_suspect=True, is_quarantined=True
+    )
+    name = harness.submit("urgent", count, 4 // count, account="b", gang=gang)
+    plan = harness.plan()
+    assert len(plan.preemptions) == preempted
+    assert set(workers_of(plan, name)) <= {other}
+    harness.end([stopped for stopped, _ in plan.preemptions])
+    assert workers_of(harness.plan(), name) == [other] * count
+
+
+def test_work_beyond_its_guarantee_does_not_run_on_quarantined_workers():
+    """Guards against quarantined workers that urgent work of any account uses."""
+    harness = Harness(size=1)
+    harness.conditions["0-0"] = condition.WorkerCondition(
+        is_suspect=True, is_quarantined=True
+    )
+    harness.submit("urgent", 5, 1, account="b")
+    harness.submit("batch", 1, 1)
+    assert not harness.plan().placements
+
+
 def test_urgent_work_beyond_its_guarantee_stops_no_serving_task():
     harness = serving_harness()
     harness.submit("urgent", 9, 1, account="a", cores=500)
--- a/marjoramusher/workflows/preemption.py
+++ b/marjoramusher/workflows/preemption.py
@@ -152,6 +152,10 @@
             self._drop_stopping(worker_id)
         return stopped
 
+    def forget_shortages(self) -> None:
+        """Take into account that there are further candidates."""
+        self._shortages = shortage.Shortages()
+
     def is_within_guarantee(self, name: str) -> bool:
         """Tell whether all active urgent work of an account fits its guarantee."""
         if name not in self._urgent_accelerators:
