Count no task as serving on a worker that answers no calls

Cause: a run counted as serving by its last report, until its lease lapsed, 6.3 s after the last renewal. It counts as away from 5.5 s on.

Change: no run serves on a worker whose last call got no answer.

--- a/marjoramusher/executors/driver_test.py
+++ b/marjoramusher/executors/driver_test.py
@@ -1062,6 +1062,35 @@
     virtual.run(scenario())
 
 
+@pytest.mark.parametrize("refuses", [False, True])
+def test_a_serving_task_of_a_worker_that_answers_nothing_counts_as_away(refuses):
+    """Guards against further stops while a crashed worker keeps its lease.
+
+    Such a task counts as away from 5.5 s after the crash.
+    """
+
+    async def scenario():
+        async with Harness(7) as harness:
+            lasting = step(2, 8, long_running=True, max_unavailable=1)
+            name = await harness.submit("batch", lasting)
+            await asyncio.sleep(3.0)
+            placements = [
+                task.placement
+                for _, _, tasks in harness.state.entries[name].tasks()
+                for task in tasks
+            ]
+            assert not any(map(harness.driver.is_unavailable, placements))
+            harness.fleet.refuses_connections = refuses
+            harness.fleet.processes[placements[0].worker_id].has_ended = True
+            await asyncio.sleep(4.0)
+            assert [harness.driver.is_unavailable(each) for each in placements] == [
+                True,
+                False,
+            ]
+
+    virtual.run(scenario())
+
+
 @pytest.mark.parametrize("changes_leader", [False, True])
 @pytest.mark.parametrize("cut_s", [3.0, 5.5, 9.0])
 def test_a_workflow_whose_starts_never_arrive_is_pending(cut_s, changes_leader):
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -159,12 +159,17 @@
         )
 
     def is_serving(self, placement: workflow.Placement) -> bool:
-        """Tell whether a run has started up completely and is not being stopped."""
+        """Tell whether a run has started up completely and is not being stopped.
+
+        What a worker has reported does not count while it answers no calls, since it
+        may have ended.
+        """
         run = self._runs.get((placement.task, placement.run))
         return (
             run is not None
             and run.progress_percent >= runs.SERVING_PERCENT
             and not run.stop_reason
+            and not self.has_unanswered_call
         )
 
     def has_started(self, placement: workflow.Placement) -> bool:
