Keep runs with a start on its way past the lease of a silent worker

The lease of a worker that has started again behind a cut lapses before the cut has healed, the run is placed elsewhere, and the held-up attempt starts it on the next incarnation before any call can shut it out.

Change: past its lease, a run with a start without an answer waits until the worker is heard or the start is 15 s old, unless connections are refused. Then it is released with the lease, and the address is polled until the start is too old, so that the next incarnation is found before it announces itself.

Weighed: nothing may run twice at any time; nothing may stand for 3 s after 4 calm ones. Behind a cut it isn't calm. A crashed worker refuses connections, so that its runs are released within 7 s as before, which test_a_run_with_a_late_start_is_released_though_nobody_answers checks.

--- a/marjoramusher/executors/driver_test.py
+++ b/marjoramusher/executors/driver_test.py
@@ -846,7 +846,7 @@
     eliot.remove_destination(lines.append)
 
 
-async def run_behind_cut(harness, attempts):
+async def run_behind_cut(harness, attempts, cut_s=3.0):
     """Start a task by the last of some attempts, and restart its worker behind a cut.
 
     The other attempts are held back.
@@ -867,7 +867,7 @@
     harness.unheard.add(name)
     await asyncio.sleep(1.0)
     successor = harness.restart(name)
-    await asyncio.sleep(2.0)
+    await asyncio.sleep(cut_s - 1.0)
     faulty.unreachable.clear()
     return successor
 
@@ -905,6 +905,82 @@
     virtual.run(scenario())
 
 
+@pytest.mark.parametrize("cut_s", [4.5, 5.5, 6.0, 7.5, 9.5])
+@pytest.mark.parametrize("arrives_s", [0.0, 0.1, 0.3, 0.6, 1.0, 2.0])
+def test_an_earlier_attempt_that_waits_behind_a_cut_doubles_nothing(cut_s, arrives_s):
+    """Guards against a late start after the lease of the former incarnation."""
+
+    async def scenario():
+        async with Harness(26, always(30.0)) as harness:
+            successor = await run_behind_cut(harness, 1, cut_s)
+            await asyncio.sleep(arrives_s)
+            harness.fleet.release_calls()
+            await asyncio.sleep(2.5 - arrives_s)
+            harness.unheard.clear()
+            await harness.announce(successor)
+            await asyncio.sleep(MAX_IDLE_S - 2.5)
+            (name,) = harness.fleet.submitted
+            assert len(harness.running(name)) == 1
+            await harness.check_all_end(60)
+
+    virtual.run(scenario())
+
+
+@pytest.mark.parametrize("refuses, bound_s", [(True, 7.0), (False, 15.0)])
+def test_a_run_with_a_late_start_is_released_though_nobody_answers(refuses, bound_s):
+    """Guards against work that waits for ever for a worker that is gone.
+
+    Nothing may stand for 3 s after 4 calm ones. A worker that may be cut off keeps such
+    a run until the start is too old.
+    """
+
+    async def scenario():
+        async with Harness(26, always(30.0)) as harness:
+            faulty = harness.fleet
+            faulty.refuses_connections = refuses
+            await asyncio.sleep(10.0)
+            held = hold_back_first_start(faulty, 1)
+            name = await harness.submit("batch", step(1, 1))
+            await asyncio.sleep(3.0)
+            faulty.processes[held[0]].has_ended = True
+            await asyncio.sleep(bound_s)
+            assert len(harness.running(name)) == 1
+            await harness.check_all_end(60)
+
+    virtual.run(scenario())
+
+
+@pytest.mark.parametrize("restart_s", [0.5, 3.0, 6.0, 8.0])
+@pytest.mark.parametrize("arrives_s", [0.3, 0.6, 1.2])
+def test_a_late_start_after_a_crash_doubles_nothing(restart_s, arrives_s):
+    """Guards against a next incarnation that nobody polls before it announces itself.
+
+    Its predecessor has crashed, and is released with its lease.
+    """
+
+    async def scenario():
+        async with Harness(26, always(30.0)) as harness:
+            faulty = harness.fleet
+            faulty.refuses_connections = True
+            await asyncio.sleep(10.0)
+            held = hold_back_first_start(faulty, 1)
+            await harness.submit("batch", step(1, 1))
+            await asyncio.sleep(3.0)
+            (name,) = held
+            faulty.processes[name].has_ended = True
+            harness.unheard.add(name)
+            await asyncio.sleep(restart_s)
+            successor = harness.restart(name)
+            await asyncio.sleep(arrives_s)
+            faulty.release_calls()
+            await asyncio.sleep(1.5)
+            harness.unheard.clear()
+            await harness.announce(successor)
+            await harness.check_all_end(60)
+
+    virtual.run(scenario())
+
+
 @pytest.mark.parametrize("busy_s", [0.5, 1.5, 3.0])
 def test_a_start_that_is_carried_out_under_a_later_lease_doubles_nothing(busy_s):
     """Guards against a start that arrives late though its lease has expired.
--- a/marjoramusher/executors/runs.py
+++ b/marjoramusher/executors/runs.py
@@ -75,12 +75,15 @@
         """Tell whether the worker is known to have started the run."""
         return self.started_s > 0.0 or self.has_been_reported
 
-    def is_confined(self, now_s: float) -> bool:
-        """Tell whether the run can only be on the incarnation that has listed it."""
-        has_late_start = (
+    def may_start_late(self, now_s: float) -> bool:
+        """Tell whether a start of the run got no reply and may still be carried out."""
+        return (
             self.unanswered_s is not None and now_s - self.unanswered_s <= MAX_DELAY_S
         )
-        return self.has_been_reported and not has_late_start
+
+    def is_confined(self, now_s: float) -> bool:
+        """Tell whether the run can only be on the incarnation that has listed it."""
+        return self.has_been_reported and not self.may_start_late(now_s)
 
 
 def stall_limit_s(run: Run, step: workflow.Step) -> float:
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -117,6 +117,8 @@
         self._acknowledged_end = 0
         self._last_heard_s = float("-inf")
         self._failed_calls = 0
+        # Until when a start without a reply may be carried out.
+        self._late_until_s = float("-inf")
         # Whether the worker was heard since the last call, which got no reply.
         self._is_recheck_due = False
         self._end_lock = asyncio.Lock()
@@ -296,6 +298,7 @@
                 self._record_no_reply()
                 if failure.outcome is not errors.Outcome.NOT_RUN:
                     run.may_have_started = True
+                    self._late_until_s = self._clock.monotonic() + runs.MAX_DELAY_S
                     self._raise_token()
                 log.state_change(
                     "task.start_unanswered",
@@ -483,7 +486,9 @@
                         lapses_in_s=self._lease.expires_s - self._clock.monotonic(),
                     )
                 self._record_no_reply()
-                await self._release_expired()
+                await self._release_expired(
+                    is_refused=failure.outcome is errors.Outcome.NOT_RUN
+                )
                 await asyncio.sleep(RETRY_S)
             except errors.MarjoramusherError as failure:
                 self._log_not_committed(failure)
@@ -509,8 +514,11 @@
         """Tell whether nothing is placed there and all ends are acknowledged.
 
         An idle worker that left a call unanswered is polled again at each heartbeat,
-        since it is not used until it replies.
+        since it is not used until it replies. Before, it is polled as long as the next
+        incarnation could carry out a late start, which a call to it keeps out.
         """
+        if self._failed_calls and self._clock.monotonic() < self._late_until_s:
+            return False
         registered = self._state.workers.get(self.worker.worker_id)
         return (
             self._has_report
@@ -709,20 +717,29 @@
             stop_reason=run.stop_reason,
         )
 
-    async def _release_expired(self) -> None:
-        """Release all runs if every lease of the worker has expired."""
+    async def _release_expired(self, *, is_refused: bool) -> None:
+        """Release the runs if every lease of the worker has expired.
+
+        Behind a cut, the worker may have started again. The next incarnation has no
+        lease, but may carry out a late start as soon as the cut has healed, so such a
+        run waits until the worker is heard or the start is too old.
+
+        Parameters
+        ----------
+        is_refused : bool
+            Whether nothing listens at the address of the worker.
+        """
         now_s = self._clock.monotonic()
         if now_s <= self._lease.expires_s:
             return
         placements = self._state.placements_on(self.worker.worker_id)
-        if placements:
+        expired = [self._get_run(placement) for placement in placements.values()]
+        if self._has_report and not is_refused:
+            expired = [run for run in expired if not run.may_start_late(now_s)]
+        if expired:
             # Starts on their way would be accepted once the lease is renewed.
             self._raise_token()
-            await self._release(
-                [self._get_run(placement) for placement in placements.values()],
-                "the lease has lapsed",
-                has_lapsed=True,
-            )
+            await self._release(expired, "the lease has lapsed", has_lapsed=True)
 
     async def end_incarnation(
         self,
