Compare late runs with their placement in the test of idle workers

The test took any run on the worker that was cut off for a late one, since the task had always been placed elsewhere by then. The test now requires that the only run in progress is the one that is placed, with a later number, or that there is none after a cancellation. That is stricter: it covers all workers, and the number of the run.

--- a/marjoramusher/executors/driver_test.py
+++ b/marjoramusher/executors/driver_test.py
@@ -829,7 +829,17 @@
             faulty.release_calls()
             assert faulty.starts - starts == (late_s < 6.0)
             await asyncio.sleep(10.0)
-            assert harness.running(name).count(held[0]) == 0
+            in_progress = [
+                (worker_id, run.run)
+                for worker_id, process in faulty.processes.items()
+                for run in process.runs.values()
+            ]
+            placement = harness.state.task(workflow.TaskKey(name, 0, 0, 0)).placement
+            if is_cancelled:
+                assert in_progress == []
+            else:
+                assert in_progress == [(placement.worker_id, placement.run)]
+                assert placement.run > 1
             await harness.check_all_end(60)
 
     virtual.run(scenario())
