--- a/marjoramusher/queues/call.py
+++ b/marjoramusher/queues/call.py
@@ -127,7 +127,7 @@
 
 
 class Counted(Reply, frozen=True, tag=True):
-    """Number of active workflows of a queue of which no task was ever placed."""
+    """Number of active workflows of a queue of which no task has started."""
 
     pending: int
 
