--- a/marjoramusher/executors/runs.py
+++ b/marjoramusher/executors/runs.py
@@ -86,6 +86,19 @@
         return self.has_been_reported and not self.may_start_late(now_s)
 
 
+def remaining_s(run: Run, now_s: float) -> float | None:
+    """Return the expected time until a run ends, ``None`` if it is not known.
+
+    The reported progress is extrapolated. A run that is late for its next percent is
+    not expected to be as fast as before, so its remaining time does not fall to 0.
+    """
+    if not 0 < run.progress_percent <= FINISHED_PERCENT:
+        return None
+    per_percent_s = (run.progressed_s - run.started_s) / run.progress_percent
+    at_last_report_s = per_percent_s * (100 - run.progress_percent)
+    return max(at_last_report_s - (now_s - run.progressed_s), per_percent_s)
+
+
 def stall_limit_s(run: Run, step: workflow.Step) -> float:
     """Return how long a run may go without progress before it counts as stalled.
 
--- a/marjoramusher/workflows/condition.py
+++ b/marjoramusher/workflows/condition.py
@@ -30,6 +30,11 @@
     is_quarantined : bool
         Whether tasks of several workflows have failed there in a row. Only overdue
         tasks without other room are placed there.
+    remaining_s : mapping of TaskKey to float
+        Expected time until each confirmed run ends; runs whose progress is not known
+        are missing.
+    is_cold : bool
+        Whether tasks run slower there for a while after its start.
     """
 
     is_usable: bool = True
@@ -40,3 +45,5 @@
     accepts_fill: bool = True
     is_silent: bool = False
     is_quarantined: bool = False
+    remaining_s: Mapping[workflow.TaskKey, float] = {}
+    is_cold: bool = False
