Add evacuations of failure domains

Change: the log carries the begin and the end of an evacuation. `Assign` rejects placements in an evacuated domain, the planner does not use its workers, and a session checks again before it sends a start. Runs there go on to their ends. The adapter translates the two requests of the platform, which are answered once they are committed.

--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -591,6 +591,7 @@
                 is_reachable
                 and self._is_announcement_valid(current.worker, now_s)
                 and is_not_draining
+                and not self._state.is_evacuated(current.worker)
                 and verdict.is_usable,
                 current.stopping,
                 current.ages_s(),
@@ -599,6 +600,7 @@
                 current.accepts_fill,
                 is_silent,
                 verdict.is_quarantined,
+                current.remaining_s(),
             )
         return conditions
 
--- a/marjoramusher/executors/progress.py
+++ b/marjoramusher/executors/progress.py
@@ -139,5 +139,14 @@
         metrics_registry = self._metrics
         metrics_registry.set_gauge("catalog_version", self._state.index.catalog.version)
         metrics_registry.set_gauge("workers", len(self._state.workers))
+        evacuations = self._state.evacuations.by_domain
+        metrics_registry.set_gauge("evacuated_domains", len(evacuations))
+        metrics_registry.set_gauge(
+            "workers_evacuated",
+            sum(
+                self._state.is_evacuated(registered.worker)
+                for registered in self._state.workers.values()
+            ),
+        )
         metrics_registry.set_gauge("workflows_active", len(self._state.active))
         metrics_registry.set_gauge("steps_waiting_now", len(self._wait_reasons))
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -193,6 +193,22 @@
             if run.phase is runs.Phase.CONFIRMED
         }
 
+    def remaining_s(self) -> dict[workflow.TaskKey, float]:
+        """Return the expected time until each run ends whose progress is known.
+
+        Nothing is known of a worker that does not answer, or of runs that are being
+        stopped.
+        """
+        if self.has_unanswered_call:
+            return {}
+        now_s = self._clock.monotonic()
+        expected = (
+            (key, runs.remaining_s(run, now_s))
+            for (key, _), run in self._runs.items()
+            if run.phase is runs.Phase.CONFIRMED and not run.stop_reason
+        )
+        return {key: time_s for key, time_s in expected if time_s is not None}
+
     def record_heartbeat(self, clock_ms: int | None) -> None:
         """Record a heartbeat, and the worker's clock if it is included."""
         now_s = self._clock.monotonic()
@@ -367,13 +383,18 @@
             return None
         if self.is_over or task.placement != placement or not entry.is_active:
             return None
-        if not self._leader.has_room(self.worker):
+        reason = ""
+        if self._state.is_evacuated(self.worker):
+            reason = "the failure domain is being evacuated"
+        elif not self._leader.has_room(self.worker):
+            reason = "the worker has shrunk or has not announced itself recently"
+        if reason:
             log.state_change(
                 "task.start_withheld",
                 task=runs.name(placement.task),
                 run=placement.run,
                 worker=self.worker.worker_id,
-                reason="the worker has shrunk or has not announced itself recently",
+                reason=reason,
             )
             return None
         unanswered_s = run.unanswered_s
--- a/marjoramusher/queues/call.py
+++ b/marjoramusher/queues/call.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from ..core import codec, errors
-from ..workflows import catalog, wave, workflow
+from ..workflows import catalog, evacuation, wave, workflow
 
 METHOD = "queues"
 
@@ -102,6 +102,22 @@
     number: int
 
 
+class BeginEvacuation(Call, frozen=True, tag=True):
+    """Start nothing more in a failure domain until the evacuation is ended."""
+
+    failure_domain: str
+
+
+class EndEvacuation(Call, frozen=True, tag=True):
+    """Let tasks start again in a failure domain."""
+
+    failure_domain: str
+
+
+class ReadEvacuations(Call, frozen=True, tag=True):
+    """Read the evacuations in force."""
+
+
 class WorkflowStatus(enum.Enum):
     """Status of a workflow as shown to callers."""
 
@@ -190,6 +206,20 @@
     document: bytes
 
 
+class Committed(Reply, frozen=True, tag=True):
+    """The change is durable."""
+
+
+class TooMany(Reply, frozen=True, tag=True):
+    """The change was not made, since there are too many others of its kind."""
+
+
+class Evacuations(Reply, frozen=True, tag=True):
+    """The evacuations in force."""
+
+    evacuations: tuple[evacuation.Evacuation, ...]
+
+
 AnyCall: TypeAlias = (
     Submit
     | Read
@@ -201,6 +231,9 @@
     | ReadVersion
     | StartWave
     | ReadWave
+    | BeginEvacuation
+    | EndEvacuation
+    | ReadEvacuations
 )
 AnyReply: TypeAlias = (
     Accepted
@@ -213,6 +246,9 @@
     | Replaced
     | Document
     | WaveProgress
+    | Committed
+    | TooMany
+    | Evacuations
 )
 
 
--- a/marjoramusher/queues/service.py
+++ b/marjoramusher/queues/service.py
@@ -67,7 +67,7 @@
             raise errors.NotLeaderError(None)
         reply = await self._answer(request)
         # These replies tell what is committed. The state that others show may be stale.
-        is_committed = isinstance(reply, call.Accepted | call.Replaced)
+        is_committed = isinstance(reply, call.Accepted | call.Replaced | call.Committed)
         if not is_committed and not self._driver.is_leading:
             raise errors.NotLeaderError(None)
         return codec.pack(reply)
@@ -90,6 +90,12 @@
                 if wave is None:
                     return call.Unknown()
                 return call.WaveProgress(wave.is_complete)
+            case call.BeginEvacuation():
+                return await self._begin_evacuation(request.failure_domain)
+            case call.EndEvacuation():
+                return await self._end_evacuation(request.failure_domain)
+            case call.ReadEvacuations():
+                return call.Evacuations(self._state.evacuations.stored())
             case call.ReadVersion():
                 return call.Document(self._state.index.catalog.version, b"")
             case _:
@@ -317,6 +323,33 @@
         )
         return call.Replaced(replaced.version, replaced.conflict)
 
+    async def _begin_evacuation(self, failure_domain: str) -> call.AnyReply:
+        result = await self._driver.propose(
+            command.BeginEvacuation(clock.unix_ms(self._clock), failure_domain)
+        )
+        in_force = codec.unpack(result, command.EvacuationResult).in_force
+        log.state_change(
+            "evacuation.begun",
+            failure_domain=failure_domain,
+            workers=sum(
+                registered.worker.failure_domain == failure_domain
+                for registered in self._state.workers.values()
+            ),
+            in_force=in_force,
+        )
+        return call.Committed() if in_force else call.TooMany()
+
+    async def _end_evacuation(self, failure_domain: str) -> call.AnyReply:
+        begun = self._state.evacuations.by_domain.get(failure_domain)
+        now_ms = clock.unix_ms(self._clock)
+        await self._driver.propose(command.EndEvacuation(now_ms, failure_domain))
+        log.state_change(
+            "evacuation.ended",
+            failure_domain=failure_domain,
+            lasted_s=(now_ms - begun.begun_ms) / 1000 if begun else 0.0,
+        )
+        return call.Committed()
+
     async def _start_wave(self, request: call.StartWave) -> call.AnyReply:
         now_ms = clock.unix_ms(self._clock)
         started = msgspec.structs.replace(request.wave, started_ms=now_ms)
--- a/marjoramusher/workflows/backlog.py
+++ b/marjoramusher/workflows/backlog.py
@@ -63,11 +63,11 @@
 
 
 def total_accelerators(state: machine.WorkflowMachine) -> int:
-    """Return the accelerators of all workers that are not draining."""
+    """Return the accelerators of all workers on which tasks may start."""
     return sum(
         registered.worker.capacity.accelerators
         for registered in state.workers.values()
-        if not registered.worker.draining
+        if not registered.worker.draining and not state.is_evacuated(registered.worker)
     )
 
 
--- a/marjoramusher/workflows/command.py
+++ b/marjoramusher/workflows/command.py
@@ -119,6 +119,18 @@
     before_ms: int
 
 
+class BeginEvacuation(Command, frozen=True, tag=True):
+    """Start nothing more in a failure domain; has no effect if that is in force."""
+
+    failure_domain: str
+
+
+class EndEvacuation(Command, frozen=True, tag=True):
+    """Let tasks start again in a failure domain."""
+
+    failure_domain: str
+
+
 class StartWave(Command, frozen=True, tag=True):
     """Start a maintenance wave; has no effect if its number is already known."""
 
@@ -150,6 +162,8 @@
     | Forget
     | StartWave
     | NoteMaintenance
+    | BeginEvacuation
+    | EndEvacuation
 )
 
 
@@ -183,6 +197,12 @@
     conflict: bool
 
 
+class EvacuationResult(msgspec.Struct, frozen=True):
+    """Result of `BeginEvacuation`: whether the evacuation is in force."""
+
+    in_force: bool
+
+
 class AssignResult(msgspec.Struct, frozen=True):
     """Result of `Assign`: the placements that were accepted."""
 
--- a/marjoramusher/workflows/machine.py
+++ b/marjoramusher/workflows/machine.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from ..core import codec, crash
-from . import catalog, command, suspicion, wave, workflow
+from . import catalog, command, evacuation, suspicion, wave, workflow
 
 
 class TaskState(msgspec.Struct, array_like=True):
@@ -131,6 +131,7 @@
     removed: dict[str, int]
     waves: dict[int, wave.WaveState] = {}
     cancelled: dict[tuple[str, str], int] = {}
+    evacuations: tuple[evacuation.Evacuation, ...] = ()
 
 
 # Removed incarnations are remembered, since an announcement that arrives late would
@@ -154,6 +155,7 @@
         "_cancelled_early",
         "_document",
         "_entries",
+        "_evacuations",
         "_index",
         "_placements",
         "_removed_workers",
@@ -168,6 +170,7 @@
         self._workers: dict[str, WorkerState] = {}
         self._removed_workers: dict[str, int] = {}
         self._waves: dict[int, wave.WaveState] = {}
+        self._evacuations = evacuation.Evacuations()
         # Time of each cancellation of an unknown workflow, by queue and id.
         self._cancelled_early: dict[tuple[str, str], int] = {}
         self._rebuild_indexes()
@@ -202,6 +205,15 @@
         """Return the maintenance waves by number."""
         return self._waves
 
+    @property
+    def evacuations(self) -> evacuation.Evacuations:
+        """Return the failure domains in which nothing may start."""
+        return self._evacuations
+
+    def is_evacuated(self, worker: workflow.Worker) -> bool:
+        """Tell whether nothing may start on a worker."""
+        return worker.failure_domain in self._evacuations
+
     def has_early_cancellation(self, before_ms: int) -> bool:
         """Tell whether a workflow was cancelled unknown before a time."""
         return any(at_ms < before_ms for at_ms in self._cancelled_early.values())
@@ -264,6 +276,13 @@
                 return codec.pack(self._start_wave(decoded.wave))
             case command.NoteMaintenance():
                 self._record_maintenance(decoded)
+            case command.BeginEvacuation():
+                in_force = self._evacuations.begin(
+                    decoded.failure_domain, decoded.at_ms
+                )
+                return codec.pack(command.EvacuationResult(in_force))
+            case command.EndEvacuation():
+                self._evacuations.end(decoded.failure_domain)
         return b""
 
     def snapshot(self) -> bytes:
@@ -277,6 +296,7 @@
                 self._removed_workers,
                 self._waves,
                 self._cancelled_early,
+                self._evacuations.stored(),
             )
         )
 
@@ -290,6 +310,7 @@
         self._removed_workers = stored.removed
         self._waves = stored.waves
         self._cancelled_early = stored.cancelled
+        self._evacuations = evacuation.Evacuations(stored.evacuations)
         self._rebuild_indexes()
 
     def _rebuild_indexes(self) -> None:
@@ -513,6 +534,7 @@
             and placement.run > task.last_run
             and worker is not None
             and worker.worker.incarnation == placement.incarnation
+            and not self.is_evacuated(worker.worker)
         )
 
     def _place(self, entry: Entry, placement: workflow.Placement) -> workflow.Placement:
