Retry failed tasks away from the workers that failed them

A quote has two attempts; both went to the same worker, which failed everything it started.

Cause: a rack with the least free room is tried first, and a suspect worker was avoided only within a rack, so a gang went back to the worker that had failed it. A new leader knew nothing of the failures, either.

Change: each task remembers the workers on which it failed, in the log. A retry leaves them out as long as others could hold the step, and the last attempt leaves out suspect workers, too; overdue steps use any. Gangs try all racks without suspect workers first.

--- a/marjoramusher/workflows/machine.py
+++ b/marjoramusher/workflows/machine.py
@@ -29,6 +29,8 @@
     done_run : int
         Number of the latest run that is done. A later one may be in progress if this
         one ended on a worker that could not be reached.
+    failed_on : list of str
+        Workers on which a run has failed; of a gang, those of the members that failed.
     """
 
     last_run: int = 0
@@ -40,6 +42,7 @@
     crashes: list[crash.Crash] = []
     possible_crashes: list[crash.Crash] = []
     done_run: int = 0
+    failed_on: list[str] = []
 
     @property
     def suspicions(self) -> list[crash.Crash]:
@@ -137,6 +140,9 @@
 # Removed incarnations are remembered, since an announcement that arrives late would
 # register them again. Each takes about 60 bytes, so the limit is a number of entries.
 MAX_REMOVED_WORKERS = 4096
+# Of each task, the workers of its latest failures are remembered. Queues allow a few
+# attempts, and several members of a gang can fail in one of them.
+MAX_FAILED_WORKERS = 8
 MAX_WAVES = 64  # completed waves are kept, so that operators can query them
 # Cancellations of unknown workflows are remembered, since a submission may arrive after
 # its cancellation. Each takes about 100 bytes.
@@ -612,12 +618,14 @@
                 member.done_run = max(member.done_run, end.run)
             self._record_progress(entry, end.task.occurrence, at_ms)
         elif end.outcome is workflow.RunOutcome.FAILED:
-            self._record_failure(entry, tasks if step.gang else [task], end, at_ms)
+            members = tasks if step.gang else [task]
+            self._record_failure(entry, members, worker_id, end, at_ms)
 
     def _record_failure(
         self,
         entry: Entry,
         tasks: list[TaskState],
+        worker_id: str,
         end: workflow.RunEnd,
         at_ms: int,
     ) -> None:
@@ -626,6 +634,8 @@
         The failure of a gang is counted for all members, but only once for each run.
         """
         for task in tasks:
+            if worker_id not in task.failed_on:
+                task.failed_on = [*task.failed_on, worker_id][-MAX_FAILED_WORKERS:]
             if end.run > task.last_failed_run:
                 task.last_failed_run = end.run
                 task.failures += 1
--- a/marjoramusher/workflows/machine_test.py
+++ b/marjoramusher/workflows/machine_test.py
@@ -532,6 +532,7 @@
     stored = codec.unpack(harness.state.snapshot(), list)
     assert stored.pop() == []  # the evacuations
     assert stored.pop() == {}  # the cancellations of unknown workflows
+    assert stored[2]["w"][3][0][0][0].pop() == []  # the workers on which it failed
     assert stored[2]["w"][3][0][0][0].pop() == 0  # the run of the task that was done
     assert stored[2]["w"][3][0][0][0].pop() == []  # its possible crashes
     assert stored[2]["w"][3][0][0][0].pop() == []  # its crashes
--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -15,6 +15,7 @@
     permit,
     preemption,
     resources,
+    retry,
     shortage,
     suspicion,
     workflow,
@@ -190,6 +191,7 @@
         # Tasks for which no further busy worker may be spared.
         self._waiting_suspects: list[tuple[backlog.PendingStep, int]] = []
         self._overdue = plan_input.overdue
+        self._is_placing_overdue = False
         self._quarantined: dict[
             str, list[tuple[workflow.Worker, condition.WorkerCondition]]
         ] = {}
@@ -325,6 +327,7 @@
         Room that is kept or reserved for others, away from the data, or on a worker
         that may fail it, is worth more to a workflow than an idle service.
         """
+        self._is_placing_overdue = True
         for pending in pending_steps:
             key = pending.key
             is_waiting = key in self._overdue and key in self.wait_reasons
@@ -479,7 +482,10 @@
             self._reserve(pending, workers)
             return
         if kind is None or not self._shortages.covers(kind, count):
-            for candidates in self._gang_scopes(pending, workers):
+            scopes = self._gang_scopes(pending, workers)
+            # A member on a suspect worker can cost the whole gang an attempt, so all
+            # racks are tried without them first.
+            for candidates in (*_without_suspects(scopes), *scopes):
                 chosen = self._fit_gang(pending, candidates)
                 if chosen:
                     for index, candidate in chosen.items():
@@ -501,7 +507,7 @@
         queue = pending.entry.queue
         if step.max_per_worker or queue.policy is not None:
             return None
-        if pending.has_suspects:
+        if pending.has_suspects or self._avoids_workers(pending):
             return None
         needs = resources.reserved(step)
         in_one_rack = step.gang and step.same_rack
@@ -712,6 +718,9 @@
         """Return the eligible workers; most steps share them with other steps."""
         step = pending.step
         queue = pending.entry.queue
+        if self._avoids_workers(pending):
+            eligible = list(self._eligible(pending))
+            return _WorkerSet(retry.candidates(pending, eligible, _can_hold))
         if step.fill or queue.policy is not None:
             return _WorkerSet(self._eligible(pending))
         key = (queue.service, step.label)
@@ -719,6 +728,13 @@
             self._worker_sets[key] = _WorkerSet(self._eligible(pending))
         return self._worker_sets[key]
 
+    def _avoids_workers(self, pending: backlog.PendingStep) -> bool:
+        """Tell whether a step keeps away from workers because a run of it has failed.
+
+        Overdue steps use any worker.
+        """
+        return not self._is_placing_overdue and retry.has_failed(pending)
+
     def _gang_scopes(
         self, pending: backlog.PendingStep, workers: _WorkerSet
     ) -> list[list[resources.Candidate]]:
@@ -1109,6 +1125,17 @@
     return sum(min(size, limit) if limit else size for size in sizes)
 
 
+def _can_hold(step: workflow.Step, candidates: Sequence[resources.Candidate]) -> bool:
+    """Tell whether some workers could run a step if they were empty."""
+    if not step.gang:
+        return _size(step, candidates) > 0
+    if step.same_rack:
+        return max(_WorkerSet(candidates).rack_sizes(step).values(), default=0) >= (
+            step.count
+        )
+    return _size(step, candidates) >= step.count
+
+
 def _idle(candidates: list[resources.Candidate]) -> list[resources.Candidate]:
     return [candidate for candidate in candidates if not candidate.task_count]
 
@@ -1155,6 +1182,15 @@
     return [candidate for candidate in candidates if _has_room(pending, candidate)]
 
 
+def _without_suspects(
+    scopes: list[list[resources.Candidate]],
+) -> Iterator[list[resources.Candidate]]:
+    """Yield sets of workers without suspect ones, nothing if no worker is suspect."""
+    if any(candidate.is_suspect for scope in scopes for candidate in scope):
+        for scope in scopes:
+            yield [candidate for candidate in scope if not candidate.is_suspect]
+
+
 def _wait_reason(
     pending: backlog.PendingStep, eligible: list[resources.Candidate]
 ) -> WaitReason:
