Move runs off departing workers in time, and prefer warm workers

Cause: a worker that leaves reports the time left, but nothing was done with it. When it left, all of its runs ended: work since the last reported checkpoint was lost, and runs that could not end there kept their callers waiting until then.

The remaining time of a resumed run is extrapolated from its first report only: counting its whole progress since a change of the leader made a run of 7 s look as if it ended within 1 s.

--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -17,6 +17,7 @@
     command,
     condition,
     demand,
+    departure,
     machine,
     planner,
     resources,
@@ -24,6 +25,7 @@
     workflow,
 )
 from . import (
+    departures,
     fencing,
     health,
     held,
@@ -70,10 +72,13 @@
         shrink at any time.
     plan : Planner
         Decides which tasks start on which workers.
+    departure_settings : departure.Settings or None
+        Durations of stops and restores of runs on departing workers.
     """
 
     __slots__ = (
         "capacity_grace_s",
+        "departure",
         "early_ms",
         "heartbeat_s",
         "lease",
@@ -91,8 +96,10 @@
         maintenance_settings: maintenance.Settings | None = None,
         capacity_grace_s: float = 5.5,
         plan: planner.Planner = planner.plan,
+        departure_settings: departure.Settings | None = None,
     ) -> None:
         self.capacity_grace_s = capacity_grace_s
+        self.departure = departure_settings or departure.Settings()
         self.heartbeat_s = heartbeat_s
         self.early_ms = early_ms
         self.retention_s = retention_s
@@ -167,6 +174,9 @@
         self._maintenance = maintenance.Maintenance(
             state, ports.hosts, time, self, metrics_registry, settings.maintenance
         )
+        self._departures = departures.Departures(
+            state, time, self, metrics_registry, settings.departure
+        )
         group.applied.subscribe(lambda _: self._wake.set())
         group.roles.subscribe(lambda _: self._wake.set())
 
@@ -234,14 +244,29 @@
         return result
 
     def record_heartbeat(
-        self, worker_id: str, incarnation: int, clock_ms: int | None
+        self,
+        worker_id: str,
+        incarnation: int,
+        clock_ms: int | None,
+        drain_remaining_ms: float | None = None,
+        cold_remaining_ms: float | None = None,
     ) -> None:
-        """Record a heartbeat of a registered worker, which may have been delayed."""
+        """Record a heartbeat of a registered worker, which may have been delayed.
+
+        Parameters
+        ----------
+        drain_remaining_ms, cold_remaining_ms : float or None
+            Minimum time until the worker leaves, and time for which it is slow, when
+            it was sent; ``None`` if it did not say.
+        """
         announced_s = self._clock.monotonic()
         current = self._sessions.get(worker_id)
         if current is not None and current.worker.incarnation == incarnation:
             announced_s -= current.age_s(clock_ms)
         self._announced[worker_id] = (incarnation, announced_s)
+        self._departures.record(
+            worker_id, incarnation, announced_s, drain_remaining_ms, cold_remaining_ms
+        )
         if current is not None and current.worker.incarnation == incarnation:
             current.record_heartbeat(clock_ms)
             self._wake.set()
@@ -380,6 +405,8 @@
         self._open_sessions()
         self._stop_obsolete_runs()
         await self._plan()
+        # The plan comes first, so that pending tasks have taken their room.
+        self._departures.carry_out(self._conditions)
         self._progress.update_gauges()
         await self._forget()
 
@@ -398,6 +425,7 @@
         self._has_taken_over.set()
         self._health = health.Health()
         self._announced = {}
+        self._departures.clear()
         self._demand = demand.UrgentDemand()
         self._held = held.HeldSteps(self._state)
         self._progress.on_leading()
@@ -448,6 +476,7 @@
     def record_end(self, worker_id: str, end: workflow.RunEnd) -> None:
         """Record the end of a run on a worker."""
         self._metrics.increment("task_ends", how=end.outcome.value)
+        self._departures.record_end(worker_id, end)
         if self._health.record_end(worker_id, end, self._clock.monotonic()):
             self._log_quarantine(worker_id)
 
@@ -512,6 +541,12 @@
                 if reason and not current.is_stopping(placement):
                     current.stop(placement, reason)
 
+    def stop_run(self, placement: workflow.Placement, reason: str) -> None:
+        """Ask the worker of a run to stop it, if it is known to this leader."""
+        current = self._sessions.get(placement.worker_id)
+        if current is not None:
+            current.stop(placement, reason)
+
     def _is_stopping(self, placement: workflow.Placement) -> bool:
         current = self._sessions.get(placement.worker_id)
         return current is not None and current.is_stopping(placement)
@@ -601,6 +636,7 @@
                 is_silent,
                 verdict.is_quarantined,
                 current.remaining_s(),
+                self._departures.is_cold(current.worker, now_s),
             )
         return conditions
 
--- a/marjoramusher/executors/runs.py
+++ b/marjoramusher/executors/runs.py
@@ -50,6 +50,13 @@
     unanswered_s : float or None
         When the last start without a reply may have been sent, ``None`` if each start
         got one.
+    is_resumed : bool
+        Whether part of its progress was made before `started_s`, by an earlier run or
+        under an earlier leader.
+    resumed_percent : int
+        First progress that was reported of a resumed run.
+    resumed_s : float or None
+        When that was reported, ``None`` before.
     """
 
     placement: workflow.Placement
@@ -64,6 +71,9 @@
     is_unreported: bool = False
     has_outlived: bool = False
     unanswered_s: float | None = None
+    is_resumed: bool = False
+    resumed_percent: int = 0
+    resumed_s: float | None = None
 
     @property
     def has_been_reported(self) -> bool:
@@ -89,12 +99,17 @@
 def remaining_s(run: Run, now_s: float) -> float | None:
     """Return the expected time until a run ends, ``None`` if it is not known.
 
-    The reported progress is extrapolated. A run that is late for its next percent is
+    The reported progress is extrapolated; that of a resumed run only since its first
+    report, since the time that the progress before took is not known. A run that is late for its next percent is
     not expected to be as fast as before, so its remaining time does not fall to 0.
     """
     if not 0 < run.progress_percent <= FINISHED_PERCENT:
         return None
-    per_percent_s = (run.progressed_s - run.started_s) / run.progress_percent
+    since_s = run.resumed_s if run.is_resumed else run.started_s
+    progress_percent = run.progress_percent - run.resumed_percent
+    if since_s is None or progress_percent <= 0:
+        return None
+    per_percent_s = (run.progressed_s - since_s) / progress_percent
     at_last_report_s = per_percent_s * (100 - run.progress_percent)
     return max(at_last_report_s - (now_s - run.progressed_s), per_percent_s)
 
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -278,7 +278,13 @@
         run = self._runs.get(key)
         if run is None:
             now_s = self._clock.monotonic()
-            run = runs.Run(placement, runs.Phase.UNKNOWN, now_s, unanswered_s=now_s)
+            run = runs.Run(
+                placement,
+                runs.Phase.UNKNOWN,
+                now_s,
+                unanswered_s=now_s,
+                is_resumed=True,
+            )
             self._runs[key] = run
         return run
 
@@ -397,6 +403,7 @@
                 reason=reason,
             )
             return None
+        run.is_resumed = bool(task.checkpoint)
         unanswered_s = run.unanswered_s
         run.unanswered_s = self._clock.monotonic()
         try:
@@ -691,6 +698,8 @@
         if status.progress_percent != run.progress_percent:
             run.progress_percent = status.progress_percent
             run.progressed_s = now_s
+        if run.is_resumed and run.resumed_s is None and run.progress_percent > 0:
+            run.resumed_percent, run.resumed_s = run.progress_percent, now_s
         run.checkpoint = status.checkpoint
         if (
             run.phase is runs.Phase.STOP_CONFIRMED
--- a/marjoramusher/queues/call.py
+++ b/marjoramusher/queues/call.py
@@ -55,11 +55,17 @@
         Rises with each announcement of one incarnation.
     clock_ms : int or None
         Reading of the worker's clock.
+    drain_remaining_ms : float or None
+        Minimum time until it leaves, ``None`` if it has not announced that.
+    cold_remaining_ms : float or None
+        Time for which its tasks run slower, ``None`` if it has not announced that.
     """
 
     worker: workflow.Worker
     sequence: int
     clock_ms: int | None
+    drain_remaining_ms: float | None = None
+    cold_remaining_ms: float | None = None
 
 
 class Leave(Call, frozen=True, tag=True):
--- a/marjoramusher/queues/service.py
+++ b/marjoramusher/queues/service.py
@@ -234,7 +234,11 @@
             )
         self._latest_announcements[worker.worker_id] = announced
         self._driver.record_heartbeat(
-            worker.worker_id, worker.incarnation, request.clock_ms
+            worker.worker_id,
+            worker.incarnation,
+            request.clock_ms,
+            request.drain_remaining_ms,
+            request.cold_remaining_ms,
         )
         return acknowledgement
 
--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -222,6 +222,7 @@
         self._by_worker[worker.worker_id] = candidate
         candidate.accepts_fill = status.accepts_fill
         candidate.is_silent = status.is_silent
+        candidate.is_cold = status.is_cold
         self._candidates.setdefault(worker.service, []).append(candidate)
         free = max(candidate.accelerators, 0)
         self._rack_free_accelerators[worker.rack] = (
@@ -1008,6 +1009,8 @@
         - Tasks during which a worker has crashed are kept apart from each other and
           from others, and away from that worker, so that the next crash tells more.
           One that could not get a worker of its own goes where it meets fewest others.
+        - Cold workers come after equal warm ones, and after all warm ones for tasks
+          that are close to their deadline.
 
         Parameters
         ----------
@@ -1030,7 +1033,8 @@
             return previous  # it has become the fullest by the preceding task
         crash_addresses = {item.address for item in crashes}
         best: resources.Candidate | None = None
-        best_rank: tuple[bool, bool, int, int, int, int] | None = None
+        best_rank: tuple[bool, bool, int, bool, int, int, int, bool] | None = None
+        is_pressing = self._is_pressing(pending)
         is_urgent = pending.entry.queue.priority == 0
         needs_isolation = self._needs_isolation(pending, index)
         for candidate in candidates:
@@ -1045,21 +1049,21 @@
             if needs_isolation:
                 separation += candidate.task_count
             if step.fill:
-                rank = (
-                    interferes,
-                    candidate.is_suspect,
-                    separation,
-                    candidate.fill_count,
-                    -candidate.cores_milli,
-                    0,
-                )
+                free = (candidate.fill_count, -candidate.cores_milli, 0)
             else:
                 free = (
                     rack_free_accelerators,
                     candidate.accelerators,
                     candidate.cores_milli,
                 )
-                rank = (interferes, candidate.is_suspect, separation, *free)
+            rank = (
+                interferes,
+                candidate.is_suspect,
+                separation,
+                is_pressing and candidate.is_cold,
+                *free,
+                candidate.is_cold,
+            )
             if best_rank is None or rank < best_rank:
                 best, best_rank = candidate, rank
         return best
--- a/marjoramusher/workflows/resources.py
+++ b/marjoramusher/workflows/resources.py
@@ -98,6 +98,7 @@
         "expected_memory_mb",
         "fill_count",
         "is_closed",
+        "is_cold",
         "is_silent",
         "is_suspect",
         "memory_mb",
@@ -118,6 +119,7 @@
         self._pool = pool
         self.is_suspect = is_suspect
         self.is_silent = False
+        self.is_cold = False
         self.crash_suspects = 0
         self.starting_count = 0
         self.is_closed = False
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -84,6 +84,8 @@
         Capacities that the worker had before, each with the time of its end.
     is_polled : bool
         Whether it has told a leader which incarnation it is.
+    leaves_s : float or None
+        Time of its departure, ``None`` if it stays.
     """
 
     worker: workflow.Worker
@@ -101,6 +103,11 @@
     has_ended: bool = False
     former_capacities: list[tuple[float, workflow.Resources]] = []
     is_polled: bool = False
+    leaves_s: float | None = None
+
+    def drain_remaining_ms(self, now: float) -> float | None:
+        """Return the time until its departure, ``None`` if it stays."""
+        return None if self.leaves_s is None else max(self.leaves_s - now, 0.0) * 1000
 
     def clock_ms(self, now: float) -> int:
         """Return the reading of the worker's monotonic clock."""
--- a/standins/leader.py
+++ b/standins/leader.py
@@ -397,12 +397,28 @@
 
     async def send_heartbeat(self, life, sequence, delay_s=0.0):
         """Announce what a worker says of itself now, once and maybe late."""
-        clock_ms = life.clock_ms(self.clock.monotonic())
-        request = call.pack_call(call.Announce(life.worker, sequence, clock_ms))
+        now_s = self.clock.monotonic()
+        announced = call.Announce(
+            life.worker,
+            sequence,
+            life.clock_ms(now_s),
+            life.drain_remaining_ms(now_s),
+        )
+        request = call.pack_call(announced)
         await asyncio.sleep(delay_s)
         with contextlib.suppress(errors.MarjoramusherError):
             await self.service.serve(request)
 
+    async def depart(self, name, notice_s, is_announced=True):
+        """Let a worker leave after a time, which it announces or not."""
+        life = self.fleet.processes[name]
+        if is_announced:
+            life.worker = msgspec.structs.replace(life.worker, draining=True)
+            life.leaves_s = self.clock.monotonic() + notice_s
+        await asyncio.sleep(notice_s)
+        life.has_ended = True
+        await self.driver.end_incarnation(life.worker, "it has left")
+
     async def submit(self, queue, *steps):
         """Submit a workflow and return its id."""
         self.count += 1
