--- /dev/null
+++ b/marjoramusher/executors/evacuation_test.py
@@ -0,0 +1,182 @@
+"""Guards evacuated failure domains against starts, and the work that runs there."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from marjoramusher.core import errors
+from marjoramusher.queues import call
+from marjoramusher.workflows import command
+from standins import leader, virtual
+from standins.leader import always, step
+
+EVACUATION_S = 5.0  # the platform's bound on starts after the acknowledgement
+DOMAIN = "fd0"
+
+
+class Harness(leader.Harness):
+    """Workers x0 and x1 are in one failure domain, the others in another."""
+
+    def __init__(self, *args, **fields):
+        super().__init__(*args, **fields)
+        self.domain_starts_s = []
+        self._start = self.fleet._start
+        self.fleet._start = self.record_start
+
+    async def join(self, name, rack="r1"):
+        """Start a worker in its failure domain."""
+        await super().join(name, rack)
+        process = self.fleet.processes[name]
+        if name in ("x0", "x1"):
+            process.worker = msgspec.structs.replace(
+                process.worker, failure_domain=DOMAIN
+            )
+            register = command.RegisterWorker(0, process.worker)
+            await self.group.propose(command.pack(register), 1.0)
+
+    def record_start(self, process, request):
+        """Record the time of each start in the domain, also of late ones."""
+        known = process.runs.get(request.task)
+        reply = self._start(process, request)
+        is_new = process.runs.get(request.task) is not known
+        if is_new and process.worker.failure_domain == DOMAIN:
+            self.domain_starts_s.append(self.clock.monotonic())
+        return reply
+
+    async def ask(self, request):
+        """Send a request until it is answered."""
+        while True:
+            try:
+                reply = await self.service.serve(call.pack_call(request))
+            except errors.MarjoramusherError:
+                await asyncio.sleep(1.0)
+                continue
+            return call.unpack_reply(reply)
+
+    async def begin(self):
+        """Begin the evacuation, and return the time of the acknowledgement."""
+        assert await self.ask(call.BeginEvacuation(DOMAIN)) == call.Committed()
+        return self.clock.monotonic()
+
+    async def end(self):
+        """End the evacuation."""
+        assert await self.ask(call.EndEvacuation(DOMAIN)) == call.Committed()
+
+    def domains(self, workflow_id):
+        """Return the failure domains in which a workflow runs."""
+        return {
+            self.fleet.processes[name].worker.failure_domain
+            for name in self.running(workflow_id)
+        }
+
+
+def test_runs_there_end_and_new_ones_start_elsewhere():
+    """Guards against stops by an evacuation, which would waste work."""
+
+    async def scenario():
+        async with Harness(1, always(6.0)) as harness:
+            first = await harness.submit("batch", step(32, 1))
+            await asyncio.sleep(2.0)
+            assert harness.domains(first) == {DOMAIN, "fd"}
+            begun_s = await harness.begin()
+            second = await harness.submit("batch", step(16, 1))
+            await asyncio.sleep(6.0)
+            assert harness.domains(second) == {"fd"}
+            await harness.check_all_end(30)
+            assert harness.fleet.starts == 48
+            assert all(at_s <= begun_s for at_s in harness.domain_starts_s)
+
+    virtual.run(scenario())
+
+
+@pytest.mark.parametrize("gang", [False, True])
+def test_a_start_that_was_not_sent_is_withheld(gang):
+    """Guards against a start between the commits of placement and evacuation."""
+
+    async def scenario():
+        async with Harness(1, always(2.0)) as harness:
+            await asyncio.sleep(2.0)
+            ticket = harness.driver.ticket
+
+            def evacuate_first(placement):
+                # The placement is committed, and its start is about to be sent.
+                begun = command.BeginEvacuation(0, DOMAIN)
+                harness.state.apply(0, command.pack(begun))
+                return ticket(placement)
+
+            harness.driver.ticket = evacuate_first
+            await harness.submit("batch", step(2, 8, gang=gang))
+            placed = []
+            for _ in range(20):
+                await asyncio.sleep(0.05)
+                placed += [
+                    name for name in ("x0", "x1") if harness.state.placements_on(name)
+                ]
+            assert placed
+            await harness.check_all_end(30)
+            assert harness.domain_starts_s == []
+
+    virtual.run(scenario())
+
+
+@pytest.mark.parametrize("replaces_leader", [False, True])
+def test_a_change_of_the_leader_keeps_the_evacuation(replaces_leader):
+    """Guards against an evacuation that ends with the leader that accepted it."""
+
+    async def scenario():
+        async with Harness(1, always(2.0)) as harness:
+            harness.replaces_leader = replaces_leader
+            begun_s = await harness.begin()
+            harness.lose_leadership()
+            await asyncio.sleep(1.0)
+            harness.take_over()
+            await harness.submit("batch", step(40, 1))
+            await harness.check_all_end(30)
+            assert all(at_s <= begun_s for at_s in harness.domain_starts_s)
+            reply = await harness.ask(call.ReadEvacuations())
+            assert [item.failure_domain for item in reply.evacuations] == [DOMAIN]
+
+    virtual.run(scenario())
+
+
+def test_a_domain_is_used_again_after_quick_changes():
+    """Guards against a domain that stays unused because a change overtook another."""
+
+    async def scenario():
+        async with Harness(1, always(2.0)) as harness:
+            await asyncio.sleep(2.0)
+            for _ in range(5):
+                await harness.begin()
+                await harness.end()
+            name = await harness.submit("batch", step(32, 1))
+            await asyncio.sleep(1.5)
+            assert harness.domains(name) == {DOMAIN, "fd"}
+            await harness.begin()
+            await harness.check_all_end(30)
+
+    virtual.run(scenario())
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_nothing_starts_there_under_lost_and_late_calls(seed):
+    """Guards against starts that arrive long after the evacuation was acknowledged."""
+
+    async def scenario():
+        async with Harness(seed) as harness:
+            harness.disturb_calls()
+            work = asyncio.create_task(harness.submit_random(30))
+            await asyncio.sleep(harness.rng.uniform(3.0, 8.0))
+            begun_s = await harness.begin()
+            await work
+            await asyncio.sleep(10.0)
+            late_s = [
+                at_s - begun_s
+                for at_s in harness.domain_starts_s
+                if at_s > begun_s + EVACUATION_S
+            ]
+            await harness.end()
+            await harness.check_all_end(120)
+            assert late_s == []
+
+    virtual.run(scenario())
--- a/marjoramusher/executors/runs.py
+++ b/marjoramusher/executors/runs.py
@@ -100,8 +100,9 @@
     """Return the expected time until a run ends, ``None`` if it is not known.
 
     The reported progress is extrapolated; that of a resumed run only since its first
-    report, since the time that the progress before took is not known. A run that is late for its next percent is
-    not expected to be as fast as before, so its remaining time does not fall to 0.
+    report, since the time that the progress before took is not known. A run that is
+    late for its next percent is not expected to be as fast as before, so its remaining
+    time does not fall to 0.
     """
     if not 0 < run.progress_percent <= FINISHED_PERCENT:
         return None
--- a/marjoramusher/queues/service_test.py
+++ b/marjoramusher/queues/service_test.py
@@ -205,6 +205,19 @@
     assert harness.state.workers["w"].worker == worker(incarnation=2)
 
 
+def test_the_time_left_of_a_worker_is_committed_nowhere(harness):
+    """Guards against a commit for each announcement of a departing worker."""
+    harness.ask(call.Announce(worker(draining=True), 1, 10, 3000.0, 400.0))
+    committed = harness.state.snapshot()
+    harness.ask(call.Announce(worker(draining=True), 2, 20, 2000.0, 0.0))
+    harness.ask(call.Announce(worker(draining=True), 1, 10, 9000.0))
+    assert harness.state.snapshot() == committed
+    leader = harness.arguments[2]
+    now_s = harness.arguments[3].monotonic()
+    assert leader._departures.time_left_s(now_s) == {"w": 2.0}
+    assert not leader._departures.is_cold(worker(), now_s)
+
+
 def test_a_new_leader_knows_the_sequence_of_the_last_change(harness):
     """Guards against a former capacity that a delayed announcement restores."""
     harness.ask(call.Announce(worker(), 4, 0))
--- a/marjoramusher/workflows/planner_test.py
+++ b/marjoramusher/workflows/planner_test.py
@@ -1334,3 +1334,28 @@
     (query,) = planner.plan(plan_input).queries
     assert query.step == (name, 0, 0)
     assert query.can_start == can_start
+
+
+@pytest.mark.parametrize(
+    "estimate_ms, used, worker",
+    [
+        (1000, 0, "0-1"),  # otherwise equal
+        (1000, 1, "0-0"),  # the fuller worker keeps the other one whole
+        (9_000_000, 1, "0-1"),  # close to its deadline
+    ],
+)
+def test_warm_workers_come_first_among_equals_and_for_late_work(
+    estimate_ms, used, worker
+):
+    """Guards against deadlines that are missed on slow workers beside others."""
+    harness = Harness()
+    if used:
+        harness.submit("batch", 1, 4)
+        assert workers_of(harness.run(), "w1") == ["0-0"]
+    cold = condition.WorkerCondition(is_cold=True)
+    harness.conditions["0-0"] = cold
+    name = harness.submit("batch", 1, 2, estimate_ms=estimate_ms)
+    now_ms = 10 * estimate_ms if estimate_ms > 1000 else 0.0
+    assert workers_of(harness.plan(now_ms), name) == [worker]
+    harness.conditions["0-1"] = cold
+    assert workers_of(harness.plan(now_ms), name) == ["0-0"]
