--- a/marjoramusher/cli/session.py
+++ b/marjoramusher/cli/session.py
@@ -40,6 +40,11 @@
         """Return the base URLs of the servers."""
         return self._servers
 
+    @property
+    def timeout_s(self) -> float:
+        """Return the longest time for one call, including all attempts."""
+        return self._timeout_s
+
     def connect(self, server: str | None = None) -> client.Client:
         """Return a client for all servers, or for one."""
         return client.Client(
@@ -70,7 +75,11 @@
             async with self.connect(server) as api:
                 return await call(api)
 
-        return asyncio.run(_with_progress(description, run_connected()))
+        return self.wait(description, run_connected())
+
+    def wait(self, description: str, call: Coroutine[Any, Any, T]) -> T:
+        """Wait for the result of a call, and show its progress if it takes long."""
+        return asyncio.run(_with_progress(description, call))
 
     def show(self, value: Any, print_table: Callable[[Any], None]) -> None:
         """Print a value in the selected output format."""
