--- a/tests/platform_session_test.py
+++ b/tests/platform_session_test.py
@@ -9,8 +9,10 @@
 from aiohttp import test_utils, web
 
 from adapter import client, control, ingress, settings, wire_test, workers
+from marjoramusher.cli import controllers
 from marjoramusher.daemon import controller, gateway, system
 from marjoramusher.executors import driver
+from marjoramusher.queues import call
 from marjoramusher.telemetry import metrics
 
 WORKFLOW_ID = "5c0e7a21d94b36f8"
@@ -207,6 +209,7 @@
             "POST", f"/q/{WORKFLOW_ID}", job_body(3)
         ) == (200, {})
         await platform.wait_completed(WORKFLOW_ID)
+        await platform.call_controllers("POST", "/Evacuation.Begin/z9")
         # The next leader knows the workflows that were accepted and completed.
         stopped_address = platform.leader_address()
         await platform.stop_controller(stopped_address)
@@ -223,6 +226,10 @@
         await platform.start_controller(stopped_address, is_bootstrapping=False)
         configuration = await platform.call_controllers("GET", "/Configuration.Read")
         assert configuration.decode() == manifest
+        reply = await controllers.call_leader(
+            platform.addresses, call.ReadEvacuations(), TEST_TIMEOUT_S
+        )
+        assert [item.failure_domain for item in reply.evacuations] == ["z9"]
         assert await platform.call_gateway(
             "POST", f"/q/{WORKFLOW_ID}", job_body(3)
         ) == (200, {})
