--- a/marjoramusher/workflows/departure.py
+++ b/marjoramusher/workflows/departure.py
@@ -359,17 +359,17 @@
         for item in candidates
         if not step.label or step.label in item.worker.labels
     ]
-    near = [item for item in suitable if item.worker.rack == step.rack]
-    if step.rack and can_hold(near):
-        suitable = near
+    if step.rack:
+        near = [item for item in suitable if item.worker.rack == step.rack]
+        suitable = near if can_hold(near) else suitable
+    if not (step.gang and step.same_rack):
+        yield suitable
+        return
     by_rack: dict[str, list[resources.Candidate]] = {}
     for candidate in suitable:
         by_rack.setdefault(candidate.worker.rack, []).append(candidate)
     large = [members for members in by_rack.values() if can_hold(members)]
-    if step.gang and step.same_rack and large:
-        yield from large
-    else:
-        yield suitable
+    yield from large or [suitable]
 
 
 def _spread(
@@ -383,6 +383,8 @@
     key = resources.step_key(run.task)
     chosen: list[resources.Candidate] = []
     for candidate in candidates:
+        if len(chosen) == count:
+            break
         while (
             len(chosen) < count
             and candidate.has_free(needs)
