End departing workers that are gone without a departure

Cause: such a worker announces that it drains, but leaves before its departure is acknowledged. Its host then refuses connections, which was taken for no answer.

Change: a draining worker that refuses two polls in a row has ended, and its runs are released, as after a departure that is announced. A run with a start that may still be carried out by a later incarnation waits as before. Only a refused connection counts, not one that was reset or timed out.

--- a/marjoramusher/executors/departures_test.py
+++ b/marjoramusher/executors/departures_test.py
@@ -5,6 +5,8 @@
 import msgspec
 import pytest
 
+from marjoramusher.core import errors
+from marjoramusher.executors import port
 from standins import virtual
 from standins.leader import WORKERS, Harness, always, step
 
@@ -130,3 +132,55 @@
             await harness.check_all_end(200)
 
     virtual.run(scenario())
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_gang_restarts_though_a_member_left_without_a_departure(seed):
+    """Guards against a gang that waits for the lease of a worker that was taken away.
+
+    The platform allows ready work to stand beside idle workers for 3 s.
+    """
+
+    async def scenario():
+        async with Harness(seed, always(4.0)) as harness:
+            harness.fleet.refuses_connections = True
+            name = await harness.submit("urgent", step(3, 8, gang=True))
+            await asyncio.sleep(1.0)
+            lost = harness.running(name)[0]
+            leaving = asyncio.create_task(harness.depart(lost, 0.3, deregisters=False))
+            await asyncio.sleep(0.1)
+            await harness.announce(harness.fleet.processes[lost].worker, 1000)
+            await leaving
+            await asyncio.sleep(3.0)
+            assert len(set(harness.running(name)) - {lost}) == 3
+            await harness.check_all_end(60)
+
+    virtual.run(scenario())
+
+
+def test_a_start_without_a_reply_outlasts_the_departure_of_its_worker():
+    """Guards against a second run beside one that a restarted worker starts late."""
+
+    async def scenario():
+        async with Harness(1, always(4.0)) as harness:
+            harness.fleet.refuses_connections = True
+            start = harness.fleet.start
+            lost = []
+
+            async def lose_first(worker, request):
+                if lost:
+                    return await start(worker, request)
+                lost.append(worker.worker_id)
+                raise port.WorkerUnreachableError("x", "lost", errors.Outcome.UNKNOWN)
+
+            harness.fleet.start = lose_first
+            name = await harness.submit("urgent", step(1, 8))
+            while not lost:
+                await asyncio.sleep(0.01)
+            harness.fleet.processes[lost[0]].has_ended = True
+            await harness.depart(lost[0], 0.0, deregisters=False)
+            await asyncio.sleep(2.0)
+            assert harness.state.placements_on(lost[0]), name
+            await harness.check_all_end(60)
+
+    virtual.run(scenario())
--- a/marjoramusher/executors/port.py
+++ b/marjoramusher/executors/port.py
@@ -112,14 +112,24 @@
     ----------
     outcome : Outcome
         ``NOT_RUN`` if the request certainly did not reach it.
+    is_refused : bool
+        Whether the host of the worker answered that nothing listens at its address.
     """
 
-    def __init__(self, worker_id: str, reason: str, outcome: errors.Outcome) -> None:
+    def __init__(
+        self,
+        worker_id: str,
+        reason: str,
+        outcome: errors.Outcome,
+        *,
+        is_refused: bool = False,
+    ) -> None:
         super().__init__(
             errors.ErrorCode.TARGET_FAILED,
             f"worker {worker_id}: {reason}",
             outcome,
         )
+        self.is_refused = is_refused
 
 
 class WorkerReplacedError(errors.MarjoramusherError):
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -22,6 +22,9 @@
 # Calls to a worker that leaves; its process may have closed the pooled connections.
 DEPARTURE_ATTEMPTS = 3
 DEPARTURE_RETRY_S = 0.05
+# Polls in a row that a departing worker has to refuse before it counts as gone. A
+# process can close its port a moment before it ends.
+DEPARTED_REFUSALS = 2
 # A run that is still reported this long after its confirmed stop is stopped again.
 STOP_REPEAT_S = 1.5
 # A stop takes effect within a second. A run that is still reported this long after the
@@ -117,6 +120,7 @@
         self._acknowledged_end = 0
         self._last_heard_s = float("-inf")
         self._failed_calls = 0
+        self._refused_polls = 0  # in a row
         # Until when a start without a reply may be carried out.
         self._late_until_s = float("-inf")
         # Whether the worker was heard since the last call, which got no reply.
@@ -484,6 +488,7 @@
 
     def _record_reply(self, clock_ms: int | None) -> None:
         self._failed_calls = 0
+        self._refused_polls = 0
         self.record_heartbeat(clock_ms)
 
     # Leases and reports.
@@ -514,6 +519,11 @@
                         lapses_in_s=self._lease.expires_s - self._clock.monotonic(),
                     )
                 self._record_no_reply()
+                self._refused_polls = (
+                    self._refused_polls + 1 if failure.is_refused else 0
+                )
+                if self.worker.draining and self._refused_polls >= DEPARTED_REFUSALS:
+                    await self._end_gone()
                 await self._release_expired(
                     is_refused=failure.outcome is errors.Outcome.NOT_RUN
                 )
@@ -841,6 +851,29 @@
                 raise
             return []
 
+    async def _end_gone(self) -> None:
+        """End an incarnation that announced that it leaves and is gone without notice.
+
+        Workers that are taken away leave before their departure is acknowledged. Their
+        runs would wait for the lease, and the other members of a gang with them. Runs
+        with a start that may still be carried out by a later incarnation do.
+        """
+        now_s = self._clock.monotonic()
+        placements = self._state.placements_on(self.worker.worker_id)
+        left = [self._get_run(placement) for placement in placements.values()]
+        ended = [
+            run for run in left if run.has_started and not run.may_start_late(now_s)
+        ]
+        if len(ended) < len(left):
+            if ended:
+                await self._release(ended, "its worker has left")
+            return
+        async with self._end_lock:
+            if not self.has_ended:
+                self._raise_token()
+                await self._remove("it has left without a departure", False, [])
+                self.has_ended = True
+
     async def end_departing(self) -> None:
         """End an incarnation that leaves, as soon as it runs nothing any more.
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -443,7 +443,7 @@
             raise _unreachable(worker)
         process = self.processes.get(worker.worker_id)
         if self.refuses_connections and process is not None and process.has_ended:
-            raise _unreachable(worker, errors.Outcome.NOT_RUN)
+            raise _unreachable(worker, errors.Outcome.NOT_RUN, is_refused=True)
         if worker.worker_id in self.unreachable or process is None or process.has_ended:
             if self.passes_cuts and process is not None and not process.has_ended:
                 self._lose(process, handler, is_order)
@@ -946,9 +946,14 @@
 
 
 def _unreachable(
-    worker: workflow.Worker, outcome: errors.Outcome = errors.Outcome.UNKNOWN
+    worker: workflow.Worker,
+    outcome: errors.Outcome = errors.Outcome.UNKNOWN,
+    *,
+    is_refused: bool = False,
 ) -> port.WorkerUnreachableError:
-    return port.WorkerUnreachableError(worker.worker_id, "no response", outcome)
+    return port.WorkerUnreachableError(
+        worker.worker_id, "no response", outcome, is_refused=is_refused
+    )
 
 
 def _step_key(task: workflow.TaskKey) -> tuple[str, int, int]:
--- a/standins/leader.py
+++ b/standins/leader.py
@@ -409,15 +409,19 @@
         with contextlib.suppress(errors.MarjoramusherError):
             await self.service.serve(request)
 
-    async def depart(self, name, notice_s, is_announced=True):
-        """Let a worker leave after a time, which it announces or not."""
+    async def depart(self, name, notice_s, is_announced=True, deregisters=True):
+        """Let a worker leave after a time, which it announces or not.
+
+        One that does not deregister is gone without a departure.
+        """
         life = self.fleet.processes[name]
         if is_announced:
             life.worker = msgspec.structs.replace(life.worker, draining=True)
             life.leaves_s = self.clock.monotonic() + notice_s
         await asyncio.sleep(notice_s)
         life.has_ended = True
-        await self.driver.end_incarnation(life.worker, "it has left")
+        if deregisters:
+            await self.driver.end_incarnation(life.worker, "it has left")
 
     async def submit(self, queue, *steps):
         """Submit a workflow and return its id."""
