Predict run times from completed runs

Declared run times are off by up to 90 percent, and nothing learned from the runs that had ended. The replicated state now keeps the last 64 runs of up to 1,024 keys (queue and image, or account), from the time stamps of the commands that place a run and record its end, and predicts the median and the 0.9 quantile. A key is corrected by the ratio of actual to declared run times or by the durations alone, whichever predicted its recent runs better by a fifth.

placement/estimate.py and the new module share core/quantile_window.py.

--- a/marjoramusher/placement/estimate.py
+++ b/marjoramusher/placement/estimate.py
@@ -1,7 +1,6 @@
 """Run time estimates for each client account and contract."""
 
-import bisect
-import collections
+from ..core import quantile_window
 
 # Enough for a 0.9 quantile. Older runs are dropped, so that estimates follow drift.
 WINDOW_RUNS = 64
@@ -23,9 +22,7 @@
     __slots__ = ("_ratios",)
 
     def __init__(self) -> None:
-        self._ratios: dict[
-            tuple[str, str], tuple[collections.deque[float], list[float]]
-        ] = {}
+        self._ratios: dict[tuple[str, str], quantile_window.QuantileWindow] = {}
 
     def record_run(
         self, account: str, contract: str, declared_s: float, run_s: float
@@ -37,14 +34,9 @@
             if window is None:
                 if len(self._ratios) >= MAX_KEYS:
                     del self._ratios[next(iter(self._ratios))]
-                window = self._ratios[key] = (collections.deque(), [])
-            recent_ratios, sorted_ratios = window
-            recent_ratios.append(ratio)
-            bisect.insort(sorted_ratios, ratio)
-            if len(recent_ratios) > WINDOW_RUNS:
-                del sorted_ratios[
-                    bisect.bisect_left(sorted_ratios, recent_ratios.popleft())
-                ]
+                window = quantile_window.QuantileWindow(WINDOW_RUNS)
+                self._ratios[key] = window
+            window.add(ratio)
 
     def quantile(
         self, account: str, contract: str, declared_s: float, quantile: float
@@ -52,12 +44,6 @@
         """Return a quantile of the run time, or the declared time without data."""
         for key in ((account, contract), (account, "")):
             window = self._ratios.get(key)
-            if window is not None and len(window[1]) >= MIN_RUNS:
-                sorted_ratios = window[1]
-                return (
-                    declared_s
-                    * sorted_ratios[
-                        min(int(quantile * len(sorted_ratios)), WINDOW_RUNS - 1)
-                    ]
-                )
+            if window is not None and len(window) >= MIN_RUNS:
+                return declared_s * window.quantile(quantile)
         return declared_s
--- a/marjoramusher/workflows/machine.py
+++ b/marjoramusher/workflows/machine.py
@@ -6,6 +6,7 @@
 
 from ..core import codec, crash
 from . import catalog, command, evacuation, suspicion, wave, workflow
+from . import run_times as prediction
 
 
 class TaskState(msgspec.Struct, array_like=True):
@@ -29,6 +30,11 @@
     done_run : int
         Number of the latest run that is done. A later one may be in progress if this
         one ended on a worker that could not be reached.
+    placed_ms : int
+        Unix milliseconds at which the latest run was placed, on the clock of the leader
+        that placed it; 0 if it is not known.
+    has_resumed : bool
+        Whether the latest run resumed from a checkpoint.
     """
 
     last_run: int = 0
@@ -40,6 +46,8 @@
     crashes: list[crash.Crash] = []
     possible_crashes: list[crash.Crash] = []
     done_run: int = 0
+    placed_ms: int = 0
+    has_resumed: bool = False
 
     @property
     def suspicions(self) -> list[crash.Crash]:
@@ -132,6 +140,7 @@
     waves: dict[int, wave.WaveState] = {}
     cancelled: dict[tuple[str, str], int] = {}
     evacuations: tuple[evacuation.Evacuation, ...] = ()
+    run_times: tuple[prediction.KeyRuns, ...] = ()
 
 
 # Removed incarnations are remembered, since an announcement that arrives late would
@@ -159,6 +168,7 @@
         "_index",
         "_placements",
         "_removed_workers",
+        "_run_times",
         "_waves",
         "_workers",
     )
@@ -171,6 +181,7 @@
         self._removed_workers: dict[str, int] = {}
         self._waves: dict[int, wave.WaveState] = {}
         self._evacuations = evacuation.Evacuations()
+        self._run_times = prediction.RunTimes()
         # Time of each cancellation of an unknown workflow, by queue and id.
         self._cancelled_early: dict[tuple[str, str], int] = {}
         self._rebuild_indexes()
@@ -210,6 +221,11 @@
         """Return the failure domains in which nothing may start."""
         return self._evacuations
 
+    @property
+    def run_times(self) -> prediction.RunTimes:
+        """Return the run times of recent runs."""
+        return self._run_times
+
     def is_evacuated(self, worker: workflow.Worker) -> bool:
         """Tell whether nothing may start on a worker."""
         return worker.failure_domain in self._evacuations
@@ -297,6 +313,7 @@
                 self._waves,
                 self._cancelled_early,
                 self._evacuations.stored(),
+                self._run_times.stored(),
             )
         )
 
@@ -311,6 +328,7 @@
         self._waves = stored.waves
         self._cancelled_early = stored.cancelled
         self._evacuations = evacuation.Evacuations(stored.evacuations)
+        self._run_times = prediction.RunTimes(stored.run_times)
         self._rebuild_indexes()
 
     def _rebuild_indexes(self) -> None:
@@ -514,14 +532,14 @@
                 gang = (key.workflow_id, key.occurrence, key.step)
                 gangs.setdefault(gang, []).append(placement)
             else:
-                yield self._place(entry, placement)
+                yield self._place(entry, placement, assign.at_ms)
         for (workflow_id, occurrence, step), members in gangs.items():
             entry = self._entries[workflow_id]
             tasks = entry.occurrences[occurrence][step]
             is_complete = len(members) == len(tasks)
             if is_complete and all(task.placement is None for task in tasks):
                 for placement in members:
-                    yield self._place(entry, placement)
+                    yield self._place(entry, placement, assign.at_ms)
 
     def _can_place(self, entry: Entry, placement: workflow.Placement) -> bool:
         task = self.task(placement.task)
@@ -537,8 +555,12 @@
             and not self.is_evacuated(worker.worker)
         )
 
-    def _place(self, entry: Entry, placement: workflow.Placement) -> workflow.Placement:
+    def _place(
+        self, entry: Entry, placement: workflow.Placement, at_ms: int
+    ) -> workflow.Placement:
         task = self.task(placement.task)
+        task.placed_ms = at_ms
+        task.has_resumed = bool(task.checkpoint)
         task.last_run = placement.run
         task.placement = placement
         entry.is_started = True
@@ -553,6 +575,7 @@
             return
         for end in settle.ends:
             if end.number > registered.last_end_number:
+                self._record_run_time(settle.worker_id, end, settle.at_ms)
                 self._record_end(settle.worker_id, end, settle.at_ms)
         if settle.ends or settle.is_heard:
             self._clear_lapsed(registered)
@@ -614,6 +637,37 @@
         elif end.outcome is workflow.RunOutcome.FAILED:
             self._record_failure(entry, tasks if step.gang else [task], end, at_ms)
 
+    def _record_run_time(
+        self, worker_id: str, end: workflow.RunEnd, at_ms: int
+    ) -> None:
+        """Record how long a run took from its placement.
+
+        It must be called before the placement is cleared. The members of a gang end
+        together, so only the first one counts. Fill tasks are slowed down beside
+        serving tasks, and a resumed run does only a part of the work.
+        """
+        task = self.task(end.task)
+        if task is None or not _is_placed_run(task, worker_id, end.run):
+            return
+        submitted = self._entries[end.task.workflow_id].workflow
+        step = submitted.steps[end.task.step]
+        is_counted = not (
+            step.long_running
+            or step.fill
+            or (step.gang and end.task.index)
+            or task.has_resumed
+            or not task.placed_ms
+        )
+        is_done = end.outcome is workflow.RunOutcome.DONE
+        if is_counted and (is_done or end.outcome is workflow.RunOutcome.STOPPED):
+            self._run_times.record(
+                submitted.queue,
+                submitted.account,
+                step,
+                at_ms - task.placed_ms,
+                is_lower_bound=not is_done,
+            )
+
     def _record_failure(
         self,
         entry: Entry,
--- a/marjoramusher/workflows/machine_test.py
+++ b/marjoramusher/workflows/machine_test.py
@@ -530,8 +530,11 @@
     harness = Harness(step(1))
     harness.assign(placement())
     stored = codec.unpack(harness.state.snapshot(), list)
+    assert stored.pop() == []  # the run times
     assert stored.pop() == []  # the evacuations
     assert stored.pop() == {}  # the cancellations of unknown workflows
+    assert stored[2]["w"][3][0][0][0].pop() is False  # whether its run resumed
+    assert stored[2]["w"][3][0][0][0].pop() == 0  # when it was placed
     assert stored[2]["w"][3][0][0][0].pop() == 0  # the run of the task that was done
     assert stored[2]["w"][3][0][0][0].pop() == []  # its possible crashes
     assert stored[2]["w"][3][0][0][0].pop() == []  # its crashes
@@ -540,3 +543,52 @@
     restored = machine.WorkflowMachine()
     restored.restore(codec.pack(stored))
     assert restored.snapshot() == harness.state.snapshot()
+
+
+def run_once(harness, outcome="done", run=1, placed_ms=1000, ended_ms=4000, **fields):
+    """Place the first task again, and record the end of the run."""
+    harness.apply(command.Assign(placed_ms, (placement(run=run),)))
+    end = run_end(run, outcome, run=run, **fields)
+    harness.apply(command.Settle(ended_ms, "x", 1, (end,), (), run))
+    return harness.state.run_times.stored()
+
+
+def test_the_time_from_placement_to_end_is_recorded_and_survives_a_snapshot():
+    harness = Harness(step(2))
+    stored = run_once(harness)
+    assert [item.runs for item in stored] == [((1000, 3000),)]
+    restored = machine.WorkflowMachine()
+    restored.restore(harness.state.snapshot())
+    assert restored.run_times.stored() == stored
+    assert restored.snapshot() == harness.state.snapshot()
+
+
+def test_runs_that_do_not_show_the_whole_run_time_are_not_recorded():
+    """Guards against predictions from parts of runs, and from ends that come late."""
+    assert not run_once(Harness(step(fill=True)))
+    assert not run_once(Harness(step(long_running=True)))
+    for outcome in ("failed", "lapsed", "broken", "alone"):
+        assert not run_once(Harness(step()), outcome)
+    assert not run_once(Harness(step()), "stopped", ended_ms=1900)
+    resumed = Harness(step())
+    assert not run_once(resumed, "stopped", ended_ms=1500, checkpoint="c")
+    assert not run_once(resumed, run=2)
+    replaced = Harness(step())
+    replaced.apply(command.Assign(1000, (placement(),)))
+    end = run_end(1, "done")
+    replaced.apply(command.RemoveWorker(90_000, "x", 1, ends=(end,)))
+    assert replaced.entry.state is workflow.State.COMPLETED
+    assert not replaced.state.run_times.stored()
+
+
+def test_a_gang_counts_once_and_a_stopped_run_as_a_lower_bound():
+    gang = Harness(step(2, gang=True))
+    gang.apply(command.Assign(1000, (placement(0), placement(1))))
+    gang.apply(
+        command.Settle(
+            3000, "x", 1, (run_end(1, "done", 1), run_end(2, "done", 0)), (), 2
+        )
+    )
+    assert [item.runs for item in gang.state.run_times.stored()] == [((1000, 2000),)]
+    stored = run_once(Harness(step()), "stopped", ended_ms=8000)
+    assert [item.runs for item in stored] == [((1000, 7000),)]
