--- a/marjoramusher/workflows/run_times.py
+++ b/marjoramusher/workflows/run_times.py
@@ -10,6 +10,7 @@
 import collections
 import enum
 from collections.abc import Iterable, Iterator
+from typing import NamedTuple
 
 import msgspec
 
@@ -17,6 +18,7 @@
 from . import workflow
 
 MAX_KEYS = 1024
+MAX_KEYS_OF_QUEUE = 16  # in the ratios of a queue
 # Enough for a 0.9 quantile. Older runs are dropped, so that predictions follow drift. A
 # key takes up to 500 bytes of a snapshot.
 WINDOW_RUNS = 64
@@ -36,7 +38,7 @@
 MAX_RUN_MS = 24 * 3_600_000
 
 
-class Key(msgspec.Struct, frozen=True, array_like=True):
+class Key(NamedTuple):
     """Runs that are expected to be off by similar ratios.
 
     Parameters
@@ -76,7 +78,7 @@
 class _History:
     """Recent runs of one key."""
 
-    __slots__ = ("_basis", "durations_ms", "ratios", "runs")
+    __slots__ = ("_basis", "_median", "durations_ms", "ratios", "runs")
 
     def __init__(self, runs: Iterable[tuple[int, int]] = ()) -> None:
         self.runs = collections.deque(runs, WINDOW_RUNS)
@@ -87,12 +89,13 @@
             WINDOW_RUNS, (run_ms for _, run_ms in self.runs)
         )
         self._basis: Basis | None = None
+        self._median = 1.0  # on the present basis
 
     @property
     def basis(self) -> Basis:
         """Return what has predicted the recent runs best."""
         if self._basis is None:
-            self._basis = self._best_basis()
+            self._basis, self._median = self._best_basis()
         return self._basis
 
     def add(self, declared_ms: int, run_ms: int) -> None:
@@ -102,37 +105,34 @@
         self.durations_ms.add(run_ms)
         self._basis = None
 
-    def _best_basis(self) -> Basis:
-        best = Basis.DECLARED
-        best_error = self._error(best)
-        for basis in (Basis.RATIO, Basis.DURATION):
-            error = self._error(basis)
-            if error < MAX_ERROR_SHARE * best_error:
-                best, best_error = basis, error
-        return best
-
-    def _error(self, basis: Basis) -> float:
-        """Return the mean relative error of the predictions of the recent runs."""
-        errors = (
-            abs(self.expected_ms(declared_ms, basis) - run_ms) / run_ms
-            for declared_ms, run_ms in self.runs
-        )
-        return sum(min(error, MAX_ERROR) for error in errors) / len(self.runs)
-
-    def expected_ms(self, declared_ms: int, basis: Basis) -> float:
+    def expected_ms(self, declared_ms: int) -> float:
         """Return the median run time."""
-        if basis is Basis.DECLARED:
-            return float(declared_ms)
-        return self.quantile_ms(declared_ms, basis, 0.5)
+        basis = self.basis
+        return self._median if basis is Basis.DURATION else declared_ms * self._median
+
+    def _best_basis(self) -> tuple[Basis, float]:
+        """Return the basis with the smallest error, and its median."""
+        ratio, duration_ms = self.ratios.quantile(0.5), self.durations_ms.quantile(0.5)
+        best, median = Basis.DECLARED, 1.0
+        best_error = _mean_error((declared, actual) for declared, actual in self.runs)
+        error = _mean_error(
+            (declared * ratio, actual) for declared, actual in self.runs
+        )
+        if error < MAX_ERROR_SHARE * best_error:
+            best, median, best_error = Basis.RATIO, ratio, error
+        error = _mean_error((duration_ms, actual) for _, actual in self.runs)
+        if error < MAX_ERROR_SHARE * best_error:
+            best, median = Basis.DURATION, duration_ms
+        return best, median
 
     def quantile_ms(
-        self, declared_ms: int, basis: Basis, quantile: float, age_ms: float = 0.0
+        self, declared_ms: int, quantile: float, age_ms: float = 0.0
     ) -> float | None:
         """Return a quantile of the run time of runs that take longer than an age.
 
         ``None`` if none took as long.
         """
-        if basis is Basis.DURATION:
+        if self.basis is Basis.DURATION:
             return self.durations_ms.quantile(quantile, above=age_ms)
         ratio = self.ratios.quantile(quantile, above=age_ms / declared_ms)
         return None if ratio is None else declared_ms * ratio
@@ -171,13 +171,22 @@
                 yield key, history.ratios.quantile(0.5), len(history.runs)
 
     def queue_ratios(self) -> dict[str, quantile_window.QuantileWindow]:
-        """Return the recent ratios of all keys of each queue."""
-        values: dict[str, list[float]] = {}
-        for key, history in self._by_key.items():
-            values.setdefault(key.queue, []).extend(history.ratios.values)
+        """Return the recent ratios of each queue.
+
+        Only the `MAX_KEYS_OF_QUEUE` keys count that were recorded last, which bounds
+        the time that it takes.
+        """
+        histories: dict[str, list[_History]] = {}
+        for key, history in reversed(self._by_key.items()):
+            of_queue = histories.setdefault(key.queue, [])
+            if len(of_queue) < MAX_KEYS_OF_QUEUE:
+                of_queue.append(history)
         return {
-            queue: quantile_window.QuantileWindow(len(ratios), ratios)
-            for queue, ratios in values.items()
+            queue: quantile_window.QuantileWindow(
+                MAX_KEYS_OF_QUEUE * WINDOW_RUNS,
+                (ratio for history in of_queue for ratio in history.ratios.values),
+            )
+            for queue, of_queue in histories.items()
         }
 
     def record(
@@ -220,7 +229,7 @@
         history = self._history(queue, account, step)
         if history is None:
             return float(step.estimate_ms)
-        return history.expected_ms(step.estimate_ms, history.basis)
+        return history.expected_ms(step.estimate_ms)
 
     def upper_ms(self, queue: str, account: str, step: workflow.Step) -> float:
         """Return the 0.9 quantile of the run time, the declared one with too few runs.
@@ -230,7 +239,7 @@
         history = self._history(queue, account, step)
         if history is None:
             return float(step.estimate_ms)
-        return history.quantile_ms(step.estimate_ms, history.basis, UPPER_QUANTILE)
+        return history.quantile_ms(step.estimate_ms, UPPER_QUANTILE)
 
     def remaining_ms(
         self, queue: str, account: str, step: workflow.Step, age_ms: float
@@ -247,7 +256,7 @@
         history = self._history(queue, account, step)
         if history is None:
             return expected_ms
-        run_ms = history.quantile_ms(step.estimate_ms, history.basis, 0.5, age_ms)
+        run_ms = history.quantile_ms(step.estimate_ms, 0.5, age_ms)
         return expected_ms if run_ms is None else run_ms - age_ms
 
     def _history(
@@ -264,5 +273,11 @@
     return min(max(run_ms / declared_ms, MIN_RATIO), MAX_RATIO)
 
 
+def _mean_error(predictions: Iterable[tuple[float, int]]) -> float:
+    """Return the mean relative error of predicted against actual run times."""
+    errors = [abs(predicted - actual) / actual for predicted, actual in predictions]
+    return sum(min(error, MAX_ERROR) for error in errors) / len(errors)
+
+
 def _key(queue: str, account: str, step: workflow.Step) -> Key:
     return Key(queue, step.image, "" if step.image else account)
