Use predicted run times for time left, stalls and pressing work

Cause: all of these relied on the declared run time. A queue whose runs last far longer than declared lost them as stalled, and its work counted as pressing too late. A run without progress had no time left.

--- a/marjoramusher/executors/progress.py
+++ b/marjoramusher/executors/progress.py
@@ -5,6 +5,7 @@
 from ..core import clock
 from ..telemetry import log, metrics
 from ..workflows import machine, planner, resources, workflow
+from . import prediction
 
 
 class Progress:
@@ -16,7 +17,14 @@
         Replicated state.
     """
 
-    __slots__ = ("_active", "_clock", "_metrics", "_state", "_wait_reasons")
+    __slots__ = (
+        "_active",
+        "_clock",
+        "_metrics",
+        "_prediction",
+        "_state",
+        "_wait_reasons",
+    )
 
     def __init__(
         self,
@@ -27,6 +35,7 @@
         self._state = state
         self._clock = time
         self._metrics = metrics_registry
+        self._prediction = prediction.PredictionReport(state, time, metrics_registry)
         self._active: dict[str, machine.Entry] = {}
         self._wait_reasons: dict[resources.StepKey, planner.WaitReason] = {}
 
@@ -34,6 +43,7 @@
         """Start from the active workflows; a former leader has logged the others."""
         self._active = dict(self._state.active)
         self._wait_reasons = {}
+        self._prediction.on_leading()
         self._metrics.set_gauge("leading", 1)
 
     def on_not_leading(self) -> None:
@@ -150,3 +160,4 @@
         )
         metrics_registry.set_gauge("workflows_active", len(self._state.active))
         metrics_registry.set_gauge("steps_waiting_now", len(self._wait_reasons))
+        self._prediction.update()
--- a/marjoramusher/executors/runs.py
+++ b/marjoramusher/executors/runs.py
@@ -1,6 +1,7 @@
 """The leader's knowledge of the runs on a worker."""
 
 import enum
+from collections.abc import Callable
 
 import msgspec
 
@@ -11,7 +12,7 @@
 MAX_DELAY_S = 15.0  # a start without a reply may be carried out this much later
 # A task that runs at a third of its normal speed still reports progress within this.
 MIN_STALL_S = 5.0
-STALL_ESTIMATE_SHARE = 0.6  # of the estimated run time, without any progress
+STALL_ESTIMATE_SHARE = 0.6  # of the expected run time, without any progress
 # Multiple of a run's average time for one percent, within which the next has to follow.
 STALL_PERCENT_FACTOR = 4.0
 
@@ -86,27 +87,47 @@
         return self.has_been_reported and not self.may_start_late(now_s)
 
 
-def remaining_s(run: Run, now_s: float) -> float | None:
+def remaining_s(
+    run: Run, now_s: float, predict_s: Callable[[float], float] | None = None
+) -> float | None:
     """Return the expected time until a run ends, ``None`` if it is not known.
 
     The reported progress is extrapolated. A run that is late for its next percent is
     not expected to be as fast as before, so its remaining time does not fall to 0.
+
+    Parameters
+    ----------
+    predict_s : callable or None
+        Returns the expected time left of a run of a given age, in seconds. It is used
+        before the first reported progress.
     """
     if not 0 < run.progress_percent <= FINISHED_PERCENT:
-        return None
+        if run.progress_percent > 0 or predict_s is None:
+            return None
+        return predict_s(max(now_s - run.started_s, 0.0))
     per_percent_s = (run.progressed_s - run.started_s) / run.progress_percent
     at_last_report_s = per_percent_s * (100 - run.progress_percent)
     return max(at_last_report_s - (now_s - run.progressed_s), per_percent_s)
 
 
-def stall_limit_s(run: Run, step: workflow.Step) -> float:
+def stall_limit_s(
+    run: Run, step: workflow.Step, expected_ms: float | None = None
+) -> float:
     """Return how long a run may go without progress before it counts as stalled.
 
     Some runs take many times their estimate, and stopping a run by mistake costs more
     the longer it has run, so the limit grows with the time per percent so far. The
     members of a gang end together, so a finished member waits for slower ones.
+
+    Parameters
+    ----------
+    expected_ms : float or None
+        Run time that is expected from completed runs. Only a longer one than declared
+        counts, since a run that is stopped by mistake costs more than one that is
+        stopped late.
     """
-    limit_s = max(MIN_STALL_S, STALL_ESTIMATE_SHARE * step.estimate_ms / 1000)
+    estimate_ms = max(step.estimate_ms, expected_ms or 0.0)
+    limit_s = max(MIN_STALL_S, STALL_ESTIMATE_SHARE * estimate_ms / 1000)
     if run.progress_percent > 0:
         worked_s = run.progressed_s - run.started_s
         limit_s = max(limit_s, STALL_PERCENT_FACTOR * worked_s / run.progress_percent)
--- a/marjoramusher/executors/runs_test.py
+++ b/marjoramusher/executors/runs_test.py
@@ -41,3 +41,26 @@
 
 def test_short_runs_stall_after_a_minimum_time():
     assert limit_s(-1, 0.0, estimate_ms=100) == runs.MIN_STALL_S
+
+
+def test_only_longer_expected_runs_change_the_limit():
+    """Guards against stops of runs that last far longer than declared."""
+    run = runs.Run(PLACEMENT, runs.Phase.CONFIRMED, 0.0, 0.0, -1, 0.0)
+    step = workflow.Step(1, estimate_ms=20_000)
+    assert runs.stall_limit_s(run, step, 100_000.0) == pytest.approx(60.0)
+    assert runs.stall_limit_s(run, step, 1000.0) == pytest.approx(12.0)
+
+
+@pytest.mark.parametrize(
+    "progress_percent, expected_s", [(-1, 6.0), (0, 6.0), (50, 4.0), (100, None)]
+)
+def test_the_time_left_follows_from_completed_runs_until_there_is_progress(
+    progress_percent, expected_s
+):
+    run = runs.Run(PLACEMENT, runs.Phase.CONFIRMED, 0.0, 1.0, progress_percent, 5.0)
+    assert runs.remaining_s(run, 5.0, lambda age_s: 10.0 - age_s) == expected_s
+
+
+def test_the_time_left_is_unknown_without_progress_and_prediction():
+    run = runs.Run(PLACEMENT, runs.Phase.CONFIRMED, 0.0, 1.0)
+    assert runs.remaining_s(run, 5.0) is None
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -1,6 +1,7 @@
 """Communication of the leader with one incarnation of a worker."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
@@ -27,6 +28,8 @@
 # A stop takes effect within a second. A run that is still reported this long after the
 # end of its workflow is logged.
 OUTLIVED_S = 3.0
+# Longest age of a run that is taken over from a former leader. Its clock can be wrong.
+MAX_TAKEN_OVER_S = 3600.0
 
 
 class Leader(Protocol):
@@ -194,21 +197,34 @@
         }
 
     def remaining_s(self) -> dict[workflow.TaskKey, float]:
-        """Return the expected time until each run ends whose progress is known.
+        """Return the expected time until each confirmed run ends.
 
-        Nothing is known of a worker that does not answer, or of runs that are being
-        stopped.
+        Before the first progress it follows from completed runs. Nothing is known of a
+        worker that does not answer, or of runs that are being stopped.
         """
         if self.has_unanswered_call:
             return {}
         now_s = self._clock.monotonic()
         expected = (
-            (key, runs.remaining_s(run, now_s))
+            (key, runs.remaining_s(run, now_s, self._prediction(key)))
             for (key, _), run in self._runs.items()
             if run.phase is runs.Phase.CONFIRMED and not run.stop_reason
         )
         return {key: time_s for key, time_s in expected if time_s is not None}
 
+    def _prediction(self, key: workflow.TaskKey) -> Callable[[float], float] | None:
+        """Return what predicts the time left of a run by its age, in seconds.
+
+        ``None`` for long-running tasks, and if it is unknown how long runs take.
+        """
+        entry = self._state.entries.get(key.workflow_id)
+        step = self._state.step(key)
+        if entry is None or step is None or step.long_running or not step.estimate_ms:
+            return None
+        queue, account = entry.queue.name, entry.workflow.account
+        predict_ms = self._state.run_times.remaining_ms
+        return lambda age_s: predict_ms(queue, account, step, age_s * 1000) / 1000
+
     def record_heartbeat(self, clock_ms: int | None) -> None:
         """Record a heartbeat, and the worker's clock if it is included."""
         now_s = self._clock.monotonic()
@@ -685,6 +701,8 @@
         """Update a run from a report, and stop it if it has stalled."""
         run.may_have_started = True
         run.is_unreported = False
+        if run.phase is runs.Phase.UNKNOWN and not run.started_s:
+            run.started_s = self._placed_s(run.placement, now_s)
         if run.phase in (runs.Phase.UNKNOWN, runs.Phase.UNCERTAIN):
             self._set_phase(run, runs.Phase.CONFIRMED)
             run.started_s = run.started_s or now_s
@@ -715,12 +733,26 @@
         expects_progress = (
             not step.long_running or run.progress_percent < runs.SERVING_PERCENT
         )
+        expected_ms = self._state.run_times.expected_ms(
+            entry.queue.name, entry.workflow.account, step
+        )
         if expects_progress and now_s - run.progressed_s > runs.stall_limit_s(
-            run, step
+            run, step, expected_ms
         ):
             self.stop(run.placement, "no progress")
             self._leader.record_stall(run.placement)
 
+    def _placed_s(self, placement: workflow.Placement, now_s: float) -> float:
+        """Return when a run was placed, for runs that a former leader has started.
+
+        Its progress would otherwise seem to have been made in no time.
+        """
+        task = self._state.task(placement.task)
+        if task is None or task.placement != placement or not task.placed_ms:
+            return now_s
+        age_s = (clock.unix_ms(self._clock) - task.placed_ms) / 1000
+        return now_s - min(max(age_s, 0.0), MAX_TAKEN_OVER_S)
+
     def _log_outlived(self, run: runs.Run, entry: machine.Entry) -> None:
         """Log once if a run goes on long after the end of its workflow."""
         outlived_s = (clock.unix_ms(self._clock) - entry.ended_ms) / 1000
--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -26,7 +26,7 @@
 # Maximum share of a service that is reserved for more than one gang. A service that is
 # less than half utilized while smaller work waits counts as a failure of the scheduler.
 MAX_RESERVED_SHARE = 0.5
-# Tasks with less time to their deadline than this multiple of their estimated run time
+# Tasks with less time to their deadline than this multiple of their expected run time
 # may use the headroom for urgent work.
 PRESSING_FACTOR = 2.0
 # Below this share in use, a service must not let a workflow wait that has room.
@@ -553,7 +553,10 @@
     def _is_pressing(self, pending: backlog.PendingStep) -> bool:
         """Tell whether tasks must start soon to complete before their deadline."""
         remaining_ms = pending.deadline_ms - self._now_ms
-        return remaining_ms < PRESSING_FACTOR * pending.step.estimate_ms
+        expected_ms = self._state.run_times.expected_ms(
+            pending.entry.queue.name, pending.entry.workflow.account, pending.step
+        )
+        return remaining_ms < PRESSING_FACTOR * expected_ms
 
     def _reserve(self, pending: backlog.PendingStep, workers: _WorkerSet) -> None:
         """Reserve resources for a waiting gang against later steps of the plan.
--- a/marjoramusher/workflows/planner_test.py
+++ b/marjoramusher/workflows/planner_test.py
@@ -17,6 +17,7 @@
     planner,
     preemption,
     resources,
+    run_times,
     workflow,
 )
 
@@ -385,6 +386,19 @@
     assert len(late.placements) == 2
 
 
+def test_work_that_lasts_longer_than_declared_is_pressing_earlier():
+    """Guards against headroom that makes such work miss its objective."""
+    harness = Harness(size=2)
+    gang = harness.submit("long", 2, 8, gang=True, estimate_ms=1000)  # due at 4.5 s
+    step = harness.state.entries[gang].workflow.steps[0]
+    for _ in range(run_times.MIN_RUNS):
+        harness.state.run_times.record("long", "a", step, 2000)
+    plan = planner.plan(
+        planner.PlanInput(harness.state, harness.conditions, 1000.0, headroom=4)
+    )
+    assert len(plan.placements) == 2
+
+
 def test_room_is_kept_for_a_few_gangs_only():
     harness = Harness(size=4)
     harness.submit("batch", 1, 1)
