Check configurations before they are applied

Cause: whether records or a manifest would be refused was known only once they were sent, and entries that can never take effect were accepted in silence.

--- a/marjoramusher/cli/main.py
+++ b/marjoramusher/cli/main.py
@@ -7,7 +7,7 @@
 import click
 from click import shell_completion
 
-from . import examples, exits, explain, jobs, records, session, state
+from . import config, examples, exits, explain, jobs, records, session, state
 
 DEFAULT_SERVER = "http://127.0.0.1:8420"
 PROGRAM = "marjoramusher"
@@ -134,6 +134,7 @@
     *jobs.COMMANDS,
     *state.COMMANDS,
     *explain.COMMANDS,
+    *config.COMMANDS,
 ):
     cli.add_command(command)
 
