--- a/marjoramusher/cli/main.py
+++ b/marjoramusher/cli/main.py
@@ -7,7 +7,17 @@
 import click
 from click import shell_completion
 
-from . import evacuation, examples, exits, explain, jobs, records, session, state
+from . import (
+    config,
+    evacuation,
+    examples,
+    exits,
+    explain,
+    jobs,
+    records,
+    session,
+    state,
+)
 
 DEFAULT_SERVER = "http://127.0.0.1:8420"
 PROGRAM = "marjoramusher"
@@ -135,6 +145,7 @@
     *state.COMMANDS,
     *explain.COMMANDS,
     *evacuation.COMMANDS,
+    *config.COMMANDS,
 ):
     cli.add_command(command)
 
