Count outcomes by size in the workflow bench

The bench reported only the earned share of each queue, which hides what happens to the largest workflows. It now also counts how many complete in time, late, or without value, by queue and size.

--- a/bench/workflow_driver.py
+++ b/bench/workflow_driver.py
@@ -16,6 +16,7 @@
 HEARTBEAT_INTERVAL_S = 1.5
 COMMIT_DELAY_S = 0.03  # two round trips between failure domains and a disk sync
 DRAIN_S = 60.0  # time to finish the work in progress after the last submission
+SIZES = ("largest tenth", "next fifth", "rest")  # of the workflows of a queue, by work
 
 
 class SessionResult(msgspec.Struct):
@@ -35,6 +36,9 @@
         as eight cores.
     violations : list of str
         Violations of the worker protocol that the workers detected.
+    outcomes : dict
+        Number of workflows by queue, size (`SIZES`) and outcome: ``timely``, ``late``,
+        or ``lost`` if they earned nothing.
     """
 
     earned: dict[str, float] = {}
@@ -44,6 +48,7 @@
     wasted_core_s: float = 0.0
     used_core_s: float = 0.0
     violations: list[str] = []
+    outcomes: dict[tuple[str, str, str], int] = {}
 
     def earned_share(self, queue: str = "") -> float:
         """Return the earned share of the attainable value, of one queue or of all."""
@@ -186,11 +191,27 @@
         await asyncio.sleep(0.01)
 
 
+def _sizes(arrivals: dict[str, workflow_load.Arrival]) -> dict[str, str]:
+    """Return the size of each workflow among those of its queue, from `SIZES`."""
+    by_queue: dict[str, list[tuple[float, str]]] = {}
+    for name, arrival in arrivals.items():
+        accelerators = arrival.submission.steps[0].needs.accelerators
+        work = sum(arrival.work_s) * accelerators
+        by_queue.setdefault(arrival.submission.queue, []).append((-work, name))
+    sizes = {}
+    for members in by_queue.values():
+        for rank, (_, name) in enumerate(sorted(members)):
+            share = rank / len(members)
+            sizes[name] = SIZES[(share >= 0.1) + (share >= 0.3)]
+    return sizes
+
+
 def _score(
     state: machine.WorkflowMachine,
     arrivals: dict[str, workflow_load.Arrival],
     result: SessionResult,
 ) -> None:
+    sizes = _sizes(arrivals)
     for name, entry in state.entries.items():
         arrival = arrivals[name]
         if arrival.cancel_at_s is not None or arrival.always_fails:
@@ -205,14 +226,16 @@
             workload_class.queue.slack_factor * work_ms + workload_class.queue.target_ms
         )
         completion_ms = entry.ended_ms - entry.workflow.submitted_ms
-        earned = 0.0
+        earned, outcome = 0.0, "lost"
         if entry.state is workflow.State.COMPLETED and completion_ms <= objective_ms:
-            earned = workload_class.timely_value
+            earned, outcome = workload_class.timely_value, "timely"
         elif (
             entry.state is workflow.State.COMPLETED
             and completion_ms <= objective.LATE_FACTOR * objective_ms
         ):
-            earned = workload_class.late_value
+            earned, outcome = workload_class.late_value, "late"
+        key = (workload_class.queue.name, sizes[name], outcome)
+        result.outcomes[key] = result.outcomes.get(key, 0) + 1
         result.earned[workload_class.queue.name] = (
             result.earned.get(workload_class.queue.name, 0.0) + earned
         )
