Await runs that end by themselves instead of stopping others

Urgent work stopped runs although room for it came free by itself soon enough, and the choice of victims knew only the lost work of each run: the members of a gang on one worker were added up as if each of them stopped the whole gang, and runs were stopped whose room was not needed in the end.

Work beyond a guarantee now waits for runs that end within half of its slack; work within a guarantee preempts at once as before. Costs of stops are in delay_cost: a run past its value is the cheapest, one that is about to end the dearest. Stops log the lost work and who gets the room.

--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -539,14 +539,15 @@
         self._policy.query(plan.queries)
         self._held.record(plan.wait_reasons, plan.placements, now_s)
         self._progress.record_held_back(plan.held_back)
+        self._progress.record_awaiting(plan)
         self._progress.record_waiting(
             plan.wait_reasons, len(self._sessions), self._group.applied_index
         )
         for placement, workflow_id in plan.preemptions:
+            current = self._sessions[placement.worker_id]
             self._metrics.increment("tasks_preempted")
-            self._sessions[placement.worker_id].stop(
-                placement, f"preempted for {workflow_id}"
-            )
+            self._metrics.increment("preempted_core_s", current.lost_core_s(placement))
+            current.stop(placement, f"preempted for {workflow_id}", workflow_id)
         if not plan.placements:
             return
         not_started = self._progress.not_started(plan.placements)
--- a/marjoramusher/executors/progress.py
+++ b/marjoramusher/executors/progress.py
@@ -16,7 +16,14 @@
         Replicated state.
     """
 
-    __slots__ = ("_active", "_clock", "_metrics", "_state", "_wait_reasons")
+    __slots__ = (
+        "_active",
+        "_awaiting",
+        "_clock",
+        "_metrics",
+        "_state",
+        "_wait_reasons",
+    )
 
     def __init__(
         self,
@@ -29,11 +36,13 @@
         self._metrics = metrics_registry
         self._active: dict[str, machine.Entry] = {}
         self._wait_reasons: dict[resources.StepKey, planner.WaitReason] = {}
+        self._awaiting: frozenset[resources.StepKey] = frozenset()
 
     def on_leading(self) -> None:
         """Start from the active workflows; a former leader has logged the others."""
         self._active = dict(self._state.active)
         self._wait_reasons = {}
+        self._awaiting = frozenset()
         self._metrics.set_gauge("leading", 1)
 
     def on_not_leading(self) -> None:
@@ -113,6 +122,14 @@
                 reason=reason.value,
             )
 
+    def record_awaiting(self, plan: planner.Plan) -> None:
+        """Count the steps that got the room of runs that ended by themselves."""
+        placed = {resources.step_key(placement.task) for placement in plan.placements}
+        avoided = len(self._awaiting & placed)
+        if avoided:
+            self._metrics.increment("preemptions_avoided", avoided)
+        self._awaiting = plan.awaiting
+
     def not_started(
         self, placements: Iterable[workflow.Placement]
     ) -> list[machine.Entry]:
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -7,7 +7,7 @@
 
 from ..core import clock, errors
 from ..telemetry import log
-from ..workflows import command, machine, suspicion, workflow
+from ..workflows import command, delay_cost, machine, suspicion, workflow
 from . import fencing, lease, port, runs, throttling
 
 POLL_WAIT_S = 1.5  # a quarter of a lease, so that three renewals may be lost
@@ -252,8 +252,16 @@
         )
         self._spawn(self._start(self._runs[key]))
 
-    def stop(self, placement: workflow.Placement, reason: str) -> None:
-        """Ask the worker to stop a run, repeatedly until the worker replies."""
+    def stop(
+        self, placement: workflow.Placement, reason: str, beneficiary: str = ""
+    ) -> None:
+        """Ask the worker to stop a run, repeatedly until the worker replies.
+
+        Parameters
+        ----------
+        beneficiary : str
+            Workflow that gets the room; empty if the run is not stopped for another.
+        """
         run = self._get_run(placement)
         if not run.stop_reason:
             run.stop_reason = reason
@@ -263,10 +271,20 @@
                 run=placement.run,
                 worker=self.worker.worker_id,
                 reason=reason,
+                lost_core_s=round(self.lost_core_s(placement), 1),
+                beneficiary=beneficiary,
             )
         if run.phase is not runs.Phase.SENT:
             self._spawn_stop(run)
 
+    def lost_core_s(self, placement: workflow.Placement) -> float:
+        """Return the work that a stop of a run loses now, 0 if it is not known."""
+        run = self._runs.get((placement.task, placement.run))
+        step = self._state.step(placement.task)
+        if run is None or step is None or run.phase is not runs.Phase.CONFIRMED:
+            return 0.0
+        return delay_cost.lost_core_s(step, self._clock.monotonic() - run.started_s)
+
     def is_stopping(self, placement: workflow.Placement) -> bool:
         """Tell whether a run is being stopped."""
         run = self._runs.get((placement.task, placement.run))
--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -46,6 +46,7 @@
     HEADROOM = "room is kept for urgent work"
     NO_CAPACITY_NEAR_DATA = "no room near the data"
     PREEMPTING = "others are being stopped for it"
+    ENDING = "others that end soon make room for it"
     NO_USABLE_WORKER = "no usable worker of the service fits"
     NO_PERMIT = "no permit for a worker with room"
     NO_ISOLATION = "no worker of its own for a task that may crash it"
@@ -66,6 +67,8 @@
         first.
     held_back : dict
         Why steps had waited that were overdue beside room for them, by key of the step.
+    awaiting : frozenset of StepKey
+        Steps that wait for runs to end by themselves that they could have stopped.
     """
 
     placements: tuple[workflow.Placement, ...] = ()
@@ -73,6 +76,7 @@
     wait_reasons: dict[resources.StepKey, WaitReason] = {}
     queries: tuple[permit.PolicyQuery, ...] = ()
     held_back: dict[resources.StepKey, WaitReason] = {}
+    awaiting: frozenset[resources.StepKey] = frozenset()
 
 
 class PlanInput(msgspec.Struct, frozen=True):
@@ -132,6 +136,7 @@
         planner.wait_reasons,
         tuple(planner.queries.values()),
         planner.held_back,
+        planner.awaiting,
     )
 
 
@@ -213,7 +218,14 @@
                 quarantined.append((worker, status))
                 continue
             self._add_candidate(worker, status)
-        self._preemptor = preemption.Preemptor(state, conditions, self._by_worker)
+        self._preemptor = preemption.Preemptor(
+            state, conditions, self._by_worker, plan_input.now_ms
+        )
+
+    @property
+    def awaiting(self) -> frozenset[resources.StepKey]:
+        """Return the steps that wait for runs to end instead of stopping them."""
+        return frozenset(self._preemptor.awaiting)
 
     def _add_candidate(
         self, worker: workflow.Worker, status: condition.WorkerCondition
@@ -599,7 +611,10 @@
     ) -> None:
         victims = self._preemptor.preempt(pending, count, kind, scopes)
         if victims is not None:
-            self.wait_reasons[pending.key] = WaitReason.PREEMPTING
+            is_awaiting = not victims and pending.key in self._preemptor.awaiting
+            self.wait_reasons[pending.key] = (
+                WaitReason.ENDING if is_awaiting else WaitReason.PREEMPTING
+            )
             self._preempted_counts[pending.key] = (
                 self._preempted_counts.get(pending.key, 0) + count
             )
--- a/marjoramusher/workflows/preemption.py
+++ b/marjoramusher/workflows/preemption.py
@@ -9,45 +9,56 @@
     availability,
     backlog,
     condition,
+    delay_cost,
     machine,
     resources,
     shortage,
     workflow,
 )
 
-# Fixed cost of a stop in core-seconds, beside the lost work. It keeps tasks that have
-# just started from being stopped without need.
-STOP_COST_CORE_S = 1.0
 # Beyond the guarantee of its account, urgent work may cause the loss of this multiple
 # of its own work: a core-second of it is worth about ten times as much as one of the
 # work that it preempts.
 MAX_COST_FACTOR = 4.0
-# Cost factor of urgent victims beyond the guarantee of their account: less urgent work
-# is stopped first unless its loss is more than this many times as large.
-URGENT_VICTIM_FACTOR = 10.0
 # Added for a suspect worker and for one away from the data. It exceeds the cost of any
 # set of victims, so that such a worker is the last choice.
 LAST_RESORT_COST = 1e6
-# Lost time of a long-running task: request, stop and startup on another worker.
-RESTART_S = 10.0
-CHECKPOINT_LOSS_S = 0.5  # work since the last checkpoint, and restoring it
+# Share of its slack that a step waits for runs to end instead of stopping others. The
+# rest allows for run times that are longer than estimated.
+MAX_WAIT_SHARE = 0.5
+# Time from the end of a run until its room is used: two commits, a plan and a start.
+START_DELAY_S = 0.3
+# Cost of waiting for a run that ends by itself, in core-seconds for each second. It
+# makes the run that ends first the first choice; any stop costs more.
+AWAIT_COST_CORE_S = 0.01
 
 
 class _Choice(msgspec.Struct, frozen=True):
-    """A worker for a task, and the runs to stop there so that the task fits."""
+    """A worker for a task, and the runs to stop there so that the task fits.
+
+    Parameters
+    ----------
+    awaited : tuple of Placement
+        Runs that end by themselves soon enough for the task, and need no stop.
+    """
 
     candidate: resources.Candidate
     victims: tuple[workflow.Placement, ...]
     cost: float
+    awaited: tuple[workflow.Placement, ...] = ()
 
 
 class _Victim(msgspec.Struct, frozen=True, order=True):
     """A run that may be stopped, ordered by the cost of stopping it.
 
+    The members of a gang on one worker are one victim, since they stop together.
+
     Parameters
     ----------
     needs : Resources
-        What the run reserves on its worker.
+        What is reserved on the worker.
+    members : tuple of Placement
+        All runs on the worker that are part of it.
     priority : int
         Priority of its queue, 0 for urgent work.
     """
@@ -58,6 +69,7 @@
     priority: int
     account: str
     is_long_running: bool
+    members: tuple[workflow.Placement, ...]
 
 
 class Preemptor:
@@ -67,16 +79,28 @@
     ----------
     candidates : mapping of str to Candidate
         Usable workers by id.
+    now_ms : float
+        Unix milliseconds.
+
+    Attributes
+    ----------
+    awaiting : set of StepKey
+        Steps that wait for runs to end by themselves that they could have stopped.
     """
 
     __slots__ = (
         "_candidates",
         "_conditions",
+        "_costs",
+        "_ending",
+        "_now_ms",
         "_ranked_victims",
         "_shortages",
+        "_slacks_s",
         "_state",
         "_stopping",
         "_urgent_accelerators",
+        "awaiting",
     )
 
     def __init__(
@@ -84,6 +108,7 @@
         state: machine.WorkflowMachine,
         conditions: Mapping[str, condition.WorkerCondition],
         candidates: Mapping[str, resources.Candidate],
+        now_ms: float,
     ) -> None:
         self._state = state
         self._conditions = conditions
@@ -91,6 +116,12 @@
         self._stopping: set[workflow.TaskKey] = set()
         self._urgent_accelerators: dict[str, int] = {}
         self._shortages = shortage.Shortages()
+        self._now_ms = now_ms
+        self._costs = delay_cost.StopCosts(state, now_ms)
+        self.awaiting: set[resources.StepKey] = set()
+        self._slacks_s: dict[resources.StepKey, float] = {}
+        # Runs on each worker with the time until their end, the first to end first.
+        self._ending: dict[str, list[tuple[float, workflow.Placement]]] = {}
         # Runs on each worker, the cheapest to stop first.
         self._ranked_victims: dict[str, list[_Victim]] = {}
 
@@ -148,10 +179,23 @@
             choice.candidate.adjust_task_count(pending.key, 1)
             for victim in choice.victims:
                 stopped += self._mark_stopping(victim)
-        for worker_id in {victim.worker_id for victim in stopped}:
+        awaited = self._mark_awaited(pending, best)
+        for worker_id in {run.worker_id for run in stopped + awaited}:
             self._drop_stopping(worker_id)
         return stopped
 
+    def _mark_awaited(
+        self, pending: backlog.PendingStep, choices: list[_Choice]
+    ) -> list[workflow.Placement]:
+        """Let later steps neither stop the awaited runs nor count on their room."""
+        awaited: list[workflow.Placement] = []
+        for choice in choices:
+            for placement in choice.awaited:
+                if self._is_preemptible(self._victim((placement,)), pending):
+                    self.awaiting.add(pending.key)
+                awaited += self._mark_stopping(placement)
+        return awaited
+
     def forget_shortages(self) -> None:
         """Take into account that there are further candidates."""
         self._shortages = shortage.Shortages()
@@ -219,7 +263,7 @@
             choice.candidate.allocate(needs)
             choice.candidate.adjust_task_count(pending.key, 1)
             marked: list[workflow.Placement] = []
-            for victim in choice.victims:
+            for victim in choice.victims + choice.awaited:
                 marked += self._mark_stopping(victim)
             stopped += marked
             if any(self._is_long_running(victim) for victim in marked):
@@ -252,48 +296,125 @@
             return _Choice(candidate, (), cost)
         if not needs.fits_within(candidate.worker.capacity):
             return None
-        chosen: list[workflow.Placement] = []
-        victim_cost = 0.0
-        freed = resources.NOTHING
+        awaited, freed, wait_s = self._awaited(pending, needs, candidate)
+        cost += AWAIT_COST_CORE_S * wait_s
+        if awaited and candidate.will_fit(needs, freed):
+            return _Choice(candidate, (), cost, awaited)
+        chosen: list[_Victim] = []
+        placements: list[workflow.Placement] = []
         for victim in self._victims(candidate):
             placement = victim.placement
             if (
                 placement.task in self._stopping
+                or placement in awaited
                 or not self._is_preemptible(victim, pending)
-                or (victim.is_long_running and not self._can_stop(placement, chosen))
+                or (
+                    victim.is_long_running and not self._can_stop(placement, placements)
+                )
             ):
                 continue
-            chosen.append(placement)
-            victim_cost += victim.cost
+            chosen.append(victim)
+            placements.extend(victim.members)
             freed = resources.combined(freed, victim.needs)
-            if candidate.is_closed and len(chosen) < len(candidate.running):
+            if candidate.is_closed and len(placements) < len(candidate.running):
                 continue  # a closed worker takes others only once it is empty
             if candidate.will_fit(needs, freed):
-                return _Choice(candidate, tuple(chosen), victim_cost + cost)
+                if not candidate.is_closed:
+                    chosen = _needed(candidate, needs, chosen, freed)
+                return _Choice(
+                    candidate,
+                    tuple(victim.placement for victim in chosen),
+                    sum(victim.cost for victim in chosen) + cost,
+                    awaited,
+                )
         return None
 
+    def _awaited(
+        self,
+        pending: backlog.PendingStep,
+        needs: workflow.Resources,
+        candidate: resources.Candidate,
+    ) -> tuple[tuple[workflow.Placement, ...], workflow.Resources, float]:
+        """Return runs that end soon enough, their resources and the time until then.
+
+        They are no more than a task of the step needs. Work within a guarantee does not
+        wait, and a closed worker takes others only once it is empty.
+        """
+        awaited: list[workflow.Placement] = []
+        freed, wait_s = resources.NOTHING, 0.0
+        account = pending.entry.workflow.account
+        if candidate.is_closed or self.is_within_guarantee(account):
+            return (), freed, wait_s
+        limit_s = self._wait_limit_s(pending)
+        for remaining_s, placement in self._ending_runs(candidate):
+            if remaining_s > limit_s or candidate.will_fit(needs, freed):
+                break
+            if placement.task not in self._stopping:
+                awaited.append(placement)
+                freed = resources.combined(freed, self._needs(placement))
+                wait_s = remaining_s
+        return tuple(awaited), freed, wait_s
+
+    def _wait_limit_s(self, pending: backlog.PendingStep) -> float:
+        """Return how long a step may wait and still complete in its objective."""
+        limit_s = self._slacks_s.get(pending.key)
+        if limit_s is None:
+            slack_s = delay_cost.slack_s(
+                pending.entry, pending.occurrence, pending.step_index, self._now_ms
+            )
+            limit_s = MAX_WAIT_SHARE * slack_s - START_DELAY_S
+            self._slacks_s[pending.key] = limit_s
+        return limit_s
+
+    def _ending_runs(
+        self, candidate: resources.Candidate
+    ) -> list[tuple[float, workflow.Placement]]:
+        """Return the runs on a worker whose end is known, the first to end first."""
+        worker_id = candidate.worker.worker_id
+        ending = self._ending.get(worker_id)
+        if ending is None:
+            remaining_s = self._conditions[worker_id].remaining_s
+            ending = self._ending[worker_id] = sorted(
+                (remaining_s[placement.task], placement)
+                for placement in candidate.running
+                if placement.task in remaining_s
+            )
+        return ending
+
     def _victims(self, candidate: resources.Candidate) -> list[_Victim]:
         """Return the runs on a worker, the cheapest to stop first."""
         worker_id = candidate.worker.worker_id
         victims = self._ranked_victims.get(worker_id)
         if victims is None:
+            units: dict[Hashable, list[workflow.Placement]] = {}
+            for placement in candidate.running:
+                step = self._step(placement)
+                is_joint = step.gang and not step.long_running
+                key = resources.step_key(placement.task) if is_joint else placement
+                units.setdefault(key, []).append(placement)
             victims = self._ranked_victims[worker_id] = sorted(
-                self._victim(placement) for placement in candidate.running
+                self._victim(tuple(members)) for members in units.values()
             )
         return victims
 
-    def _victim(self, placement: workflow.Placement) -> _Victim:
+    def _victim(self, members: tuple[workflow.Placement, ...]) -> _Victim:
+        placement = members[0]
         entry = self._state.entries[placement.task.workflow_id]
         step = entry.workflow.steps[placement.task.step]
         return _Victim(
             self._cost(placement),
             placement,
-            resources.reserved(step),
+            resources.multiplied(resources.reserved(step), len(members)),
             entry.queue.priority,
             entry.workflow.account,
             step.long_running,
+            members,
         )
 
+    def _step(self, placement: workflow.Placement) -> workflow.Step:
+        entry = self._state.entries[placement.task.workflow_id]
+        return entry.workflow.steps[placement.task.step]
+
     def _drop_stopping(self, worker_id: str) -> None:
         """Remove the runs that are stopping from the victims on a worker."""
         victims = self._ranked_victims.get(worker_id)
@@ -374,27 +495,39 @@
         return [task.placement for task in tasks if task.placement is not None]
 
     def _needs(self, placement: workflow.Placement) -> workflow.Resources:
-        entry = self._state.entries[placement.task.workflow_id]
-        return resources.reserved(entry.workflow.steps[placement.task.step])
+        return resources.reserved(self._step(placement))
 
     def _cost(self, victim: workflow.Placement) -> float:
-        """Return the cost of stopping a run, in core-seconds.
-
-        It rises with the number of the run, so that a task that was stopped before is
-        stopped again only if that is much cheaper.
-        """
-        key = victim.task
-        entry = self._state.entries[key.workflow_id]
-        step = entry.workflow.steps[key.step]
-        lost_s = self._conditions[victim.worker_id].ages_s.get(key, 0.0)
-        if step.long_running:
-            lost_s = RESTART_S
-        elif step.checkpointing:
-            lost_s = min(lost_s, CHECKPOINT_LOSS_S)
-        members = step.count if step.gang else 1
-        factor = (
-            victim.run if entry.queue.priority else URGENT_VICTIM_FACTOR * victim.run
-        )
-        return factor * (
-            STOP_COST_CORE_S + lost_s * resources.core_equivalents(step.needs) * members
+        """Return the cost of stopping a run, in core-seconds."""
+        status = self._conditions[victim.worker_id]
+        return self._costs.cost_core_s(
+            victim,
+            status.ages_s.get(victim.task, 0.0),
+            status.remaining_s.get(victim.task),
         )
+
+
+def _needed(
+    candidate: resources.Candidate,
+    needs: workflow.Resources,
+    chosen: list[_Victim],
+    freed: workflow.Resources,
+) -> list[_Victim]:
+    """Return the victims without those that the others make superfluous.
+
+    Several cheap runs may have been chosen before a larger one that suffices. The most
+    expensive ones are spared first.
+
+    Parameters
+    ----------
+    freed : Resources
+        Resources that all victims, and the runs whose end is awaited, will free.
+    """
+    needed = []
+    for victim in reversed(chosen):
+        without = resources.combined(freed, resources.negated(victim.needs))
+        if candidate.will_fit(needs, without):
+            freed = without
+        else:
+            needed.append(victim)
+    return needed[::-1]
