Order pending steps by what they are still worth

Within a priority the order was by deadline, late work last. Under overload this starts work that can't finish in time and delays work that could.

Work that can complete in its objective now comes before late work, and work past three times its objective runs in idle room only, after all other work; the rule for overdue steps stays. If a priority has more work than can meet its deadlines, accounts get equal shares, begun workflows come first, and then those that give callers most for the work they need, by size, so that large workflows are not held up for ever.

--- a/marjoramusher/workflows/delay_cost.py
+++ b/marjoramusher/workflows/delay_cost.py
@@ -8,8 +8,15 @@
 
 import msgspec
 
-from . import catalog, machine, objective, permit, resources, workflow
-
+from . import backlog, catalog, machine, objective, permit, resources, workflow
+
+# Value of a workflow: a fixed part, and one that grows with its work up to a multiple
+# of that of the mean one.
+FIXED_VALUE = 0.3
+MAX_VALUED_SIZE = 4.0
+# Share of the estimated run time that work needs at least. Estimates are off by up to
+# 90 percent, and work that could be in time is not to be ordered as late.
+FEASIBLE_SHARE = 1.0
 # Fixed cost of a stop in core-seconds, beside the lost work. It keeps tasks that have
 # just started from being stopped without need.
 STOP_COST_CORE_S = 1.0
@@ -52,18 +59,6 @@
     deadline_ms: float
     value_end_ms: float
 
-    def standing(self, now_ms: float, remaining_ms: float) -> Standing:
-        """Return the standing of an occurrence that needs a further time.
-
-        The value counts as lost only once its time is over, since estimates are off by
-        up to 90 percent.
-        """
-        if now_ms > self.value_end_ms:
-            return Standing.WORTHLESS
-        if now_ms + remaining_ms > self.deadline_ms:
-            return Standing.LATE
-        return Standing.TIMELY
-
 
 def expected_run_ms(queue: catalog.Queue, account: str, step: workflow.Step) -> float:
     """Return the expected run time of a task of a step."""
@@ -96,6 +91,46 @@
     return tails_ms[step_index]
 
 
+def is_worthless(pending: backlog.PendingStep, now_ms: float) -> bool:
+    """Tell whether the time is over at which a pending step had a value.
+
+    Long-running steps do not complete, so they always have one.
+    """
+    submitted = pending.entry.workflow
+    start_ms = submitted.due_ms(pending.occurrence) or submitted.submitted_ms
+    objective_ms = pending.deadline_ms - start_ms
+    return (
+        now_ms > start_ms + objective.LATE_FACTOR * objective_ms
+        and not pending.step.long_running
+    )
+
+
+def standing(pending: backlog.PendingStep, now_ms: float) -> Standing:
+    """Return the standing of the occurrence of a pending step.
+
+    The value counts as lost only once its time is over, since estimates are off.
+    """
+    if is_worthless(pending, now_ms):
+        return Standing.WORTHLESS
+    needed_ms = 0.0
+    if not pending.step.long_running:
+        needed_ms = FEASIBLE_SHARE * path_ms(pending.entry, pending.step_index)
+    is_late = now_ms + needed_ms > pending.deadline_ms
+    return Standing.LATE if is_late else Standing.TIMELY
+
+
+def value(work_s: float, mean_work_s: float) -> float:
+    """Return the value of a workflow, 1 for a mean one of its queue.
+
+    Parameters
+    ----------
+    work_s, mean_work_s : float
+        Its work, and that of the mean workflow.
+    """
+    size = min(work_s / mean_work_s, MAX_VALUED_SIZE) if mean_work_s else 1.0
+    return FIXED_VALUE + (1 - FIXED_VALUE) * size
+
+
 def slack_s(entry: machine.Entry, occurrence: int, step: int, now_ms: float) -> float:
     """Return how long a step may still wait for its workflow to complete in time."""
     deadline_ms = timing(entry, occurrence).deadline_ms
--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -11,7 +11,9 @@
 from . import (
     backlog,
     condition,
+    delay_cost,
     machine,
+    ordering,
     permit,
     preemption,
     resources,
@@ -121,9 +123,12 @@
     """Return a plan for the pending tasks, made for the most urgent ones first."""
     planner = _PlanBuilder(plan_input)
     now_ms = plan_input.now_ms
-    pending_steps = sorted(
+    pending_steps = ordering.ordered(
+        plan_input.state,
         backlog.pending_steps(plan_input.state, now_ms + plan_input.early_ms),
-        key=lambda pending: _urgency(pending, now_ms, planner.is_guaranteed(pending)),
+        planner.candidates,
+        now_ms,
+        planner.is_guaranteed,
     )
     for pending in pending_steps:
         planner.place(pending)
@@ -140,19 +145,6 @@
     )
 
 
-def _urgency(
-    pending: backlog.PendingStep, now_ms: float, is_guaranteed: bool
-) -> tuple[int, bool, bool, float]:
-    """Sort by priority, then deadline; steps that missed theirs come last.
-
-    Guaranteed work comes first. Otherwise runs that are stopped for it take the room
-    again, if their deadline is earlier.
-    """
-    is_late = pending.deadline_ms < now_ms
-    priority = pending.entry.queue.priority
-    return priority, not is_guaranteed, is_late, pending.deadline_ms
-
-
 class _WorkerSet:
     """Workers of a service that meet the label of a step, also by rack."""
 
@@ -222,6 +214,11 @@
             state, conditions, self._by_worker, plan_input.now_ms
         )
 
+    @property
+    def candidates(self) -> Mapping[str, Sequence[resources.Candidate]]:
+        """Return the usable workers of each service."""
+        return self._candidates
+
     @property
     def awaiting(self) -> frozenset[resources.StepKey]:
         """Return the steps that wait for runs to end instead of stopping them."""
@@ -437,7 +434,7 @@
                     self._place_task(pending, index, best)
                     continue
             self._record_shortage(pending, kind, 1, workers)
-            if pending.entry.queue.priority:
+            if pending.entry.queue.priority or self._uses_idle_room(pending):
                 return
             self._preempt(pending, 1, kind, [workers.candidates])
 
@@ -498,7 +495,7 @@
                         self._place_task(pending, index, candidate)
                     return
         self._record_shortage(pending, kind, count, workers)
-        if pending.entry.queue.priority:
+        if pending.entry.queue.priority or self._uses_idle_room(pending):
             self._reserve(pending, workers)
         else:
             scopes = self._gang_scopes(pending, workers)
@@ -552,7 +549,9 @@
         Urgent tasks may use the headroom, and so may long-running ones, which have to
         be available all the time.
         """
-        if pending.entry.queue.priority == 0 or not self._headroom:
+        if not self._headroom:
+            return True
+        if pending.entry.queue.priority == 0 and not self._uses_idle_room(pending):
             return True
         if pending.step.long_running:
             return True
@@ -563,10 +562,20 @@
         return free - count * pending.step.needs.accelerators >= self._headroom
 
     def _is_pressing(self, pending: backlog.PendingStep) -> bool:
-        """Tell whether tasks must start soon to complete before their deadline."""
+        """Tell whether tasks must start soon to complete before their deadline.
+
+        Late ones press as well, until their workflow has no value any more.
+        """
+        if delay_cost.is_worthless(pending, self._now_ms):
+            return False
         remaining_ms = pending.deadline_ms - self._now_ms
         return remaining_ms < PRESSING_FACTOR * pending.step.estimate_ms
 
+    def _uses_idle_room(self, pending: backlog.PendingStep) -> bool:
+        """Tell whether a step gets only room that no work with a value needs."""
+        is_worthless = delay_cost.is_worthless(pending, self._now_ms)
+        return is_worthless and not self.is_guaranteed(pending)
+
     def _reserve(self, pending: backlog.PendingStep, workers: _WorkerSet) -> None:
         """Reserve resources for a waiting gang against later steps of the plan.
 
