Reject workflows that can't complete while they have a value

Under a sustained overload the leader stored every submission, and callers learnt only from the delay that theirs had lost its value.

Nothing is rejected beside idle capacity or room for it, nor urgent work within a guarantee, known ids, repeated or long-running work, or a submission that was proposed in this term without a known outcome.

--- a/marjoramusher/queues/call.py
+++ b/marjoramusher/queues/call.py
@@ -210,6 +210,18 @@
     """The change is durable."""
 
 
+class Rejected(Reply, frozen=True, tag=True):
+    """The workflow was not stored, since it could not complete while it has a value.
+
+    Parameters
+    ----------
+    retry_after_s : int
+        When it may be accepted, from 1.
+    """
+
+    retry_after_s: int
+
+
 class TooMany(Reply, frozen=True, tag=True):
     """The change was not made, since there are too many others of its kind."""
 
@@ -248,6 +260,7 @@
     | WaveProgress
     | Committed
     | TooMany
+    | Rejected
     | Evacuations
 )
 
@@ -288,4 +301,4 @@
 
 def is_rejection(data: bytes) -> bool:
     """Tell whether an encoded reply says that a submission was not stored."""
-    return isinstance(unpack_reply(data), NoQueue | Unauthorized)
+    return isinstance(unpack_reply(data), NoQueue | Unauthorized | Rejected)
--- a/marjoramusher/queues/service.py
+++ b/marjoramusher/queues/service.py
@@ -5,7 +5,7 @@
 from ..core import clock, codec, errors
 from ..executors import driver
 from ..telemetry import log, metrics
-from ..workflows import catalog, command, machine, workflow
+from ..workflows import admission, catalog, command, machine, workflow
 from . import call
 
 # An announcement from further in the future would end the incarnation that is running,
@@ -13,6 +13,9 @@
 MAX_CLOCK_SKEW_S = 3600.0
 # Longer ids are not remembered, which bounds the memory that one caller takes.
 MAX_EARLY_ID_LENGTH = 64
+# Submissions whose outcome is not known are not rejected. With more of them than this,
+# nothing is rejected, which bounds their memory.
+MAX_UNDECIDED = 4096
 MAX_LOGGED_IGNORED = 256  # bounds the memory and the log lines that one sender causes
 
 
@@ -49,6 +52,10 @@
         self._metrics = metrics_registry
         # Incarnation and sequence number of the latest announcement of each worker.
         self._latest_announcements: dict[str, tuple[int, int]] = {}
+        self._admission = admission.Admission(state)
+        # Workflows that were proposed in a term without a known outcome.
+        self._undecided: set[str] = set()
+        self._undecided_term = 0
         # Workers whose ignored announcements were logged, each with the reason.
         self._ignored: set[tuple[str, str]] = set()
 
@@ -152,7 +159,10 @@
             account=account,
             submitted_ms=now_ms,
         )
-        result = await self._driver.propose(command.Submit(now_ms, submitted))
+        rejection = self._rejection(submitted, queue, now_ms)
+        if rejection is not None:
+            return rejection
+        result = await self._propose_submission(command.Submit(now_ms, submitted))
         is_accepted = codec.unpack(result, command.WorkflowResult).known
         log.state_change(
             "workflow.submitted",
@@ -172,6 +182,57 @@
             self._metrics.increment("workflows_cancelled")
         return call.Accepted() if is_accepted else call.NoQueue()
 
+    def _rejection(
+        self, submitted: workflow.Workflow, queue: catalog.Queue, now_ms: float
+    ) -> call.Rejected | None:
+        """Return the rejection of a submission, ``None`` if it is to be stored.
+
+        One that was proposed before may still be committed until the term ends. Ids
+        that are too long to be remembered are not rejected.
+        """
+        if self._undecided_term != self._driver.term:
+            self._undecided_term = self._driver.term
+            self._undecided.clear()
+        workflow_id = submitted.workflow_id
+        if len(self._undecided) >= MAX_UNDECIDED:
+            self._undecided.difference_update(self._state.entries)
+        if (
+            workflow_id in self._undecided
+            or len(workflow_id) > MAX_EARLY_ID_LENGTH
+            or len(self._undecided) >= MAX_UNDECIDED
+        ):
+            return None
+        rejection = self._admission.rejection(submitted, queue, now_ms)
+        if rejection is None:
+            return None
+        log.state_change(
+            "workflow.rejected",
+            workflow=workflow_id,
+            queue=queue.name,
+            account=submitted.account,
+            priority=queue.priority,
+            ahead_s=round(rejection.ahead_s, 1),
+            path_s=round(rejection.path_s, 1),
+            value_s=round(rejection.value_s, 1),
+            retry_after_s=rejection.retry_after_s,
+        )
+        self._metrics.increment("workflows_rejected", queue=queue.name)
+        return call.Rejected(rejection.retry_after_s)
+
+    async def _propose_submission(self, submit: command.Submit) -> bytes:
+        """Commit a submission; until that is decided, it is not rejected."""
+        workflow_id = submit.workflow.workflow_id
+        if len(workflow_id) <= MAX_EARLY_ID_LENGTH:
+            self._undecided.add(workflow_id)
+        try:
+            result = await self._driver.propose(submit)
+        except errors.MarjoramusherError as failure:
+            if failure.outcome is errors.Outcome.NOT_RUN:
+                self._undecided.discard(workflow_id)
+            raise
+        self._undecided.discard(workflow_id)
+        return result
+
     async def _cancel(self, queue: catalog.Queue, workflow_id: str) -> call.AnyReply:
         """Cancel a workflow; one that is not known yet will not run either."""
         entry = self._state.entries.get(workflow_id)
--- /dev/null
+++ b/marjoramusher/workflows/admission_test.py
@@ -0,0 +1,109 @@
+"""Guards against rejections of work that could complete, and of work to be kept.
+
+Load: a fleet of 2 workers with 8 accelerators each that is full, with a backlog in
+front of the submission; each test names it.
+"""
+
+import msgspec
+import pytest
+
+from marjoramusher.workflows import admission, workflow
+from marjoramusher.workflows.planner_test import CATALOG, Harness
+
+URGENT, LONG, BATCH = CATALOG.queues[:3]
+
+
+def submission(queue=URGENT, account="a", accelerators=8, workflow_id="new", **fields):
+    step = workflow.Step(
+        2, workflow.Resources(1000, 10, accelerators), 2000, gang=True, **fields
+    )
+    return workflow.Workflow(workflow_id, queue.name, account, "", (step,), 0)
+
+
+def backlogged(queue="urgent", count=20, account="a"):
+    """Return a full fleet with workflows that need 2 s of it each."""
+    harness = Harness(size=2)
+    for _ in range(count):
+        harness.submit(queue, 2, 8, estimate_ms=2000, account=account, gang=True)
+    harness.run()
+    return harness
+
+
+def decide(harness, submitted, queue=URGENT, now_ms=0.0):
+    return admission.Admission(harness.state).rejection(submitted, queue, now_ms)
+
+
+def test_work_that_can_not_complete_in_time_is_rejected():
+    """Load: 40 s of urgent work; the value of the new one ends after 10.8 s."""
+    rejection = decide(backlogged(), submission())
+    assert rejection.value_s == pytest.approx(10.8)
+    assert rejection.ahead_s + rejection.path_s > rejection.value_s
+    assert 1 <= rejection.retry_after_s <= 60
+
+
+def test_less_urgent_work_counts_the_more_urgent_backlog_and_not_the_reverse():
+    """Load: 80 s of work of one priority, and a submission of another."""
+    late = submission(LONG)  # its value ends after 22.5 s
+    assert decide(backlogged("urgent", 40), late, LONG) is not None
+    assert decide(backlogged("batch", 40), late, LONG) is None
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"workflow_id": "w1"},
+        {"repetitions": 1, "first_due_ms": 1, "interval_ms": 1},
+        {"steps": (workflow.Step(1, long_running=True),)},
+        {
+            "account": "b",
+            "steps": (workflow.Step(1, workflow.Resources(1, 1, 4), 2000),),
+        },
+    ],
+    ids=["known", "repeated", "long-running", "guaranteed"],
+)
+def test_some_work_is_never_rejected(change):
+    """Load: 40 s of urgent work of account a; b has nothing and a guarantee of 4."""
+    submitted = msgspec.structs.replace(submission(), **change)
+    assert decide(backlogged(), submitted) is None
+
+
+def test_nothing_is_rejected_beside_room_for_it_or_idle_capacity():
+    """Load: 40 s of work that waits beside free room, for whatever reason."""
+    harness = backlogged()
+    full = harness.state.placements_on("0-1")
+    harness.end(list(full.values()), workflow.RunOutcome.FAILED)
+    assert decide(harness, submission()) is None
+
+
+def test_nothing_is_rejected_without_workers():
+    """Load: a new leader, or a site at its start, that knows no worker."""
+    harness = Harness(size=0)
+    for _ in range(20):
+        harness.submit("urgent", 2, 8, estimate_ms=2000)
+    assert decide(harness, submission()) is None
+
+
+def test_accounts_that_hold_less_are_accepted_and_return_first():
+    """Load: a burst of one account; another one submits its first workflow."""
+    harness = backlogged()
+    assert decide(harness, submission(account="b")) is None
+    for _ in range(5):
+        harness.submit("urgent", 2, 8, estimate_ms=2000, account="b", gang=True)
+    first = decide(harness, submission(account="b"))
+    second = decide(harness, submission(account="a"))
+    assert first.retry_after_s < second.retry_after_s
+
+
+def test_a_backlog_past_its_value_counts_no_more():
+    """Load: 40 s of urgent work, all of it past its value."""
+    harness = backlogged()
+    assert decide(harness, submission(), now_ms=20_000.0) is None
+
+
+def test_a_shrunken_fleet_rejects_earlier():
+    """Load: 12 s of work for two workers, one of which is reclaimed."""
+    harness = backlogged(count=6)
+    assert decide(harness, submission()) is None
+    worker = harness.state.workers["0-1"].worker
+    harness.state.workers["0-1"].worker = msgspec.structs.replace(worker, draining=True)
+    assert decide(harness, submission(accelerators=4)) is not None
--- a/marjoramusher/workflows/ordering.py
+++ b/marjoramusher/workflows/ordering.py
@@ -29,28 +29,22 @@
     in seconds of the whole service.
     """
 
-    __slots__ = ("_accelerators", "_cores_milli", "free_share")
+    __slots__ = ("_capacity", "free_share")
 
     def __init__(self, candidates: Iterable[resources.Candidate]) -> None:
-        accelerators = cores_milli = free_accelerators = free_cores_milli = 0
+        capacity = free = resources.NOTHING
         for candidate in candidates:
-            accelerators += candidate.worker.capacity.accelerators
-            cores_milli += candidate.worker.capacity.cores_milli
-            free_accelerators += max(candidate.accelerators, 0)
-            free_cores_milli += max(candidate.cores_milli, 0)
-        self._accelerators = max(accelerators, 1)
-        self._cores_milli = max(cores_milli, 1)
+            capacity = resources.combined(capacity, candidate.worker.capacity)
+            free = resources.combined(free, candidate.free)
+        self._capacity = capacity
         self.free_share = min(
-            free_accelerators / self._accelerators if accelerators else 1.0,
-            free_cores_milli / self._cores_milli if cores_milli else 1.0,
+            free.accelerators / capacity.accelerators if capacity.accelerators else 1.0,
+            free.cores_milli / capacity.cores_milli if capacity.cores_milli else 1.0,
         )
 
     def share(self, needs: workflow.Resources) -> float:
         """Return the share of the service that a task takes."""
-        return max(
-            needs.accelerators / self._accelerators,
-            needs.cores_milli / self._cores_milli,
-        )
+        return resources.dominant_share(needs, self._capacity)
 
 
 class _Waiting(msgspec.Struct, frozen=True):
--- a/marjoramusher/workflows/resources.py
+++ b/marjoramusher/workflows/resources.py
@@ -232,6 +232,14 @@
     return step.needs
 
 
+def dominant_share(needs: workflow.Resources, capacity: workflow.Resources) -> float:
+    """Return the share of a capacity that needs take of the scarcer resource."""
+    return max(
+        needs.accelerators / max(capacity.accelerators, 1),
+        needs.cores_milli / max(capacity.cores_milli, 1),
+    )
+
+
 def core_seconds(step: workflow.Step) -> float:
     """Return the estimated work of a step, accelerators counted as cores."""
     return step.count * step.estimate_ms / 1000 * core_equivalents(step.needs)
