Keep the choice of victims cheap

Awaited runs and superfluous victims were looked up for each worker and each task of a gang, also where no run has a known end and all victims need the same. The limit of a step's wait is now computed once.

--- a/marjoramusher/workflows/preemption.py
+++ b/marjoramusher/workflows/preemption.py
@@ -93,10 +93,10 @@
         "_conditions",
         "_costs",
         "_ending",
+        "_max_wait_s",
         "_now_ms",
         "_ranked_victims",
         "_shortages",
-        "_slacks_s",
         "_state",
         "_stopping",
         "_urgent_accelerators",
@@ -119,7 +119,8 @@
         self._now_ms = now_ms
         self._costs = delay_cost.StopCosts(state, now_ms)
         self.awaiting: set[resources.StepKey] = set()
-        self._slacks_s: dict[resources.StepKey, float] = {}
+        # How long the step in question may wait for runs to end by themselves.
+        self._max_wait_s = 0.0
         # Runs on each worker with the time until their end, the first to end first.
         self._ending: dict[str, list[tuple[float, workflow.Placement]]] = {}
         # Runs on each worker, the cheapest to stop first.
@@ -158,8 +159,13 @@
         request = (kind, pending.entry.queue.priority, account if is_guaranteed else "")
         if kind is not None and self._shortages.covers(request, count):
             return None
+        self._max_wait_s = 0.0
         if not is_guaranteed:
             best_cost = MAX_COST_FACTOR * resources.core_seconds(pending.step)
+            slack_s = delay_cost.slack_s(
+                pending.entry, pending.occurrence, pending.step_index, self._now_ms
+            )
+            self._max_wait_s = MAX_WAIT_SHARE * slack_s - START_DELAY_S
         has_room = False
         for candidates in scopes:
             choices, cost = self._evaluate(pending, count, candidates, best_cost)
@@ -296,58 +302,56 @@
             return _Choice(candidate, (), cost)
         if not needs.fits_within(candidate.worker.capacity):
             return None
-        awaited, freed, wait_s = self._awaited(pending, needs, candidate)
-        cost += AWAIT_COST_CORE_S * wait_s
-        if awaited and candidate.will_fit(needs, freed):
-            return _Choice(candidate, (), cost, awaited)
+        awaited: tuple[workflow.Placement, ...] = ()
+        freed = resources.NOTHING
+        if self._max_wait_s > 0.0 and not candidate.is_closed:
+            awaited, freed, wait_s = self._awaited(needs, candidate)
+            cost += AWAIT_COST_CORE_S * wait_s
+            if awaited and candidate.will_fit(needs, freed):
+                return _Choice(candidate, (), cost, awaited)
         chosen: list[_Victim] = []
-        placements: list[workflow.Placement] = []
+        count = 0
+        victim_cost = 0.0
+        may_spare = False  # one of equal victims is never superfluous
         for victim in self._victims(candidate):
             placement = victim.placement
             if (
                 placement.task in self._stopping
                 or placement in awaited
                 or not self._is_preemptible(victim, pending)
-                or (
-                    victim.is_long_running and not self._can_stop(placement, placements)
-                )
+                or (victim.is_long_running and not self._can_stop(placement, chosen))
             ):
                 continue
+            if chosen and victim.needs != chosen[0].needs:
+                may_spare = True
             chosen.append(victim)
-            placements.extend(victim.members)
+            count += len(victim.members)
+            victim_cost += victim.cost
             freed = resources.combined(freed, victim.needs)
-            if candidate.is_closed and len(placements) < len(candidate.running):
+            if candidate.is_closed and count < len(candidate.running):
                 continue  # a closed worker takes others only once it is empty
             if candidate.will_fit(needs, freed):
-                if not candidate.is_closed:
+                if may_spare and not candidate.is_closed:
                     chosen = _needed(candidate, needs, chosen, freed)
-                return _Choice(
-                    candidate,
-                    tuple(victim.placement for victim in chosen),
-                    sum(victim.cost for victim in chosen) + cost,
-                    awaited,
-                )
+                    victim_cost = sum(victim.cost for victim in chosen)
+                placements = tuple([victim.placement for victim in chosen])
+                return _Choice(candidate, placements, victim_cost + cost, awaited)
         return None
 
     def _awaited(
         self,
-        pending: backlog.PendingStep,
         needs: workflow.Resources,
         candidate: resources.Candidate,
     ) -> tuple[tuple[workflow.Placement, ...], workflow.Resources, float]:
         """Return runs that end soon enough, their resources and the time until then.
 
-        They are no more than a task of the step needs. Work within a guarantee does not
-        wait, and a closed worker takes others only once it is empty.
+        They are no more than a task needs. Work within a guarantee does not wait, and a
+        closed worker takes others only once it is empty.
         """
         awaited: list[workflow.Placement] = []
         freed, wait_s = resources.NOTHING, 0.0
-        account = pending.entry.workflow.account
-        if candidate.is_closed or self.is_within_guarantee(account):
-            return (), freed, wait_s
-        limit_s = self._wait_limit_s(pending)
         for remaining_s, placement in self._ending_runs(candidate):
-            if remaining_s > limit_s or candidate.will_fit(needs, freed):
+            if remaining_s > self._max_wait_s or candidate.will_fit(needs, freed):
                 break
             if placement.task not in self._stopping:
                 awaited.append(placement)
@@ -355,17 +359,6 @@
                 wait_s = remaining_s
         return tuple(awaited), freed, wait_s
 
-    def _wait_limit_s(self, pending: backlog.PendingStep) -> float:
-        """Return how long a step may wait and still complete in its objective."""
-        limit_s = self._slacks_s.get(pending.key)
-        if limit_s is None:
-            slack_s = delay_cost.slack_s(
-                pending.entry, pending.occurrence, pending.step_index, self._now_ms
-            )
-            limit_s = MAX_WAIT_SHARE * slack_s - START_DELAY_S
-            self._slacks_s[pending.key] = limit_s
-        return limit_s
-
     def _ending_runs(
         self, candidate: resources.Candidate
     ) -> list[tuple[float, workflow.Placement]]:
@@ -441,15 +434,14 @@
             and self.is_within_guarantee(account)
         )
 
-    def _can_stop(
-        self, victim: workflow.Placement, chosen: list[workflow.Placement]
-    ) -> bool:
+    def _can_stop(self, victim: workflow.Placement, chosen: list[_Victim]) -> bool:
         """Tell whether a stop respects the disruption budget of a long-running step."""
+        stopped = {placement for unit in chosen for placement in unit.members}
         return availability.can_stop(
             self._state,
             victim,
             lambda other: (
-                other in chosen
+                other in stopped
                 or other.task in self._stopping
                 or not self._is_serving(other)
             ),
