Look up expected run times with the replicated state

The cost of delays used the declared run time through a function that knew only queue, account and step. Run times learned from completed runs will be part of the replicated state, so the function now gets it, and a single line redirects all of its callers.

--- a/marjoramusher/workflows/admission.py
+++ b/marjoramusher/workflows/admission.py
@@ -97,7 +97,7 @@
         usable_share = 1.0 - current.lasting_share
         if usable_share <= 0.0:
             return None
-        own_s = _work_s(submitted, queue, current.capacity)
+        own_s = _work_s(self._state, submitted, queue, current.capacity)
         ahead_s = COUNTED_SHARE * _ahead_s(submitted, queue, own_s, current.work_s)
         ahead_s /= usable_share
         path_s = objective.critical_path_ms(submitted, queue) / 1000
@@ -157,13 +157,18 @@
         for entry in state.active.values():
             if entry.queue.service == service:
                 key = entry.queue.priority, entry.workflow.account
-                left_s = _left_s(entry, capacity, now_ms)
+                left_s = _left_s(state, entry, capacity, now_ms)
                 work_s[key] = work_s.get(key, 0.0) + left_s
     lasting_share = resources.dominant_share(lasting, capacity)
     return _Backlog(now_ms, free, capacity, used_share, lasting_share, work_s)
 
 
-def _left_s(entry: machine.Entry, capacity: workflow.Resources, now_ms: float) -> float:
+def _left_s(
+    state: machine.WorkflowMachine,
+    entry: machine.Entry,
+    capacity: workflow.Resources,
+    now_ms: float,
+) -> float:
     """Return the work left of an active workflow, 0 if it has no value any more.
 
     Of tasks in progress, half is left on average. Occurrences that are not due yet, and
@@ -184,25 +189,32 @@
                     for task in tasks
                     if not task.done
                 )
-                left_s += count * _task_s(entry.workflow, entry.queue, step, capacity)
+                left_s += count * _task_s(
+                    state, entry.workflow, entry.queue, step, capacity
+                )
     return left_s
 
 
 def _task_s(
+    state: machine.WorkflowMachine,
     submitted: workflow.Workflow,
     queue: catalog.Queue,
     step: workflow.Step,
     capacity: workflow.Resources,
 ) -> float:
     share = resources.dominant_share(resources.reserved(step), capacity)
-    return share * delay_cost.expected_run_ms(queue, submitted.account, step) / 1000
+    run_ms = delay_cost.expected_run_ms(state, queue, submitted.account, step)
+    return share * run_ms / 1000
 
 
 def _work_s(
-    submitted: workflow.Workflow, queue: catalog.Queue, capacity: workflow.Resources
+    state: machine.WorkflowMachine,
+    submitted: workflow.Workflow,
+    queue: catalog.Queue,
+    capacity: workflow.Resources,
 ) -> float:
     return sum(
-        step.count * _task_s(submitted, queue, step, capacity)
+        step.count * _task_s(state, submitted, queue, step, capacity)
         for step in submitted.steps
     )
 
--- a/marjoramusher/workflows/delay_cost.py
+++ b/marjoramusher/workflows/delay_cost.py
@@ -60,9 +60,14 @@
     value_end_ms: float
 
 
-def expected_run_ms(queue: catalog.Queue, account: str, step: workflow.Step) -> float:
-    """Return the expected run time of a task of a step."""
-    del queue, account
+def expected_run_ms(
+    state: machine.WorkflowMachine,
+    queue: catalog.Queue,
+    account: str,
+    step: workflow.Step,
+) -> float:
+    """Return the expected run time of a task of a step, as declared by the caller."""
+    del state, queue, account
     return step.estimate_ms
 
 
@@ -76,7 +81,9 @@
     )
 
 
-def path_ms(entry: machine.Entry, step_index: int) -> float:
+def path_ms(
+    state: machine.WorkflowMachine, entry: machine.Entry, step_index: int
+) -> float:
     """Return the expected time from the start of a step to the end of its workflow."""
     steps, queue = entry.workflow.steps, entry.queue
     call_ms = queue.policy.call_ms(permit.MAX_QUERIED_WORKERS) if queue.policy else 0.0
@@ -84,7 +91,7 @@
     # The steps that depend on a step come after it.
     for index in range(len(steps) - 1, step_index - 1, -1):
         tails_ms[index] += expected_run_ms(
-            queue, entry.workflow.account, steps[index]
+            state, queue, entry.workflow.account, steps[index]
         ) + (call_ms if index > step_index else 0.0)
         for dependency in steps[index].after:
             tails_ms[dependency] = max(tails_ms[dependency], tails_ms[index])
@@ -105,7 +112,9 @@
     )
 
 
-def standing(pending: backlog.PendingStep, now_ms: float) -> Standing:
+def standing(
+    state: machine.WorkflowMachine, pending: backlog.PendingStep, now_ms: float
+) -> Standing:
     """Return the standing of the occurrence of a pending step.
 
     The value counts as lost only once its time is over, since estimates are off.
@@ -114,7 +123,7 @@
         return Standing.WORTHLESS
     needed_ms = 0.0
     if not pending.step.long_running:
-        needed_ms = FEASIBLE_SHARE * path_ms(pending.entry, pending.step_index)
+        needed_ms = FEASIBLE_SHARE * path_ms(state, pending.entry, pending.step_index)
     is_late = now_ms + needed_ms > pending.deadline_ms
     return Standing.LATE if is_late else Standing.TIMELY
 
@@ -131,10 +140,12 @@
     return FIXED_VALUE + (1 - FIXED_VALUE) * size
 
 
-def slack_s(entry: machine.Entry, occurrence: int, step: int, now_ms: float) -> float:
+def slack_s(
+    state: machine.WorkflowMachine, pending: backlog.PendingStep, now_ms: float
+) -> float:
     """Return how long a step may still wait for its workflow to complete in time."""
-    deadline_ms = timing(entry, occurrence).deadline_ms
-    return (deadline_ms - now_ms - path_ms(entry, step)) / 1000
+    needed_ms = path_ms(state, pending.entry, pending.step_index)
+    return (pending.deadline_ms - now_ms - needed_ms) / 1000
 
 
 def lost_core_s(step: workflow.Step, age_s: float) -> float:
@@ -212,7 +223,7 @@
             return 1.0
         # The steps that depend on this one take the same time after a stop.
         following_ms = common.path_ms - expected_run_ms(
-            common.entry.queue, common.entry.workflow.account, common.step
+            self._state, common.entry.queue, common.entry.workflow.account, common.step
         )
         would_end_ms = now_ms + 1000 * remaining_s + following_ms
         restarted_end_ms = would_end_ms + 1000 * age_s
@@ -231,6 +242,6 @@
                 entry,
                 entry.workflow.steps[task.step],
                 timing(entry, task.occurrence),
-                path_ms(entry, task.step),
+                path_ms(self._state, entry, task.step),
             )
         return common
--- a/marjoramusher/workflows/ordering.py
+++ b/marjoramusher/workflows/ordering.py
@@ -29,9 +29,14 @@
     in seconds of the whole service.
     """
 
-    __slots__ = ("_capacity", "free_share")
+    __slots__ = ("_capacity", "free_share", "state")
 
-    def __init__(self, candidates: Iterable[resources.Candidate]) -> None:
+    def __init__(
+        self,
+        candidates: Iterable[resources.Candidate],
+        state: machine.WorkflowMachine,
+    ) -> None:
+        self.state = state
         capacity = free = resources.NOTHING
         for candidate in candidates:
             capacity = resources.combined(capacity, candidate.worker.capacity)
@@ -46,6 +51,13 @@
         """Return the share of the service that a task takes."""
         return resources.dominant_share(needs, self._capacity)
 
+    def task_s(self, entry: machine.Entry, step: workflow.Step) -> float:
+        """Return the expected work of one task of a step."""
+        run_ms = delay_cost.expected_run_ms(
+            self.state, entry.queue, entry.workflow.account, step
+        )
+        return self.share(resources.reserved(step)) * run_ms / 1000
+
 
 class _Waiting(msgspec.Struct, frozen=True):
     """A pending step with what its order depends on.
@@ -98,20 +110,18 @@
         self,
         candidates: Iterable[resources.Candidate],
         service: _Service,
-        state: machine.WorkflowMachine,
     ) -> None:
         self.held_shares: dict[str, float] = {}
         urgent_share = urgent_work_s = share = work_s = 0.0
         for candidate in candidates:
             for placement in candidate.running:
-                entry = state.entries[placement.task.workflow_id]
+                entry = service.state.entries[placement.task.workflow_id]
                 step = entry.workflow.steps[placement.task.step]
                 taken = service.share(resources.reserved(step))
                 account = entry.workflow.account
                 self.held_shares[account] = self.held_shares.get(account, 0.0) + taken
-                run_ms = delay_cost.expected_run_ms(entry.queue, account, step)
                 # On average, half of a run is over.
-                remaining_s = taken * run_ms / 2000
+                remaining_s = service.task_s(entry, step) / 2
                 share += taken
                 work_s += remaining_s
                 if entry.queue.priority == 0:
@@ -157,7 +167,7 @@
         name = pending.entry.queue.service
         service = services.get(name)
         if service is None:
-            service = services[name] = _Service(candidates.get(name, ()))
+            service = services[name] = _Service(candidates.get(name, ()), state)
         waiting = _waiting(pending, service, now_ms, is_guaranteed(pending))
         by_service.setdefault(name, []).append(waiting)
     ranked: list[tuple[_Rank, backlog.PendingStep]] = []
@@ -165,7 +175,7 @@
         service = services[name]
         preferences: dict[resources.StepKey, _Preference] = {}
         if sum(waiting.share for waiting in members) > service.free_share:
-            running = _Running(candidates.get(name, ()), service, state)
+            running = _Running(candidates.get(name, ()), service)
             preferences = _overload_preferences(members, service, running, now_ms)
         ranked.extend(
             (_rank(waiting, preferences), waiting.pending) for waiting in members
@@ -181,14 +191,13 @@
     is_guaranteed: bool,
 ) -> _Waiting:
     entry, step = pending.entry, pending.step
-    share = len(pending.task_indexes) * service.share(resources.reserved(step))
-    run_ms = delay_cost.expected_run_ms(entry.queue, entry.workflow.account, step)
+    count = len(pending.task_indexes)
     return _Waiting(
         pending,
         is_guaranteed,
-        delay_cost.standing(pending, now_ms),
-        share,
-        share * run_ms / 1000,
+        delay_cost.standing(service.state, pending, now_ms),
+        count * service.share(resources.reserved(step)),
+        count * service.task_s(entry, step),
     )
 
 
@@ -325,8 +334,7 @@
     entry = pending.entry
     total_s = remaining_s = 0.0
     for index, step in enumerate(entry.workflow.steps):
-        run_ms = delay_cost.expected_run_ms(entry.queue, entry.workflow.account, step)
-        task_s = service.share(resources.reserved(step)) * run_ms / 1000
+        task_s = service.task_s(entry, step)
         total_s += step.count * task_s
         if index == pending.step_index:
             remaining_s += len(pending.task_indexes) * task_s
--- a/marjoramusher/workflows/preemption.py
+++ b/marjoramusher/workflows/preemption.py
@@ -162,9 +162,7 @@
         self._max_wait_s = 0.0
         if not is_guaranteed:
             best_cost = MAX_COST_FACTOR * resources.core_seconds(pending.step)
-            slack_s = delay_cost.slack_s(
-                pending.entry, pending.occurrence, pending.step_index, self._now_ms
-            )
+            slack_s = delay_cost.slack_s(self._state, pending, self._now_ms)
             self._max_wait_s = MAX_WAIT_SHARE * slack_s - START_DELAY_S
         has_room = False
         for candidates in scopes:
