Count rejected submissions in the workflow bench, and shorten tests

The bench can reject submissions as the leader's service does, so that the effect of admission on the value earned can be measured. The tests of the part are shorter, with the same cases.

--- a/bench/workflow_driver.py
+++ b/bench/workflow_driver.py
@@ -10,7 +10,14 @@
 from marjoramusher.executors import driver
 from marjoramusher.groups import local
 from marjoramusher.telemetry import metrics
-from marjoramusher.workflows import command, machine, objective, planner, workflow
+from marjoramusher.workflows import (
+    admission,
+    command,
+    machine,
+    objective,
+    planner,
+    workflow,
+)
 from standins import fleet, virtual
 
 HEARTBEAT_INTERVAL_S = 1.5
@@ -38,7 +45,7 @@
         Violations of the worker protocol that the workers detected.
     outcomes : dict
         Number of workflows by queue, size (`SIZES`) and outcome: ``timely``, ``late``,
-        or ``lost`` if they earned nothing.
+        ``lost`` if they earned nothing, or ``rejected``.
     """
 
     earned: dict[str, float] = {}
@@ -74,13 +81,25 @@
     duration_s: float,
     factor: float = 1.0,
     plan: planner.Planner = planner.plan,
+    *,
+    rejects: bool = False,
 ) -> SessionResult:
-    """Run one session with the given planner."""
-    return virtual.run(_run_session(seed, duration_s, factor, plan))
+    """Run one session with the given planner.
+
+    Parameters
+    ----------
+    rejects : bool
+        Whether submissions are rejected as by the leader's service.
+    """
+    return virtual.run(_run_session(seed, duration_s, factor, plan, rejects))
 
 
 async def _run_session(
-    seed: int, duration_s: float, factor: float, plan: planner.Planner
+    seed: int,
+    duration_s: float,
+    factor: float,
+    plan: planner.Planner,
+    rejects: bool,
 ) -> SessionResult:
     load = workflow_load.make_load(seed, duration_s, factor)
     arrivals = {arrival.submission.workflow_id: arrival for arrival in load}
@@ -123,8 +142,17 @@
     result = SessionResult()
     began_s = time.monotonic()
     tasks.append(loop.create_task(_record_urgent_starts(state, time, result)))
+    control = admission.Admission(state) if rejects else None
+    rejected: set[str] = set()
     for arrival in load:
         await asyncio.sleep(max(0.0, began_s + arrival.at_s - time.monotonic()))
+        submission = arrival.submission
+        if control is not None:
+            now_ms = clock.unix_ms(time)
+            queue = arrival.workload_class.queue
+            if control.rejection(submission, queue, now_ms) is not None:
+                rejected.add(submission.workflow_id)
+                continue
         tasks.append(loop.create_task(_submit(group, workers, time, arrival, began_s)))
     await asyncio.sleep(DRAIN_S)
     for task in tasks:
@@ -132,6 +160,7 @@
     await asyncio.gather(*tasks, return_exceptions=True)
     await leader.stop()
     _score(state, arrivals, result)
+    _score_rejected(rejected, arrivals, result)
     result.wasted_core_s = workers.wasted_core_s
     result.workflows = len(load)
     result.violations = workers.violations
@@ -206,6 +235,24 @@
     return sizes
 
 
+def _score_rejected(
+    rejected: set[str],
+    arrivals: dict[str, workflow_load.Arrival],
+    result: SessionResult,
+) -> None:
+    sizes = _sizes(arrivals)
+    for name in rejected:
+        workload_class = arrivals[name].workload_class
+        if arrivals[name].cancel_at_s is not None or arrivals[name].always_fails:
+            continue
+        queue = workload_class.queue.name
+        result.attainable[queue] = (
+            result.attainable.get(queue, 0.0) + workload_class.timely_value
+        )
+        key = (queue, sizes[name], "rejected")
+        result.outcomes[key] = result.outcomes.get(key, 0) + 1
+
+
 def _score(
     state: machine.WorkflowMachine,
     arrivals: dict[str, workflow_load.Arrival],
--- a/marjoramusher/queues/rejection_test.py
+++ b/marjoramusher/queues/rejection_test.py
@@ -22,18 +22,6 @@
     return harness
 
 
-def lose_outcome(harness, outcome):
-    """Let the next proposal end without a reply."""
-    leader = harness.arguments[2]
-    propose = leader.propose
-
-    async def fail(proposed):
-        leader.propose = propose
-        raise errors.NoQuorumError("no reply", outcome)
-
-    leader.propose = fail
-
-
 def test_a_rejected_submission_is_not_stored_and_may_be_repeated(harness):
     assert harness.submit(f"/a/b/{ID}") == call.Rejected(33)
     assert ID not in harness.state.entries
@@ -53,11 +41,16 @@
 def test_a_submission_that_may_be_committed_later_is_not_rejected(
     harness, outcome, reply
 ):
-    harness.rejection = None
-    lose_outcome(harness, outcome)
+    leader = harness.arguments[2]
+    propose = leader.propose
+
+    async def lose(proposed):
+        raise errors.NoQuorumError("no reply", outcome)
+
+    harness.rejection, leader.propose = None, lose
     with pytest.raises(errors.NoQuorumError):
         harness.submit(f"/a/b/{ID}")
-    harness.rejection = REJECTION
+    harness.rejection, leader.propose = REJECTION, propose
     assert harness.submit(f"/a/b/{ID}") == reply
 
 
@@ -66,23 +59,17 @@
     propose = leader.propose
     request = call.pack_call(call.Submit("h.example", f"/a/b/{ID}", "k1", WORKFLOW))
 
-    async def submit_twice():
-        is_committed = asyncio.Event()
-
-        async def wait(proposed):
-            await is_committed.wait()
-            return await propose(proposed)
+    async def propose_late(proposed):
+        await asyncio.sleep(0.01)
+        return await propose(proposed)
 
-        leader.propose = wait
-        harness.rejection = None
+    async def submit_twice():
         first = asyncio.create_task(harness.service.serve(request))
         await asyncio.sleep(0)
         harness.rejection = REJECTION
-        second = asyncio.create_task(harness.service.serve(request))
-        await asyncio.sleep(0)
-        is_committed.set()
-        return await asyncio.gather(first, second)
+        return await asyncio.gather(first, harness.service.serve(request))
 
+    harness.rejection, leader.propose = None, propose_late
     replies = asyncio.run(submit_twice())
     assert [call.unpack_reply(reply) for reply in replies] == [call.Accepted()] * 2
 
--- a/marjoramusher/workflows/admission_test.py
+++ b/marjoramusher/workflows/admission_test.py
@@ -20,9 +20,9 @@
     return workflow.Workflow(workflow_id, queue.name, account, "", (step,), 0)
 
 
-def backlogged(queue="urgent", count=20, account="a"):
+def backlogged(queue="urgent", count=20, account="a", size=2):
     """Return a full fleet with workflows that need 2 s of it each."""
-    harness = Harness(size=2)
+    harness = Harness(size=size)
     for _ in range(count):
         harness.submit(queue, 2, 8, estimate_ms=2000, account=account, gang=True)
     harness.run()
@@ -67,20 +67,22 @@
     assert decide(backlogged(), submitted) is None
 
 
-def test_nothing_is_rejected_beside_room_for_it_or_idle_capacity():
-    """Load: 40 s of work that waits beside free room, for whatever reason."""
+def half_idle():
+    """Return a fleet with room that no waiting gang can use, as one task failed."""
     harness = backlogged()
-    full = harness.state.placements_on("0-1")
-    harness.end(list(full.values()), workflow.RunOutcome.FAILED)
-    assert decide(harness, submission()) is None
+    placements = list(harness.state.placements_on("0-1").values())
+    harness.end(placements, workflow.RunOutcome.FAILED)
+    return harness
 
 
-def test_nothing_is_rejected_without_workers():
-    """Load: a new leader, or a site at its start, that knows no worker."""
-    harness = Harness(size=0)
-    for _ in range(20):
-        harness.submit("urgent", 2, 8, estimate_ms=2000)
-    assert decide(harness, submission()) is None
+@pytest.mark.parametrize(
+    "make, now_ms",
+    [(half_idle, 0.0), (lambda: backlogged(size=0), 0.0), (backlogged, 20_000.0)],
+    ids=["idle-capacity", "no-worker-known", "backlog-past-its-value"],
+)
+def test_nothing_is_rejected_without_clear_evidence(make, now_ms):
+    """Load: 40 s of urgent work, in each case with a reason not to count it."""
+    assert decide(make(), submission(), now_ms=now_ms) is None
 
 
 def test_accounts_that_hold_less_are_accepted_and_return_first():
@@ -94,12 +96,6 @@
     assert first.retry_after_s < second.retry_after_s
 
 
-def test_a_backlog_past_its_value_counts_no_more():
-    """Load: 40 s of urgent work, all of it past its value."""
-    harness = backlogged()
-    assert decide(harness, submission(), now_ms=20_000.0) is None
-
-
 def test_a_shrunken_fleet_rejects_earlier():
     """Load: 12 s of work for two workers, one of which is reclaimed."""
     harness = backlogged(count=6)
--- a/marjoramusher/workflows/ordering_test.py
+++ b/marjoramusher/workflows/ordering_test.py
@@ -31,21 +31,21 @@
 
 
 def test_without_overload_the_deadline_decides():
-    """Load: four batch workflows that fit the fleet one after the other."""
+    """Load: four batch workflows that fit the fleet, one estimate 90 percent too long.
+
+    They become due at 9, 9.6, 23 and 9.3 s.
+    """
     harness = Harness(size=1)
     names = [
-        submit(harness, "batch", at_ms, count, 1, estimate_ms=2000)
-        for at_ms, count in ((900, 8), (0, 4), (600, 2), (300, 6))
+        submit(harness, "batch", at_ms, count, 1, estimate_ms=estimate_ms)
+        for at_ms, count, estimate_ms in (
+            (0, 4, 2000),
+            (600, 2, 2000),
+            (300, 6, 6600),
+            (300, 2, 2000),
+        )
     ]
-    assert order(harness, 1000.0) == [names[index] for index in (1, 3, 2, 0)]
-
-
-def test_a_wrong_estimate_does_not_change_the_order_without_overload():
-    """Load: two batch workflows, one with an estimate that is off by 90 percent."""
-    harness = Harness(size=1)
-    late = submit(harness, "batch", 0, 6, 1, estimate_ms=9500)
-    early = submit(harness, "batch", 0, 6, 1, estimate_ms=5000)
-    assert order(harness) == [early, late]
+    assert order(harness, 1000.0) == [names[index] for index in (0, 3, 1, 2)]
 
 
 def test_work_that_can_complete_in_time_comes_before_late_work():
--- a/marjoramusher/workflows/preemption_test.py
+++ b/marjoramusher/workflows/preemption_test.py
@@ -70,47 +70,39 @@
     assert victims(harness.plan(now_ms=7000.0)) == {"w1"}
 
 
-def test_one_end_makes_room_for_one_step_only():
-    """Guards against two urgent steps that both count on the same room."""
-    harness = make_harness(size=2)
-    fill(harness, 1, 8, estimate_ms=5000)
-    fill(harness, 1, 8, estimate_ms=5000)
-    set_times(harness, {}, {"w1": 0.9})
-    harness.submit("urgent", 1, 8, estimate_ms=4000)
-    harness.submit("urgent", 1, 8, estimate_ms=4000)
+# Each run or gang that is in progress: tasks, accelerators, queue, age, remaining time.
+@pytest.mark.parametrize(
+    "running, urgent, guaranteed, stopped",
+    [
+        # Two steps that could both count on the room of the first run.
+        ([(1, 8, "batch", 1, 0.9), (1, 8, "batch", 1, None)], [(1, 8)] * 2, 0, {"w2"}),
+        # A gang that needs two workers, one of which empties by itself.
+        ([(1, 8, "batch", 1, 0.9), (1, 8, "batch", 1, 4.0)], [(2, 8)], 0, {"w2"}),
+        # A cheap run that is superfluous beside a larger one that suffices.
+        ([(1, 2, "batch", 0.1, None), (1, 6, "batch", 5, None)], [(1, 6)], 8, {"w2"}),
+        # A gang on one worker, which costs its work once: 180 core-seconds or 396.
+        ([(4, 1, "long", 5, None), (1, 4, "batch", 12, None)], [(1, 4)], 8, {"w1"}),
+    ],
+    ids=["one-room", "partly-awaited", "superfluous", "gang-once"],
+)
+def test_only_what_is_needed_is_stopped(running, urgent, guaranteed, stopped):
+    """Guards against stops that free no room that the urgent tasks need."""
+    harness = make_harness(sum(run[0] * run[1] for run in running) // 8, guaranteed)
+    for count, accelerators, queue, _, _ in running:
+        gang = queue == "long"
+        fill(harness, count, accelerators, queue, gang=gang, estimate_ms=9000)
+    names = [f"w{number}" for number in range(1, len(running) + 1)]
+    remaining_s = {name: run[4] for name, run in zip(names, running, strict=True)}
+    set_times(
+        harness,
+        {name: run[3] for name, run in zip(names, running, strict=True)},
+        {name: time_s for name, time_s in remaining_s.items() if time_s},
+    )
+    for count, accelerators in urgent:
+        harness.submit("urgent", count, accelerators, estimate_ms=4000, gang=count > 1)
     plan = harness.plan()
-    assert victims(plan) == {"w2"}
-    assert len(plan.awaiting) == 1
-
-
-def test_a_gang_stops_only_what_does_not_end_in_time():
-    """Guards against a gang that stops runs on workers that empty by themselves."""
-    harness = make_harness(size=2)
-    fill(harness, 1, 8, estimate_ms=5000)
-    fill(harness, 1, 8, estimate_ms=5000)
-    set_times(harness, {}, {"w1": 0.9, "w2": 4.0})
-    harness.submit("urgent", 2, 8, estimate_ms=4000, gang=True)
-    assert victims(harness.plan()) == {"w2"}
-
-
-def test_cheap_runs_are_not_stopped_beside_a_larger_one_that_suffices():
-    """Guards against a stop that frees nothing the urgent task needs."""
-    harness = make_harness(guaranteed=8)
-    fill(harness, 1, 2)
-    fill(harness, 1, 6)
-    set_times(harness, {"w1": 0.1, "w2": 5.0}, {})
-    harness.submit("urgent", 1, 6)
-    assert victims(harness.plan()) == {"w2"}
-
-
-def test_a_gang_on_one_worker_costs_its_work_once():
-    """Guards against a gang that counts once for each member on the worker."""
-    harness = make_harness(guaranteed=8)
-    fill(harness, 4, 1, queue="long", gang=True, estimate_ms=9000)  # loses 20 s
-    fill(harness, 1, 4, estimate_ms=9000)  # loses 48 s
-    set_times(harness, {"w1": 5.0, "w2": 12.0}, {})
-    harness.submit("urgent", 1, 4, estimate_ms=4000)
-    assert victims(harness.plan()) == {"w1"}
+    assert victims(plan) == stopped
+    assert len(plan.awaiting) == any(time_s == 0.9 for time_s in remaining_s.values())
 
 
 def test_runs_without_a_value_are_stopped_first_and_ending_ones_last():
@@ -124,11 +116,7 @@
         "w1", late.queue, "a", "", late.steps, -70_000
     )
     set_times(harness, {"w1": 9.0, "w2": 2.0, "w3": 1.5}, {"w3": 0.4})
-    ordered = []
-    for count in (1, 2, 3):
-        harness.submit("urgent", count, 8, estimate_ms=1000)
-        plan = harness.plan(now_ms=30_000.0)
-        ordered.append(victims(plan))
-        name = f"w{harness.number}"
+    for count, stopped in ((1, {"w1"}), (2, {"w1", "w2"}), (3, {"w1", "w2", "w3"})):
+        name = harness.submit("urgent", count, 8, estimate_ms=1000)
+        assert victims(harness.plan(now_ms=30_000.0)) == stopped
         harness.apply(command.Cancel(0, name, "urgent"))
-    assert ordered == [{"w1"}, {"w1", "w2"}, {"w1", "w2", "w3"}]
