Count no more of a competing workflow than the submission needs

Admission counted the whole backlog of a priority, although small workflows are ordered before large ones.

--- a/marjoramusher/workflows/admission.py
+++ b/marjoramusher/workflows/admission.py
@@ -52,8 +52,8 @@
         Of all workers that may be used.
     lasting_share : float
         Share that long-running steps take.
-    work_s : dict
-        Work by priority and account.
+    works_s : dict
+        Work of each active workflow, by priority and account.
     """
 
     at_ms: float
@@ -61,7 +61,7 @@
     capacity: workflow.Resources
     used_share: float
     lasting_share: float
-    work_s: dict[tuple[int, str], float]
+    works_s: dict[tuple[int, str], list[float]]
 
 
 class Admission:
@@ -98,7 +98,7 @@
         if usable_share <= 0.0:
             return None
         own_s = _work_s(self._state, submitted, queue, current.capacity)
-        ahead_s = COUNTED_SHARE * _ahead_s(submitted, queue, own_s, current.work_s)
+        ahead_s = COUNTED_SHARE * _ahead_s(submitted, queue, own_s, current.works_s)
         ahead_s /= usable_share
         path_s = objective.critical_path_ms(submitted, queue) / 1000
         value_s = (
@@ -152,15 +152,15 @@
         used = resources.combined(used, taken)
         free.append(resources.combined(worker.capacity, resources.negated(taken)))
     used_share = resources.dominant_share(used, capacity) if free else 0.0
-    work_s: dict[tuple[int, str], float] = {}
+    works_s: dict[tuple[int, str], list[float]] = {}
     if used_share >= FULL_SHARE:
         for entry in state.active.values():
             if entry.queue.service == service:
                 key = entry.queue.priority, entry.workflow.account
                 left_s = _left_s(state, entry, capacity, now_ms)
-                work_s[key] = work_s.get(key, 0.0) + left_s
+                works_s.setdefault(key, []).append(left_s)
     lasting_share = resources.dominant_share(lasting, capacity)
-    return _Backlog(now_ms, free, capacity, used_share, lasting_share, work_s)
+    return _Backlog(now_ms, free, capacity, used_share, lasting_share, works_s)
 
 
 def _left_s(
@@ -223,20 +223,27 @@
     submitted: workflow.Workflow,
     queue: catalog.Queue,
     own_s: float,
-    work_s: dict[tuple[int, str], float],
+    works_s: dict[tuple[int, str], list[float]],
 ) -> float:
     """Return the work that gets room before a workflow.
 
-    More urgent work comes first. Accounts of one priority share alike, so of another
-    account no more counts than its own account has with this workflow.
+    More urgent work comes first. Among workflows of one priority, those that give most
+    for the work that they need come first, and each size gets room, so of each no more
+    counts than the workflow itself needs. Accounts share alike, so of another account
+    no more counts than its own account has with this workflow.
     """
-    own_total_s = work_s.get((queue.priority, submitted.account), 0.0)
+
+    def competing_s(left_s: list[float]) -> float:
+        return sum(min(time_s, own_s) for time_s in left_s)
+
+    own_account = (queue.priority, submitted.account)
+    own_total_s = competing_s(works_s.get(own_account, []))
     ahead_s = own_total_s
-    for (priority, account), left_s in work_s.items():
+    for (priority, account), left_s in works_s.items():
         if priority < queue.priority:
-            ahead_s += left_s
+            ahead_s += sum(left_s)
         elif priority == queue.priority and account != submitted.account:
-            ahead_s += min(left_s, own_total_s + own_s)
+            ahead_s += min(competing_s(left_s), own_total_s + own_s)
     return ahead_s
 
 
--- a/marjoramusher/workflows/admission_test.py
+++ b/marjoramusher/workflows/admission_test.py
@@ -67,6 +67,13 @@
     assert decide(backlogged(), submitted) is None
 
 
+def test_small_work_is_not_rejected_for_the_backlog_of_large_work():
+    """Load: 40 s of gangs of the whole fleet; the new task needs a 16th of it."""
+    step = workflow.Step(1, workflow.Resources(1000, 10, 1), 2000)
+    small = msgspec.structs.replace(submission(), steps=(step,))
+    assert decide(backlogged(), small) is None
+
+
 def half_idle():
     """Return a fleet with room that no waiting gang can use, as one task failed."""
     harness = backlogged()
