--- a/bench/workflow_driver.py
+++ b/bench/workflow_driver.py
@@ -10,12 +10,20 @@
 from marjoramusher.executors import driver
 from marjoramusher.groups import local
 from marjoramusher.telemetry import metrics
-from marjoramusher.workflows import command, machine, objective, planner, workflow
+from marjoramusher.workflows import (
+    admission,
+    command,
+    machine,
+    objective,
+    planner,
+    workflow,
+)
 from standins import fleet, virtual
 
 HEARTBEAT_INTERVAL_S = 1.5
 COMMIT_DELAY_S = 0.03  # two round trips between failure domains and a disk sync
 DRAIN_S = 60.0  # time to finish the work in progress after the last submission
+SIZES = ("largest tenth", "next fifth", "rest")  # of the workflows of a queue, by work
 
 
 class SessionResult(msgspec.Struct):
@@ -35,6 +43,9 @@
         as eight cores.
     violations : list of str
         Violations of the worker protocol that the workers detected.
+    outcomes : dict
+        Number of workflows by queue, size (`SIZES`) and outcome: ``timely``, ``late``,
+        ``lost`` if they earned nothing, or ``rejected``.
     """
 
     earned: dict[str, float] = {}
@@ -44,6 +55,7 @@
     wasted_core_s: float = 0.0
     used_core_s: float = 0.0
     violations: list[str] = []
+    outcomes: dict[tuple[str, str, str], int] = {}
 
     def earned_share(self, queue: str = "") -> float:
         """Return the earned share of the attainable value, of one queue or of all."""
@@ -69,13 +81,25 @@
     duration_s: float,
     factor: float = 1.0,
     plan: planner.Planner = planner.plan,
+    *,
+    rejects: bool = False,
 ) -> SessionResult:
-    """Run one session with the given planner."""
-    return virtual.run(_run_session(seed, duration_s, factor, plan))
+    """Run one session with the given planner.
+
+    Parameters
+    ----------
+    rejects : bool
+        Whether submissions are rejected as by the leader's service.
+    """
+    return virtual.run(_run_session(seed, duration_s, factor, plan, rejects))
 
 
 async def _run_session(
-    seed: int, duration_s: float, factor: float, plan: planner.Planner
+    seed: int,
+    duration_s: float,
+    factor: float,
+    plan: planner.Planner,
+    rejects: bool,
 ) -> SessionResult:
     load = workflow_load.make_load(seed, duration_s, factor)
     arrivals = {arrival.submission.workflow_id: arrival for arrival in load}
@@ -118,8 +142,17 @@
     result = SessionResult()
     began_s = time.monotonic()
     tasks.append(loop.create_task(_record_urgent_starts(state, time, result)))
+    control = admission.Admission(state) if rejects else None
+    rejected: set[str] = set()
     for arrival in load:
         await asyncio.sleep(max(0.0, began_s + arrival.at_s - time.monotonic()))
+        submission = arrival.submission
+        if control is not None:
+            now_ms = clock.unix_ms(time)
+            queue = arrival.workload_class.queue
+            if control.rejection(submission, queue, now_ms) is not None:
+                rejected.add(submission.workflow_id)
+                continue
         tasks.append(loop.create_task(_submit(group, workers, time, arrival, began_s)))
     await asyncio.sleep(DRAIN_S)
     for task in tasks:
@@ -127,6 +160,7 @@
     await asyncio.gather(*tasks, return_exceptions=True)
     await leader.stop()
     _score(state, arrivals, result)
+    _score_rejected(rejected, arrivals, result)
     result.wasted_core_s = workers.wasted_core_s
     result.workflows = len(load)
     result.violations = workers.violations
@@ -186,11 +220,45 @@
         await asyncio.sleep(0.01)
 
 
+def _sizes(arrivals: dict[str, workflow_load.Arrival]) -> dict[str, str]:
+    """Return the size of each workflow among those of its queue, from `SIZES`."""
+    by_queue: dict[str, list[tuple[float, str]]] = {}
+    for name, arrival in arrivals.items():
+        accelerators = arrival.submission.steps[0].needs.accelerators
+        work = sum(arrival.work_s) * accelerators
+        by_queue.setdefault(arrival.submission.queue, []).append((-work, name))
+    sizes = {}
+    for members in by_queue.values():
+        for rank, (_, name) in enumerate(sorted(members)):
+            share = rank / len(members)
+            sizes[name] = SIZES[(share >= 0.1) + (share >= 0.3)]
+    return sizes
+
+
+def _score_rejected(
+    rejected: set[str],
+    arrivals: dict[str, workflow_load.Arrival],
+    result: SessionResult,
+) -> None:
+    sizes = _sizes(arrivals)
+    for name in rejected:
+        workload_class = arrivals[name].workload_class
+        if arrivals[name].cancel_at_s is not None or arrivals[name].always_fails:
+            continue
+        queue = workload_class.queue.name
+        result.attainable[queue] = (
+            result.attainable.get(queue, 0.0) + workload_class.timely_value
+        )
+        key = (queue, sizes[name], "rejected")
+        result.outcomes[key] = result.outcomes.get(key, 0) + 1
+
+
 def _score(
     state: machine.WorkflowMachine,
     arrivals: dict[str, workflow_load.Arrival],
     result: SessionResult,
 ) -> None:
+    sizes = _sizes(arrivals)
     for name, entry in state.entries.items():
         arrival = arrivals[name]
         if arrival.cancel_at_s is not None or arrival.always_fails:
@@ -205,14 +273,16 @@
             workload_class.queue.slack_factor * work_ms + workload_class.queue.target_ms
         )
         completion_ms = entry.ended_ms - entry.workflow.submitted_ms
-        earned = 0.0
+        earned, outcome = 0.0, "lost"
         if entry.state is workflow.State.COMPLETED and completion_ms <= objective_ms:
-            earned = workload_class.timely_value
+            earned, outcome = workload_class.timely_value, "timely"
         elif (
             entry.state is workflow.State.COMPLETED
             and completion_ms <= objective.LATE_FACTOR * objective_ms
         ):
-            earned = workload_class.late_value
+            earned, outcome = workload_class.late_value, "late"
+        key = (workload_class.queue.name, sizes[name], outcome)
+        result.outcomes[key] = result.outcomes.get(key, 0) + 1
         result.earned[workload_class.queue.name] = (
             result.earned.get(workload_class.queue.name, 0.0) + earned
         )
--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -11,7 +11,9 @@
 from . import (
     backlog,
     condition,
+    delay_cost,
     machine,
+    ordering,
     permit,
     preemption,
     resources,
@@ -47,6 +49,7 @@
     HEADROOM = "room is kept for urgent work"
     NO_CAPACITY_NEAR_DATA = "no room near the data"
     PREEMPTING = "others are being stopped for it"
+    ENDING = "others that end soon make room for it"
     NO_USABLE_WORKER = "no usable worker of the service fits"
     NO_PERMIT = "no permit for a worker with room"
     NO_ISOLATION = "no worker of its own for a task that may crash it"
@@ -67,6 +70,8 @@
         first.
     held_back : dict
         Why steps had waited that were overdue beside room for them, by key of the step.
+    awaiting : frozenset of StepKey
+        Steps that wait for runs to end by themselves that they could have stopped.
     """
 
     placements: tuple[workflow.Placement, ...] = ()
@@ -74,6 +79,7 @@
     wait_reasons: dict[resources.StepKey, WaitReason] = {}
     queries: tuple[permit.PolicyQuery, ...] = ()
     held_back: dict[resources.StepKey, WaitReason] = {}
+    awaiting: frozenset[resources.StepKey] = frozenset()
 
 
 class PlanInput(msgspec.Struct, frozen=True):
@@ -118,9 +124,12 @@
     """Return a plan for the pending tasks, made for the most urgent ones first."""
     planner = _PlanBuilder(plan_input)
     now_ms = plan_input.now_ms
-    pending_steps = sorted(
+    pending_steps = ordering.ordered(
+        plan_input.state,
         backlog.pending_steps(plan_input.state, now_ms + plan_input.early_ms),
-        key=lambda pending: _urgency(pending, now_ms, planner.is_guaranteed(pending)),
+        planner.candidates,
+        now_ms,
+        planner.is_guaranteed,
     )
     for pending in pending_steps:
         planner.place(pending)
@@ -133,22 +142,10 @@
         planner.wait_reasons,
         tuple(planner.queries.values()),
         planner.held_back,
+        planner.awaiting,
     )
 
 
-def _urgency(
-    pending: backlog.PendingStep, now_ms: float, is_guaranteed: bool
-) -> tuple[int, bool, bool, float]:
-    """Sort by priority, then deadline; steps that missed theirs come last.
-
-    Guaranteed work comes first. Otherwise runs that are stopped for it take the room
-    again, if their deadline is earlier.
-    """
-    is_late = pending.deadline_ms < now_ms
-    priority = pending.entry.queue.priority
-    return priority, not is_guaranteed, is_late, pending.deadline_ms
-
-
 class _WorkerSet:
     """Workers of a service that meet the label of a step, also by rack."""
 
@@ -215,7 +212,19 @@
                 quarantined.append((worker, status))
                 continue
             self._add_candidate(worker, status)
-        self._preemptor = preemption.Preemptor(state, conditions, self._by_worker)
+        self._preemptor = preemption.Preemptor(
+            state, conditions, self._by_worker, plan_input.now_ms
+        )
+
+    @property
+    def candidates(self) -> Mapping[str, Sequence[resources.Candidate]]:
+        """Return the usable workers of each service."""
+        return self._candidates
+
+    @property
+    def awaiting(self) -> frozenset[resources.StepKey]:
+        """Return the steps that wait for runs to end instead of stopping them."""
+        return frozenset(self._preemptor.awaiting)
 
     def _add_candidate(
         self, worker: workflow.Worker, status: condition.WorkerCondition
@@ -429,7 +438,7 @@
                     self._place_task(pending, index, best)
                     continue
             self._record_shortage(pending, kind, 1, workers)
-            if pending.entry.queue.priority:
+            if pending.entry.queue.priority or self._uses_idle_room(pending):
                 return
             self._preempt(pending, 1, kind, [workers.candidates])
 
@@ -493,7 +502,7 @@
                         self._place_task(pending, index, candidate)
                     return
         self._record_shortage(pending, kind, count, workers)
-        if pending.entry.queue.priority:
+        if pending.entry.queue.priority or self._uses_idle_room(pending):
             self._reserve(pending, workers)
         else:
             scopes = self._gang_scopes(pending, workers)
@@ -547,7 +556,9 @@
         Urgent tasks may use the headroom, and so may long-running ones, which have to
         be available all the time.
         """
-        if pending.entry.queue.priority == 0 or not self._headroom:
+        if not self._headroom:
+            return True
+        if pending.entry.queue.priority == 0 and not self._uses_idle_room(pending):
             return True
         if pending.step.long_running:
             return True
@@ -558,13 +569,23 @@
         return free - count * pending.step.needs.accelerators >= self._headroom
 
     def _is_pressing(self, pending: backlog.PendingStep) -> bool:
-        """Tell whether tasks must start soon to complete before their deadline."""
+        """Tell whether tasks must start soon to complete before their deadline.
+
+        Late ones press as well, until their workflow has no value any more.
+        """
+        if delay_cost.is_worthless(pending, self._now_ms):
+            return False
         remaining_ms = pending.deadline_ms - self._now_ms
         expected_ms = self._state.run_times.expected_ms(
             pending.entry.queue.name, pending.entry.workflow.account, pending.step
         )
         return remaining_ms < PRESSING_FACTOR * expected_ms
 
+    def _uses_idle_room(self, pending: backlog.PendingStep) -> bool:
+        """Tell whether a step gets only room that no work with a value needs."""
+        is_worthless = delay_cost.is_worthless(pending, self._now_ms)
+        return is_worthless and not self.is_guaranteed(pending)
+
     def _reserve(self, pending: backlog.PendingStep, workers: _WorkerSet) -> None:
         """Reserve resources for a waiting gang against later steps of the plan.
 
@@ -609,7 +630,10 @@
     ) -> None:
         victims = self._preemptor.preempt(pending, count, kind, scopes)
         if victims is not None:
-            self.wait_reasons[pending.key] = WaitReason.PREEMPTING
+            is_awaiting = not victims and pending.key in self._preemptor.awaiting
+            self.wait_reasons[pending.key] = (
+                WaitReason.ENDING if is_awaiting else WaitReason.PREEMPTING
+            )
             self._preempted_counts[pending.key] = (
                 self._preempted_counts.get(pending.key, 0) + count
             )
