Test cold workers before the value of late work is gone

Cause: the case that is close to its deadline was planned at ten times its estimate, when its workflow has no value any more. Such work does not press since work past its value gets idle room only.

Change: it is planned at 2.5 times its estimate, 0.5 estimates before its deadline, as the case says.

--- a/marjoramusher/workflows/planner_test.py
+++ b/marjoramusher/workflows/planner_test.py
@@ -1369,7 +1369,7 @@
     cold = condition.WorkerCondition(is_cold=True)
     harness.conditions["0-0"] = cold
     name = harness.submit("batch", 1, 2, estimate_ms=estimate_ms)
-    now_ms = 10 * estimate_ms if estimate_ms > 1000 else 0.0
+    now_ms = 2.5 * estimate_ms if estimate_ms > 1000 else 0.0
     assert workers_of(harness.plan(now_ms), name) == [worker]
     harness.conditions["0-1"] = cold
     assert workers_of(harness.plan(now_ms), name) == ["0-0"]
