Charge what clients send to a memory budget of the process

Cause: the ingress buffered bodies of up to 1 MiB, the operators' port up to 16 MiB, and heads of up to 1 MiB, on any number of connections, for any time. aiohttp keeps the last response of an idle connection, so a document that was read once stayed in memory for each of them.

Change: `http/memory_budget.py` accounts for what each connection holds and decides what to close: when memory or connections are short, the address that holds most loses the connections that hold most for longest; when a head, a body or a reader is too slow, or a connection idle. `http/connection_guard.py` charges each segment before aiohttp parses it, with one timer for the process. `http/body.py` reads within that; a request that is refused while its body arrives is answered 503 (429 by the daemon) and not forwarded. Calls between instances take memory from a pool of their own, and connections without a valid message are closed. The limits follow from those of the machine and can be set.

--- a/marjoramusher/daemon/controller.py
+++ b/marjoramusher/daemon/controller.py
@@ -9,6 +9,7 @@
 from ..core import clock
 from ..executors import driver
 from ..groups import bootstrap, manager, runner
+from ..http import connection_guard
 from ..instances import peers
 from ..queues import call, service
 from ..telemetry import log, metrics
@@ -54,9 +55,12 @@
         time: clock.Clock,
         rng: random.Random,
         metrics_registry: metrics.Metrics,
+        intake: connection_guard.Intake | None = None,
     ) -> None:
         self._settings = settings
-        self._peers = peers.make_peers(settings.address, b"", time, metrics_registry)
+        self._peers = peers.make_peers(
+            settings.address, b"", time, metrics_registry, intake
+        )
         self._state = machine.WorkflowMachine()
         self._manager = manager.make_manager(
             manager.Settings(
--- a/marjoramusher/daemon/instance.py
+++ b/marjoramusher/daemon/instance.py
@@ -17,6 +17,7 @@
 from ..core import clock, codec, errors, record
 from ..groups import bootstrap, composite, manager
 from ..http import body as http_body
+from ..http import connection_guard
 from ..http import errors as http_errors
 from ..http import token as http_token
 from ..instances import cuts
@@ -84,8 +85,13 @@
         self._rng = rng
         self._metrics = metrics_registry
         self._state_machines = machines.StateMachines()
+        self._intake = connection_guard.Intake(settings.intake, metrics_registry)
         self._peers = transport.make_peers(
-            settings.instance_id, settings.instance_token or b"", time, metrics_registry
+            settings.instance_id,
+            settings.instance_token or b"",
+            time,
+            metrics_registry,
+            self._intake,
         )
         self._manager = manager.make_manager(
             manager.Settings(
@@ -162,7 +168,9 @@
         )
         await self._http.setup()
         address = self._settings.listen
-        site = web.TCPSite(self._http, address.host, address.port, backlog=1024)
+        site = connection_guard.GuardedSite(
+            self._http, self._intake, address.host, address.port
+        )
         await site.start()
         self._engine.start()
         self._capacity_sharing.start()
@@ -216,6 +224,7 @@
         await self._task_client.close()
         await self._manager.stop()
         await self._peers.stop()
+        self._intake.close()
         log.state_change("instance.stopped", instance=self._settings.instance_id)
 
     def _make_components(self) -> None:
--- a/marjoramusher/daemon/settings.py
+++ b/marjoramusher/daemon/settings.py
@@ -3,6 +3,7 @@
 import ipaddress
 import pathlib
 import re
+import resource
 from collections.abc import Callable, Iterator, Mapping
 from typing import Any
 
@@ -10,6 +11,7 @@
 import msgspec
 
 from ..core import errors
+from ..http import memory_budget
 
 ENVIRONMENT_PREFIX = "MARJORAMUSHER"
 NAME = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
@@ -69,6 +71,8 @@
         formed.
     drain_timeout_s : float
         Longest time for which a graceful shutdown waits for requests in progress.
+    intake : memory_budget.Limits
+        Limits of what clients may hold, see `memory_budget`.
     """
 
     instance_id: str
@@ -84,6 +88,7 @@
     instance_token: bytes | None
     fault_injection: bool
     drain_timeout_s: float
+    intake: memory_budget.Limits = memory_budget.make_limits()
 
 
 def _parse_name(value: Any) -> str:
@@ -118,6 +123,13 @@
     return number
 
 
+def _parse_size(value: Any) -> int:
+    number = int(value)
+    if not 0 <= number <= 2**40:
+        raise ValueError("must be 0 for the default, or a positive integer")
+    return number
+
+
 def _parse_seconds(value: Any) -> float:
     number = float(value)
     if not 0 <= number <= 3600:
@@ -164,6 +176,13 @@
     "instance-token-file": _read_token,
     "enable-fault-injection": _unchanged,
     "drain-timeout-s": _parse_seconds,
+    "memory-mb": _parse_size,
+    "max-connections": _parse_size,
+    "max-head-bytes": _parse_size,
+    "head-timeout-s": _parse_seconds,
+    "body-timeout-s": _parse_seconds,
+    "idle-timeout-s": _parse_seconds,
+    "response-timeout-s": _parse_seconds,
 }
 
 OPTIONS: tuple[Callable[..., Any], ...] = (
@@ -201,6 +220,33 @@
     click.option(
         "--drain-timeout-s", default="30", help="Time limit of a graceful shutdown, s."
     ),
+    click.option(
+        "--memory-mb",
+        default="1024",
+        help="Memory of the machine; a quarter is for requests.",
+    ),
+    click.option(
+        "--max-connections",
+        default="0",
+        help="Open connections; 0: half of the descriptors, or less for the memory.",
+    ),
+    click.option(
+        "--max-head-bytes", default="32768", help="Size of the head of a request."
+    ),
+    click.option(
+        "--head-timeout-s", default="8", help="Time for the head of a request, s."
+    ),
+    click.option(
+        "--body-timeout-s",
+        default="10",
+        help="Time for a body, s; 1 s more for each 32 KiB that has arrived.",
+    ),
+    click.option(
+        "--idle-timeout-s", default="60", help="How long idle connections are kept, s."
+    ),
+    click.option(
+        "--response-timeout-s", default="30", help="Time to read a response, s."
+    ),
 )
 
 
@@ -249,6 +295,27 @@
         instance_token=parsed["instance-token-file"],
         fault_injection=parsed["enable-fault-injection"],
         drain_timeout_s=parsed["drain-timeout-s"],
+        intake=_intake_limits(parsed),
+    )
+
+
+def _intake_limits(parsed: Mapping[str, Any]) -> memory_budget.Limits:
+    """Return the limits of what clients may hold.
+
+    Raises
+    ------
+    BadRequestError
+        If a limit is below what the process needs.
+    """
+    return memory_budget.make_limits(
+        parsed["memory-mb"],
+        resource.getrlimit(resource.RLIMIT_NOFILE)[0],
+        connections=parsed["max-connections"],
+        head_bytes=parsed["max-head-bytes"],
+        head_timeout_s=parsed["head-timeout-s"],
+        body_timeout_s=parsed["body-timeout-s"],
+        idle_timeout_s=parsed["idle-timeout-s"],
+        response_timeout_s=parsed["response-timeout-s"],
     )
 
 
@@ -276,3 +343,9 @@
         yield InvalidSetting(
             "diskless", "true", "a single instance needs a data directory"
         )
+    try:
+        _intake_limits(parsed)
+    except KeyError:
+        return  # one of them is reported by itself
+    except errors.BadRequestError as error:
+        yield InvalidSetting("memory-mb", str(parsed["memory-mb"]), error.message)
--- a/marjoramusher/http/body.py
+++ b/marjoramusher/http/body.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from ..core import codec, errors
+from . import connection_guard, memory_budget
 
 MAX_BODY_BYTES = 1024 * 1024
 MAX_ANNOUNCEMENT_BYTES = 64 * 1024
@@ -22,6 +23,9 @@
 ) -> bytes:
     """Read the whole body.
 
+    On a guarded connection the limits of the process apply, see `memory_budget`, and
+    `timeout_s` is not used.
+
     Raises
     ------
     MarjoramusherError
@@ -29,21 +33,39 @@
         `limit_bytes`.
     BadRequestError
         If the body is compressed or does not arrive within `timeout_s`.
+    OverloadedError
+        If the guard of the connection refuses the request.
     """
     if request.headers.get("Content-Encoding", "identity") != "identity":
         # A small compressed body can expand far beyond the limit.
         raise errors.BadRequestError("compressed bodies are not accepted")
     if (request.content_length or 0) > limit_bytes:
         raise _body_too_large_error(limit_bytes)
+    if request.content.at_eof():
+        return b""
     data = bytearray()
+    protocol = request.protocol
+    guard = protocol if isinstance(protocol, connection_guard.GuardedHandler) else None
     try:
-        async with asyncio.timeout(timeout_s):
+        # A guard ends the reading by itself, without a timer for each request.
+        async with asyncio.timeout(timeout_s if guard is None else None) as limit:
+            if guard is not None:
+                guard.set_reader(limit, data)
             async for chunk in request.content.iter_any():
                 data += chunk
                 if len(data) > limit_bytes:
                     raise _body_too_large_error(limit_bytes)
-    except TimeoutError as error:
+    except BaseException as error:
+        # The traceback refers to the buffer, which would otherwise be held until the
+        # next full garbage collection.
+        data.clear()
+        if not isinstance(error, TimeoutError):
+            raise
+        if guard is not None:
+            raise memory_budget.OverloadedError(_refusal_text(guard)) from error
         raise errors.BadRequestError("the body did not arrive in time") from error
+    if guard is not None and guard.refusal is not None:
+        raise memory_budget.OverloadedError(_refusal_text(guard))
     return bytes(data)
 
 
@@ -117,6 +139,12 @@
     return min(seconds, maximum)
 
 
+def _refusal_text(guard: connection_guard.GuardedHandler) -> str:
+    if guard.refusal is memory_budget.Reason.BODY_SLOW:
+        return "the body did not arrive in time"
+    return "too many requests are being received"
+
+
 def _body_too_large_error(limit_bytes: int) -> errors.MarjoramusherError:
     return errors.MarjoramusherError(
         errors.ErrorCode.BODY_TOO_LARGE,
--- a/marjoramusher/instances/frame.py
+++ b/marjoramusher/instances/frame.py
@@ -1,5 +1,7 @@
 """Wire format of the calls between instances."""
 
+import asyncio
+from collections.abc import Callable
 from typing import Any
 
 import grpclib.const
@@ -15,6 +17,8 @@
 
 MAX_MESSAGE_BYTES = 8 * 1024 * 1024  # enough for a batch with a snapshot chunk
 CHUNK_BYTES = 64 * 1024
+CALL_BYTES = 8 * 1024  # stream, task and decoded call beside the message
+RECEIVE_TIMEOUT_S = 10.0  # 8 MiB at 30 Mbit/s take 2.2 s
 PREFIX_BYTES = 5  # gRPC: compression flag and length
 
 
@@ -96,18 +100,29 @@
         )
 
 
-async def receive(stream: Any, limit: int = MAX_MESSAGE_BYTES) -> bytes | None:
+async def receive(
+    stream: Any,
+    limit: int = MAX_MESSAGE_BYTES,
+    reserve: Callable[[int], None] | None = None,
+) -> bytes | None:
     """Read one message of a server-side stream, or return ``None`` at its end.
 
     grpclib does not limit the length of a message, so it is checked here before the
     body is read.
 
+    Parameters
+    ----------
+    reserve : callable, optional
+        Called with the memory that the message takes, before its body is read; raises
+        an exception if there is none.
+
     Raises
     ------
     BodyTooLargeError
         If the length in the prefix exceeds `limit`.
     BadRequestError
-        If the stream ends within a message or uses compression.
+        If the stream ends within a message, uses compression, or if reserved memory
+        was not used in time.
     """
     http2_stream = stream._stream
     try:
@@ -119,6 +134,14 @@
             raise errors.BadRequestError("compressed messages are not accepted")
         if length > limit:
             raise BodyTooLargeError(length, limit)
-        return await http2_stream.recv_data(length)
+        if reserve is None:
+            return await http2_stream.recv_data(length)
+        reserve(length + CALL_BYTES)
+        if length <= CHUNK_BYTES:
+            return await http2_stream.recv_data(length)
+        async with asyncio.timeout(RECEIVE_TIMEOUT_S):
+            return await http2_stream.recv_data(length)
+    except TimeoutError as error:
+        raise errors.BadRequestError("the message did not arrive in time") from error
     except AssertionError as error:  # raised by grpclib for a short read
         raise errors.BadRequestError("the message is truncated") from error
--- a/marjoramusher/instances/peers.py
+++ b/marjoramusher/instances/peers.py
@@ -1,6 +1,7 @@
 """Client and server of the transport of one process."""
 
 from ..core import clock
+from ..http import connection_guard
 from ..telemetry import metrics
 from . import client, cuts, server
 
@@ -29,11 +30,21 @@
 
 
 def make_peers(
-    instance_id: str, token: bytes, time: clock.Clock, metrics_registry: metrics.Metrics
+    instance_id: str,
+    token: bytes,
+    time: clock.Clock,
+    metrics_registry: metrics.Metrics,
+    intake: connection_guard.Intake | None = None,
 ) -> Peers:
-    """Create the client and the server, which does not listen yet."""
+    """Create the client and the server, which does not listen yet.
+
+    Parameters
+    ----------
+    intake : Intake, optional
+        Limits of the process for its connections.
+    """
     links = cuts.LinkCuts()
     return Peers(
         client.PeerClient(instance_id, token, time, metrics_registry, links),
-        server.PeerServer(token, metrics_registry, links),
+        server.PeerServer(token, metrics_registry, links, intake),
     )
--- a/marjoramusher/instances/server.py
+++ b/marjoramusher/instances/server.py
@@ -17,6 +17,7 @@
 import xxhash
 
 from ..core import codec, errors
+from ..http import connection_guard, memory_budget
 from ..telemetry import log, metrics
 from . import cuts, frame
 
@@ -26,6 +27,7 @@
 SWALLOW_TIMEOUT_S = 60.0
 STREAM_WINDOW_BYTES = 1024 * 1024  # bounds the memory of an unread stream
 CONNECTION_WINDOW_BYTES = 64 * 1024 * 1024  # unread streams must not block others
+DEFAULT_POOL_BYTES = 256 * 1024 * 1024  # for calls in progress, without an intake
 MAX_STREAMS = 8192  # more than the requests that one instance forwards to another
 
 CallHandler: TypeAlias = Callable[[str, bytes], Awaitable[bytes]]
@@ -53,6 +55,9 @@
         Records traffic by peer and errors by code.
     links : LinkCuts
         Link cuts, shared with the client.
+    intake : Intake, optional
+        Limits of the process. Calls in progress take memory from its pool;
+        connections that send no valid message are closed.
     """
 
     def __init__(
@@ -60,10 +65,17 @@
         token: bytes,
         metrics_registry: metrics.Metrics,
         links: cuts.LinkCuts | None = None,
+        intake: connection_guard.Intake | None = None,
     ) -> None:
         self._token = token
         self._metrics = metrics_registry
         self._links = links or cuts.LinkCuts()
+        self._intake = intake
+        self._pool = (
+            memory_budget.Pool(DEFAULT_POOL_BYTES)
+            if intake is None
+            else intake.peer_pool
+        )
         self._call_handlers: dict[str, CallHandler] = {}
         self._one_way_handlers: dict[str, OneWayHandler] = {}
         self._stream_handlers: dict[str, StreamHandler] = {}
@@ -95,6 +107,7 @@
     async def start(self, host: str, port: int) -> None:
         """Start to listen on an address; port 0 selects a free port."""
         self._server = _Server(
+            self._intake,
             [self],
             codec=frame.RawCodec(),
             config=grpclib.config.Configuration(
@@ -103,6 +116,8 @@
             ),
         )
         await self._server.start(host, port)
+        if self._intake is not None:
+            self._intake.start()
         self._port = self._server._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
@@ -129,9 +144,15 @@
         }
 
     async def _call(self, stream: grpclib.server.Stream) -> None:
+        with self._pool.reservation() as reserve:
+            await self._serve_call(stream, reserve)
+
+    async def _serve_call(
+        self, stream: grpclib.server.Stream, reserve: Callable[[int], None]
+    ) -> None:
         sender = ""
         try:
-            envelope = await self._receive_envelope(stream)
+            envelope = await self._receive_envelope(stream, reserve)
             sender = envelope.sender
             handler = self._call_handlers.get(envelope.method)
             if handler is None:
@@ -146,11 +167,17 @@
         await self._send(stream, sender, codec.pack(reply))
 
     async def _stream(self, stream: grpclib.server.Stream) -> None:
+        with self._pool.reservation() as reserve:
+            await self._serve_stream(stream, reserve)
+
+    async def _serve_stream(
+        self, stream: grpclib.server.Stream, reserve: Callable[[int], None]
+    ) -> None:
         sender = ""
         length = 0
         checksum = xxhash.xxh3_64()
         try:
-            envelope = await self._receive_envelope(stream)
+            envelope = await self._receive_envelope(stream, reserve)
             sender = envelope.sender
             handler = self._stream_handlers.get(envelope.method)
             if handler is None:
@@ -177,7 +204,7 @@
             while (data := await frame.receive(stream)) is not None:
                 batch = codec.unpack(data, frame.Batch)
                 if not sender:
-                    self._authenticate(batch.token)
+                    self._authenticate(stream, batch.token)
                     sender = batch.sender
                 mode = self._links.mode(sender)
                 if mode is cuts.CutMode.REFUSE:
@@ -217,19 +244,23 @@
             self._metrics.increment("peer_message_errors", code="internal")
             log.state_change("peer.message_failed", method=method, error=repr(error))
 
-    async def _receive_envelope(self, stream: grpclib.server.Stream) -> frame.Envelope:
-        data = await frame.receive(stream)
+    async def _receive_envelope(
+        self, stream: grpclib.server.Stream, reserve: Callable[[int], None]
+    ) -> frame.Envelope:
+        data = await frame.receive(stream, reserve=reserve)
         envelope = codec.unpack(data or b"", frame.Envelope)
-        self._authenticate(envelope.token)
+        self._authenticate(stream, envelope.token)
         await self._links.wait_uncut(envelope.sender, SWALLOW_TIMEOUT_S)
         if self._links.mode(envelope.sender) is not None:
             raise _link_cut_error()
         self._metrics.increment("peer_received_bytes", len(data), peer=envelope.sender)
         return envelope
 
-    def _authenticate(self, token: bytes) -> None:
+    def _authenticate(self, stream: grpclib.server.Stream, token: bytes) -> None:
         if not hmac.compare_digest(self._token, token):
             raise UnauthorizedError
+        if self._server is not None:
+            self._server.confirm(stream._stream.connection)
 
     async def _fail_if_cut(self, sender: str) -> None:
         """Fail the call if the link to the sender is cut."""
@@ -249,9 +280,19 @@
 class _Server(grpclib.server.Server):
     """gRPC server that can close its connections, unlike that of grpclib."""
 
-    def __init__(self, *args: Any, **options: Any) -> None:
+    def __init__(
+        self, intake: connection_guard.Intake | None, *args: Any, **options: Any
+    ) -> None:
         super().__init__(*args, **options)
+        self._intake = intake
         self._protocols: weakref.WeakSet = weakref.WeakSet()
+        self._unconfirmed: weakref.WeakKeyDictionary = weakref.WeakKeyDictionary()
+
+    def confirm(self, connection: grpclib.protocol.Connection) -> None:
+        """Keep a connection whose peer has sent a valid message."""
+        entry = self._unconfirmed.pop(connection, None)
+        if entry is not None:
+            entry.phase = memory_budget.Phase.WORK
 
     def close_connections(self) -> None:
         """Close all open connections."""
@@ -262,6 +303,7 @@
     def _protocol_factory(self) -> grpclib.protocol.H2Protocol:
         default = super()._protocol_factory()
         protocol = _Protocol(default.handler, default.config, default.h2_config)
+        protocol.guard(self._intake, self._unconfirmed)
         self._protocols.add(protocol)
         return protocol
 
@@ -269,6 +311,31 @@
 class _Protocol(grpclib.protocol.H2Protocol):
     """Connection that accepts more than the 100 streams that h2 allows by default."""
 
+    _budget: memory_budget.Budget | None = None
+    _entry: memory_budget.Connection | None = None
+
+    def guard(
+        self,
+        intake: connection_guard.Intake | None,
+        unconfirmed: weakref.WeakKeyDictionary,
+    ) -> None:
+        """Set the limits of the process and the connections without a message yet."""
+        self._budget = None if intake is None else intake.budget
+        self._unconfirmed = unconfirmed
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Release the connection."""
+        if self._entry is not None:
+            self._budget.discard(self._entry)
+            self._budget.release(self._entry)
+        super().connection_lost(exc)
+
+    def _refuse(self, reason: memory_budget.Reason) -> None:
+        del reason
+        self._entry.phase = memory_budget.Phase.REFUSED
+        self._budget.discard(self._entry)
+        self._transport.abort()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Announce the number of concurrent streams that the peer may open."""
         super().connection_made(transport)
@@ -276,6 +343,17 @@
             {h2.settings.SettingCodes.MAX_CONCURRENT_STREAMS: MAX_STREAMS}
         )
         self.connection.flush()
+        if self._budget is None:
+            return
+        self._transport = transport
+        peer = transport.get_extra_info("peername")
+        self._entry = memory_budget.Connection(
+            str(peer[0]) if peer else "", self._refuse, self._budget.now_s
+        )
+        # The first message has as much time as the head of a request.
+        self._entry.phase = memory_budget.Phase.HEAD
+        self._unconfirmed[self.connection] = self._entry
+        self._budget.open(self._entry)
 
 
 class _Acknowledger:
