Test the memory budget and the connection guard

`advance` ignored the first interval of a clock that starts at zero; head sizes below 1,024 are invalid.

--- a/marjoramusher/daemon/settings_test.py
+++ b/marjoramusher/daemon/settings_test.py
@@ -19,6 +19,13 @@
     "instance-token-file": "",
     "enable-fault-injection": False,
     "drain-timeout-s": "30",
+    "memory-mb": "1024",
+    "max-connections": "0",
+    "max-head-bytes": "0",
+    "head-timeout-s": "8",
+    "body-timeout-s": "10",
+    "idle-timeout-s": "60",
+    "response-timeout-s": "30",
 }
 INVALID = {
     "upper case id": ({"instance-id": "A_1"}, ["instance-id"]),
@@ -40,6 +47,10 @@
         ["operator-token-file"],
     ),
     "diskless single instance": ({"diskless": True}, ["diskless"]),
+    "memory below one request": ({"memory-mb": "2"}, ["memory-mb"]),
+    "negative connections": ({"max-connections": "-1"}, ["max-connections"]),
+    "too few connections": ({"max-connections": "3"}, ["memory-mb"]),
+    "head below one line": ({"max-head-bytes": "10"}, ["memory-mb"]),
     "url with path": ({"advertise-url": "http://h/p"}, ["advertise-url"]),
 }
 
@@ -55,6 +66,7 @@
 def test_defaults_need_no_other_setting():
     parsed = settings.parse(VALID)
     assert parsed.advertise_url == "http://127.0.0.1:8420"
+    assert parsed.intake.head_bytes >= 16_384
 
 
 def test_short_token_is_refused_without_showing_it(tmp_path):
--- a/marjoramusher/http/memory_budget.py
+++ b/marjoramusher/http/memory_budget.py
@@ -46,6 +46,7 @@
 DEFAULT_DESCRIPTORS = 4096
 MIN_MEMORY_BYTES = 4 * 1024 * 1024
 MIN_CONNECTIONS = 16
+MIN_HEAD_BYTES = 1024  # start line and the usual fields of a request
 
 
 class Reason(enum.Enum):
@@ -216,9 +217,9 @@
         monotonic_s : float
             Monotonic time.
         """
-        elapsed_s = monotonic_s - (self._monotonic_s or monotonic_s)
+        if self._monotonic_s is not None:
+            self.now_s += min(monotonic_s - self._monotonic_s, MAX_STEP_S)
         self._monotonic_s = monotonic_s
-        self.now_s += min(elapsed_s, MAX_STEP_S)
         expired = [
             (connection, reason)
             for connection in self._connections
@@ -385,14 +386,19 @@
     by_memory = int(memory_bytes * IDLE_SHARE / CONNECTION_BYTES)
     by_descriptors = (file_descriptors or DEFAULT_DESCRIPTORS) * CONNECTION_SHARE
     connections = int(set_fields.pop("connections", min(by_memory, by_descriptors)))
-    if any(value < 0 for value in set_fields.values()):
+    limits = Limits(memory_bytes, connections, **set_fields)
+    if min(msgspec.structs.astuple(limits)) < 0:
         raise errors.BadRequestError("the limits of the intake must not be negative")
-    if memory_bytes < MIN_MEMORY_BYTES or connections < MIN_CONNECTIONS:
+    if (
+        memory_bytes < MIN_MEMORY_BYTES
+        or connections < MIN_CONNECTIONS
+        or limits.head_bytes < MIN_HEAD_BYTES
+    ):
         raise errors.BadRequestError(
-            f"the intake needs at least {MIN_MEMORY_BYTES} bytes and "
-            f"{MIN_CONNECTIONS} connections"
+            f"the intake needs at least {MIN_MEMORY_BYTES} bytes, "
+            f"{MIN_CONNECTIONS} connections and heads of {MIN_HEAD_BYTES} bytes"
         )
-    return Limits(memory_bytes, connections, **set_fields)
+    return limits
 
 
 def _extra_bytes(connection: Connection) -> int:
