--- a/marjoramusher/http/connection_guard.py
+++ b/marjoramusher/http/connection_guard.py
@@ -216,13 +216,17 @@
         exc: BaseException | None = None,
         message: str | None = None,
     ) -> web.StreamResponse:
-        """Return an error response; faults of the client are counted, not logged."""
-        is_lost = self.transport is None and isinstance(
+        """Return an error response.
+
+        Malformed requests are counted, and lost connections are no error, so that no
+        client fills the log.
+        """
+        if isinstance(exc, http_exceptions.HttpProcessingError):
+            self._budget.count(Reason.MALFORMED)
+        elif self.transport is not None or not isinstance(
             exc, (ConnectionError, RuntimeError)
-        )
-        if not is_lost and not isinstance(exc, http_exceptions.HttpProcessingError):
+        ):
             return super().handle_error(request, status, exc, message)
-        self._budget.count(Reason.MALFORMED)
         response = web.Response(status=status, text=f"{status} {message or ''}\n")
         response.force_close()
         return response
