--- a/marjoramusher/daemon/settings.py
+++ b/marjoramusher/daemon/settings.py
@@ -161,6 +161,16 @@
     return value
 
 
+# Used if a value is not given, as they were added after the others.
+INTAKE_DEFAULTS = {
+    "memory-mb": "1024",
+    "max-connections": "0",
+    "max-head-bytes": "32768",
+    "head-timeout-s": "8",
+    "body-timeout-s": "10",
+    "idle-timeout-s": "60",
+    "response-timeout-s": "30",
+}
 PARSERS: dict[str, Callable[[Any], Any]] = {
     "instance-id": _parse_name,
     "failure-domain": _parse_name,
@@ -222,30 +232,38 @@
     ),
     click.option(
         "--memory-mb",
-        default="1024",
+        default=INTAKE_DEFAULTS["memory-mb"],
         help="Memory of the machine; a quarter is for requests.",
     ),
     click.option(
         "--max-connections",
-        default="0",
+        default=INTAKE_DEFAULTS["max-connections"],
         help="Open connections; 0: half of the descriptors, or less for the memory.",
     ),
     click.option(
-        "--max-head-bytes", default="32768", help="Size of the head of a request."
+        "--max-head-bytes",
+        default=INTAKE_DEFAULTS["max-head-bytes"],
+        help="Size of the head of a request.",
     ),
     click.option(
-        "--head-timeout-s", default="8", help="Time for the head of a request, s."
+        "--head-timeout-s",
+        default=INTAKE_DEFAULTS["head-timeout-s"],
+        help="Time for the head of a request, s.",
     ),
     click.option(
         "--body-timeout-s",
-        default="10",
+        default=INTAKE_DEFAULTS["body-timeout-s"],
         help="Time for a body, s; 1 s more for each 32 KiB that has arrived.",
     ),
     click.option(
-        "--idle-timeout-s", default="60", help="How long idle connections are kept, s."
+        "--idle-timeout-s",
+        default=INTAKE_DEFAULTS["idle-timeout-s"],
+        help="How long idle connections are kept, s.",
     ),
     click.option(
-        "--response-timeout-s", default="30", help="Time to read a response, s."
+        "--response-timeout-s",
+        default=INTAKE_DEFAULTS["response-timeout-s"],
+        help="Time to read a response, s.",
     ),
 )
 
@@ -274,7 +292,7 @@
     parsed: dict[str, Any] = {}
     for name, parser in PARSERS.items():
         try:
-            parsed[name] = parser(values[name])
+            parsed[name] = parser(values.get(name, INTAKE_DEFAULTS.get(name)))
         except ValueError as error:
             invalid_settings.append(InvalidSetting(name, str(values[name]), str(error)))
     invalid_settings.extend(_validate_combinations(parsed))
--- a/marjoramusher/daemon/settings_test.py
+++ b/marjoramusher/daemon/settings_test.py
@@ -19,13 +19,6 @@
     "instance-token-file": "",
     "enable-fault-injection": False,
     "drain-timeout-s": "30",
-    "memory-mb": "1024",
-    "max-connections": "0",
-    "max-head-bytes": "0",
-    "head-timeout-s": "8",
-    "body-timeout-s": "10",
-    "idle-timeout-s": "60",
-    "response-timeout-s": "30",
 }
 INVALID = {
     "upper case id": ({"instance-id": "A_1"}, ["instance-id"]),
--- a/marjoramusher/http/body.py
+++ b/marjoramusher/http/body.py
@@ -41,17 +41,23 @@
         raise errors.BadRequestError("compressed bodies are not accepted")
     if (request.content_length or 0) > limit_bytes:
         raise _body_too_large_error(limit_bytes)
-    if request.content.at_eof():
-        return b""
-    data = bytearray()
+    content = request.content
     protocol = request.protocol
     guard = protocol if isinstance(protocol, connection_guard.GuardedHandler) else None
+    if content.is_eof() and content.exception() is None:
+        # Most bodies have arrived whole by now.
+        _check_refusal(guard)
+        received = content.read_nowait()
+        if len(received) > limit_bytes:
+            raise _body_too_large_error(limit_bytes)
+        return received
+    data = bytearray()
     try:
         # A guard ends the reading by itself, without a timer for each request.
         async with asyncio.timeout(timeout_s if guard is None else None) as limit:
             if guard is not None:
                 guard.set_reader(limit, data)
-            async for chunk in request.content.iter_any():
+            while chunk := await content.readany():
                 data += chunk
                 if len(data) > limit_bytes:
                     raise _body_too_large_error(limit_bytes)
@@ -61,11 +67,9 @@
         data.clear()
         if not isinstance(error, TimeoutError):
             raise
-        if guard is not None:
-            raise memory_budget.OverloadedError(_refusal_text(guard)) from error
+        _check_refusal(guard)
         raise errors.BadRequestError("the body did not arrive in time") from error
-    if guard is not None and guard.refusal is not None:
-        raise memory_budget.OverloadedError(_refusal_text(guard))
+    _check_refusal(guard)
     return bytes(data)
 
 
@@ -139,10 +143,16 @@
     return min(seconds, maximum)
 
 
-def _refusal_text(guard: connection_guard.GuardedHandler) -> str:
+def _check_refusal(guard: connection_guard.GuardedHandler | None) -> None:
+    """Raise an error if the request was refused while its body arrived.
+
+    What was read is then incomplete.
+    """
+    if guard is None or guard.refusal is None:
+        return
     if guard.refusal is memory_budget.Reason.BODY_SLOW:
-        return "the body did not arrive in time"
-    return "too many requests are being received"
+        raise memory_budget.OverloadedError("the body did not arrive in time")
+    raise memory_budget.OverloadedError
 
 
 def _body_too_large_error(limit_bytes: int) -> errors.MarjoramusherError:
--- a/marjoramusher/http/connection_guard.py
+++ b/marjoramusher/http/connection_guard.py
@@ -33,6 +33,10 @@
 }
 
 
+# An attribute of an enumeration takes several times as long to look up as a global.
+_IDLE, _HEAD, _BODY, _WORK, _RESPONSE, _REFUSED = Phase
+
+
 class Intake:
     """Budget of a process with its timer, metrics and log lines.
 
@@ -110,13 +114,13 @@
     )
 
     def __init__(self, intake: Intake, server: web.Server) -> None:
-        head_bytes = intake.budget.limits.head_bytes
+        limits = intake.budget.limits
         super().__init__(
             server,
             loop=asyncio.get_running_loop(),
             access_log=None,
-            max_line_size=head_bytes,
-            max_field_size=head_bytes,
+            max_line_size=limits.field_bytes,
+            max_field_size=limits.field_bytes,
             lingering_time=LINGER_S,
             read_bufsize=READ_BUFFER_BYTES,
         )
@@ -172,20 +176,20 @@
     def data_received(self, data: bytes) -> None:
         """Charge a segment, then parse it."""
         connection = self._connection
-        if connection is None or connection.phase is Phase.REFUSED:
+        if connection is None or connection.phase is _REFUSED:
             return
         if data:
             self._charge(connection, len(data))
-            if connection.phase is Phase.REFUSED:
+            if connection.phase is _REFUSED:
                 return
         super().data_received(data)
         if self._request_count != self._parsed_count:
             self._begin_requests(connection)
-        elif connection.phase is Phase.BODY:
+        elif connection.phase is _BODY:
             if self._payload.is_eof():
                 self._end_body(connection)
         elif (
-            connection.phase is Phase.HEAD
+            connection.phase is _HEAD
             and connection.received_bytes > self._budget.limits.head_bytes
         ):
             self._budget.close(connection, Reason.HEAD_TOO_LARGE)
@@ -195,8 +199,8 @@
     ) -> tuple[web.StreamResponse, bool]:
         """Send the response, for which the client has a limited time."""
         connection = self._connection
-        if connection.phase is not Phase.REFUSED:
-            self._enter(connection, Phase.RESPONSE)
+        if connection.phase is not _REFUSED:
+            self._enter(connection, _RESPONSE)
             body = getattr(resp, "body", None)
             if isinstance(body, (bytes, bytearray)):
                 self._budget.hold(connection, len(body) * HELD_PER_RESPONSE_BYTE)
@@ -233,9 +237,9 @@
 
     def _charge(self, connection: memory_budget.Connection, size: int) -> None:
         connection.received_bytes += size
-        if connection.phase is Phase.IDLE:
-            self._enter(connection, Phase.HEAD)
-        elif connection.phase is Phase.WORK or connection.phase is Phase.RESPONSE:
+        if connection.phase is _IDLE:
+            self._enter(connection, _HEAD)
+        elif connection.phase is _WORK or connection.phase is _RESPONSE:
             self._early_bytes += size
         self._budget.hold(connection, size * memory_budget.HELD_PER_RECEIVED_BYTE)
 
@@ -252,37 +256,37 @@
             self._budget.close(connection, Reason.HEAD_TOO_LARGE)
             return
         if payload.is_eof():
-            phase = Phase.WORK
+            phase = _WORK
         else:
-            phase = Phase.BODY
+            phase = _BODY
             if message.chunked:
                 self._budget.hold(connection, memory_budget.CHUNKED_BYTES)
         # The budget may have refused the connection.
-        if connection.phase is not Phase.REFUSED:
+        if connection.phase is not _REFUSED:
             self._enter(connection, phase)
 
     def _end_body(self, connection: memory_budget.Connection) -> None:
         if self._is_answered:
             self._enter_idle(connection)
         else:
-            self._enter(connection, Phase.WORK)
+            self._enter(connection, _WORK)
 
     def _end_request(self, connection: memory_budget.Connection) -> None:
         self._reader = self._data = None
         connection.served += 1
         if self.transport is None:
             self._budget.release(connection)
-        elif connection.phase is Phase.REFUSED:
+        elif connection.phase is _REFUSED:
             pass
         elif self._messages:
             is_whole = self._payload.is_eof()
-            self._enter(connection, Phase.WORK if is_whole else Phase.BODY)
+            self._enter(connection, _WORK if is_whole else _BODY)
         elif self._payload is not None and not self._payload.is_eof():
             # The rest of the body is read and dropped.
             self._is_answered = True
             self._budget.release(connection, memory_budget.CONNECTION_BYTES)
             connection.received_bytes = 0
-            self._enter(connection, Phase.BODY)
+            self._enter(connection, _BODY)
         else:
             self._enter_idle(connection)
 
@@ -298,7 +302,7 @@
         connection.received_bytes = early_bytes
         kept_bytes = early_bytes * memory_budget.HELD_PER_RECEIVED_BYTE
         self._budget.release(connection, memory_budget.CONNECTION_BYTES + kept_bytes)
-        self._enter(connection, Phase.HEAD if early_bytes else Phase.IDLE)
+        self._enter(connection, _HEAD if early_bytes else _IDLE)
 
     def _refuse(self, reason: Reason) -> None:
         """Refuse the request that is being received, and close the connection."""
@@ -306,17 +310,17 @@
         transport = self.transport
         phase = connection.phase
         self._refusal = reason
-        self._enter(connection, Phase.REFUSED)
+        self._enter(connection, _REFUSED)
         # Handlers and lost connections are dealt with after all sockets that are ready
         # have been read, so what was received is dropped now.
         if self._data is not None:
             self._data.clear()
-        if self._payload is not None and phase is Phase.BODY:
+        if self._payload is not None and phase is _BODY:
             with contextlib.suppress(Exception):  # of a payload that has failed
                 self._payload.read_nowait()
         self._budget.release(connection, memory_budget.CONNECTION_BYTES)
         is_answered = (
-            phase is Phase.BODY
+            phase is _BODY
             and self._reader is not None
             and reason is not Reason.CONNECTIONS
         )
@@ -327,12 +331,12 @@
         self._budget.discard(connection)
         if transport is None:
             return
-        if phase is Phase.HEAD and reason in _REFUSALS:
+        if phase is _HEAD and reason in _REFUSALS:
             transport.write(
                 b"HTTP/1.1 %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
                 % _REFUSALS[reason]
             )
-        if phase is Phase.IDLE or phase is Phase.HEAD:
+        if phase is _IDLE or phase is _HEAD:
             self.force_close()
         else:
             transport.abort()
--- a/marjoramusher/http/connection_guard_test.py
+++ b/marjoramusher/http/connection_guard_test.py
@@ -21,7 +21,8 @@
     def __init__(self, **limits):
         self.metrics = metrics.Metrics()
         self.intake = connection_guard.Intake(
-            memory_budget.Limits(MEMORY_BYTES, 50, **limits), self.metrics
+            memory_budget.Limits(MEMORY_BYTES, 50, field_bytes=16_384, **limits),
+            self.metrics,
         )
         self.bodies = []
         self.writers = []
--- a/marjoramusher/http/memory_budget.py
+++ b/marjoramusher/http/memory_budget.py
@@ -46,6 +46,7 @@
 DEFAULT_DESCRIPTORS = 4096
 MIN_MEMORY_BYTES = 4 * 1024 * 1024
 MIN_CONNECTIONS = 16
+HEAD_BYTES = 32 * 1024  # twice what operators state
 MIN_HEAD_BYTES = 1024  # start line and the usual fields of a request
 
 
@@ -91,6 +92,8 @@
         Connections that are open at once, on all listeners together.
     head_bytes : int
         Size of the head of a request; operators state 16,384.
+    field_bytes : int
+        Size of one line of a head; a longer one is malformed.
     head_timeout_s : float
         From the first byte of a head to its end; operators state 3 s.
     body_timeout_s : float
@@ -106,7 +109,8 @@
 
     memory_bytes: int
     connections: int
-    head_bytes: int = 32 * 1024
+    head_bytes: int = HEAD_BYTES
+    field_bytes: int = 8190
     head_timeout_s: float = 8.0
     body_timeout_s: float = 10.0
     body_bytes_per_s: float = 32 * 1024
--- a/tests/platform_roles_test.py
+++ b/tests/platform_roles_test.py
@@ -168,10 +168,17 @@
 
 
 @pytest.mark.asyncio
-async def test_a_role_with_settings_that_cannot_be_used_says_so_and_ends(tmp_path):
+@pytest.mark.parametrize("connections", [None, 3, -1])
+async def test_a_role_with_settings_that_cannot_be_used_says_so_and_ends(
+    tmp_path, connections
+):
     async with asyncio.timeout(TEST_TIMEOUT_S):
         controller, _ = make_roles(tmp_path)
-        controller.path.write_text('{"node_name": 1}')
+        unusable = '{"node_name": 1}'
+        if connections is not None:
+            intake = {"connections": connections}
+            unusable = json.dumps({**controller.settings, "intake": intake})
+        controller.path.write_text(unusable)
         async with controller:
             assert await controller.process.wait() == 2
         assert [line["message_type"] for line in controller.lines] == [
