Bound what is charged for requests that follow each other without a gap

Cause: bytes were released only once no request was left on the connection, so one that pipelines steadily was charged for all that it had ever sent, and the others were closed for it.

Change: after each response at most 1 MiB stays charged, which is more than aiohttp takes before it stops reading. A refused request no longer counts as served. The test fails without the change. Calls beyond the pool of a server are tested, too.

--- a/marjoramusher/http/connection_guard.py
+++ b/marjoramusher/http/connection_guard.py
@@ -22,6 +22,9 @@
 READ_BUFFER_BYTES = 32 * 1024
 # How long a client that still sends after the response may take to read it.
 LINGER_S = 3.0
+# More than aiohttp takes of the requests behind the one that is handled: 32 heads of
+# the largest size, before it stops reading.
+PIPELINED_BYTES = 1024 * 1024
 # Responses are held by the handler and by the buffer of the socket.
 HELD_PER_RESPONSE_BYTE = 2
 # Responses to requests without a handler yet, by reason.
@@ -273,12 +276,17 @@
 
     def _end_request(self, connection: memory_budget.Connection) -> None:
         self._reader = self._data = None
-        connection.served += 1
         if self.transport is None:
             self._budget.release(connection)
-        elif connection.phase is _REFUSED:
-            pass
-        elif self._messages:
+            return
+        if connection.phase is _REFUSED:
+            return
+        connection.served += 1
+        if self._messages:
+            # The bytes of the requests that are left are not known one by one.
+            kept_bytes = min(connection.held_bytes, PIPELINED_BYTES)
+            self._budget.release(connection, kept_bytes)
+            connection.received_bytes = 0
             is_whole = self._payload.is_eof()
             self._enter(connection, _WORK if is_whole else _BODY)
         elif self._payload is not None and not self._payload.is_eof():
--- a/marjoramusher/http/connection_guard_test.py
+++ b/marjoramusher/http/connection_guard_test.py
@@ -24,6 +24,7 @@
             memory_budget.Limits(MEMORY_BYTES, 50, field_bytes=16_384, **limits),
             self.metrics,
         )
+        self.delay_s = 0.0
         self.bodies = []
         self.writers = []
         self.release = asyncio.Event()
@@ -57,6 +58,7 @@
         received = await body.read(request)
         self.bodies.append(received)
         await self.release.wait()
+        await asyncio.sleep(self.delay_s)
         return web.Response(text="done")
 
     async def handle_get(self, request):
@@ -182,3 +184,16 @@
             await reader.readuntil(b"done")
         await server.until(lambda: server.held_bytes == memory_budget.CONNECTION_BYTES)
         assert len(server.bodies) == 41
+
+
+@pytest.mark.usefixtures("timeout")
+async def test_requests_that_follow_each_other_without_a_gap_are_not_added_up():
+    async with Server() as server:
+        server.delay_s = 0.001
+        request = post(5000) + b"x" * 5000
+        reader, writer = await server.send(request * 8)
+        for _ in range(MEMORY_BYTES // 5000):
+            writer.write(request)
+            await reader.readuntil(b"done")
+        assert server.held_bytes <= MEMORY_BYTES / 2
+        assert not server.intake.budget.take_counts()
--- a/marjoramusher/instances/peer_test.py
+++ b/marjoramusher/instances/peer_test.py
@@ -401,3 +401,20 @@
     assert not call.done()
     links.set_cuts(())
     assert await call == b"a:x"
+
+
+async def test_calls_beyond_the_memory_of_the_server_are_refused_before_they_run():
+    pair = await Pair().start()
+    pair.server._pool.capacity_bytes = 2 * frame.CALL_BYTES + 1000
+    hanging = asyncio.create_task(pair.client.call("b", "echo", b"hang", 5.0))
+    while not pair.server._pool.reserved_bytes:
+        await asyncio.sleep(0.01)
+    with pytest.raises(errors.MarjoramusherError) as caught:
+        await pair.client.call("b", "echo", b"x" * frame.CALL_BYTES, 5.0)
+    assert caught.value.code is errors.ErrorCode.OVERLOADED
+    assert caught.value.outcome is errors.Outcome.NOT_RUN
+    assert await pair.client.call("b", "echo", b"small", 5.0) == b"a:small"
+    hanging.cancel()
+    await asyncio.gather(hanging, return_exceptions=True)
+    await pair.stop()
+    assert not pair.server._pool.reserved_bytes
