Read 32 KiB at a time from each socket

Cause: one pass of the event loop reads all sockets that are ready, by default 256 KiB each, before lost connections and handlers release what they hold.

--- a/marjoramusher/http/connection_guard.py
+++ b/marjoramusher/http/connection_guard.py
@@ -20,6 +20,10 @@
 LOG_INTERVAL_S = 10.0
 # Low enough that the chunks of a body that its handler does not read stay small.
 READ_BUFFER_BYTES = 32 * 1024
+# Bytes that are read from a socket at once, an eighth of asyncio's default. One pass of
+# the event loop reads all sockets that are ready, so this bounds the length of a pass
+# and what arrives before any connection can be closed.
+SEGMENT_BYTES = 32 * 1024
 # How long a client that still sends after the response may take to read it.
 LINGER_S = 3.0
 # More than aiohttp takes of the requests behind the one that is handled: 32 heads of
@@ -160,6 +164,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Open the connection within the limit of the process."""
         super().connection_made(transport)
+        if hasattr(transport, "max_size"):
+            transport.max_size = SEGMENT_BYTES
         peer = transport.get_extra_info("peername")
         address = peer[0] if isinstance(peer, tuple) else ""
         self._connection = memory_budget.Connection(
