--- a/marjoramusher/daemon/settings_test.py
+++ b/marjoramusher/daemon/settings_test.py
@@ -40,6 +40,10 @@
         ["operator-token-file"],
     ),
     "diskless single instance": ({"diskless": True}, ["diskless"]),
+    "memory below one request": ({"memory-mb": "2"}, ["memory-mb"]),
+    "negative connections": ({"max-connections": "-1"}, ["max-connections"]),
+    "too few connections": ({"max-connections": "3"}, ["memory-mb"]),
+    "head below one line": ({"max-head-bytes": "10"}, ["memory-mb"]),
     "url with path": ({"advertise-url": "http://h/p"}, ["advertise-url"]),
 }
 
@@ -55,6 +59,7 @@
 def test_defaults_need_no_other_setting():
     parsed = settings.parse(VALID)
     assert parsed.advertise_url == "http://127.0.0.1:8420"
+    assert parsed.intake.head_bytes >= 16_384
 
 
 def test_short_token_is_refused_without_showing_it(tmp_path):
--- a/marjoramusher/http/body.py
+++ b/marjoramusher/http/body.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from ..core import codec, errors
+from . import connection_guard, memory_budget
 
 MAX_BODY_BYTES = 1024 * 1024
 MAX_ANNOUNCEMENT_BYTES = 64 * 1024
@@ -22,6 +23,9 @@
 ) -> bytes:
     """Read the whole body.
 
+    On a guarded connection the limits of the process apply, see `memory_budget`, and
+    `timeout_s` is not used.
+
     Raises
     ------
     MarjoramusherError
@@ -29,21 +33,43 @@
         `limit_bytes`.
     BadRequestError
         If the body is compressed or does not arrive within `timeout_s`.
+    OverloadedError
+        If the guard of the connection refuses the request.
     """
     if request.headers.get("Content-Encoding", "identity") != "identity":
         # A small compressed body can expand far beyond the limit.
         raise errors.BadRequestError("compressed bodies are not accepted")
     if (request.content_length or 0) > limit_bytes:
         raise _body_too_large_error(limit_bytes)
+    content = request.content
+    protocol = request.protocol
+    guard = protocol if isinstance(protocol, connection_guard.GuardedHandler) else None
+    if content.is_eof() and content.exception() is None:
+        # Most bodies have arrived whole by now.
+        _check_refusal(guard)
+        received = content.read_nowait()
+        if len(received) > limit_bytes:
+            raise _body_too_large_error(limit_bytes)
+        return received
     data = bytearray()
     try:
-        async with asyncio.timeout(timeout_s):
-            async for chunk in request.content.iter_any():
+        # A guard ends the reading by itself, without a timer for each request.
+        async with asyncio.timeout(timeout_s if guard is None else None) as limit:
+            if guard is not None:
+                guard.set_reader(limit, data)
+            while chunk := await content.readany():
                 data += chunk
                 if len(data) > limit_bytes:
                     raise _body_too_large_error(limit_bytes)
-    except TimeoutError as error:
+    except BaseException as error:
+        # The traceback refers to the buffer, which would otherwise be held until the
+        # next full garbage collection.
+        data.clear()
+        if not isinstance(error, TimeoutError):
+            raise
+        _check_refusal(guard)
         raise errors.BadRequestError("the body did not arrive in time") from error
+    _check_refusal(guard)
     return bytes(data)
 
 
@@ -117,6 +143,18 @@
     return min(seconds, maximum)
 
 
+def _check_refusal(guard: connection_guard.GuardedHandler | None) -> None:
+    """Raise an error if the request was refused while its body arrived.
+
+    What was read is then incomplete.
+    """
+    if guard is None or guard.refusal is None:
+        return
+    if guard.refusal is memory_budget.Reason.BODY_SLOW:
+        raise memory_budget.OverloadedError("the body did not arrive in time")
+    raise memory_budget.OverloadedError
+
+
 def _body_too_large_error(limit_bytes: int) -> errors.MarjoramusherError:
     return errors.MarjoramusherError(
         errors.ErrorCode.BODY_TOO_LARGE,
