Keep the order by deadline while crash suspects wait

With lasting preferences, suspects run beside the same others again and again. While tasks of a service wait during which workers have crashed, the former order holds.

--- a/marjoramusher/executors/preempted_test.py
+++ b/marjoramusher/executors/preempted_test.py
@@ -22,6 +22,7 @@
     """The urgent step has 1.6 s of slack; runs of 4.2 s end 0.4 s after it arrives."""
     lines = []
     eliot.add_destinations(lines.append)
+    lines.clear()  # the first destination gets what was logged before it was added
 
     async def scenario():
         async with Harness(3, always(work_s)) as harness:
--- a/marjoramusher/workflows/ordering.py
+++ b/marjoramusher/workflows/ordering.py
@@ -173,6 +173,12 @@
     ranked: list[tuple[_Rank, backlog.PendingStep]] = []
     for name, members in by_service.items():
         service = services[name]
+        if any(waiting.pending.has_suspects for waiting in members):
+            ranked.extend(
+                (_rank_by_deadline(waiting, now_ms), waiting.pending)
+                for waiting in members
+            )
+            continue
         preferences: dict[resources.StepKey, _Preference] = {}
         if sum(waiting.share for waiting in members) > service.free_share:
             running = _Running(candidates.get(name, ()), service)
@@ -215,6 +221,18 @@
     )
 
 
+def _rank_by_deadline(waiting: _Waiting, now_ms: float) -> _Rank:
+    """Return the rank while tasks wait during which workers have crashed.
+
+    With a lasting preference, innocent tasks would run beside the same others again and
+    again, and count as the cause of their crashes.
+    """
+    deadline_ms = waiting.pending.deadline_ms
+    is_late = int(deadline_ms < now_ms)
+    order = (False, waiting.priority, not waiting.is_guaranteed, is_late)
+    return (*order, *_NO_PREFERENCE, deadline_ms)
+
+
 def _overload_preferences(
     members: list[_Waiting], service: _Service, running: _Running, now_ms: float
 ) -> dict[resources.StepKey, _Preference]:
--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -130,6 +130,7 @@
         now_ms,
         planner.is_guaranteed,
     )
+    planner.has_suspects = any(pending.has_suspects for pending in pending_steps)
     for pending in pending_steps:
         planner.place(pending)
     planner.place_guaranteed(pending_steps)
@@ -193,6 +194,7 @@
         self._reserved: list[tuple[resources.Candidate, workflow.Resources]] = []
         self._placed_workflows: set[str] = set()
         self._used_shares: dict[str, tuple[int, float]] = {}
+        self.has_suspects = False
         self.placements: list[workflow.Placement] = []
         self.preemptions: list[tuple[workflow.Placement, str]] = []
         self.wait_reasons: dict[resources.StepKey, WaitReason] = {}
@@ -566,13 +568,18 @@
 
         Late ones press as well, until their workflow has no value any more.
         """
-        if delay_cost.is_worthless(pending, self._now_ms):
+        if self._uses_idle_room(pending):
             return False
         remaining_ms = pending.deadline_ms - self._now_ms
         return remaining_ms < PRESSING_FACTOR * pending.step.estimate_ms
 
     def _uses_idle_room(self, pending: backlog.PendingStep) -> bool:
-        """Tell whether a step gets only room that no work with a value needs."""
+        """Tell whether a step gets only room that no work with a value needs.
+
+        While tasks wait during which workers have crashed, the order stays by deadline.
+        """
+        if self.has_suspects:
+            return False
         is_worthless = delay_cost.is_worthless(pending, self._now_ms)
         return is_worthless and not self.is_guaranteed(pending)
 
