Cover rejections and departures in the session of log lines

Cause: the session that writes each documented line knew neither workflow.rejected nor worker.departing.

Change: a further session; the test waits 300 s, as the others with changes of the leader do.

--- a/marjoramusher/executors/evacuation_test.py
+++ b/marjoramusher/executors/evacuation_test.py
@@ -136,6 +136,6 @@
             if not harness.group.is_led:
                 harness.take_over()
             await harness.change(END)
-            await harness.check_all_end(200)  # some runs take 40 s
+            await harness.check_all_end(300)  # some runs take 40 s
 
     virtual.run(scenario())
--- a/tests/log_session_test.py
+++ b/tests/log_session_test.py
@@ -5,9 +5,11 @@
 import json
 
 import eliot
+import msgspec
 import pytest
 
 from adapter import wire_test
+from marjoramusher.queues import call
 from marjoramusher.workflows import command, wave, workflow
 from standins import leader, virtual
 from tests import log_lines_test, platform_session_test
@@ -106,6 +108,21 @@
         await asyncio.sleep(8.0)
 
 
+async def overloaded_session():
+    """Reject a workflow behind a long backlog, and let a worker leave with notice."""
+    async with leader.Harness(4, leader.always(900.0)) as harness:
+        backlog = leader.step(60, 8)
+        await harness.submit(
+            "urgent", msgspec.structs.replace(backlog, estimate_ms=60_000)
+        )
+        await asyncio.sleep(2.0)
+        submitted = workflow.Workflow("", "", "", "", (leader.step(1, 1),))
+        await harness.service.serve(
+            call.pack_call(call.Submit("h", "/b/0123456789abcdef", "k", submitted))
+        )
+        await harness.depart("x0", 3.0)
+
+
 async def slow_session():
     """Run a workflow whose commit takes longer than an announcement is valid."""
     async with leader.Harness(3, leader.always(900.0)) as harness:
@@ -154,7 +171,12 @@
     with captured_lines() as lines:
         await platform_session_test.run_session(tmp_path / "first")
         await refused_session(tmp_path / "second")
-        for session in (disturbed_session, paced_session, slow_session):
+        for session in (
+            disturbed_session,
+            paced_session,
+            overloaded_session,
+            slow_session,
+        ):
             await asyncio.to_thread(lambda run=session: virtual.run(run()))
     documented = log_lines_test.documented_fields()
     fields_by_kind = {}
