Share the choices of victims between equal requests of a plan

Now a search is kept until a worker of the rack changes, and the choice for each worker until that worker does. Racks without enough free accelerators are not searched for gangs.

--- a/bench/plan_cases.py
+++ b/bench/plan_cases.py
@@ -4,8 +4,6 @@
 import random
 from collections.abc import Iterable, Iterator
 
-import msgspec
-
 from bench import plan_load
 from marjoramusher.core import crash
 from marjoramusher.workflows import (
--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -149,23 +149,37 @@
 
 
 class _WorkerSet:
-    """Workers of a service that meet the label of a step, also by rack."""
+    """Workers of a service that meet the label of a step, also by rack.
 
-    __slots__ = ("_rack_sizes", "by_rack", "candidates")
+    Parameters
+    ----------
+    is_shared : bool
+        Whether several steps of a plan use the set.
+    """
 
-    def __init__(self, candidates: Iterable[resources.Candidate]) -> None:
-        self.candidates = list(candidates)
-        self.by_rack: dict[str, list[resources.Candidate]] = {}
+    __slots__ = ("_rack_sizes", "all", "by_rack", "candidates")
+
+    def __init__(
+        self, candidates: Iterable[resources.Candidate], *, is_shared: bool
+    ) -> None:
+        self.all = resources.Scope(candidates, is_shared=is_shared)
+        self.candidates = self.all.candidates
+        racks: dict[str, list[resources.Candidate]] = {}
         self._rack_sizes: dict[tuple[workflow.Resources, int], dict[str, int]] = {}
         for candidate in self.candidates:
-            self.by_rack.setdefault(candidate.worker.rack, []).append(candidate)
+            racks.setdefault(candidate.worker.rack, []).append(candidate)
+        self.by_rack = {
+            rack: resources.Scope(members, is_shared=is_shared)
+            for rack, members in racks.items()
+        }
 
     def rack_sizes(self, step: workflow.Step) -> dict[str, int]:
         """Return how many tasks of a step each rack would hold if it were empty."""
         key = (resources.reserved(step), step.max_per_worker)
         if key not in self._rack_sizes:
             self._rack_sizes[key] = {
-                rack: _size(step, members) for rack, members in self.by_rack.items()
+                rack: _size(step, scope.candidates)
+                for rack, scope in self.by_rack.items()
             }
         return self._rack_sizes[key]
 
@@ -400,7 +414,9 @@
         workers = self._workers(pending)
         scopes = self._gang_scopes(pending, workers)
         chosen = next(
-            filter(None, (self._fit_gang(pending, scope) for scope in scopes)),
+            filter(
+                None, (self._fit_gang(pending, scope.candidates) for scope in scopes)
+            ),
             None,
         ) or self._fit_gang(pending, workers.candidates, near_data=False)
         for index, candidate in chosen.items():
@@ -427,7 +443,7 @@
             self._record_shortage(pending, kind, 1, workers)
             if pending.entry.queue.priority:
                 return
-            self._preempt(pending, 1, kind, [workers.candidates])
+            self._preempt(pending, 1, kind, [workers.all])
 
     def _handle_suspect(
         self, pending: backlog.PendingStep, index: int, workers: _WorkerSet
@@ -479,8 +495,10 @@
             self._reserve(pending, workers)
             return
         if kind is None or not self._shortages.covers(kind, count):
-            for candidates in self._gang_scopes(pending, workers):
-                chosen = self._fit_gang(pending, candidates)
+            for scope in self._gang_scopes(pending, workers):
+                if not _may_fit_gang(pending, scope):
+                    continue
+                chosen = self._fit_gang(pending, scope.candidates)
                 if chosen:
                     for index, candidate in chosen.items():
                         self._place_task(pending, index, candidate)
@@ -568,19 +586,19 @@
         needs = resources.reserved(pending.step)
         if sum(workers.rack_sizes(pending.step).values()) < pending.step.count:
             return  # it can't start even if all workers are empty
+        total = resources.multiplied(needs, len(pending.task_indexes))
+        if self._reservations and pool.reserved_share(total) > MAX_RESERVED_SHARE:
+            return
         scopes = self._gang_scopes(pending, workers)
         largest = [
             (-candidate.accelerators, -candidate.cores_milli, position, candidate)
             for position, candidate in enumerate(
-                max(scopes, key=resources.free_accelerators)
+                max(scopes, key=_free_accelerators).candidates
             )
             if needs.fits_within(candidate.worker.capacity)
         ]
         if not largest:
             return
-        total = resources.multiplied(needs, len(pending.task_indexes))
-        if self._reservations and pool.reserved_share(total) > MAX_RESERVED_SHARE:
-            return
         self._reservations += 1
         heapq.heapify(largest)
         for _ in pending.task_indexes:
@@ -595,7 +613,7 @@
         pending: backlog.PendingStep,
         count: int,
         kind: _RequestKind | None,
-        scopes: list[list[resources.Candidate]],
+        scopes: list[resources.Scope],
     ) -> None:
         victims = self._preemptor.preempt(pending, count, kind, scopes)
         if victims is not None:
@@ -713,31 +731,29 @@
         step = pending.step
         queue = pending.entry.queue
         if step.fill or queue.policy is not None:
-            return _WorkerSet(self._eligible(pending))
+            return _WorkerSet(self._eligible(pending), is_shared=False)
         key = (queue.service, step.label)
         if key not in self._worker_sets:
-            self._worker_sets[key] = _WorkerSet(self._eligible(pending))
+            self._worker_sets[key] = _WorkerSet(self._eligible(pending), is_shared=True)
         return self._worker_sets[key]
 
     def _gang_scopes(
         self, pending: backlog.PendingStep, workers: _WorkerSet
-    ) -> list[list[resources.Candidate]]:
+    ) -> list[resources.Scope]:
         """Return the sets of workers that may each hold a whole gang, fullest first.
 
         A gang that runs slower on several racks waits for one rack, unless it is too
         large for any.
         """
         if not pending.step.same_rack:
-            return [workers.candidates]
+            return [workers.all]
         sizes = workers.rack_sizes(pending.step)
         large_racks = [
             workers.by_rack[rack]
             for rack, size in sizes.items()
             if size >= pending.step.count
         ]
-        return sorted(large_racks, key=resources.free_accelerators) or [
-            workers.candidates
-        ]
+        return sorted(large_racks, key=_free_accelerators) or [workers.all]
 
     def _fit_gang(
         self,
@@ -984,7 +1000,7 @@
                 candidate.worker.worker_id,
             ),
         )
-        spared.is_closed = True
+        spared.close()
         return spared
 
     def _best_candidate(
@@ -1109,6 +1125,19 @@
     return sum(min(size, limit) if limit else size for size in sizes)
 
 
+def _free_accelerators(scope: resources.Scope) -> int:
+    return scope.free_accelerators
+
+
+def _may_fit_gang(pending: backlog.PendingStep, scope: resources.Scope) -> bool:
+    """Tell whether it is worth a search whether all members of a gang fit.
+
+    A search for suspects spares workers even if it finds no place.
+    """
+    needed = len(pending.task_indexes) * pending.step.needs.accelerators
+    return pending.has_suspects or scope.free_accelerators >= needed
+
+
 def _idle(candidates: list[resources.Candidate]) -> list[resources.Candidate]:
     return [candidate for candidate in candidates if not candidate.task_count]
 
--- a/marjoramusher/workflows/preemption.py
+++ b/marjoramusher/workflows/preemption.py
@@ -41,6 +41,63 @@
     cost: float
 
 
+class _Request(msgspec.Struct, frozen=True):
+    """What the choices for a task depend on, beside the workers.
+
+    Parameters
+    ----------
+    account : str or bool
+        Account of the step if it is within its guarantee, or whether it is if no run
+        in the scope is as urgent.
+    """
+
+    needs: workflow.Resources
+    rack: str
+    is_gang: bool
+    priority: int
+    account: str | bool
+
+
+class _Search:
+    """Choices for one task after the other, cheapest first.
+
+    Attributes
+    ----------
+    costs : list of float
+        Total cost with each choice, and with a further one if that was too expensive.
+    is_exhausted : bool
+        Whether there is no room for more tasks.
+    version : int
+        Version of the scope for which the choices were made.
+    """
+
+    __slots__ = ("choices", "costs", "is_exhausted", "version")
+
+    def __init__(self) -> None:
+        self.choices: list[_Choice] = []
+        self.costs: list[float] = []
+        self.is_exhausted = False
+        self.version = 0
+
+    def answers(self, count: int, max_cost: float) -> bool:
+        """Tell whether a search for other tasks would find nothing else."""
+        return (
+            self.is_exhausted
+            or len(self.choices) >= count
+            or (bool(self.costs) and self.costs[-1] >= max_cost)
+        )
+
+    def answer(self, count: int, max_cost: float) -> tuple[list[_Choice], float]:
+        """Return the choices for some tasks, and the cost; see `Preemptor`."""
+        costs = self.costs[:count]
+        total_cost = costs[-1] if costs else 0.0
+        if total_cost >= max_cost:
+            return [], total_cost
+        if len(self.choices) < count:
+            return [], total_cost
+        return self.choices[:count], total_cost
+
+
 class _Victim(msgspec.Struct, frozen=True, order=True):
     """A run that may be stopped, ordered by the cost of stopping it.
 
@@ -71,8 +128,12 @@
 
     __slots__ = (
         "_candidates",
+        "_choices",
         "_conditions",
+        "_independent",
+        "_peers",
         "_ranked_victims",
+        "_searches",
         "_shortages",
         "_state",
         "_stopping",
@@ -93,13 +154,21 @@
         self._shortages = shortage.Shortages()
         # Runs on each worker, the cheapest to stop first.
         self._ranked_victims: dict[str, list[_Victim]] = {}
+        # Choices for the first task, with the version of the worker, and searches, by
+        # what they depend on.
+        self._choices: dict[
+            _Request, dict[resources.Candidate, tuple[int, _Choice | None]]
+        ] = {}
+        self._searches: dict[tuple[resources.Scope, _Request], _Search] = {}
+        self._independent: dict[resources.Scope, bool] = {}
+        self._peers: dict[tuple[resources.Scope, int], bool] = {}
 
     def preempt(
         self,
         pending: backlog.PendingStep,
         count: int,
         kind: Hashable | None,
-        scopes: list[list[resources.Candidate]],
+        scopes: list[resources.Scope],
     ) -> list[workflow.Placement] | None:
         """Reserve resources for some tasks, and return the runs to stop for them.
 
@@ -110,7 +179,7 @@
         kind : hashable or None
             Equal for steps that need the same resources and workers; ``None`` if no
             other step does.
-        scopes : list of list of Candidate
+        scopes : list of Scope
             Sets of workers, one of which has to hold all tasks.
 
         Returns
@@ -124,14 +193,19 @@
         account = pending.entry.workflow.account
         is_guaranteed = self.is_within_guarantee(account)
         # Accounts differ in what they may stop only within their guarantee.
-        request = (kind, pending.entry.queue.priority, account if is_guaranteed else "")
-        if kind is not None and self._shortages.covers(request, count):
+        shortage_kind = (
+            kind,
+            pending.entry.queue.priority,
+            account if is_guaranteed else "",
+        )
+        if kind is not None and self._shortages.covers(shortage_kind, count):
             return None
         if not is_guaranteed:
             best_cost = MAX_COST_FACTOR * resources.core_seconds(pending.step)
         has_room = False
-        for candidates in scopes:
-            choices, cost = self._evaluate(pending, count, candidates, best_cost)
+        request = None if kind is None else self._choice_request(pending)
+        for scope in scopes:
+            choices, cost = self._evaluate(pending, count, scope, best_cost, request)
             if choices:
                 best, best_cost = choices, cost
             has_room = has_room or bool(choices) or cost >= best_cost
@@ -139,7 +213,7 @@
                 break
         if not best:
             if kind is not None and not has_room:
-                self._shortages.record(request, count)
+                self._shortages.record(shortage_kind, count)
             return None
         stopped: list[workflow.Placement] = []
         needs = resources.reserved(pending.step)
@@ -169,17 +243,33 @@
         limit = account.guaranteed_accelerators if account else 0
         return self._urgent_accelerators[name] <= limit
 
+    def _choice_request(self, pending: backlog.PendingStep) -> _Request:
+        """Return everything of a step that the choices for its tasks depend on.
+
+        Steps with equal requests share choices, so whatever else comes to decide which
+        runs are stopped for a step has to be part of it.
+        """
+        step = pending.step
+        account = pending.entry.workflow.account
+        return _Request(
+            resources.reserved(step),
+            step.rack,
+            step.gang,
+            pending.entry.queue.priority,
+            account if self.is_within_guarantee(account) else "",
+        )
+
     def _evaluate(
         self,
         pending: backlog.PendingStep,
         count: int,
-        candidates: list[resources.Candidate],
+        scope: resources.Scope,
         max_cost: float,
+        request: _Request | None,
     ) -> tuple[list[_Choice], float]:
         """Return where the tasks would go and the total cost, changing nothing.
 
-        The choice for each worker is kept from task to task, and made again only for
-        workers whose resources or victims have changed.
+        The choices for equal requests are kept until a worker of the scope changes.
 
         Returns
         -------
@@ -188,13 +278,47 @@
         float
             At least `max_cost` if that is the reason.
         """
+        version = scope.version
+        if request is None or version is None or not self._is_independent(scope):
+            return self._search(pending, count, scope, max_cost, None).answer(
+                count, max_cost
+            )
+        if not self._has_peers(scope, request.priority):
+            request = msgspec.structs.replace(request, account=bool(request.account))
+        key = (scope, request)
+        known = self._searches.get(key)
+        if (
+            known is None
+            or known.version != version
+            or not known.answers(count, max_cost)
+        ):
+            known = self._search(pending, count, scope, max_cost, request)
+            known.version = version
+            self._searches[key] = known
+        return known.answer(count, max_cost)
+
+    def _search(
+        self,
+        pending: backlog.PendingStep,
+        count: int,
+        scope: resources.Scope,
+        max_cost: float,
+        request: _Request | None,
+    ) -> _Search:
+        """Choose workers and victims for one task after the other, as a trial.
+
+        The choice for each worker is kept from task to task, and made again only for
+        workers whose resources or victims have changed.
+        """
+        candidates = scope.candidates
         needs = resources.reserved(pending.step)
-        positions = {
-            candidate.worker.worker_id: position
-            for position, candidate in enumerate(candidates)
-        }
-        options: list[_Choice | None] = [None] * len(candidates)
-        cheapest: list[tuple[float, int]] = []
+        options = self._first_choices(pending, needs, candidates, request)
+        cheapest = [
+            (option.cost, position)
+            for position, option in enumerate(options)
+            if option is not None
+        ]
+        heapq.heapify(cheapest)
 
         def update(changed: Iterable[int]) -> None:
             for position in changed:
@@ -203,36 +327,100 @@
                 if option is not None:
                     heapq.heappush(cheapest, (option.cost, position))
 
-        update(range(len(candidates)))
-        choices: list[_Choice] = []
+        found = _Search()
+        trial = resources.Trial()
         stopped: list[workflow.Placement] = []
         total_cost = 0.0
-        while len(choices) < count and cheapest:
+        while len(found.choices) < count and cheapest:
             cost, position = heapq.heappop(cheapest)
             choice = options[position]
             if choice is None or choice.cost != cost:
                 continue  # made before the worker changed
             total_cost += cost
+            found.costs.append(total_cost)
             if total_cost >= max_cost:
                 break
-            choices.append(choice)
+            found.choices.append(choice)
+            trial.begin(choice.candidate)
             choice.candidate.allocate(needs)
             choice.candidate.adjust_task_count(pending.key, 1)
             marked: list[workflow.Placement] = []
             for victim in choice.victims:
-                marked += self._mark_stopping(victim)
+                marked += self._mark_stopping(victim, trial)
             stopped += marked
             if any(self._is_long_running(victim) for victim in marked):
                 # Their disruption budget may rule out victims on any worker.
                 update(range(len(candidates)))
                 continue
-            changed = {positions.get(victim.worker_id, position) for victim in marked}
-            update(changed | {position})
-        for choice in choices:
+            changed = {position}
+            worker_id = choice.candidate.worker.worker_id
+            for victim in marked:
+                if victim.worker_id != worker_id:
+                    changed.add(scope.positions.get(victim.worker_id, position))
+            update(changed)
+        else:
+            found.is_exhausted = len(found.choices) < count
+        for choice in found.choices:
             choice.candidate.deallocate(needs)
             choice.candidate.adjust_task_count(pending.key, -1)
         self._unmark_stopping(stopped)
-        return (choices if len(choices) == count else []), total_cost
+        trial.end()
+        return found
+
+    def _first_choices(
+        self,
+        pending: backlog.PendingStep,
+        needs: workflow.Resources,
+        candidates: Iterable[resources.Candidate],
+        request: _Request | None,
+    ) -> list[_Choice | None]:
+        """Return the choice of each worker for the first task.
+
+        Parameters
+        ----------
+        request : _Request or None
+            Equal for requests that share their choices; ``None`` if none does.
+        """
+        if request is None:
+            return [
+                self._cheapest_choice(pending, needs, candidate)
+                for candidate in candidates
+            ]
+        known = self._choices.setdefault(request, {})
+        options: list[_Choice | None] = []
+        for candidate in candidates:
+            version, option = known.get(candidate, (-1, None))
+            if version != candidate.version:
+                option = self._cheapest_choice(pending, needs, candidate)
+                known[candidate] = candidate.version, option
+            options.append(option)
+        return options
+
+    def _is_independent(self, scope: resources.Scope) -> bool:
+        """Tell whether the choice for each worker depends on that worker only.
+
+        The disruption budget of a long-running step depends on runs anywhere.
+        """
+        known = self._independent.get(scope)
+        if known is None:
+            known = self._independent[scope] = not any(
+                victim.is_long_running
+                for candidate in scope.candidates
+                for victim in self._victims(candidate)
+            )
+        return known
+
+    def _has_peers(self, scope: resources.Scope, priority: int) -> bool:
+        """Tell whether the account of a request decides which runs it may stop."""
+        key = (scope, priority)
+        known = self._peers.get(key)
+        if known is None:
+            known = self._peers[key] = any(
+                victim.priority <= priority
+                for candidate in scope.candidates
+                for victim in self._victims(candidate)
+            )
+        return known
 
     def _cheapest_choice(
         self,
@@ -254,7 +442,8 @@
             return None
         chosen: list[workflow.Placement] = []
         victim_cost = 0.0
-        freed = resources.NOTHING
+        # What is lacking after the stops so far.
+        cores_milli, memory_mb, accelerators = candidate.lacking(needs)
         for victim in self._victims(candidate):
             placement = victim.placement
             if (
@@ -265,10 +454,12 @@
                 continue
             chosen.append(placement)
             victim_cost += victim.cost
-            freed = resources.combined(freed, victim.needs)
+            cores_milli -= victim.needs.cores_milli
+            memory_mb -= victim.needs.memory_mb
+            accelerators -= victim.needs.accelerators
             if candidate.is_closed and len(chosen) < len(candidate.running):
                 continue  # a closed worker takes others only once it is empty
-            if candidate.will_fit(needs, freed):
+            if accelerators <= 0 and cores_milli <= 0 and memory_mb <= 0:
                 return _Choice(candidate, tuple(chosen), victim_cost + cost)
         return None
 
@@ -342,7 +533,9 @@
         status = self._conditions.get(placement.worker_id)
         return status is not None and placement in status.serving
 
-    def _mark_stopping(self, victim: workflow.Placement) -> list[workflow.Placement]:
+    def _mark_stopping(
+        self, victim: workflow.Placement, trial: resources.Trial | None = None
+    ) -> list[workflow.Placement]:
         """Mark a run and the other members of its gang as stopping."""
         stopped = [
             member
@@ -353,6 +546,8 @@
             self._stopping.add(member.task)
             candidate = self._candidates.get(member.worker_id)
             if candidate is not None:
+                if trial is not None:
+                    trial.begin(candidate)
                 candidate.expect_freed(self._needs(member))
         return stopped
 
--- a/marjoramusher/workflows/resources.py
+++ b/marjoramusher/workflows/resources.py
@@ -1,5 +1,7 @@
 """Free resources of workers during planning, and what tasks reserve of them."""
 
+from collections.abc import Iterable, Mapping, Sequence
+
 import msgspec
 
 from . import workflow
@@ -25,6 +27,8 @@
         Free accelerators, without negative ones.
     reserved_accelerators : int
         Free accelerators that were reserved for waiting gangs.
+    version : int
+        Rises with each change to a candidate. `Trial` sets it back with the changes.
     """
 
     __slots__ = (
@@ -33,9 +37,11 @@
         "_reserved_cores_milli",
         "free_accelerators",
         "reserved_accelerators",
+        "version",
     )
 
     def __init__(self) -> None:
+        self.version = 0
         self._accelerators = 0
         self._cores_milli = 0
         self._reserved_cores_milli = 0
@@ -85,10 +91,13 @@
         Number of tasks there that have not run for long enough to crash it.
     is_closed : bool
         Whether it takes no further tasks, since it is spared for a single one.
+    version : int
+        Rises with each change. `Trial` sets it back with the changes.
     """
 
     __slots__ = (
         "_pool",
+        "_pools",
         "accelerators",
         "accepts_fill",
         "crash_suspects",
@@ -105,6 +114,7 @@
         "serving_count",
         "starting_count",
         "task_counts",
+        "version",
         "worker",
     )
 
@@ -116,6 +126,8 @@
     ) -> None:
         self.worker = worker
         self._pool = pool
+        self._pools: list[Pool] = [] if pool is None else [pool]
+        self.version = 0
         self.is_suspect = is_suspect
         self.is_silent = False
         self.crash_suspects = 0
@@ -136,12 +148,31 @@
             pool.add(worker.capacity)
         self._add_accelerators(worker.capacity.accelerators)
 
+    @property
+    def pools(self) -> Sequence[Pool]:
+        """Return the pools that this worker is part of."""
+        return self._pools
+
+    def join(self, pool: Pool) -> None:
+        """Become part of a further pool."""
+        self._pools.append(pool)
+        pool.free_accelerators += max(self.accelerators, 0)
+
+    def close(self) -> None:
+        """Take no further tasks."""
+        self.is_closed = True
+        self._record_change(0)
+
     def _add_accelerators(self, count: int) -> None:
         before = self.accelerators
         self.accelerators += count
-        if self._pool is not None:
-            change = max(self.accelerators, 0) - max(before, 0)
-            self._pool.free_accelerators += change
+        self._record_change(max(self.accelerators, 0) - max(before, 0))
+
+    def _record_change(self, freed_accelerators: int) -> None:
+        self.version += 1
+        for pool in self._pools:
+            pool.version += 1
+            pool.free_accelerators += freed_accelerators
 
     def allocate(self, needs: workflow.Resources) -> None:
         """Subtract needs from the free resources."""
@@ -170,6 +201,7 @@
         self.expected_cores_milli += needs.cores_milli
         self.expected_memory_mb += needs.memory_mb
         self.expected_accelerators += needs.accelerators
+        self._record_change(0)
 
     def fits(self, needs: workflow.Resources) -> bool:
         """Tell whether needs fit into the free resources of a worker that is open."""
@@ -203,20 +235,101 @@
         """Tell whether another task of a step is allowed; 0 sets no limit."""
         return not max_per_worker or self.task_counts.get(step, 0) < max_per_worker
 
-    def will_fit(
-        self, needs: workflow.Resources, additional: workflow.Resources = NOTHING
-    ) -> bool:
-        """Tell whether needs fit into free, soon free and additional resources."""
+    def will_fit(self, needs: workflow.Resources) -> bool:
+        """Tell whether needs fit into free and soon free resources."""
+        return all(lacking <= 0 for lacking in self.lacking(needs))
+
+    def lacking(self, needs: workflow.Resources) -> tuple[int, int, int]:
+        """Return what needs exceed free and soon free resources by, negative if not.
+
+        Returns
+        -------
+        tuple of int
+            Thousandths of cores, megabytes of memory, and accelerators.
+        """
         return (
-            needs.accelerators
-            <= self.accelerators + self.expected_accelerators + additional.accelerators
-            and needs.cores_milli
-            <= self.cores_milli + self.expected_cores_milli + additional.cores_milli
-            and needs.memory_mb
-            <= self.memory_mb + self.expected_memory_mb + additional.memory_mb
+            needs.cores_milli - self.cores_milli - self.expected_cores_milli,
+            needs.memory_mb - self.memory_mb - self.expected_memory_mb,
+            needs.accelerators - self.accelerators - self.expected_accelerators,
         )
 
 
+class Scope:
+    """Candidates among which a step may be placed, in a fixed order.
+
+    Parameters
+    ----------
+    is_shared : bool
+        Whether the scope serves several steps of a plan. Its sums are then kept up to
+        date with each change to a candidate, which has to pay off.
+    """
+
+    __slots__ = ("_pool", "_positions", "candidates")
+
+    def __init__(
+        self, candidates: Iterable[Candidate], *, is_shared: bool = False
+    ) -> None:
+        self.candidates = list(candidates)
+        self._positions: dict[str, int] = {}
+        self._pool = Pool() if is_shared else None
+        if self._pool is not None:
+            for candidate in self.candidates:
+                candidate.join(self._pool)
+
+    @property
+    def free_accelerators(self) -> int:
+        """Return the free accelerators of all candidates."""
+        if self._pool is None:
+            return free_accelerators(self.candidates)
+        return self._pool.free_accelerators
+
+    @property
+    def version(self) -> int | None:
+        """Return a number that is equal as long as no candidate changes.
+
+        ``None`` if the scope is not shared.
+        """
+        return None if self._pool is None else self._pool.version
+
+    @property
+    def positions(self) -> Mapping[str, int]:
+        """Return the position of each candidate by worker id."""
+        if not self._positions:
+            self._positions = {
+                candidate.worker.worker_id: position
+                for position, candidate in enumerate(self.candidates)
+            }
+        return self._positions
+
+
+class Trial:
+    """Changes to candidates that are undone, after which their versions are the same.
+
+    Whoever undoes the changes calls `end` then, so that what is known of unchanged
+    candidates remains valid.
+    """
+
+    __slots__ = ("_candidates", "_pools")
+
+    def __init__(self) -> None:
+        self._candidates: dict[Candidate, int] = {}
+        self._pools: dict[Pool, int] = {}
+
+    def begin(self, candidate: Candidate) -> None:
+        """Record the version of a candidate before its first change."""
+        if candidate not in self._candidates:
+            self._candidates[candidate] = candidate.version
+            for pool in candidate.pools:
+                self._pools.setdefault(pool, pool.version)
+
+    def end(self) -> None:
+        """Set the versions back, once all changes are undone."""
+        for candidate, version in self._candidates.items():
+            candidate.version = version
+        for pool, version in self._pools.items():
+            pool.version = version
+
+
 def interferes(candidate: Candidate, step: workflow.Step) -> bool:
     """Tell whether a task would run next to tasks that it slows down, or vice versa."""
     return bool(
@@ -258,7 +371,7 @@
     )
 
 
-def free_accelerators(candidates: list[Candidate]) -> int:
+def free_accelerators(candidates: Iterable[Candidate]) -> int:
     """Return the free accelerators of some workers."""
     return sum(max(candidate.accelerators, 0) for candidate in candidates)
 
