Merge the choices of independent workers instead of trying them

Where no gang and no long-running task can be stopped, the choices for one task after the other on a worker depend on that worker only. They are kept, and a search merges them without changing candidates.

--- /dev/null
+++ b/marjoramusher/workflows/choices.py
@@ -0,0 +1,172 @@
+"""Workers and victims for the tasks of a step, kept from request to request.
+
+While a plan is made, most requests for preemption are equal to earlier ones, and a
+commit changes few workers. So what was found for a worker is kept until it changes.
+"""
+
+import heapq
+from collections.abc import Callable, Iterable, Iterator
+
+import msgspec
+
+from . import resources, workflow
+
+
+class Choice(msgspec.Struct, frozen=True):
+    """A worker for a task, and the runs to stop there so that the task fits."""
+
+    candidate: resources.Candidate
+    victims: tuple[workflow.Placement, ...]
+    cost: float
+
+
+class Request(msgspec.Struct, frozen=True):
+    """What the choices for a task depend on, beside the workers.
+
+    Parameters
+    ----------
+    account : str or bool
+        Account of the step if it is within its guarantee, or whether it is if no run
+        in the scope is as urgent.
+    """
+
+    needs: workflow.Resources
+    rack: str
+    is_gang: bool
+    priority: int
+    account: str | bool
+
+
+class Search:
+    """Choices for one task after the other, the cheapest first.
+
+    Parameters
+    ----------
+    choices : iterator of Choice
+        Consumed no further than needed.
+
+    Attributes
+    ----------
+    version : int
+        Version of the scope for which the choices are made.
+    """
+
+    __slots__ = ("_choices", "_costs", "_found", "_is_exhausted", "version")
+
+    def __init__(self, choices: Iterator[Choice], version: int = 0) -> None:
+        self._choices = choices
+        self._found: list[Choice] = []
+        self._costs: list[float] = []  # total with each choice
+        self._is_exhausted = False
+        self.version = version
+
+    def answer(self, count: int, max_cost: float) -> tuple[list[Choice], float]:
+        """Return the choices for some tasks, and their total cost.
+
+        Returns
+        -------
+        list of Choice
+            Empty if there is no room, or if the cost would be `max_cost` or more.
+        float
+            At least `max_cost` if that is the reason.
+        """
+        while len(self._found) < count and not self._is_exhausted:
+            if self._costs and self._costs[-1] >= max_cost:
+                break
+            choice = next(self._choices, None)
+            if choice is None:
+                self._is_exhausted = True
+                break
+            self._found.append(choice)
+            before = self._costs[-1] if self._costs else 0.0
+            self._costs.append(before + choice.cost)
+        costs = self._costs[:count]
+        total_cost = costs[-1] if costs else 0.0
+        if len(costs) < count or total_cost >= max_cost:
+            return [], total_cost
+        return self._found[:count], total_cost
+
+
+class _WorkerChoices:
+    """Choices for one task after the other on one worker."""
+
+    __slots__ = ("_choices", "_found", "version")
+
+    def __init__(self, choices: Iterator[Choice], version: int) -> None:
+        self._choices = choices
+        self._found: list[Choice] = []
+        self.version = version
+
+    def get(self, number: int) -> Choice | None:
+        """Return the choice with a number, at most one higher than before."""
+        if number == len(self._found):
+            choice = next(self._choices, None)
+            if choice is None:
+                return None
+            self._found.append(choice)
+        return self._found[number]
+
+
+class Choices:
+    """Searches of one plan in scopes whose workers are independent of each other."""
+
+    __slots__ = ("_by_worker", "_searches")
+
+    def __init__(self) -> None:
+        self._by_worker: dict[Request, dict[resources.Candidate, _WorkerChoices]] = {}
+        self._searches: dict[tuple[resources.Scope, Request], Search] = {}
+
+    def search(
+        self,
+        scope: resources.Scope,
+        request: Request,
+        choose: Callable[[resources.Candidate], Iterator[Choice]],
+    ) -> Search:
+        """Return the search for a request, which is a new one if a worker has changed.
+
+        Parameters
+        ----------
+        scope : Scope
+            Has to be a shared one.
+        choose : callable
+            Yields the choices for one task after the other on one worker. It may depend
+            on nothing but the worker and the request.
+        """
+        key = (scope, request)
+        search = self._searches.get(key)
+        version = scope.version or 0
+        if search is None or search.version != version:
+            merged = self._merged(scope.candidates, request, choose)
+            search = self._searches[key] = Search(merged, version)
+        return search
+
+    def _merged(
+        self,
+        candidates: Iterable[resources.Candidate],
+        request: Request,
+        choose: Callable[[resources.Candidate], Iterator[Choice]],
+    ) -> Iterator[Choice]:
+        """Yield the choices for one task after the other, the cheapest first.
+
+        Of workers with equal costs, the first one comes first.
+        """
+        known = self._by_worker.setdefault(request, {})
+        cheapest: list[tuple[float, int, int, _WorkerChoices]] = []
+        for position, candidate in enumerate(candidates):
+            choices = known.get(candidate)
+            if choices is None or choices.version != candidate.version:
+                choices = _WorkerChoices(choose(candidate), candidate.version)
+                known[candidate] = choices
+            first = choices.get(0)
+            if first is not None:
+                cheapest.append((first.cost, position, 0, choices))
+        heapq.heapify(cheapest)
+        while cheapest:
+            _, position, number, choices = cheapest[0]
+            yield choices.get(number)
+            following = choices.get(number + 1)
+            if following is None:
+                heapq.heappop(cheapest)
+            else:
+                entry = (following.cost, position, number + 1, choices)
+                heapq.heapreplace(cheapest, entry)
--- a/marjoramusher/workflows/preemption.py
+++ b/marjoramusher/workflows/preemption.py
@@ -1,13 +1,14 @@
 """Selection of the runs that are preempted for urgent tasks."""
 
 import heapq
-from collections.abc import Hashable, Iterable, Mapping
+from collections.abc import Hashable, Iterable, Iterator, Mapping
 
 import msgspec
 
 from . import (
     availability,
     backlog,
+    choices,
     condition,
     machine,
     resources,
@@ -33,71 +34,6 @@
 CHECKPOINT_LOSS_S = 0.5  # work since the last checkpoint, and restoring it
 
 
-class _Choice(msgspec.Struct, frozen=True):
-    """A worker for a task, and the runs to stop there so that the task fits."""
-
-    candidate: resources.Candidate
-    victims: tuple[workflow.Placement, ...]
-    cost: float
-
-
-class _Request(msgspec.Struct, frozen=True):
-    """What the choices for a task depend on, beside the workers.
-
-    Parameters
-    ----------
-    account : str or bool
-        Account of the step if it is within its guarantee, or whether it is if no run
-        in the scope is as urgent.
-    """
-
-    needs: workflow.Resources
-    rack: str
-    is_gang: bool
-    priority: int
-    account: str | bool
-
-
-class _Search:
-    """Choices for one task after the other, cheapest first.
-
-    Attributes
-    ----------
-    costs : list of float
-        Total cost with each choice, and with a further one if that was too expensive.
-    is_exhausted : bool
-        Whether there is no room for more tasks.
-    version : int
-        Version of the scope for which the choices were made.
-    """
-
-    __slots__ = ("choices", "costs", "is_exhausted", "version")
-
-    def __init__(self) -> None:
-        self.choices: list[_Choice] = []
-        self.costs: list[float] = []
-        self.is_exhausted = False
-        self.version = 0
-
-    def answers(self, count: int, max_cost: float) -> bool:
-        """Tell whether a search for other tasks would find nothing else."""
-        return (
-            self.is_exhausted
-            or len(self.choices) >= count
-            or (bool(self.costs) and self.costs[-1] >= max_cost)
-        )
-
-    def answer(self, count: int, max_cost: float) -> tuple[list[_Choice], float]:
-        """Return the choices for some tasks, and the cost; see `Preemptor`."""
-        costs = self.costs[:count]
-        total_cost = costs[-1] if costs else 0.0
-        if total_cost >= max_cost:
-            return [], total_cost
-        if len(self.choices) < count:
-            return [], total_cost
-        return self.choices[:count], total_cost
-
-
 class _Victim(msgspec.Struct, frozen=True, order=True):
     """A run that may be stopped, ordered by the cost of stopping it.
 
@@ -115,6 +51,7 @@
     priority: int
     account: str
     is_long_running: bool
+    is_gang: bool
 
 
 class Preemptor:
@@ -133,7 +70,6 @@
         "_independent",
         "_peers",
         "_ranked_victims",
-        "_searches",
         "_shortages",
         "_state",
         "_stopping",
@@ -154,12 +90,7 @@
         self._shortages = shortage.Shortages()
         # Runs on each worker, the cheapest to stop first.
         self._ranked_victims: dict[str, list[_Victim]] = {}
-        # Choices for the first task, with the version of the worker, and searches, by
-        # what they depend on.
-        self._choices: dict[
-            _Request, dict[resources.Candidate, tuple[int, _Choice | None]]
-        ] = {}
-        self._searches: dict[tuple[resources.Scope, _Request], _Search] = {}
+        self._choices = choices.Choices()
         self._independent: dict[resources.Scope, bool] = {}
         self._peers: dict[tuple[resources.Scope, int], bool] = {}
 
@@ -188,7 +119,7 @@
             Empty if the runs that are already stopping suffice; ``None`` if nothing
             is reserved.
         """
-        best: list[_Choice] = []
+        best: list[choices.Choice] = []
         best_cost = float("inf")
         account = pending.entry.workflow.account
         is_guaranteed = self.is_within_guarantee(account)
@@ -205,11 +136,11 @@
         has_room = False
         request = None if kind is None else self._choice_request(pending)
         for scope in scopes:
-            choices, cost = self._evaluate(pending, count, scope, best_cost, request)
-            if choices:
-                best, best_cost = choices, cost
-            has_room = has_room or bool(choices) or cost >= best_cost
-            if choices and not cost:
+            found, cost = self._evaluate(pending, count, scope, best_cost, request)
+            if found:
+                best, best_cost = found, cost
+            has_room = has_room or bool(found) or cost >= best_cost
+            if found and not cost:
                 break
         if not best:
             if kind is not None and not has_room:
@@ -243,7 +174,7 @@
         limit = account.guaranteed_accelerators if account else 0
         return self._urgent_accelerators[name] <= limit
 
-    def _choice_request(self, pending: backlog.PendingStep) -> _Request:
+    def _choice_request(self, pending: backlog.PendingStep) -> choices.Request:
         """Return everything of a step that the choices for its tasks depend on.
 
         Steps with equal requests share choices, so whatever else comes to decide which
@@ -251,7 +182,7 @@
         """
         step = pending.step
         account = pending.entry.workflow.account
-        return _Request(
+        return choices.Request(
             resources.reserved(step),
             step.rack,
             step.gang,
@@ -265,82 +196,66 @@
         count: int,
         scope: resources.Scope,
         max_cost: float,
-        request: _Request | None,
-    ) -> tuple[list[_Choice], float]:
+        request: choices.Request | None,
+    ) -> tuple[list[choices.Choice], float]:
         """Return where the tasks would go and the total cost, changing nothing.
 
         The choices for equal requests are kept until a worker of the scope changes.
 
         Returns
         -------
-        list of _Choice
+        list of Choice
             Empty if there is no room, or if the cost would be `max_cost` or more.
         float
             At least `max_cost` if that is the reason.
         """
-        version = scope.version
-        if request is None or version is None or not self._is_independent(scope):
-            return self._search(pending, count, scope, max_cost, None).answer(
-                count, max_cost
-            )
+        if request is None or scope.version is None or not self._is_independent(scope):
+            return self._try(pending, count, scope, max_cost)
         if not self._has_peers(scope, request.priority):
             request = msgspec.structs.replace(request, account=bool(request.account))
-        key = (scope, request)
-        known = self._searches.get(key)
-        if (
-            known is None
-            or known.version != version
-            or not known.answers(count, max_cost)
-        ):
-            known = self._search(pending, count, scope, max_cost, request)
-            known.version = version
-            self._searches[key] = known
-        return known.answer(count, max_cost)
-
-    def _search(
+        search = self._choices.search(
+            scope, request, lambda candidate: self._choose(pending, candidate)
+        )
+        return search.answer(count, max_cost)
+
+    def _try(
         self,
         pending: backlog.PendingStep,
         count: int,
         scope: resources.Scope,
         max_cost: float,
-        request: _Request | None,
-    ) -> _Search:
-        """Choose workers and victims for one task after the other, as a trial.
+    ) -> tuple[list[choices.Choice], float]:
+        """Return the same as `_evaluate`, by changes that are undone.
 
         The choice for each worker is kept from task to task, and made again only for
         workers whose resources or victims have changed.
         """
         candidates = scope.candidates
         needs = resources.reserved(pending.step)
-        options = self._first_choices(pending, needs, candidates, request)
-        cheapest = [
-            (option.cost, position)
-            for position, option in enumerate(options)
-            if option is not None
-        ]
-        heapq.heapify(cheapest)
+        options: list[choices.Choice | None] = [None] * len(candidates)
+        cheapest: list[tuple[float, int]] = []
 
         def update(changed: Iterable[int]) -> None:
             for position in changed:
-                option = self._cheapest_choice(pending, needs, candidates[position])
+                option = next(self._choose(pending, candidates[position]), None)
                 options[position] = option
                 if option is not None:
                     heapq.heappush(cheapest, (option.cost, position))
 
-        found = _Search()
+        update(range(len(candidates)))
+        chosen: list[choices.Choice] = []
         trial = resources.Trial()
         stopped: list[workflow.Placement] = []
         total_cost = 0.0
-        while len(found.choices) < count and cheapest:
+        while len(chosen) < count and cheapest:
             cost, position = heapq.heappop(cheapest)
             choice = options[position]
             if choice is None or choice.cost != cost:
                 continue  # made before the worker changed
             total_cost += cost
-            found.costs.append(total_cost)
             if total_cost >= max_cost:
                 break
-            found.choices.append(choice)
+            chosen.append(choice)
             trial.begin(choice.candidate)
             choice.candidate.allocate(needs)
             choice.candidate.adjust_task_count(pending.key, 1)
@@ -352,59 +267,27 @@
                 # Their disruption budget may rule out victims on any worker.
                 update(range(len(candidates)))
                 continue
-            changed = {position}
-            worker_id = choice.candidate.worker.worker_id
-            for victim in marked:
-                if victim.worker_id != worker_id:
-                    changed.add(scope.positions.get(victim.worker_id, position))
-            update(changed)
-        else:
-            found.is_exhausted = len(found.choices) < count
-        for choice in found.choices:
+            changed = {
+                scope.positions.get(victim.worker_id, position) for victim in marked
+            }
+            update(changed | {position})
+        for choice in chosen:
             choice.candidate.deallocate(needs)
             choice.candidate.adjust_task_count(pending.key, -1)
         self._unmark_stopping(stopped)
         trial.end()
-        return found
-
-    def _first_choices(
-        self,
-        pending: backlog.PendingStep,
-        needs: workflow.Resources,
-        candidates: Iterable[resources.Candidate],
-        request: _Request | None,
-    ) -> list[_Choice | None]:
-        """Return the choice of each worker for the first task.
-
-        Parameters
-        ----------
-        request : _Request or None
-            Equal for requests that share their choices; ``None`` if none does.
-        """
-        if request is None:
-            return [
-                self._cheapest_choice(pending, needs, candidate)
-                for candidate in candidates
-            ]
-        known = self._choices.setdefault(request, {})
-        options: list[_Choice | None] = []
-        for candidate in candidates:
-            version, option = known.get(candidate, (-1, None))
-            if version != candidate.version:
-                option = self._cheapest_choice(pending, needs, candidate)
-                known[candidate] = candidate.version, option
-            options.append(option)
-        return options
+        return (chosen if len(chosen) == count else []), total_cost
 
     def _is_independent(self, scope: resources.Scope) -> bool:
-        """Tell whether the choice for each worker depends on that worker only.
+        """Tell whether the choices for each worker depend on that worker only.
 
-        The disruption budget of a long-running step depends on runs anywhere.
+        The disruption budget of a long-running step depends on runs anywhere, and
+        members of a gang end together.
         """
         known = self._independent.get(scope)
         if known is None:
             known = self._independent[scope] = not any(
-                victim.is_long_running
+                victim.is_long_running or victim.is_gang
                 for candidate in scope.candidates
                 for victim in self._victims(candidate)
             )
@@ -422,29 +305,47 @@
             )
         return known
 
-    def _cheapest_choice(
-        self,
-        pending: backlog.PendingStep,
-        needs: workflow.Resources,
-        candidate: resources.Candidate,
-    ) -> _Choice | None:
-        """Return the cheapest victims for one task on a worker, and their cost."""
+    def _choose(
+        self, pending: backlog.PendingStep, candidate: resources.Candidate
+    ) -> Iterator[choices.Choice]:
+        """Yield the cheapest victims on a worker for one task after the other.
+
+        Choices after the first one take into account what the earlier ones take and
+        stop on this worker only.
+        """
         step = pending.step
+        needs = resources.reserved(step)
         if step.gang and candidate.is_silent:
-            return None
+            return
         if not candidate.has_task_slot(pending.key, step.max_per_worker):
-            return None
+            return
         is_remote = bool(step.rack) and candidate.worker.rack != step.rack
         cost = (candidate.is_suspect + is_remote) * LAST_RESORT_COST
-        if not candidate.is_closed and candidate.will_fit(needs):
-            return _Choice(candidate, (), cost)
-        if not needs.fits_within(candidate.worker.capacity):
-            return None
+        is_large_enough = needs.fits_within(candidate.worker.capacity)
+        # What is lacking for the next task after the stops so far.
+        cores_milli, memory_mb, accelerators = candidate.lacking(needs)
         chosen: list[workflow.Placement] = []
         victim_cost = 0.0
-        # What is lacking after the stops so far.
-        cores_milli, memory_mb, accelerators = candidate.lacking(needs)
-        for victim in self._victims(candidate):
+        victims = iter(self._victims(candidate))
+        while True:
+            while (
+                accelerators <= 0
+                and cores_milli <= 0
+                and memory_mb <= 0
+                # A closed worker takes others only once it is empty.
+                and (
+                    not candidate.is_closed or 0 < len(chosen) >= len(candidate.running)
+                )
+            ):
+                yield choices.Choice(candidate, tuple(chosen), victim_cost + cost)
+                chosen = []
+                victim_cost = 0.0
+                cores_milli += needs.cores_milli
+                memory_mb += needs.memory_mb
+                accelerators += needs.accelerators
+            victim = next(victims, None) if is_large_enough else None
+            if victim is None:
+                return
             placement = victim.placement
             if (
                 placement.task in self._stopping
@@ -457,11 +358,6 @@
             cores_milli -= victim.needs.cores_milli
             memory_mb -= victim.needs.memory_mb
             accelerators -= victim.needs.accelerators
-            if candidate.is_closed and len(chosen) < len(candidate.running):
-                continue  # a closed worker takes others only once it is empty
-            if accelerators <= 0 and cores_milli <= 0 and memory_mb <= 0:
-                return _Choice(candidate, tuple(chosen), victim_cost + cost)
-        return None
 
     def _victims(self, candidate: resources.Candidate) -> list[_Victim]:
         """Return the runs on a worker, the cheapest to stop first."""
@@ -483,6 +379,7 @@
             entry.queue.priority,
             entry.workflow.account,
             step.long_running,
+            step.gang,
         )
 
     def _drop_stopping(self, worker_id: str) -> None:
