Keep the first choices also where gangs can be stopped

The exhaustive search of the test has the new signatures, and also runs on fleets without gangs and long-running tasks, where searches are merged. An account without a name counted as within its guarantee in the key of kept choices.

--- a/marjoramusher/workflows/choices.py
+++ b/marjoramusher/workflows/choices.py
@@ -26,8 +26,8 @@
     Parameters
     ----------
     account : str or bool
-        Account of the step if it is within its guarantee, or whether it is if no run
-        in the scope is as urgent.
+        Account of the step if it is within its guarantee; ``True`` instead if no run in
+        the scope is as urgent. ``False`` if it is not.
     """
 
     needs: workflow.Resources
@@ -108,7 +108,7 @@
 
 
 class Choices:
-    """Searches of one plan in scopes whose workers are independent of each other."""
+    """Choices and searches of one plan."""
 
     __slots__ = ("_by_worker", "_searches")
 
@@ -127,7 +127,7 @@
         Parameters
         ----------
         scope : Scope
-            Has to be a shared one.
+            Has to be a shared one, with workers that are independent of each other.
         choose : callable
             Yields the choices for one task after the other on one worker. It may depend
             on nothing but the worker and the request.
@@ -140,6 +140,39 @@
             search = self._searches[key] = Search(merged, version)
         return search
 
+    def first(
+        self,
+        candidates: Iterable[resources.Candidate],
+        request: Request | None,
+        choose: Callable[[resources.Candidate], Iterator[Choice]],
+    ) -> list[Choice | None]:
+        """Return the choice of each worker for one task, ``None`` where there is none.
+
+        Parameters
+        ----------
+        request : Request or None
+            ``None`` if no other request is equal, so that the choices are not kept.
+        """
+        if request is None:
+            return [next(choose(candidate), None) for candidate in candidates]
+        return [
+            self._on_worker(candidate, request, choose).get(0)
+            for candidate in candidates
+        ]
+
+    def _on_worker(
+        self,
+        candidate: resources.Candidate,
+        request: Request,
+        choose: Callable[[resources.Candidate], Iterator[Choice]],
+    ) -> _WorkerChoices:
+        known = self._by_worker.setdefault(request, {})
+        choices = known.get(candidate)
+        if choices is None or choices.version != candidate.version:
+            choices = _WorkerChoices(choose(candidate), candidate.version)
+            known[candidate] = choices
+        return choices
+
     def _merged(
         self,
         candidates: Iterable[resources.Candidate],
@@ -150,13 +183,9 @@
 
         Of workers with equal costs, the first one comes first.
         """
-        known = self._by_worker.setdefault(request, {})
         cheapest: list[tuple[float, int, int, _WorkerChoices]] = []
         for position, candidate in enumerate(candidates):
-            choices = known.get(candidate)
-            if choices is None or choices.version != candidate.version:
-                choices = _WorkerChoices(choose(candidate), candidate.version)
-                known[candidate] = choices
+            choices = self._on_worker(candidate, request, choose)
             first = choices.get(0)
             if first is not None:
                 cheapest.append((first.cost, position, 0, choices))
--- a/marjoramusher/workflows/planner_test.py
+++ b/marjoramusher/workflows/planner_test.py
@@ -580,11 +580,11 @@
 class ExhaustivePreemptor(preemption.Preemptor):
     """Compares all workers again for each task of a gang."""
 
-    def _evaluate(self, pending, count, candidates, max_cost):
+    def _evaluate(self, pending, count, scope, max_cost):
         needs = resources.reserved(pending.step)
         choices, stopped = [], []
         while len(choices) < count:
-            options = [self._cheapest_choice(pending, needs, c) for c in candidates]
+            options = [next(self._choose(pending, c), None) for c in scope.candidates]
             choice = min(filter(None, options), key=lambda o: o.cost, default=None)
             if choice is None:
                 break
@@ -602,9 +602,11 @@
         return (choices if is_chosen else []), cost
 
 
-def crowded_harness(rng):
+def crowded_harness(rng, is_uniform):
     """Return a fleet that is full of long and batch work, with urgent work waiting.
 
+    A uniform one has neither gangs nor long-running tasks, and more urgent work.
+
     Long-running tasks are victims only for accounts within their guarantee, so the
     guarantees are large.
     """
@@ -620,7 +622,6 @@
             rng.choice([1, 2, 4, 8]),
             rng.choice([1000, 5600]),
             account=rng.choice("ab"),
-            gang=rng.random() < 0.6,
             same_rack=rng.random() < 0.4,
             max_per_worker=rng.choice([0, 0, 2]),
             rack=rng.choice(["", "", "r1"]),
@@ -628,9 +629,10 @@
         )
 
     for _ in range(20):
-        is_service = rng.random() < 0.5
+        is_service = rng.random() < 0.5 and not is_uniform
         submit(
             rng.choice(["long", "batch"]),
+            gang=rng.random() < 0.6 and not is_uniform,
             checkpointing=rng.random() < 0.5,
             long_running=is_service,
             max_unavailable=int(is_service),
@@ -643,16 +645,19 @@
             is_suspect=rng.random() < 0.2,
             serving=frozenset(p for p in placed.values() if rng.random() < 0.8),
         )
-    for _ in range(rng.randint(2, 8)):
-        submit("urgent")
+    for _ in range(rng.randint(2, 16 if is_uniform else 8)):
+        submit("urgent", gang=rng.random() < 0.6)
     return harness
 
 
-def test_kept_choices_stop_the_same_runs_as_an_exhaustive_search(monkeypatch):
+@pytest.mark.parametrize("is_uniform", [False, True])
+def test_kept_choices_stop_the_same_runs_as_an_exhaustive_search(
+    monkeypatch, is_uniform
+):
     """Guards against victims that a choice kept from an earlier task gets wrong."""
     preempted = 0
     for seed in range(100):
-        harness = crowded_harness(random.Random(seed))
+        harness = crowded_harness(random.Random(seed), is_uniform)
         quick = harness.plan()
         monkeypatch.setattr(preemption, "Preemptor", ExhaustivePreemptor)
         assert harness.plan() == quick
--- a/marjoramusher/workflows/preemption.py
+++ b/marjoramusher/workflows/preemption.py
@@ -1,5 +1,6 @@
 """Selection of the runs that are preempted for urgent tasks."""
 
+import enum
 import heapq
 from collections.abc import Hashable, Iterable, Iterator, Mapping
 
@@ -34,6 +35,14 @@
 CHECKPOINT_LOSS_S = 0.5  # work since the last checkpoint, and restoring it
 
 
+class _Dependence(enum.Enum):
+    """What the choices for a worker depend on beside that worker."""
+
+    NONE = enum.auto()
+    GANGS = enum.auto()  # members that run elsewhere end with those on the worker
+    BUDGETS = enum.auto()  # of long-running steps, which depend on runs anywhere
+
+
 class _Victim(msgspec.Struct, frozen=True, order=True):
     """A run that may be stopped, ordered by the cost of stopping it.
 
@@ -67,7 +76,7 @@
         "_candidates",
         "_choices",
         "_conditions",
-        "_independent",
+        "_dependences",
         "_peers",
         "_ranked_victims",
         "_shortages",
@@ -91,7 +100,7 @@
         # Runs on each worker, the cheapest to stop first.
         self._ranked_victims: dict[str, list[_Victim]] = {}
         self._choices = choices.Choices()
-        self._independent: dict[resources.Scope, bool] = {}
+        self._dependences: dict[resources.Scope, _Dependence] = {}
         self._peers: dict[tuple[resources.Scope, int], bool] = {}
 
     def preempt(
@@ -134,9 +143,8 @@
         if not is_guaranteed:
             best_cost = MAX_COST_FACTOR * resources.core_seconds(pending.step)
         has_room = False
-        request = None if kind is None else self._choice_request(pending)
         for scope in scopes:
-            found, cost = self._evaluate(pending, count, scope, best_cost, request)
+            found, cost = self._evaluate(pending, count, scope, best_cost)
             if found:
                 best, best_cost = found, cost
             has_room = has_room or bool(found) or cost >= best_cost
@@ -174,21 +182,23 @@
         limit = account.guaranteed_accelerators if account else 0
         return self._urgent_accelerators[name] <= limit
 
-    def _choice_request(self, pending: backlog.PendingStep) -> choices.Request:
+    def _request(
+        self, pending: backlog.PendingStep, scope: resources.Scope
+    ) -> choices.Request:
         """Return everything of a step that the choices for its tasks depend on.
 
         Steps with equal requests share choices, so whatever else comes to decide which
         runs are stopped for a step has to be part of it.
         """
         step = pending.step
-        account = pending.entry.workflow.account
-        return choices.Request(
-            resources.reserved(step),
-            step.rack,
-            step.gang,
-            pending.entry.queue.priority,
-            account if self.is_within_guarantee(account) else "",
-        )
+        priority = pending.entry.queue.priority
+        account: str | bool = pending.entry.workflow.account
+        if not self.is_within_guarantee(account):
+            account = False
+        elif not self._has_peers(scope, priority):
+            account = True
+        needs = resources.reserved(step)
+        return choices.Request(needs, step.rack, step.gang, priority, account)
 
     def _evaluate(
         self,
@@ -196,7 +206,6 @@
         count: int,
         scope: resources.Scope,
         max_cost: float,
-        request: choices.Request | None,
     ) -> tuple[list[choices.Choice], float]:
         """Return where the tasks would go and the total cost, changing nothing.
 
@@ -209,10 +218,13 @@
         float
             At least `max_cost` if that is the reason.
         """
-        if request is None or scope.version is None or not self._is_independent(scope):
-            return self._try(pending, count, scope, max_cost)
-        if not self._has_peers(scope, request.priority):
-            request = msgspec.structs.replace(request, account=bool(request.account))
+        is_shared = scope.version is not None and not pending.step.max_per_worker
+        request = self._request(pending, scope) if is_shared else None
+        dependence = self._dependence(scope)
+        if request is None or dependence is _Dependence.BUDGETS:
+            return self._try(pending, count, scope, max_cost, None)
+        if dependence is _Dependence.GANGS:
+            return self._try(pending, count, scope, max_cost, request)
         search = self._choices.search(
             scope, request, lambda candidate: self._choose(pending, candidate)
         )
@@ -224,25 +236,39 @@
         count: int,
         scope: resources.Scope,
         max_cost: float,
+        request: choices.Request | None,
     ) -> tuple[list[choices.Choice], float]:
         """Return the same as `_evaluate`, by changes that are undone.
 
         The choice for each worker is kept from task to task, and made again only for
         workers whose resources or victims have changed.
+
+        Parameters
+        ----------
+        request : Request or None
+            ``None`` if no other step has the same first choices.
         """
         candidates = scope.candidates
         needs = resources.reserved(pending.step)
-        options: list[choices.Choice | None] = [None] * len(candidates)
-        cheapest: list[tuple[float, int]] = []
+
+        def choose(candidate: resources.Candidate) -> Iterator[choices.Choice]:
+            return self._choose(pending, candidate)
+
+        options = self._choices.first(candidates, request, choose)
+        cheapest = [
+            (option.cost, position)
+            for position, option in enumerate(options)
+            if option is not None
+        ]
+        heapq.heapify(cheapest)
 
         def update(changed: Iterable[int]) -> None:
             for position in changed:
-                option = next(self._choose(pending, candidates[position]), None)
+                option = next(choose(candidates[position]), None)
                 options[position] = option
                 if option is not None:
                     heapq.heappush(cheapest, (option.cost, position))
 
-        update(range(len(candidates)))
         chosen: list[choices.Choice] = []
         trial = resources.Trial()
         stopped: list[workflow.Placement] = []
@@ -278,19 +304,21 @@
         trial.end()
         return (chosen if len(chosen) == count else []), total_cost
 
-    def _is_independent(self, scope: resources.Scope) -> bool:
-        """Tell whether the choices for each worker depend on that worker only.
-
-        The disruption budget of a long-running step depends on runs anywhere, and
-        members of a gang end together.
-        """
-        known = self._independent.get(scope)
+    def _dependence(self, scope: resources.Scope) -> _Dependence:
+        """Return what else than a worker itself its choices in a scope depend on."""
+        known = self._dependences.get(scope)
         if known is None:
-            known = self._independent[scope] = not any(
-                victim.is_long_running or victim.is_gang
+            victims = [
+                victim
                 for candidate in scope.candidates
                 for victim in self._victims(candidate)
-            )
+            ]
+            known = _Dependence.NONE
+            if any(victim.is_long_running for victim in victims):
+                known = _Dependence.BUDGETS
+            elif any(victim.is_gang for victim in victims):
+                known = _Dependence.GANGS
+            self._dependences[scope] = known
         return known
 
     def _has_peers(self, scope: resources.Scope, priority: int) -> bool:
