Merge searches of racks into those of all workers

A gang that may be spread merged the choices of all workers anew after each commit; now it merges those of the racks, of which few have changed.

--- a/marjoramusher/workflows/choices.py
+++ b/marjoramusher/workflows/choices.py
@@ -6,6 +6,7 @@
 
 import heapq
 from collections.abc import Callable, Iterable, Iterator
+from typing import Protocol
 
 import msgspec
 
@@ -37,8 +38,15 @@
     account: str | bool
 
 
+class _Choices(Protocol):
+    """Choices for one task after the other on a worker or in a scope."""
+
+    def get(self, number: int) -> Choice | None:
+        """Return the choice with a number, at most one higher than before."""
+
+
 class Search:
-    """Choices for one task after the other, the cheapest first.
+    """Choices for one task after the other in a scope, the cheapest first.
 
     Parameters
     ----------
@@ -51,15 +59,25 @@
         Version of the scope for which the choices are made.
     """
 
-    __slots__ = ("_choices", "_costs", "_found", "_is_exhausted", "version")
+    __slots__ = ("_choices", "_costs", "_found", "version")
 
     def __init__(self, choices: Iterator[Choice], version: int = 0) -> None:
         self._choices = choices
         self._found: list[Choice] = []
         self._costs: list[float] = []  # total with each choice
-        self._is_exhausted = False
         self.version = version
 
+    def get(self, number: int) -> Choice | None:
+        """Return the choice with a number, at most one higher than before."""
+        if number == len(self._found):
+            choice = next(self._choices, None)
+            if choice is None:
+                return None
+            self._found.append(choice)
+            before = self._costs[-1] if self._costs else 0.0
+            self._costs.append(before + choice.cost)
+        return self._found[number]
+
     def answer(self, count: int, max_cost: float) -> tuple[list[Choice], float]:
         """Return the choices for some tasks, and their total cost.
 
@@ -70,16 +88,11 @@
         float
             At least `max_cost` if that is the reason.
         """
-        while len(self._found) < count and not self._is_exhausted:
+        while len(self._found) < count:
             if self._costs and self._costs[-1] >= max_cost:
                 break
-            choice = next(self._choices, None)
-            if choice is None:
-                self._is_exhausted = True
+            if self.get(len(self._found)) is None:
                 break
-            self._found.append(choice)
-            before = self._costs[-1] if self._costs else 0.0
-            self._costs.append(before + choice.cost)
         costs = self._costs[:count]
         total_cost = costs[-1] if costs else 0.0
         if len(costs) < count or total_cost >= max_cost:
@@ -136,7 +149,7 @@
         search = self._searches.get(key)
         version = scope.version or 0
         if search is None or search.version != version:
-            merged = self._merged(scope.candidates, request, choose)
+            merged = self._merged(scope, request, choose)
             search = self._searches[key] = Search(merged, version)
         return search
 
@@ -175,27 +188,36 @@
 
     def _merged(
         self,
-        candidates: Iterable[resources.Candidate],
+        scope: resources.Scope,
         request: Request,
         choose: Callable[[resources.Candidate], Iterator[Choice]],
     ) -> Iterator[Choice]:
         """Yield the choices for one task after the other, the cheapest first.
 
-        Of workers with equal costs, the first one comes first.
+        Of workers with equal costs, the first one comes first. A search in a scope with
+        parts merges those in the parts, few of which have changed since the last one.
         """
-        cheapest: list[tuple[float, int, int, _WorkerChoices]] = []
-        for position, candidate in enumerate(candidates):
-            choices = self._on_worker(candidate, request, choose)
-            first = choices.get(0)
+        sources: list[_Choices]
+        if scope.parts:
+            sources = [self.search(part, request, choose) for part in scope.parts]
+        else:
+            sources = [
+                self._on_worker(candidate, request, choose)
+                for candidate in scope.candidates
+            ]
+        cheapest = []
+        for source in sources:
+            first = source.get(0)
             if first is not None:
-                cheapest.append((first.cost, position, 0, choices))
+                cheapest.append((first.cost, first.candidate.position, 0, source))
         heapq.heapify(cheapest)
         while cheapest:
-            _, position, number, choices = cheapest[0]
-            yield choices.get(number)
-            following = choices.get(number + 1)
+            _, _, number, source = cheapest[0]
+            yield source.get(number)
+            following = source.get(number + 1)
             if following is None:
                 heapq.heappop(cheapest)
             else:
-                entry = (following.cost, position, number + 1, choices)
+                position = following.candidate.position
+                entry = (following.cost, position, number + 1, source)
                 heapq.heapreplace(cheapest, entry)
--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -162,8 +162,7 @@
     def __init__(
         self, candidates: Iterable[resources.Candidate], *, is_shared: bool
     ) -> None:
-        self.all = resources.Scope(candidates, is_shared=is_shared)
-        self.candidates = self.all.candidates
+        self.candidates = list(candidates)
         racks: dict[str, list[resources.Candidate]] = {}
         self._rack_sizes: dict[tuple[workflow.Resources, int], dict[str, int]] = {}
         for candidate in self.candidates:
@@ -172,6 +171,9 @@
             rack: resources.Scope(members, is_shared=is_shared)
             for rack, members in racks.items()
         }
+        self.all = resources.Scope(
+            self.candidates, is_shared=is_shared, parts=tuple(self.by_rack.values())
+        )
 
     def rack_sizes(self, step: workflow.Step) -> dict[str, int]:
         """Return how many tasks of a step each rack would hold if it were empty."""
@@ -247,7 +249,9 @@
     ) -> resources.Candidate:
         """Return a candidate without the resources that its runs reserve."""
         pool = self._pools.setdefault(worker.service, resources.Pool())
-        candidate = resources.Candidate(worker, status.is_suspect, pool)
+        candidate = resources.Candidate(
+            worker, status.is_suspect, pool, len(self._by_worker)
+        )
         for key, placement in self._state.placements_on(worker.worker_id).items():
             entry = self._state.entries[key.workflow_id]
             step = entry.workflow.steps[key.step]
--- a/marjoramusher/workflows/preemption.py
+++ b/marjoramusher/workflows/preemption.py
@@ -2,6 +2,7 @@
 
 import enum
 import heapq
+import operator
 from collections.abc import Hashable, Iterable, Iterator, Mapping
 
 import msgspec
@@ -43,11 +44,13 @@
     BUDGETS = enum.auto()  # of long-running steps, which depend on runs anywhere
 
 
-class _Victim(msgspec.Struct, frozen=True, order=True):
-    """A run that may be stopped, ordered by the cost of stopping it.
+class _Victim(msgspec.Struct, frozen=True):
+    """A run that may be stopped.
 
     Parameters
     ----------
+    cost : float
+        Cost of stopping it, in core-seconds.
     needs : Resources
         What the run reserves on its worker.
     priority : int
@@ -63,6 +66,10 @@
     is_gang: bool
 
 
+# Equal costs are ordered by placement. Keys compare faster than structs.
+_stop_order = operator.attrgetter("cost", "placement")
+
+
 class Preemptor:
     """Choose victims, and reserve the resources that they will free.
 
@@ -393,7 +400,7 @@
         victims = self._ranked_victims.get(worker_id)
         if victims is None:
             victims = self._ranked_victims[worker_id] = sorted(
-                self._victim(placement) for placement in candidate.running
+                map(self._victim, candidate.running), key=_stop_order
             )
         return victims
 
--- a/marjoramusher/workflows/resources.py
+++ b/marjoramusher/workflows/resources.py
@@ -82,6 +82,8 @@
         Whether other workers are preferred.
     pool : Pool or None
         Pool that this worker is part of.
+    position : int
+        Position in the order in which equal workers are preferred.
 
     Attributes
     ----------
@@ -110,6 +112,7 @@
         "is_silent",
         "is_suspect",
         "memory_mb",
+        "position",
         "running",
         "serving_count",
         "starting_count",
@@ -123,8 +126,10 @@
         worker: workflow.Worker,
         is_suspect: bool,
         pool: Pool | None = None,
+        position: int = 0,
     ) -> None:
         self.worker = worker
+        self.position = position
         self._pool = pool
         self._pools: list[Pool] = [] if pool is None else [pool]
         self.version = 0
@@ -262,14 +267,21 @@
     is_shared : bool
         Whether the scope serves several steps of a plan. Its sums are then kept up to
         date with each change to a candidate, which has to pay off.
+    parts : sequence of Scope
+        Scopes that have each candidate once between them; none if it has no parts.
     """
 
-    __slots__ = ("_pool", "_positions", "candidates")
+    __slots__ = ("_pool", "_positions", "candidates", "parts")
 
     def __init__(
-        self, candidates: Iterable[Candidate], *, is_shared: bool = False
+        self,
+        candidates: Iterable[Candidate],
+        *,
+        is_shared: bool = False,
+        parts: Sequence["Scope"] = (),
     ) -> None:
         self.candidates = list(candidates)
+        self.parts = parts
         self._positions: dict[str, int] = {}
         self._pool = Pool() if is_shared else None
         if self._pool is not None:
