Keep the sums over the runs on a worker in the replicated state

Each plan added up every placement of every worker. Candidates now start from sums that are kept up to date with each placement and release, the share in use is taken from them, and rack sizes are computed once for each capacity.

--- a/marjoramusher/workflows/backlog.py
+++ b/marjoramusher/workflows/backlog.py
@@ -62,6 +62,19 @@
     return total
 
 
+def urgent_accelerators_by_account(state: machine.WorkflowMachine) -> dict[str, int]:
+    """Return the accelerators of all active urgent work, by account."""
+    totals: dict[str, int] = {}
+    for entry in state.active.values():
+        if not entry.queue.priority:
+            account = entry.workflow.account
+            needed = sum(
+                step.count * step.needs.accelerators for step in entry.workflow.steps
+            )
+            totals[account] = totals.get(account, 0) + needed
+    return totals
+
+
 def total_accelerators(state: machine.WorkflowMachine) -> int:
     """Return the accelerators of all workers on which tasks may start."""
     return sum(
--- a/marjoramusher/workflows/machine.py
+++ b/marjoramusher/workflows/machine.py
@@ -5,7 +5,15 @@
 import msgspec
 
 from ..core import codec, crash
-from . import catalog, command, evacuation, suspicion, wave, workflow
+from . import (
+    catalog,
+    command,
+    evacuation,
+    occupancy,
+    suspicion,
+    wave,
+    workflow,
+)
 
 
 class TaskState(msgspec.Struct, array_like=True):
@@ -157,7 +165,7 @@
         "_entries",
         "_evacuations",
         "_index",
-        "_placements",
+        "_occupancies",
         "_removed_workers",
         "_waves",
         "_workers",
@@ -233,7 +241,11 @@
         self, worker_id: str
     ) -> dict[workflow.TaskKey, workflow.Placement]:
         """Return the runs that may be in progress on a worker."""
-        return self._placements.get(worker_id, {})
+        return self._occupancies.get(worker_id, occupancy.NONE).placements
+
+    def occupancy_of(self, worker_id: str) -> occupancy.Occupancy:
+        """Return the runs on a worker with the sums over them, not to be changed."""
+        return self._occupancies.get(worker_id, occupancy.NONE)
 
     def task(self, key: workflow.TaskKey) -> TaskState | None:
         """Return the state of a task, ``None`` if it does not exist."""
@@ -317,16 +329,19 @@
         self._active = {
             key: entry for key, entry in self._entries.items() if entry.is_active
         }
-        self._placements: dict[str, dict[workflow.TaskKey, workflow.Placement]] = {}
+        # Only of workers that have runs.
+        self._occupancies: dict[str, occupancy.Occupancy] = {}
         for entry in self._entries.values():
-            for _, _, tasks in entry.tasks():
+            for _, step, tasks in entry.tasks():
                 for task in tasks:
                     if task.placement is not None:
-                        placement = task.placement
-                        placements = self._placements.setdefault(
-                            placement.worker_id, {}
-                        )
-                        placements[placement.task] = placement
+                        self._occupy(task.placement, entry.workflow.steps[step])
+
+    def _occupy(self, placement: workflow.Placement, step: workflow.Step) -> None:
+        occupied = self._occupancies.get(placement.worker_id)
+        if occupied is None:
+            occupied = self._occupancies[placement.worker_id] = occupancy.Occupancy()
+        occupied.add(placement, step)
 
     def _replace_catalog(
         self, replace: command.ReplaceCatalog
@@ -492,8 +507,13 @@
         placement = task.placement
         if placement is not None:
             task.placement = None
-            placements = self._placements.get(placement.worker_id, {})
-            placements.pop(placement.task, None)
+            occupied = self._occupancies.get(placement.worker_id)
+            if occupied is not None:
+                entry = self._entries[placement.task.workflow_id]
+                step = entry.workflow.steps[placement.task.step]
+                occupied.remove(placement, step)
+                if not occupied.placements:
+                    del self._occupancies[placement.worker_id]
 
     def _assign(self, assign: command.Assign) -> Iterator[workflow.Placement]:
         """Place the tasks that can be placed and yield their placements.
@@ -542,8 +562,7 @@
         task.last_run = placement.run
         task.placement = placement
         entry.is_started = True
-        placements = self._placements.setdefault(placement.worker_id, {})
-        placements[placement.task] = placement
+        self._occupy(placement, entry.workflow.steps[placement.task.step])
         return placement
 
     def _settle(self, settle: command.Settle) -> None:
--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -157,16 +157,21 @@
         Whether several steps of a plan use the set.
     """
 
-    __slots__ = ("_rack_sizes", "all", "by_rack", "candidates")
+    __slots__ = ("_capacity_counts", "_rack_sizes", "all", "by_rack", "candidates")
 
     def __init__(
         self, candidates: Iterable[resources.Candidate], *, is_shared: bool
     ) -> None:
         self.candidates = list(candidates)
         racks: dict[str, list[resources.Candidate]] = {}
+        # Number of workers of each capacity, by rack. There are few capacities.
+        self._capacity_counts: dict[str, dict[workflow.Resources, int]] = {}
         self._rack_sizes: dict[tuple[workflow.Resources, int], dict[str, int]] = {}
         for candidate in self.candidates:
-            racks.setdefault(candidate.worker.rack, []).append(candidate)
+            worker = candidate.worker
+            racks.setdefault(worker.rack, []).append(candidate)
+            counts = self._capacity_counts.setdefault(worker.rack, {})
+            counts[worker.capacity] = counts.get(worker.capacity, 0) + 1
         self.by_rack = {
             rack: resources.Scope(members, is_shared=is_shared)
             for rack, members in racks.items()
@@ -180,8 +185,11 @@
         key = (resources.reserved(step), step.max_per_worker)
         if key not in self._rack_sizes:
             self._rack_sizes[key] = {
-                rack: _size(step, scope.candidates)
-                for rack, scope in self.by_rack.items()
+                rack: sum(
+                    count * _size_of(step, capacity)
+                    for capacity, count in counts.items()
+                )
+                for rack, counts in self._capacity_counts.items()
             }
         return self._rack_sizes[key]
 
@@ -252,23 +260,26 @@
         candidate = resources.Candidate(
             worker, status.is_suspect, pool, len(self._by_worker)
         )
-        for key, placement in self._state.placements_on(worker.worker_id).items():
-            entry = self._state.entries[key.workflow_id]
+        occupied = self._state.occupancy_of(worker.worker_id)
+        candidate.load(occupied.reserved, occupied.task_counts)
+        candidate.fill_count = occupied.fill_count
+        candidate.serving_count = occupied.serving_count
+        entries, ages_s, stopping = self._state.entries, status.ages_s, status.stopping
+        for key, placement in occupied.placements.items():
+            entry = entries[key.workflow_id]
+            age_s = ages_s.get(key, 0.0)
+            candidate.starting_count += age_s < STARTING_S
             step = entry.workflow.steps[key.step]
-            needs = resources.reserved(step)
-            candidate.allocate(needs)
-            candidate.adjust_task_count((key.workflow_id, key.occurrence, key.step), 1)
-            candidate.fill_count += step.fill
-            candidate.serving_count += step.target_ms > 0
-            candidate.starting_count += status.ages_s.get(key, 0.0) < STARTING_S
             task = entry.occurrences[key.occurrence][key.step][key.index]
-            crashes = suspicion.recent(task.suspicions, step, self._now_ms)
-            candidate.crash_suspects += bool(crashes)
-            if placement in status.stopping or not entry.is_active:
-                candidate.expect_freed(needs)
+            crashes: Sequence[crash.Crash] = ()
+            if task.crashes or task.possible_crashes:
+                crashes = suspicion.recent(task.suspicions, step, self._now_ms)
+                candidate.crash_suspects += bool(crashes)
+            if (stopping and placement in stopping) or not entry.is_active:
+                candidate.expect_freed(resources.reserved(step))
             else:
                 candidate.running.append(placement)
-                has_survived = status.ages_s.get(key, 0.0) >= crash.SURVIVAL_S
+                has_survived = age_s >= crash.SURVIVAL_S
                 if len(crashes) >= crash.ISOLATION_CRASHES and not has_survived:
                     candidate.is_closed = True
         return candidate
@@ -891,9 +902,8 @@
         for registered in self._state.workers.values():
             if registered.worker.service == service:
                 capacity = resources.combined(capacity, registered.worker.capacity)
-                for key in self._state.placements_on(registered.worker.worker_id):
-                    step = self._state.entries[key.workflow_id].workflow.steps[key.step]
-                    used = resources.combined(used, resources.reserved(step))
+                occupied = self._state.occupancy_of(registered.worker.worker_id)
+                used = resources.combined(used, occupied.reserved)
         for placement in self.placements:
             entry = self._state.entries[placement.task.workflow_id]
             if entry.queue.service == service:
@@ -1120,13 +1130,16 @@
     is_free : bool
         Whether to return how many fit into their free resources instead.
     """
-    needs = resources.reserved(step)
-    sizes = (
-        resources.max_tasks(needs, item.free if is_free else item.worker.capacity)
+    return sum(
+        _size_of(step, item.free if is_free else item.worker.capacity)
         for item in candidates
     )
-    limit = step.max_per_worker
-    return sum(min(size, limit) if limit else size for size in sizes)
+
+
+def _size_of(step: workflow.Step, available: workflow.Resources) -> int:
+    """Return how many tasks of a step fit into resources of one worker."""
+    size = resources.max_tasks(resources.reserved(step), available)
+    return min(size, step.max_per_worker) if step.max_per_worker else size
 
 
 def _free_accelerators(scope: resources.Scope) -> int:
--- a/marjoramusher/workflows/preemption.py
+++ b/marjoramusher/workflows/preemption.py
@@ -102,7 +102,7 @@
         self._conditions = conditions
         self._candidates = candidates
         self._stopping: set[workflow.TaskKey] = set()
-        self._urgent_accelerators: dict[str, int] = {}
+        self._urgent_accelerators = backlog.urgent_accelerators_by_account(state)
         self._shortages = shortage.Shortages()
         # Runs on each worker, the cheapest to stop first.
         self._ranked_victims: dict[str, list[_Victim]] = {}
@@ -178,16 +178,9 @@
 
     def is_within_guarantee(self, name: str) -> bool:
         """Tell whether all active urgent work of an account fits its guarantee."""
-        if name not in self._urgent_accelerators:
-            self._urgent_accelerators[name] = sum(
-                step.count * step.needs.accelerators
-                for entry in self._state.active.values()
-                if entry.workflow.account == name and not entry.queue.priority
-                for step in entry.workflow.steps
-            )
         account = self._state.index.account(name)
         limit = account.guaranteed_accelerators if account else 0
-        return self._urgent_accelerators[name] <= limit
+        return self._urgent_accelerators.get(name, 0) <= limit
 
     def _request(
         self, pending: backlog.PendingStep, scope: resources.Scope
--- a/marjoramusher/workflows/resources.py
+++ b/marjoramusher/workflows/resources.py
@@ -153,6 +153,13 @@
             pool.add(worker.capacity)
         self._add_accelerators(worker.capacity.accelerators)
 
+    def load(
+        self, reserved: workflow.Resources, task_counts: Mapping[StepKey, int]
+    ) -> None:
+        """Subtract what all runs on the worker reserve, and count them by step."""
+        self.allocate(reserved)
+        self.task_counts = dict(task_counts)
+
     @property
     def pools(self) -> Sequence[Pool]:
         """Return the pools that this worker is part of."""
