--- a/marjoramusher/workflows/choices.py
+++ b/marjoramusher/workflows/choices.py
@@ -168,23 +168,25 @@
         """
         if request is None:
             return [next(choose(candidate), None) for candidate in candidates]
-        return [
-            self._on_worker(candidate, request, choose).get(0)
-            for candidate in candidates
-        ]
+        kept = self._on_workers(candidates, request, choose)
+        return [choices.get(0) for choices in kept]
 
-    def _on_worker(
+    def _on_workers(
         self,
-        candidate: resources.Candidate,
+        candidates: Iterable[resources.Candidate],
         request: Request,
         choose: Callable[[resources.Candidate], Iterator[Choice]],
-    ) -> _WorkerChoices:
+    ) -> list[_Choices]:
+        """Return the choices on each worker, new ones for workers that have changed."""
         known = self._by_worker.setdefault(request, {})
-        choices = known.get(candidate)
-        if choices is None or choices.version != candidate.version:
-            choices = _WorkerChoices(choose(candidate), candidate.version)
-            known[candidate] = choices
-        return choices
+        found: list[_Choices] = []
+        for candidate in candidates:
+            choices = known.get(candidate)
+            if choices is None or choices.version != candidate.version:
+                choices = _WorkerChoices(choose(candidate), candidate.version)
+                known[candidate] = choices
+            found.append(choices)
+        return found
 
     def _merged(
         self,
@@ -201,10 +203,7 @@
         if scope.parts:
             sources = [self.search(part, request, choose) for part in scope.parts]
         else:
-            sources = [
-                self._on_worker(candidate, request, choose)
-                for candidate in scope.candidates
-            ]
+            sources = self._on_workers(scope.candidates, request, choose)
         cheapest = []
         for source in sources:
             first = source.get(0)
