--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -15,6 +15,7 @@
     permit,
     preemption,
     resources,
+    room,
     shortage,
     suspicion,
     workflow,
@@ -148,52 +149,6 @@
     return priority, not is_guaranteed, is_late, pending.deadline_ms
 
 
-class _WorkerSet:
-    """Workers of a service that meet the label of a step, also by rack.
-
-    Parameters
-    ----------
-    is_shared : bool
-        Whether several steps of a plan use the set.
-    """
-
-    __slots__ = ("_capacity_counts", "_rack_sizes", "all", "by_rack", "candidates")
-
-    def __init__(
-        self, candidates: Iterable[resources.Candidate], *, is_shared: bool
-    ) -> None:
-        self.candidates = list(candidates)
-        racks: dict[str, list[resources.Candidate]] = {}
-        # Number of workers of each capacity, by rack. There are few capacities.
-        self._capacity_counts: dict[str, dict[workflow.Resources, int]] = {}
-        self._rack_sizes: dict[tuple[workflow.Resources, int], dict[str, int]] = {}
-        for candidate in self.candidates:
-            worker = candidate.worker
-            racks.setdefault(worker.rack, []).append(candidate)
-            counts = self._capacity_counts.setdefault(worker.rack, {})
-            counts[worker.capacity] = counts.get(worker.capacity, 0) + 1
-        self.by_rack = {
-            rack: resources.Scope(members, is_shared=is_shared)
-            for rack, members in racks.items()
-        }
-        self.all = resources.Scope(
-            self.candidates, is_shared=is_shared, parts=tuple(self.by_rack.values())
-        )
-
-    def rack_sizes(self, step: workflow.Step) -> dict[str, int]:
-        """Return how many tasks of a step each rack would hold if it were empty."""
-        key = (resources.reserved(step), step.max_per_worker)
-        if key not in self._rack_sizes:
-            self._rack_sizes[key] = {
-                rack: sum(
-                    count * _size_of(step, capacity)
-                    for capacity, count in counts.items()
-                )
-                for rack, counts in self._capacity_counts.items()
-            }
-        return self._rack_sizes[key]
-
-
 class _PlanBuilder:
     """Free resources and the decisions of one plan so far."""
 
@@ -208,7 +163,7 @@
         self._rack_free_accelerators: dict[str, int] = {}
         self._candidates: dict[str, list[resources.Candidate]] = {}
         self._pools: dict[str, resources.Pool] = {}
-        self._worker_sets: dict[tuple[str, str], _WorkerSet] = {}
+        self._worker_sets: dict[tuple[str, str], room.WorkerSet] = {}
         self._shortages = shortage.Shortages()
         self._shortage_reasons: dict[_RequestKind, WaitReason] = {}
         # Tasks for which no further busy worker may be spared.
@@ -339,7 +294,7 @@
                 continue
             candidates = self._workers(pending).candidates
             chosen = self._spare_worker(
-                pending, index, _idle(candidates), crash.WORKERS_PER_IDLE_ISOLATION
+                pending, index, room.idle(candidates), crash.WORKERS_PER_IDLE_ISOLATION
             )
             if chosen is None:
                 chosen = self._shared_worker(pending, index, candidates)
@@ -381,7 +336,7 @@
     def _place_if_ample(self, pending: backlog.PendingStep) -> None:
         """Place a step on any worker if there is room for it twice."""
         step = pending.step
-        free = _size(step, self._workers(pending).candidates, is_free=True)
+        free = room.size(step, self._workers(pending).candidates, is_free=True)
         if free < 2 * (step.count if step.gang else 1):
             return
         if step.gang:
@@ -414,7 +369,7 @@
                 continue
             best = (
                 self._best_candidate(
-                    pending, index, _with_room(pending, candidates), None
+                    pending, index, room.with_room(pending, candidates), None
                 )
                 or self._best_candidate(pending, index, candidates, None)
                 or self._best_candidate(pending, index, settled, None, opened=True)
@@ -450,7 +405,7 @@
                 continue
             if kind is None or not self._shortages.covers(kind, 1):
                 if free is None:
-                    free = _with_room(pending, workers.candidates)
+                    free = room.with_room(pending, workers.candidates)
                 best = self._best_candidate(pending, index, free, best)
                 if best is not None:
                     self._place_task(pending, index, best)
@@ -461,7 +416,7 @@
             self._preempt(pending, 1, kind, [workers.all])
 
     def _handle_suspect(
-        self, pending: backlog.PendingStep, index: int, workers: _WorkerSet
+        self, pending: backlog.PendingStep, index: int, workers: room.WorkerSet
     ) -> bool:
         """Place a task on a worker of its own, or let it wait for one for a while.
 
@@ -484,7 +439,7 @@
         candidates = workers.candidates
         may_wait = self._may_wait_for_isolation(pending, index)
         if not may_wait:
-            candidates = _idle(candidates)
+            candidates = room.idle(candidates)
         spared = self._spare_worker(pending, index, candidates)
         if spared is None and pending.step.long_running:
             return False
@@ -511,7 +466,7 @@
             return
         if kind is None or not self._shortages.covers(kind, count):
             for scope in self._gang_scopes(pending, workers):
-                if not _may_fit_gang(pending, scope):
+                if not room.may_fit_gang(pending, scope):
                     continue
                 chosen = self._fit_gang(pending, scope.candidates)
                 if chosen:
@@ -556,7 +511,7 @@
         pending: backlog.PendingStep,
         kind: _RequestKind | None,
         count: int,
-        workers: _WorkerSet,
+        workers: room.WorkerSet,
     ) -> None:
         """Record that there is no room for some tasks, and why."""
         if kind is None:
@@ -588,7 +543,7 @@
         remaining_ms = pending.deadline_ms - self._now_ms
         return remaining_ms < PRESSING_FACTOR * pending.step.estimate_ms
 
-    def _reserve(self, pending: backlog.PendingStep, workers: _WorkerSet) -> None:
+    def _reserve(self, pending: backlog.PendingStep, workers: room.WorkerSet) -> None:
         """Reserve resources for a waiting gang against later steps of the plan.
 
         Otherwise small tasks take each accelerator as soon as it is free, and the gang
@@ -608,7 +563,7 @@
         largest = [
             (-candidate.accelerators, -candidate.cores_milli, position, candidate)
             for position, candidate in enumerate(
-                max(scopes, key=_free_accelerators).candidates
+                max(scopes, key=room.free_accelerators).candidates
             )
             if needs.fits_within(candidate.worker.capacity)
         ]
@@ -689,11 +644,11 @@
 
         A gang needs room for all members, also on workers that are permitted already.
         """
-        if not any(_has_room(pending, candidate) for candidate in queried):
+        if not any(room.has_room(pending, candidate) for candidate in queried):
             return False
         if not pending.step.gang:
             return True
-        free = _size(pending.step, self._suitable(pending), is_free=True)
+        free = room.size(pending.step, self._suitable(pending), is_free=True)
         return free >= len(pending.task_indexes)
 
     def _query_rank(
@@ -741,19 +696,21 @@
                 continue
             yield candidate
 
-    def _workers(self, pending: backlog.PendingStep) -> _WorkerSet:
+    def _workers(self, pending: backlog.PendingStep) -> room.WorkerSet:
         """Return the eligible workers; most steps share them with other steps."""
         step = pending.step
         queue = pending.entry.queue
         if step.fill or queue.policy is not None:
-            return _WorkerSet(self._eligible(pending), is_shared=False)
+            return room.WorkerSet(self._eligible(pending), is_shared=False)
         key = (queue.service, step.label)
         if key not in self._worker_sets:
-            self._worker_sets[key] = _WorkerSet(self._eligible(pending), is_shared=True)
+            self._worker_sets[key] = room.WorkerSet(
+                self._eligible(pending), is_shared=True
+            )
         return self._worker_sets[key]
 
     def _gang_scopes(
-        self, pending: backlog.PendingStep, workers: _WorkerSet
+        self, pending: backlog.PendingStep, workers: room.WorkerSet
     ) -> list[resources.Scope]:
         """Return the sets of workers that may each hold a whole gang, fullest first.
 
@@ -768,7 +725,7 @@
             for rack, size in sizes.items()
             if size >= pending.step.count
         ]
-        return sorted(large_racks, key=_free_accelerators) or [workers.all]
+        return sorted(large_racks, key=room.free_accelerators) or [workers.all]
 
     def _fit_gang(
         self,
@@ -783,13 +740,13 @@
         since other tasks would fill them again.
         """
         chosen: dict[int, resources.Candidate] = {}
-        free = _with_room(pending, candidates) if near_data else candidates
+        free = room.with_room(pending, candidates) if near_data else candidates
         best: resources.Candidate | None = None
         can_isolate = self._can_isolate(pending, candidates)
         for index in self._by_crashes(pending):
             if can_isolate and self._needs_isolation(pending, index):
                 may_wait = self._may_wait_for_isolation(pending, index)
-                options = candidates if may_wait else _idle(candidates)
+                options = candidates if may_wait else room.idle(candidates)
                 best = self._spare_worker(pending, index, options)
                 if best is not None and best.task_count:
                     best = None
@@ -1042,7 +999,7 @@
         Parameters
         ----------
         candidates : iterable of Candidate
-            Workers from `_with_room`.
+            Workers from `room.with_room`.
         previous : Candidate or None
             Worker of the preceding task of the step.
         opened : bool
@@ -1055,7 +1012,7 @@
             and not step.fill
             and not crashes
             and not previous.crash_suspects
-            and _has_room(pending, previous)
+            and room.has_room(pending, previous)
         ):
             return previous  # it has become the fullest by the preceding task
         crash_addresses = {item.address for item in crashes}
@@ -1064,7 +1021,7 @@
         is_urgent = pending.entry.queue.priority == 0
         needs_isolation = self._needs_isolation(pending, index)
         for candidate in candidates:
-            if not _has_room(pending, candidate, opened=opened):
+            if not room.has_room(pending, candidate, opened=opened):
                 continue
             rack_free_accelerators = (
                 0 if is_urgent else self._rack_free_accelerators[candidate.worker.rack]
@@ -1117,90 +1074,6 @@
         )
 
 
-def _size(
-    step: workflow.Step,
-    candidates: Iterable[resources.Candidate],
-    *,
-    is_free: bool = False,
-) -> int:
-    """Return how many tasks of a step some workers would hold if they were empty.
-
-    Parameters
-    ----------
-    is_free : bool
-        Whether to return how many fit into their free resources instead.
-    """
-    return sum(
-        _size_of(step, item.free if is_free else item.worker.capacity)
-        for item in candidates
-    )
-
-
-def _size_of(step: workflow.Step, available: workflow.Resources) -> int:
-    """Return how many tasks of a step fit into resources of one worker."""
-    size = resources.max_tasks(resources.reserved(step), available)
-    return min(size, step.max_per_worker) if step.max_per_worker else size
-
-
-def _free_accelerators(scope: resources.Scope) -> int:
-    return scope.free_accelerators
-
-
-def _may_fit_gang(pending: backlog.PendingStep, scope: resources.Scope) -> bool:
-    """Tell whether it is worth a search whether all members of a gang fit.
-
-    A search for suspects spares workers even if it finds no place.
-    """
-    needed = len(pending.task_indexes) * pending.step.needs.accelerators
-    return pending.has_suspects or scope.free_accelerators >= needed
-
-
-def _idle(candidates: list[resources.Candidate]) -> list[resources.Candidate]:
-    return [candidate for candidate in candidates if not candidate.task_count]
-
-
-def _has_room(
-    pending: backlog.PendingStep,
-    candidate: resources.Candidate,
-    *,
-    opened: bool = False,
-) -> bool:
-    """Tell whether a worker has room for another task of a step.
-
-    Silent workers have no room for members of gangs.
-
-    Parameters
-    ----------
-    opened : bool
-        Whether a worker that is closed to other tasks has room, too.
-    """
-    step = pending.step
-    if step.gang and candidate.is_silent:
-        return False
-    if candidate.is_closed and not opened:
-        return False
-    return candidate.has_free(resources.reserved(step)) and candidate.has_task_slot(
-        pending.key, step.max_per_worker
-    )
-
-
-def _with_room(
-    pending: backlog.PendingStep, candidates: list[resources.Candidate]
-) -> list[resources.Candidate]:
-    """Return the workers with room for a task of a step.
-
-    A task takes several times as long away from its data, so it waits for free
-    resources there as long as the usable workers of the rack could hold it, or all
-    members of its gang.
-    """
-    step = pending.step
-    if step.rack:
-        near = [item for item in candidates if item.worker.rack == step.rack]
-        if _size(step, near) >= (step.count if step.gang else 1):
-            candidates = near
-    return [candidate for candidate in candidates if _has_room(pending, candidate)]
-
-
 def _wait_reason(
     pending: backlog.PendingStep, eligible: list[resources.Candidate]
 ) -> WaitReason:
