--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -11,6 +11,7 @@
 from . import (
     backlog,
     condition,
+    isolation,
     machine,
     permit,
     preemption,
@@ -192,6 +193,9 @@
                 quarantined.append((worker, status))
                 continue
             self._add_candidate(worker, status)
+        self._isolation = isolation.Isolation(
+            state, plan_input.now_ms, self._candidates, self._has_to_run
+        )
         self._preemptor = preemption.Preemptor(state, conditions, self._by_worker)
 
     def _add_candidate(
@@ -293,7 +297,7 @@
                 self.wait_reasons[pending.key] = WaitReason.HEADROOM
                 continue
             candidates = self._workers(pending).candidates
-            chosen = self._spare_worker(
+            chosen = self._isolation.spare_worker(
                 pending, index, room.idle(candidates), crash.WORKERS_PER_IDLE_ISOLATION
             )
             if chosen is None:
@@ -364,8 +368,11 @@
         candidates = self._workers(pending).candidates
         settled = [item for item in candidates if not item.starting_count]
         placed = {placement.task for placement in self.placements}
-        for index in self._by_crashes(pending):
-            if self._may_wait(pending, index) or pending.task_key(index) in placed:
+        for index in self._isolation.by_crashes(pending):
+            if (
+                self._isolation.may_wait(pending, index)
+                or pending.task_key(index) in placed
+            ):
                 continue
             best = (
                 self._best_candidate(
@@ -379,7 +386,9 @@
             self._place_task(pending, index, best)
 
     def _place_gang_anywhere(self, pending: backlog.PendingStep) -> None:
-        if any(self._may_wait(pending, index) for index in pending.task_indexes):
+        if any(
+            self._isolation.may_wait(pending, index) for index in pending.task_indexes
+        ):
             return
         workers = self._workers(pending)
         scopes = self._gang_scopes(pending, workers)
@@ -397,7 +406,7 @@
         workers = self._workers(pending)
         free: list[resources.Candidate] | None = None
         best: resources.Candidate | None = None
-        for index in self._by_crashes(pending):
+        for index in self._isolation.by_crashes(pending):
             if not self._is_pressing(pending) and not self._leaves_headroom(pending, 1):
                 self.wait_reasons[pending.key] = WaitReason.HEADROOM
                 return
@@ -429,18 +438,18 @@
         """
         if not pending.has_suspects:
             return False
-        if self._is_undecided(pending, index):
+        if self._isolation.is_undecided(pending, index):
             self.wait_reasons[pending.key] = WaitReason.CRASHES_UNDECIDED
             return True
-        if not self._needs_isolation(pending, index) or not self._can_isolate(
-            pending, workers.candidates
-        ):
+        if not self._isolation.needs_isolation(
+            pending, index
+        ) or not self._isolation.can_isolate(pending, workers.candidates):
             return False
         candidates = workers.candidates
-        may_wait = self._may_wait_for_isolation(pending, index)
+        may_wait = self._isolation.may_wait_for_isolation(pending, index)
         if not may_wait:
             candidates = room.idle(candidates)
-        spared = self._spare_worker(pending, index, candidates)
+        spared = self._isolation.spare_worker(pending, index, candidates)
         if spared is None and pending.step.long_running:
             return False
         if spared is None:
@@ -453,7 +462,8 @@
 
     def _place_gang(self, pending: backlog.PendingStep) -> None:
         if pending.has_suspects and any(
-            self._is_undecided(pending, index) for index in pending.task_indexes
+            self._isolation.is_undecided(pending, index)
+            for index in pending.task_indexes
         ):
             self.wait_reasons[pending.key] = WaitReason.CRASHES_UNDECIDED
             return
@@ -742,12 +752,12 @@
         chosen: dict[int, resources.Candidate] = {}
         free = room.with_room(pending, candidates) if near_data else candidates
         best: resources.Candidate | None = None
-        can_isolate = self._can_isolate(pending, candidates)
-        for index in self._by_crashes(pending):
-            if can_isolate and self._needs_isolation(pending, index):
-                may_wait = self._may_wait_for_isolation(pending, index)
+        can_isolate = self._isolation.can_isolate(pending, candidates)
+        for index in self._isolation.by_crashes(pending):
+            if can_isolate and self._isolation.needs_isolation(pending, index):
+                may_wait = self._isolation.may_wait_for_isolation(pending, index)
                 options = candidates if may_wait else room.idle(candidates)
-                best = self._spare_worker(pending, index, options)
+                best = self._isolation.spare_worker(pending, index, options)
                 if best is not None and best.task_count:
                     best = None
                 best = best or self._shared_worker(pending, index, candidates)
@@ -768,7 +778,7 @@
         candidate.allocate(resources.reserved(pending.step))
         candidate.adjust_task_count(pending.key, 1)
         candidate.starting_count += 1
-        candidate.crash_suspects += bool(self._crashes(pending, index))
+        candidate.crash_suspects += bool(self._isolation.crashes(pending, index))
 
     def _vacate(
         self, pending: backlog.PendingStep, index: int, candidate: resources.Candidate
@@ -777,44 +787,7 @@
         candidate.deallocate(resources.reserved(pending.step))
         candidate.adjust_task_count(pending.key, -1)
         candidate.starting_count -= 1
-        candidate.crash_suspects -= bool(self._crashes(pending, index))
-
-    # Tasks during which workers have crashed.
-
-    def _crashes(
-        self, pending: backlog.PendingStep, index: int
-    ) -> Sequence[crash.Crash]:
-        if not pending.has_suspects:
-            return ()
-        suspicions = pending.tasks[index].suspicions
-        return suspicion.recent(suspicions, pending.step, self._now_ms)
-
-    def _by_crashes(self, pending: backlog.PendingStep) -> Sequence[int]:
-        """Return the pending tasks, those with most crashes first."""
-        if not pending.has_suspects:
-            return pending.task_indexes
-        return sorted(
-            pending.task_indexes,
-            key=lambda index: -len(self._crashes(pending, index)),
-        )
-
-    def _needs_isolation(self, pending: backlog.PendingStep, index: int) -> bool:
-        return len(self._crashes(pending, index)) >= crash.ISOLATION_CRASHES
-
-    def _may_wait_for_isolation(self, pending: backlog.PendingStep, index: int) -> bool:
-        """Tell whether a suspect may wait until it has a worker of its own.
-
-        One whose next crash could give it up waits, so that it is alone if that comes.
-        """
-        if pending.step.long_running:
-            return False
-        suspected = self._crashes(pending, index)
-        certain = pending.tasks[index].crashes
-        return (
-            len(certain) >= crash.MIN_CRASHES
-            or crash.has_fresh(suspected, self._now_ms, crash.MAX_HOLD_MS)
-            or not self._has_to_run(pending)
-        )
+        candidate.crash_suspects -= bool(self._isolation.crashes(pending, index))
 
     def _shared_worker(
         self,
@@ -827,7 +800,7 @@
         An idle worker remains open to others. Other workers are taken only if no task
         there has just started, so that a crash tells more about its cause.
         """
-        if self._may_wait_for_isolation(pending, index):
+        if self._isolation.may_wait_for_isolation(pending, index):
             return None
         settled = [item for item in candidates if not item.starting_count]
         return self._best_candidate(
@@ -873,107 +846,6 @@
         self._used_shares[service] = len(self.placements), share
         return share
 
-    def _may_wait(self, pending: backlog.PendingStep, index: int) -> bool:
-        """Tell whether a task may wait because of its crashes."""
-        return self._is_undecided(pending, index) or (
-            self._needs_isolation(pending, index)
-            and self._may_wait_for_isolation(pending, index)
-        )
-
-    def _is_undecided(self, pending: backlog.PendingStep, index: int) -> bool:
-        task, step = pending.tasks[index], pending.step
-        return crash.is_undecided(
-            suspicion.recent(task.crashes, step, self._now_ms),
-            task.possible_crashes,
-            self._now_ms,
-            crash.MAX_HOLD_MS,
-        )
-
-    def _isolation_limit(self, service: str, workers_per_isolation: int) -> int:
-        """Return how many workers may be closed to other tasks at a time."""
-        return max(len(self._candidates.get(service, ())) // workers_per_isolation, 1)
-
-    def _can_isolate(
-        self, pending: backlog.PendingStep, candidates: list[resources.Candidate]
-    ) -> bool:
-        """Tell whether tasks could have workers of their own once these are empty.
-
-        The other members of a gang have to fit on the remaining workers.
-        """
-        if not pending.has_suspects:
-            return False
-        alone = sum(
-            self._needs_isolation(pending, index) for index in pending.task_indexes
-        )
-        if not pending.step.gang:
-            alone = 1
-        needs = resources.reserved(pending.step)
-        options = sorted(
-            resources.max_tasks(needs, candidate.worker.capacity)
-            for candidate in candidates
-            if self._is_isolation_option(pending, candidate)
-        )
-        service = pending.entry.queue.service
-        limit = self._isolation_limit(service, crash.WORKERS_PER_ISOLATION)
-        if alone > min(len(options), limit):
-            return False
-        total = sum(
-            resources.max_tasks(needs, candidate.worker.capacity)
-            for candidate in candidates
-        )
-        others = len(pending.task_indexes) - alone if pending.step.gang else 0
-        return others <= total - sum(options[:alone])
-
-    def _is_isolation_option(
-        self, pending: backlog.PendingStep, candidate: resources.Candidate
-    ) -> bool:
-        """Tell whether a worker has the resources for a task, and can become empty."""
-        needs = resources.reserved(pending.step)
-        return needs.fits_within(candidate.worker.capacity) and not any(
-            self._state.step(placement.task).long_running
-            for placement in candidate.running
-        )
-
-    def _spare_worker(
-        self,
-        pending: backlog.PendingStep,
-        index: int,
-        candidates: list[resources.Candidate],
-        workers_per_isolation: int = crash.WORKERS_PER_ISOLATION,
-    ) -> resources.Candidate | None:
-        """Return a worker for a task on its own, and close it to other tasks.
-
-        If it is not empty, the task has to wait for the tasks there. ``None`` if no
-        further worker may be closed now.
-        """
-        service = pending.entry.queue.service
-        closed = sum(item.is_closed for item in self._candidates.get(service, ()))
-        options = [
-            candidate
-            for candidate in candidates
-            if not candidate.is_closed
-            and not candidate.is_silent
-            and self._is_isolation_option(pending, candidate)
-        ]
-        limit = self._isolation_limit(service, workers_per_isolation)
-        if closed >= limit or not options:
-            return None
-        addresses = {item.address for item in self._crashes(pending, index)}
-        rack = pending.step.rack
-        spared = min(
-            options,
-            key=lambda candidate: (
-                candidate.task_count > 0,
-                candidate.worker.address in addresses,
-                bool(rack) and candidate.worker.rack != rack,
-                candidate.is_suspect,
-                candidate.task_count,
-                candidate.worker.worker_id,
-            ),
-        )
-        spared.close()
-        return spared
-
     def _best_candidate(
         self,
         pending: backlog.PendingStep,
@@ -1006,7 +878,7 @@
             Whether workers that are closed to other tasks may be chosen, too.
         """
         step = pending.step
-        crashes = self._crashes(pending, index)
+        crashes = self._isolation.crashes(pending, index)
         if (
             previous is not None
             and not step.fill
@@ -1019,7 +891,7 @@
         best: resources.Candidate | None = None
         best_rank: tuple[bool, bool, int, int, int, int] | None = None
         is_urgent = pending.entry.queue.priority == 0
-        needs_isolation = self._needs_isolation(pending, index)
+        needs_isolation = self._isolation.needs_isolation(pending, index)
         for candidate in candidates:
             if not room.has_room(pending, candidate, opened=opened):
                 continue
