--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -15,6 +15,7 @@
     machine,
     permit,
     preemption,
+    queries,
     resources,
     room,
     shortage,
@@ -158,8 +159,6 @@
         self._state = state
         self._headroom = plan_input.headroom
         self._now_ms = plan_input.now_ms
-        self._permits = plan_input.permits
-        self._now_s = plan_input.now_s
         self._reservations = 0
         self._rack_free_accelerators: dict[str, int] = {}
         self._candidates: dict[str, list[resources.Candidate]] = {}
@@ -193,6 +192,12 @@
                 quarantined.append((worker, status))
                 continue
             self._add_candidate(worker, status)
+        self._policy_queries = queries.Queries(
+            plan_input.permits,
+            plan_input.now_s,
+            plan_input.overdue,
+            self._rack_free_accelerators,
+        )
         self._isolation = isolation.Isolation(
             state, plan_input.now_ms, self._candidates, self._has_to_run
         )
@@ -605,92 +610,22 @@
             self.preemptions.extend((victim, workflow_id) for victim in victims)
 
     def _add_query(self, pending: backlog.PendingStep) -> None:
-        """Query permits for further workers that could run a pending step, if needed.
-
-        Expired permits of steps that are not urgent are renewed only for workers that
-        have free resources now, since a permit expires before other runs end. Overdue
-        steps may use what is kept or reserved for others.
-        """
-        queue = pending.entry.queue
-        if queue.policy is None:
+        """Query permits for further workers of a pending step, if needed."""
+        if pending.entry.queue.policy is None:
             return
-        needs = resources.reserved(pending.step)
-        is_urgent = queue.priority == 0
-        renews_full = is_urgent or pending.key in self._overdue
-        permits = self._permits
-        candidates = [
-            candidate
-            for candidate in self._suitable(pending)
-            if needs.fits_within(candidate.worker.capacity)
-            and permits.can_query(pending.key, candidate.worker, self._now_s)
-            and (
-                renews_full
-                or candidate.fits(needs)
-                or not permits.has_answer(pending.key, candidate.worker)
-            )
-        ]
-        if not candidates:
+        query = self._policy_queries.query(pending, list(self._suitable(pending)))
+        if query is None:
             return
+        needs = resources.reserved(pending.step)
         if pending.step.gang or not any(
             candidate.fits(needs) for candidate in self._eligible(pending)
         ):
             self.wait_reasons[pending.key] = WaitReason.NO_PERMIT
-        candidates.sort(key=lambda candidate: self._query_rank(pending, candidate))
-        workers = tuple(
-            candidate.worker for candidate in candidates[: permit.MAX_QUERIED_WORKERS]
-        )
-        # An urgent step may preempt others, but only where it is permitted.
-        can_start = self._has_room_for_step(pending, candidates) or (
-            is_urgent and not permits.is_answered(pending.key)
-        )
-        self.queries[pending.key] = permit.PolicyQuery(
-            pending.key, workers, queue.policy, queue.priority, can_start
-        )
-
-    def _has_room_for_step(
-        self, pending: backlog.PendingStep, queried: list[resources.Candidate]
-    ) -> bool:
-        """Tell whether a task could start on one of some workers if it was permitted.
-
-        A gang needs room for all members, also on workers that are permitted already.
-        """
-        if not any(room.has_room(pending, candidate) for candidate in queried):
-            return False
-        if not pending.step.gang:
-            return True
-        free = room.size(pending.step, self._suitable(pending), is_free=True)
-        return free >= len(pending.task_indexes)
-
-    def _query_rank(
-        self, pending: backlog.PendingStep, candidate: resources.Candidate
-    ) -> tuple[bool, bool, bool, bool, int]:
-        """Return the sort key of a worker to query, the lowest first.
-
-        Workers near the data come first, then workers with free resources, then those
-        without recent failures, then those on the rack with most free accelerators.
-        Overdue steps may run anywhere, so for them free resources come first.
-        """
-        step = pending.step
-        is_remote = bool(step.rack) and candidate.worker.rack != step.rack
-        is_full = not candidate.fits(resources.reserved(step))
-        return (
-            is_full and pending.key in self._overdue,
-            is_remote,
-            is_full,
-            candidate.is_suspect,
-            -self._rack_free_accelerators[candidate.worker.rack],
-        )
+        self.queries[pending.key] = query
 
     def _eligible(self, pending: backlog.PendingStep) -> Iterator[resources.Candidate]:
         """Yield suitable workers, only permitted ones if the queue has a policy."""
-        needs_permit = pending.entry.queue.policy is not None
-        for candidate in self._suitable(pending):
-            worker = candidate.worker
-            if needs_permit and not self._permits.ticket(
-                pending.key, worker.worker_id, worker.incarnation, self._now_s
-            ):
-                continue
-            yield candidate
+        return self._policy_queries.permitted(pending, self._suitable(pending))
 
     def _suitable(self, pending: backlog.PendingStep) -> Iterator[resources.Candidate]:
         """Yield the workers of the service that meet the constraints of a step.
