--- a/marjoramusher/executors/progress.py
+++ b/marjoramusher/executors/progress.py
@@ -4,7 +4,10 @@
 
 from ..core import clock
 from ..telemetry import log, metrics
-from ..workflows import machine, planner, resources, workflow
+from ..workflows import fragmentation, machine, planner, resources, workflow
+
+# The share is computed over all workers with free accelerators and all waiting steps.
+FRAGMENTATION_INTERVAL_S = 1.0
 
 
 class Progress:
@@ -16,7 +19,14 @@
         Replicated state.
     """
 
-    __slots__ = ("_active", "_clock", "_metrics", "_state", "_wait_reasons")
+    __slots__ = (
+        "_active",
+        "_clock",
+        "_fragmentation_due_s",
+        "_metrics",
+        "_state",
+        "_wait_reasons",
+    )
 
     def __init__(
         self,
@@ -29,6 +39,7 @@
         self._metrics = metrics_registry
         self._active: dict[str, machine.Entry] = {}
         self._wait_reasons: dict[resources.StepKey, planner.WaitReason] = {}
+        self._fragmentation_due_s = 0.0
 
     def on_leading(self) -> None:
         """Start from the active workflows; a former leader has logged the others."""
@@ -150,3 +161,10 @@
         )
         metrics_registry.set_gauge("workflows_active", len(self._state.active))
         metrics_registry.set_gauge("steps_waiting_now", len(self._wait_reasons))
+        now_s = self._clock.monotonic()
+        if now_s >= self._fragmentation_due_s:
+            self._fragmentation_due_s = now_s + FRAGMENTATION_INTERVAL_S
+            metrics_registry.set_gauge(
+                "unusable_accelerators",
+                fragmentation.unusable_share(self._state, self._wait_reasons),
+            )
