--- a/bench/workflow_driver.py
+++ b/bench/workflow_driver.py
@@ -10,11 +10,20 @@
 from marjoramusher.executors import driver
 from marjoramusher.groups import local
 from marjoramusher.telemetry import metrics
-from marjoramusher.workflows import command, machine, objective, planner, workflow
+from marjoramusher.workflows import (
+    backlog,
+    command,
+    fragmentation,
+    machine,
+    objective,
+    planner,
+    workflow,
+)
 from standins import fleet, virtual
 
 HEARTBEAT_INTERVAL_S = 1.5
 COMMIT_DELAY_S = 0.03  # two round trips between failure domains and a disk sync
+FRAGMENTATION_INTERVAL_S = 0.25
 DRAIN_S = 60.0  # time to finish the work in progress after the last submission
 
 
@@ -30,6 +39,11 @@
         Number of submissions.
     urgent_start_s : list of float
         Time from submission to the first placement of each urgent workflow.
+    whole_start_s : list of float
+        The same of each other workflow whose tasks take whole workers.
+    unusable_shares : list of float
+        Share of the free accelerators that no waiting step could use, of the moments in
+        which a step waited and something was free.
     wasted_core_s, used_core_s : float
         Discarded work and the work of all counted workflows; an accelerator counts
         as eight cores.
@@ -40,6 +54,8 @@
     earned: dict[str, float] = {}
     attainable: dict[str, float] = {}
     urgent_start_s: list[float] = []
+    whole_start_s: list[float] = []
+    unusable_shares: list[float] = []
     workflows: int = 0
     wasted_core_s: float = 0.0
     used_core_s: float = 0.0
@@ -71,13 +87,20 @@
     plan: planner.Planner = planner.plan,
 ) -> SessionResult:
     """Run one session with the given planner."""
-    return virtual.run(_run_session(seed, duration_s, factor, plan))
+    load = workflow_load.make_load(seed, duration_s, factor)
+    return run_load(load, seed, plan)
+
+
+def run_load(
+    load: list[workflow_load.Arrival], seed: int, plan: planner.Planner = planner.plan
+) -> SessionResult:
+    """Run one session with the given load and planner."""
+    return virtual.run(_run_session(load, seed, plan))
 
 
 async def _run_session(
-    seed: int, duration_s: float, factor: float, plan: planner.Planner
+    load: list[workflow_load.Arrival], seed: int, plan: planner.Planner
 ) -> SessionResult:
-    load = workflow_load.make_load(seed, duration_s, factor)
     arrivals = {arrival.submission.workflow_id: arrival for arrival in load}
     loop = asyncio.get_running_loop()
 
@@ -117,7 +140,8 @@
     leader.start()
     result = SessionResult()
     began_s = time.monotonic()
-    tasks.append(loop.create_task(_record_urgent_starts(state, time, result)))
+    tasks.append(loop.create_task(_record_starts(state, time, result)))
+    tasks.append(loop.create_task(_record_unusable(state, time, result)))
     for arrival in load:
         await asyncio.sleep(max(0.0, began_s + arrival.at_s - time.monotonic()))
         tasks.append(loop.create_task(_submit(group, workers, time, arrival, began_s)))
@@ -155,6 +179,19 @@
         await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
 
+async def _record_unusable(
+    state: machine.WorkflowMachine, time: clock.Clock, result: SessionResult
+) -> None:
+    """Record the share of free accelerators that no waiting step could use."""
+    while True:
+        await asyncio.sleep(FRAGMENTATION_INTERVAL_S)
+        pending = backlog.pending_steps(state, clock.unix_ms(time))
+        waiting = [step.key for step in pending]
+        if waiting:
+            share = fragmentation.unusable_share(state, waiting)
+            result.unusable_shares.append(share)
+
+
 async def _submit(
     group: _Group,
     workers: fleet.Fleet,
@@ -172,17 +209,21 @@
         await group.propose_as_leader(command.pack(cancel), 1.0)
 
 
-async def _record_urgent_starts(
+async def _record_starts(
     state: machine.WorkflowMachine, time: clock.Clock, result: SessionResult
 ) -> None:
-    """Record the waiting time of urgent workflows when they start."""
+    """Record the waiting time of workflows when they start."""
     started: set[str] = set()
     while True:
         for name, entry in state.entries.items():
-            if entry.is_started and name not in started and not entry.queue.priority:
+            if entry.is_started and name not in started:
                 started.add(name)
-                waited_ms = clock.unix_ms(time) - entry.workflow.submitted_ms
-                result.urgent_start_s.append(waited_ms / 1000)
+                waited_s = (clock.unix_ms(time) - entry.workflow.submitted_ms) / 1000
+                needs = entry.workflow.steps[0].needs
+                if not entry.queue.priority:
+                    result.urgent_start_s.append(waited_s)
+                elif needs.accelerators == workflow_load.CAPACITY.accelerators:
+                    result.whole_start_s.append(waited_s)
         await asyncio.sleep(0.01)
 
 
--- a/bench/workflow_load.py
+++ b/bench/workflow_load.py
@@ -128,7 +128,12 @@
     always_fails: bool
 
 
-def make_load(seed: int, duration_s: float, factor: float = 1.0) -> list[Arrival]:
+def make_load(
+    seed: int,
+    duration_s: float,
+    factor: float = 1.0,
+    classes: tuple[WorkloadClass, ...] = WORKLOAD_CLASSES,
+) -> list[Arrival]:
     """Return the arrivals of a session.
 
     Parameters
@@ -138,7 +143,7 @@
     """
     rng = random.Random(seed)
     arrivals = []
-    for workload_class in WORKLOAD_CLASSES:
+    for workload_class in classes:
         at_s = 0.0
         while True:
             at_s += rng.expovariate(
