Keep trials beside gangs until a worker of the scope changes

Where members of gangs can be stopped, each request tried all racks again. A trial is now kept like a merged search.

--- a/marjoramusher/workflows/choices.py
+++ b/marjoramusher/workflows/choices.py
@@ -5,7 +5,7 @@
 """
 
 import heapq
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from typing import Protocol
 
 import msgspec
@@ -78,7 +78,7 @@
             self._costs.append(before + choice.cost)
         return self._found[number]
 
-    def answer(self, count: int, max_cost: float) -> tuple[list[Choice], float]:
+    def answer(self, count: int, max_cost: float) -> tuple[Sequence[Choice], float]:
         """Return the choices for some tasks, and their total cost.
 
         Returns
@@ -100,6 +100,41 @@
         return self._found[:count], total_cost
 
 
+class Tried(msgspec.Struct, frozen=True):
+    """Choices that were found by trial for a number of tasks and a maximum cost.
+
+    Parameters
+    ----------
+    costs : tuple of float
+        Total cost with each choice, and with a further one if that was too expensive.
+    is_exhausted : bool
+        Whether there is no room for more tasks.
+    version : int or None
+        Version of the scope for which the choices were made.
+    """
+
+    found: tuple[Choice, ...]
+    costs: tuple[float, ...]
+    is_exhausted: bool
+    version: int | None
+
+    def answers(self, count: int, max_cost: float) -> bool:
+        """Tell whether a trial for other limits would make no further choices."""
+        return (
+            self.is_exhausted
+            or len(self.found) >= count
+            or (bool(self.costs) and self.costs[-1] >= max_cost)
+        )
+
+    def answer(self, count: int, max_cost: float) -> tuple[Sequence[Choice], float]:
+        """Return the choices for some tasks, and their cost; see `Search.answer`."""
+        costs = self.costs[:count]
+        total_cost = costs[-1] if costs else 0.0
+        if total_cost >= max_cost or len(self.found) < count:
+            return [], total_cost
+        return self.found[:count], total_cost
+
+
 class _WorkerChoices:
     """Choices for one task after the other on one worker."""
 
--- a/marjoramusher/workflows/preemption.py
+++ b/marjoramusher/workflows/preemption.py
@@ -3,7 +3,7 @@
 import enum
 import heapq
 import operator
-from collections.abc import Hashable, Iterable, Iterator, Mapping
+from collections.abc import Hashable, Iterable, Iterator, Mapping, Sequence
 
 import msgspec
 
@@ -89,6 +89,7 @@
         "_shortages",
         "_state",
         "_stopping",
+        "_tried",
         "_urgent_accelerators",
     )
 
@@ -107,6 +108,7 @@
         # Runs on each worker, the cheapest to stop first.
         self._ranked_victims: dict[str, list[_Victim]] = {}
         self._choices = choices.Choices()
+        self._tried: dict[tuple[resources.Scope, choices.Request], choices.Tried] = {}
         self._dependences: dict[resources.Scope, _Dependence] = {}
         self._peers: dict[tuple[resources.Scope, int], bool] = {}
 
@@ -135,7 +137,7 @@
             Empty if the runs that are already stopping suffice; ``None`` if nothing
             is reserved.
         """
-        best: list[choices.Choice] = []
+        best: Sequence[choices.Choice] = []
         best_cost = float("inf")
         account = pending.entry.workflow.account
         is_guaranteed = self.is_within_guarantee(account)
@@ -206,7 +208,7 @@
         count: int,
         scope: resources.Scope,
         max_cost: float,
-    ) -> tuple[list[choices.Choice], float]:
+    ) -> tuple[Sequence[choices.Choice], float]:
         """Return where the tasks would go and the total cost, changing nothing.
 
         The choices for equal requests are kept until a worker of the scope changes.
@@ -219,12 +221,22 @@
             At least `max_cost` if that is the reason.
         """
         is_shared = scope.version is not None and not pending.step.max_per_worker
-        request = self._request(pending, scope) if is_shared else None
         dependence = self._dependence(scope)
-        if request is None or dependence is _Dependence.BUDGETS:
-            return self._try(pending, count, scope, max_cost, None)
+        if not is_shared or dependence is _Dependence.BUDGETS:
+            tried = self._try(pending, count, scope, max_cost, None)
+            return tried.answer(count, max_cost)
+        request = self._request(pending, scope)
         if dependence is _Dependence.GANGS:
-            return self._try(pending, count, scope, max_cost, request)
+            key = (scope, request)
+            known = self._tried.get(key)
+            if (
+                known is None
+                or known.version != scope.version
+                or not known.answers(count, max_cost)
+            ):
+                known = self._try(pending, count, scope, max_cost, request)
+                self._tried[key] = known
+            return known.answer(count, max_cost)
         search = self._choices.search(
             scope, request, lambda candidate: self._choose(pending, candidate)
         )
@@ -237,8 +249,8 @@
         scope: resources.Scope,
         max_cost: float,
         request: choices.Request | None,
-    ) -> tuple[list[choices.Choice], float]:
-        """Return the same as `_evaluate`, by changes that are undone.
+    ) -> choices.Tried:
+        """Choose workers and victims by changes that are undone.
 
         The choice for each worker is kept from task to task, and made again only for
         workers whose resources or victims have changed.
@@ -273,12 +285,14 @@
         trial = resources.Trial()
         stopped: list[workflow.Placement] = []
         total_cost = 0.0
+        costs: list[float] = []
         while len(chosen) < count and cheapest:
             cost, position = heapq.heappop(cheapest)
             choice = options[position]
             if choice is None or choice.cost != cost:
                 continue  # made before the worker changed
             total_cost += cost
+            costs.append(total_cost)
             if total_cost >= max_cost:
                 break
             chosen.append(choice)
@@ -302,7 +316,8 @@
             choice.candidate.adjust_task_count(pending.key, -1)
         self._unmark_stopping(stopped)
         trial.end()
-        return (chosen if len(chosen) == count else []), total_cost
+        is_exhausted = len(chosen) == len(costs) < count
+        return choices.Tried(tuple(chosen), tuple(costs), is_exhausted, scope.version)
 
     def _dependence(self, scope: resources.Scope) -> _Dependence:
         """Return what else than a worker itself its choices in a scope depend on."""
