--- a/marjoramusher/workflows/machine.py
+++ b/marjoramusher/workflows/machine.py
@@ -329,7 +329,7 @@
         self._active = {
             key: entry for key, entry in self._entries.items() if entry.is_active
         }
-        # Only of workers that have runs.
+        # Of the workers that have or had runs, by id.
         self._occupancies: dict[str, occupancy.Occupancy] = {}
         for entry in self._entries.values():
             for _, step, tasks in entry.tasks():
@@ -490,6 +490,7 @@
 
     def _unregister(self, worker: workflow.Worker) -> None:
         self._clear_placements(worker.worker_id)
+        self._occupancies.pop(worker.worker_id, None)
         del self._workers[worker.worker_id]
         # Reinsertion moves the worker to the end, since the oldest are dropped first.
         self._removed_workers.pop(worker.worker_id, None)
@@ -512,8 +513,6 @@
                 entry = self._entries[placement.task.workflow_id]
                 step = entry.workflow.steps[placement.task.step]
                 occupied.remove(placement, step)
-                if not occupied.placements:
-                    del self._occupancies[placement.worker_id]
 
     def _assign(self, assign: command.Assign) -> Iterator[workflow.Placement]:
         """Place the tasks that can be placed and yield their placements.
