--- a/bench/workflow_driver.py
+++ b/bench/workflow_driver.py
@@ -12,7 +12,9 @@
 from marjoramusher.telemetry import metrics
 from marjoramusher.workflows import (
     admission,
+    backlog,
     command,
+    fragmentation,
     machine,
     objective,
     planner,
@@ -22,6 +24,7 @@
 
 HEARTBEAT_INTERVAL_S = 1.5
 COMMIT_DELAY_S = 0.03  # two round trips between failure domains and a disk sync
+FRAGMENTATION_INTERVAL_S = 0.25
 DRAIN_S = 60.0  # time to finish the work in progress after the last submission
 SIZES = ("largest tenth", "next fifth", "rest")  # of the workflows of a queue, by work
 
@@ -38,6 +41,11 @@
         Number of submissions.
     urgent_start_s : list of float
         Time from submission to the first placement of each urgent workflow.
+    whole_start_s : list of float
+        The same of each other workflow whose tasks take whole workers.
+    unusable_shares : list of float
+        Share of the free accelerators that no waiting step could use, of the moments in
+        which a step waited and something was free.
     wasted_core_s, used_core_s : float
         Discarded work and the work of all counted workflows; an accelerator counts
         as eight cores.
@@ -51,6 +59,8 @@
     earned: dict[str, float] = {}
     attainable: dict[str, float] = {}
     urgent_start_s: list[float] = []
+    whole_start_s: list[float] = []
+    unusable_shares: list[float] = []
     workflows: int = 0
     wasted_core_s: float = 0.0
     used_core_s: float = 0.0
@@ -91,17 +101,27 @@
     rejects : bool
         Whether submissions are rejected as by the leader's service.
     """
-    return virtual.run(_run_session(seed, duration_s, factor, plan, rejects))
+    load = workflow_load.make_load(seed, duration_s, factor)
+    return run_load(load, seed, plan, rejects=rejects)
+
+
+def run_load(
+    load: list[workflow_load.Arrival],
+    seed: int,
+    plan: planner.Planner = planner.plan,
+    *,
+    rejects: bool = False,
+) -> SessionResult:
+    """Run one session with the given load and planner; see `run`."""
+    return virtual.run(_run_session(load, seed, plan, rejects))
 
 
 async def _run_session(
+    load: list[workflow_load.Arrival],
     seed: int,
-    duration_s: float,
-    factor: float,
     plan: planner.Planner,
     rejects: bool,
 ) -> SessionResult:
-    load = workflow_load.make_load(seed, duration_s, factor)
     arrivals = {arrival.submission.workflow_id: arrival for arrival in load}
     loop = asyncio.get_running_loop()
 
@@ -141,7 +161,8 @@
     leader.start()
     result = SessionResult()
     began_s = time.monotonic()
-    tasks.append(loop.create_task(_record_urgent_starts(state, time, result)))
+    tasks.append(loop.create_task(_record_starts(state, time, result)))
+    tasks.append(loop.create_task(_record_unusable(state, time, result)))
     control = admission.Admission(state) if rejects else None
     rejected: set[str] = set()
     for arrival in load:
@@ -189,6 +210,19 @@
         await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
 
+async def _record_unusable(
+    state: machine.WorkflowMachine, time: clock.Clock, result: SessionResult
+) -> None:
+    """Record the share of free accelerators that no waiting step could use."""
+    while True:
+        await asyncio.sleep(FRAGMENTATION_INTERVAL_S)
+        pending = backlog.pending_steps(state, clock.unix_ms(time))
+        waiting = [step.key for step in pending]
+        if waiting:
+            share = fragmentation.unusable_share(state, waiting)
+            result.unusable_shares.append(share)
+
+
 async def _submit(
     group: _Group,
     workers: fleet.Fleet,
@@ -206,17 +240,21 @@
         await group.propose_as_leader(command.pack(cancel), 1.0)
 
 
-async def _record_urgent_starts(
+async def _record_starts(
     state: machine.WorkflowMachine, time: clock.Clock, result: SessionResult
 ) -> None:
-    """Record the waiting time of urgent workflows when they start."""
+    """Record the waiting time of workflows when they start."""
     started: set[str] = set()
     while True:
         for name, entry in state.entries.items():
-            if entry.is_started and name not in started and not entry.queue.priority:
+            if entry.is_started and name not in started:
                 started.add(name)
-                waited_ms = clock.unix_ms(time) - entry.workflow.submitted_ms
-                result.urgent_start_s.append(waited_ms / 1000)
+                waited_s = (clock.unix_ms(time) - entry.workflow.submitted_ms) / 1000
+                needs = entry.workflow.steps[0].needs
+                if not entry.queue.priority:
+                    result.urgent_start_s.append(waited_s)
+                elif needs.accelerators == workflow_load.CAPACITY.accelerators:
+                    result.whole_start_s.append(waited_s)
         await asyncio.sleep(0.01)
 
 
