Subtract freed resources in one step when choosing victims

The merged choice of victims made two values for each run that it looked at. The plans are the same.

--- a/marjoramusher/workflows/preemption.py
+++ b/marjoramusher/workflows/preemption.py
@@ -710,7 +710,11 @@
 
 def _less(lacking: workflow.Resources, freed: workflow.Resources) -> workflow.Resources:
     """Return what is lacking after resources have become free."""
-    return resources.combined(lacking, resources.negated(freed))
+    return workflow.Resources(
+        lacking.cores_milli - freed.cores_milli,
+        lacking.memory_mb - freed.memory_mb,
+        lacking.accelerators - freed.accelerators,
+    )
 
 
 def _needed(chosen: list[_Victim], lacking: workflow.Resources) -> list[_Victim]:
