--- a/bench/plan_bench.py
+++ b/bench/plan_bench.py
@@ -19,13 +19,21 @@
 
 
 def measures(seeds: Sequence[int]) -> Iterator[measure.Measure]:
-    """Yield the CPU time of the plan after a burst, and of the one after it."""
+    """Yield the CPU time of the plan after a burst, and of the one after it.
+
+    The third one is of the burst with known times until the end of each run.
+    """
     for seed in seeds:
         for case, target in CASES.items():
             first = plan_load.make_input(case, seed)
             plan = planner.plan(first)
             following = plan_load.with_stops(first, plan)
-            for name, plan_input in (("burst", first), ("stops", following)):
+            ending = plan_load.with_remaining(first)
+            for name, plan_input in (
+                ("burst", first),
+                ("stops", following),
+                ("ending", ending),
+            ):
                 yield measure.Measure(
                     f"workflow_plan_ms/{case.workers}x{case.waiting}/{name}",
                     min(_plan_ms(plan_input) for _ in range(ROUNDS)),
--- a/bench/plan_load.py
+++ b/bench/plan_load.py
@@ -17,6 +17,7 @@
 WORKERS_PER_RACK = 20
 GUARANTEED_SHARE = 0.6  # of all accelerators, over all accounts
 ACCOUNTS = 24
+RUN_S = 6.0  # run time of the small tasks, and largest age of a run
 URGENT, GANGS, SMALL = (
     workload_class.queue.name for workload_class in workflow_load.WORKLOAD_CLASSES
 )
@@ -52,7 +53,7 @@
         _submit_waiting(state, rng, index)
     conditions = {
         name: condition.WorkerCondition(
-            ages_s={key: rng.uniform(0.0, 6.0) for key in state.placements_on(name)}
+            ages_s={key: rng.uniform(0.0, RUN_S) for key in state.placements_on(name)}
         )
         for name in state.workers
     }
@@ -73,6 +74,20 @@
     return msgspec.structs.replace(plan_input, conditions=conditions)
 
 
+def with_remaining(plan_input: planner.PlanInput) -> planner.PlanInput:
+    """Return a plan input in which the time until the end of each run is known."""
+    conditions = {
+        name: msgspec.structs.replace(
+            status,
+            remaining_s={
+                key: max(0.0, RUN_S - age_s) for key, age_s in status.ages_s.items()
+            },
+        )
+        for name, status in plan_input.conditions.items()
+    }
+    return msgspec.structs.replace(plan_input, conditions=conditions)
+
+
 def _register(state: machine.WorkflowMachine, workers: int) -> None:
     guaranteed = int(
         workers * workflow_load.CAPACITY.accelerators * GUARANTEED_SHARE / ACCOUNTS
--- a/marjoramusher/executors/progress.py
+++ b/marjoramusher/executors/progress.py
@@ -4,9 +4,12 @@
 
 from ..core import clock
 from ..telemetry import log, metrics
-from ..workflows import machine, planner, resources, workflow
+from ..workflows import fragmentation, machine, planner, resources, workflow
 from . import prediction
 
+# The share is computed over all workers with free accelerators and all waiting steps.
+FRAGMENTATION_INTERVAL_S = 1.0
+
 
 class Progress:
     """Log when workflows start, wait and end while this instance leads.
@@ -21,6 +24,7 @@
         "_active",
         "_awaiting",
         "_clock",
+        "_fragmentation_due_s",
         "_metrics",
         "_prediction",
         "_state",
@@ -40,6 +44,7 @@
         self._active: dict[str, machine.Entry] = {}
         self._wait_reasons: dict[resources.StepKey, planner.WaitReason] = {}
         self._awaiting: frozenset[resources.StepKey] = frozenset()
+        self._fragmentation_due_s = 0.0
 
     def on_leading(self) -> None:
         """Start from the active workflows; a former leader has logged the others."""
@@ -172,3 +177,10 @@
         metrics_registry.set_gauge("workflows_active", len(self._state.active))
         metrics_registry.set_gauge("steps_waiting_now", len(self._wait_reasons))
         self._prediction.update()
+        now_s = self._clock.monotonic()
+        if now_s >= self._fragmentation_due_s:
+            self._fragmentation_due_s = now_s + FRAGMENTATION_INTERVAL_S
+            metrics_registry.set_gauge(
+                "unusable_accelerators",
+                fragmentation.unusable_share(self._state, self._wait_reasons),
+            )
--- a/marjoramusher/workflows/planner.py
+++ b/marjoramusher/workflows/planner.py
@@ -12,12 +12,15 @@
     backlog,
     condition,
     delay_cost,
+    isolation,
     machine,
     ordering,
     permit,
     preemption,
+    queries,
     resources,
     retry,
+    room,
     shortage,
     suspicion,
     workflow,
@@ -147,28 +150,6 @@
     )
 
 
-class _WorkerSet:
-    """Workers of a service that meet the label of a step, also by rack."""
-
-    __slots__ = ("_rack_sizes", "by_rack", "candidates")
-
-    def __init__(self, candidates: Iterable[resources.Candidate]) -> None:
-        self.candidates = list(candidates)
-        self.by_rack: dict[str, list[resources.Candidate]] = {}
-        self._rack_sizes: dict[tuple[workflow.Resources, int], dict[str, int]] = {}
-        for candidate in self.candidates:
-            self.by_rack.setdefault(candidate.worker.rack, []).append(candidate)
-
-    def rack_sizes(self, step: workflow.Step) -> dict[str, int]:
-        """Return how many tasks of a step each rack would hold if it were empty."""
-        key = (resources.reserved(step), step.max_per_worker)
-        if key not in self._rack_sizes:
-            self._rack_sizes[key] = {
-                rack: _size(step, members) for rack, members in self.by_rack.items()
-            }
-        return self._rack_sizes[key]
-
-
 class _PlanBuilder:
     """Free resources and the decisions of one plan so far."""
 
@@ -177,13 +158,11 @@
         self._state = state
         self._headroom = plan_input.headroom
         self._now_ms = plan_input.now_ms
-        self._permits = plan_input.permits
-        self._now_s = plan_input.now_s
         self._reservations = 0
         self._rack_free_accelerators: dict[str, int] = {}
         self._candidates: dict[str, list[resources.Candidate]] = {}
         self._pools: dict[str, resources.Pool] = {}
-        self._worker_sets: dict[tuple[str, str], _WorkerSet] = {}
+        self._worker_sets: dict[tuple[str, str], room.WorkerSet] = {}
         self._shortages = shortage.Shortages()
         self._shortage_reasons: dict[_RequestKind, WaitReason] = {}
         # Tasks for which no further busy worker may be spared.
@@ -214,6 +193,15 @@
                 quarantined.append((worker, status))
                 continue
             self._add_candidate(worker, status)
+        self._policy_queries = queries.Queries(
+            plan_input.permits,
+            plan_input.now_s,
+            plan_input.overdue,
+            self._rack_free_accelerators,
+        )
+        self._isolation = isolation.Isolation(
+            state, plan_input.now_ms, self._candidates, self._has_to_run
+        )
         self._preemptor = preemption.Preemptor(
             state, conditions, self._by_worker, plan_input.now_ms
         )
@@ -247,24 +235,29 @@
     ) -> resources.Candidate:
         """Return a candidate without the resources that its runs reserve."""
         pool = self._pools.setdefault(worker.service, resources.Pool())
-        candidate = resources.Candidate(worker, status.is_suspect, pool)
-        for key, placement in self._state.placements_on(worker.worker_id).items():
-            entry = self._state.entries[key.workflow_id]
+        candidate = resources.Candidate(
+            worker, status.is_suspect, pool, len(self._by_worker)
+        )
+        occupied = self._state.occupancy_of(worker.worker_id)
+        candidate.load(occupied.reserved, occupied.task_counts)
+        candidate.fill_count = occupied.fill_count
+        candidate.serving_count = occupied.serving_count
+        entries, ages_s, stopping = self._state.entries, status.ages_s, status.stopping
+        for key, placement in occupied.placements.items():
+            entry = entries[key.workflow_id]
+            age_s = ages_s.get(key, 0.0)
+            candidate.starting_count += age_s < STARTING_S
             step = entry.workflow.steps[key.step]
-            needs = resources.reserved(step)
-            candidate.allocate(needs)
-            candidate.adjust_task_count((key.workflow_id, key.occurrence, key.step), 1)
-            candidate.fill_count += step.fill
-            candidate.serving_count += step.target_ms > 0
-            candidate.starting_count += status.ages_s.get(key, 0.0) < STARTING_S
             task = entry.occurrences[key.occurrence][key.step][key.index]
-            crashes = suspicion.recent(task.suspicions, step, self._now_ms)
-            candidate.crash_suspects += bool(crashes)
-            if placement in status.stopping or not entry.is_active:
-                candidate.expect_freed(needs)
+            crashes: Sequence[crash.Crash] = ()
+            if task.crashes or task.possible_crashes:
+                crashes = suspicion.recent(task.suspicions, step, self._now_ms)
+                candidate.crash_suspects += bool(crashes)
+            if (stopping and placement in stopping) or not entry.is_active:
+                candidate.expect_freed(resources.reserved(step))
             else:
                 candidate.running.append(placement)
-                has_survived = status.ages_s.get(key, 0.0) >= crash.SURVIVAL_S
+                has_survived = age_s >= crash.SURVIVAL_S
                 if len(crashes) >= crash.ISOLATION_CRASHES and not has_survived:
                     candidate.is_closed = True
         return candidate
@@ -323,8 +316,8 @@
                 self.wait_reasons[pending.key] = WaitReason.HEADROOM
                 continue
             candidates = self._workers(pending).candidates
-            chosen = self._spare_worker(
-                pending, index, _idle(candidates), crash.WORKERS_PER_IDLE_ISOLATION
+            chosen = self._isolation.spare_worker(
+                pending, index, room.idle(candidates), crash.WORKERS_PER_IDLE_ISOLATION
             )
             if chosen is None:
                 chosen = self._shared_worker(pending, index, candidates)
@@ -367,7 +360,7 @@
     def _place_if_ample(self, pending: backlog.PendingStep) -> None:
         """Place a step on any worker if there is room for it twice."""
         step = pending.step
-        free = _size(step, self._workers(pending).candidates, is_free=True)
+        free = room.size(step, self._workers(pending).candidates, is_free=True)
         if free < 2 * (step.count if step.gang else 1):
             return
         if step.gang:
@@ -395,12 +388,15 @@
         candidates = self._workers(pending).candidates
         settled = [item for item in candidates if not item.starting_count]
         placed = {placement.task for placement in self.placements}
-        for index in self._by_crashes(pending):
-            if self._may_wait(pending, index) or pending.task_key(index) in placed:
+        for index in self._isolation.by_crashes(pending):
+            if (
+                self._isolation.may_wait(pending, index)
+                or pending.task_key(index) in placed
+            ):
                 continue
             best = (
                 self._best_candidate(
-                    pending, index, _with_room(pending, candidates), None
+                    pending, index, room.with_room(pending, candidates), None
                 )
                 or self._best_candidate(pending, index, candidates, None)
                 or self._best_candidate(pending, index, settled, None, opened=True)
@@ -410,12 +406,16 @@
             self._place_task(pending, index, best)
 
     def _place_gang_anywhere(self, pending: backlog.PendingStep) -> None:
-        if any(self._may_wait(pending, index) for index in pending.task_indexes):
+        if any(
+            self._isolation.may_wait(pending, index) for index in pending.task_indexes
+        ):
             return
         workers = self._workers(pending)
         scopes = self._gang_scopes(pending, workers)
         chosen = next(
-            filter(None, (self._fit_gang(pending, scope) for scope in scopes)),
+            filter(
+                None, (self._fit_gang(pending, scope.candidates) for scope in scopes)
+            ),
             None,
         ) or self._fit_gang(pending, workers.candidates, near_data=False)
         for index, candidate in chosen.items():
@@ -426,7 +426,7 @@
         workers = self._workers(pending)
         free: list[resources.Candidate] | None = None
         best: resources.Candidate | None = None
-        for index in self._by_crashes(pending):
+        for index in self._isolation.by_crashes(pending):
             if not self._is_pressing(pending) and not self._leaves_headroom(pending, 1):
                 self.wait_reasons[pending.key] = WaitReason.HEADROOM
                 return
@@ -434,7 +434,7 @@
                 continue
             if kind is None or not self._shortages.covers(kind, 1):
                 if free is None:
-                    free = _with_room(pending, workers.candidates)
+                    free = room.with_room(pending, workers.candidates)
                 best = self._best_candidate(pending, index, free, best)
                 if best is not None:
                     self._place_task(pending, index, best)
@@ -442,10 +442,10 @@
             self._record_shortage(pending, kind, 1, workers)
             if pending.entry.queue.priority or self._uses_idle_room(pending):
                 return
-            self._preempt(pending, 1, kind, [workers.candidates])
+            self._preempt(pending, 1, kind, [workers.all])
 
     def _handle_suspect(
-        self, pending: backlog.PendingStep, index: int, workers: _WorkerSet
+        self, pending: backlog.PendingStep, index: int, workers: room.WorkerSet
     ) -> bool:
         """Place a task on a worker of its own, or let it wait for one for a while.
 
@@ -458,18 +458,18 @@
         """
         if not pending.has_suspects:
             return False
-        if self._is_undecided(pending, index):
+        if self._isolation.is_undecided(pending, index):
             self.wait_reasons[pending.key] = WaitReason.CRASHES_UNDECIDED
             return True
-        if not self._needs_isolation(pending, index) or not self._can_isolate(
-            pending, workers.candidates
-        ):
+        if not self._isolation.needs_isolation(
+            pending, index
+        ) or not self._isolation.can_isolate(pending, workers.candidates):
             return False
         candidates = workers.candidates
-        may_wait = self._may_wait_for_isolation(pending, index)
+        may_wait = self._isolation.may_wait_for_isolation(pending, index)
         if not may_wait:
-            candidates = _idle(candidates)
-        spared = self._spare_worker(pending, index, candidates)
+            candidates = room.idle(candidates)
+        spared = self._isolation.spare_worker(pending, index, candidates)
         if spared is None and pending.step.long_running:
             return False
         if spared is None:
@@ -482,7 +482,8 @@
 
     def _place_gang(self, pending: backlog.PendingStep) -> None:
         if pending.has_suspects and any(
-            self._is_undecided(pending, index) for index in pending.task_indexes
+            self._isolation.is_undecided(pending, index)
+            for index in pending.task_indexes
         ):
             self.wait_reasons[pending.key] = WaitReason.CRASHES_UNDECIDED
             return
@@ -497,8 +498,10 @@
             scopes = self._gang_scopes(pending, workers)
             # A member on a suspect worker can cost the whole gang an attempt, so all
             # racks are tried without them first.
-            for candidates in (*_without_suspects(scopes), *scopes):
-                chosen = self._fit_gang(pending, candidates)
+            for scope in (*room.without_suspects(scopes), *scopes):
+                if not room.may_fit_gang(pending, scope):
+                    continue
+                chosen = self._fit_gang(pending, scope.candidates)
                 if chosen:
                     for index, candidate in chosen.items():
                         self._place_task(pending, index, candidate)
@@ -541,7 +544,7 @@
         pending: backlog.PendingStep,
         kind: _RequestKind | None,
         count: int,
-        workers: _WorkerSet,
+        workers: room.WorkerSet,
     ) -> None:
         """Record that there is no room for some tasks, and why."""
         if kind is None:
@@ -593,7 +596,7 @@
         is_worthless = delay_cost.is_worthless(pending, self._now_ms)
         return is_worthless and not self.is_guaranteed(pending)
 
-    def _reserve(self, pending: backlog.PendingStep, workers: _WorkerSet) -> None:
+    def _reserve(self, pending: backlog.PendingStep, workers: room.WorkerSet) -> None:
         """Reserve resources for a waiting gang against later steps of the plan.
 
         Otherwise small tasks take each accelerator as soon as it is free, and the gang
@@ -606,19 +609,19 @@
         needs = resources.reserved(pending.step)
         if sum(workers.rack_sizes(pending.step).values()) < pending.step.count:
             return  # it can't start even if all workers are empty
+        total = resources.multiplied(needs, len(pending.task_indexes))
+        if self._reservations and pool.reserved_share(total) > MAX_RESERVED_SHARE:
+            return
         scopes = self._gang_scopes(pending, workers)
         largest = [
             (-candidate.accelerators, -candidate.cores_milli, position, candidate)
             for position, candidate in enumerate(
-                max(scopes, key=resources.free_accelerators)
+                max(scopes, key=room.free_accelerators).candidates
             )
             if needs.fits_within(candidate.worker.capacity)
         ]
         if not largest:
             return
-        total = resources.multiplied(needs, len(pending.task_indexes))
-        if self._reservations and pool.reserved_share(total) > MAX_RESERVED_SHARE:
-            return
         self._reservations += 1
         heapq.heapify(largest)
         for _ in pending.task_indexes:
@@ -633,7 +636,7 @@
         pending: backlog.PendingStep,
         count: int,
         kind: _RequestKind | None,
-        scopes: list[list[resources.Candidate]],
+        scopes: list[resources.Scope],
     ) -> None:
         victims = self._preemptor.preempt(pending, count, kind, scopes)
         if victims is not None:
@@ -648,92 +651,22 @@
             self.preemptions.extend((victim, workflow_id) for victim in victims)
 
     def _add_query(self, pending: backlog.PendingStep) -> None:
-        """Query permits for further workers that could run a pending step, if needed.
-
-        Expired permits of steps that are not urgent are renewed only for workers that
-        have free resources now, since a permit expires before other runs end. Overdue
-        steps may use what is kept or reserved for others.
-        """
-        queue = pending.entry.queue
-        if queue.policy is None:
+        """Query permits for further workers of a pending step, if needed."""
+        if pending.entry.queue.policy is None:
             return
-        needs = resources.reserved(pending.step)
-        is_urgent = queue.priority == 0
-        renews_full = is_urgent or pending.key in self._overdue
-        permits = self._permits
-        candidates = [
-            candidate
-            for candidate in self._suitable(pending)
-            if needs.fits_within(candidate.worker.capacity)
-            and permits.can_query(pending.key, candidate.worker, self._now_s)
-            and (
-                renews_full
-                or candidate.fits(needs)
-                or not permits.has_answer(pending.key, candidate.worker)
-            )
-        ]
-        if not candidates:
+        query = self._policy_queries.query(pending, list(self._suitable(pending)))
+        if query is None:
             return
+        needs = resources.reserved(pending.step)
         if pending.step.gang or not any(
             candidate.fits(needs) for candidate in self._eligible(pending)
         ):
             self.wait_reasons[pending.key] = WaitReason.NO_PERMIT
-        candidates.sort(key=lambda candidate: self._query_rank(pending, candidate))
-        workers = tuple(
-            candidate.worker for candidate in candidates[: permit.MAX_QUERIED_WORKERS]
-        )
-        # An urgent step may preempt others, but only where it is permitted.
-        can_start = self._has_room_for_step(pending, candidates) or (
-            is_urgent and not permits.is_answered(pending.key)
-        )
-        self.queries[pending.key] = permit.PolicyQuery(
-            pending.key, workers, queue.policy, queue.priority, can_start
-        )
-
-    def _has_room_for_step(
-        self, pending: backlog.PendingStep, queried: list[resources.Candidate]
-    ) -> bool:
-        """Tell whether a task could start on one of some workers if it was permitted.
-
-        A gang needs room for all members, also on workers that are permitted already.
-        """
-        if not any(_has_room(pending, candidate) for candidate in queried):
-            return False
-        if not pending.step.gang:
-            return True
-        free = _size(pending.step, self._suitable(pending), is_free=True)
-        return free >= len(pending.task_indexes)
-
-    def _query_rank(
-        self, pending: backlog.PendingStep, candidate: resources.Candidate
-    ) -> tuple[bool, bool, bool, bool, int]:
-        """Return the sort key of a worker to query, the lowest first.
-
-        Workers near the data come first, then workers with free resources, then those
-        without recent failures, then those on the rack with most free accelerators.
-        Overdue steps may run anywhere, so for them free resources come first.
-        """
-        step = pending.step
-        is_remote = bool(step.rack) and candidate.worker.rack != step.rack
-        is_full = not candidate.fits(resources.reserved(step))
-        return (
-            is_full and pending.key in self._overdue,
-            is_remote,
-            is_full,
-            candidate.is_suspect,
-            -self._rack_free_accelerators[candidate.worker.rack],
-        )
+        self.queries[pending.key] = query
 
     def _eligible(self, pending: backlog.PendingStep) -> Iterator[resources.Candidate]:
         """Yield suitable workers, only permitted ones if the queue has a policy."""
-        needs_permit = pending.entry.queue.policy is not None
-        for candidate in self._suitable(pending):
-            worker = candidate.worker
-            if needs_permit and not self._permits.ticket(
-                pending.key, worker.worker_id, worker.incarnation, self._now_s
-            ):
-                continue
-            yield candidate
+        return self._policy_queries.permitted(pending, self._suitable(pending))
 
     def _suitable(self, pending: backlog.PendingStep) -> Iterator[resources.Candidate]:
         """Yield the workers of the service that meet the constraints of a step.
@@ -749,18 +682,22 @@
                 continue
             yield candidate
 
-    def _workers(self, pending: backlog.PendingStep) -> _WorkerSet:
+    def _workers(self, pending: backlog.PendingStep) -> room.WorkerSet:
         """Return the eligible workers; most steps share them with other steps."""
         step = pending.step
         queue = pending.entry.queue
         if self._avoids_workers(pending):
             eligible = list(self._eligible(pending))
-            return _WorkerSet(retry.candidates(pending, eligible, _can_hold))
+            return room.WorkerSet(
+                retry.candidates(pending, eligible, room.can_hold), is_shared=False
+            )
         if step.fill or queue.policy is not None:
-            return _WorkerSet(self._eligible(pending))
+            return room.WorkerSet(self._eligible(pending), is_shared=False)
         key = (queue.service, step.label)
         if key not in self._worker_sets:
-            self._worker_sets[key] = _WorkerSet(self._eligible(pending))
+            self._worker_sets[key] = room.WorkerSet(
+                self._eligible(pending), is_shared=True
+            )
         return self._worker_sets[key]
 
     def _avoids_workers(self, pending: backlog.PendingStep) -> bool:
@@ -771,24 +708,22 @@
         return not self._is_placing_overdue and retry.has_failed(pending)
 
     def _gang_scopes(
-        self, pending: backlog.PendingStep, workers: _WorkerSet
-    ) -> list[list[resources.Candidate]]:
+        self, pending: backlog.PendingStep, workers: room.WorkerSet
+    ) -> list[resources.Scope]:
         """Return the sets of workers that may each hold a whole gang, fullest first.
 
         A gang that runs slower on several racks waits for one rack, unless it is too
         large for any.
         """
         if not pending.step.same_rack:
-            return [workers.candidates]
+            return [workers.all]
         sizes = workers.rack_sizes(pending.step)
         large_racks = [
             workers.by_rack[rack]
             for rack, size in sizes.items()
             if size >= pending.step.count
         ]
-        return sorted(large_racks, key=resources.free_accelerators) or [
-            workers.candidates
-        ]
+        return sorted(large_racks, key=room.free_accelerators) or [workers.all]
 
     def _fit_gang(
         self,
@@ -803,14 +738,14 @@
         since other tasks would fill them again.
         """
         chosen: dict[int, resources.Candidate] = {}
-        free = _with_room(pending, candidates) if near_data else candidates
+        free = room.with_room(pending, candidates) if near_data else candidates
         best: resources.Candidate | None = None
-        can_isolate = self._can_isolate(pending, candidates)
-        for index in self._by_crashes(pending):
-            if can_isolate and self._needs_isolation(pending, index):
-                may_wait = self._may_wait_for_isolation(pending, index)
-                options = candidates if may_wait else _idle(candidates)
-                best = self._spare_worker(pending, index, options)
+        can_isolate = self._isolation.can_isolate(pending, candidates)
+        for index in self._isolation.by_crashes(pending):
+            if can_isolate and self._isolation.needs_isolation(pending, index):
+                may_wait = self._isolation.may_wait_for_isolation(pending, index)
+                options = candidates if may_wait else room.idle(candidates)
+                best = self._isolation.spare_worker(pending, index, options)
                 if best is not None and best.task_count:
                     best = None
                 best = best or self._shared_worker(pending, index, candidates)
@@ -831,7 +766,7 @@
         candidate.allocate(resources.reserved(pending.step))
         candidate.adjust_task_count(pending.key, 1)
         candidate.starting_count += 1
-        candidate.crash_suspects += bool(self._crashes(pending, index))
+        candidate.crash_suspects += bool(self._isolation.crashes(pending, index))
 
     def _vacate(
         self, pending: backlog.PendingStep, index: int, candidate: resources.Candidate
@@ -840,44 +775,7 @@
         candidate.deallocate(resources.reserved(pending.step))
         candidate.adjust_task_count(pending.key, -1)
         candidate.starting_count -= 1
-        candidate.crash_suspects -= bool(self._crashes(pending, index))
-
-    # Tasks during which workers have crashed.
-
-    def _crashes(
-        self, pending: backlog.PendingStep, index: int
-    ) -> Sequence[crash.Crash]:
-        if not pending.has_suspects:
-            return ()
-        suspicions = pending.tasks[index].suspicions
-        return suspicion.recent(suspicions, pending.step, self._now_ms)
-
-    def _by_crashes(self, pending: backlog.PendingStep) -> Sequence[int]:
-        """Return the pending tasks, those with most crashes first."""
-        if not pending.has_suspects:
-            return pending.task_indexes
-        return sorted(
-            pending.task_indexes,
-            key=lambda index: -len(self._crashes(pending, index)),
-        )
-
-    def _needs_isolation(self, pending: backlog.PendingStep, index: int) -> bool:
-        return len(self._crashes(pending, index)) >= crash.ISOLATION_CRASHES
-
-    def _may_wait_for_isolation(self, pending: backlog.PendingStep, index: int) -> bool:
-        """Tell whether a suspect may wait until it has a worker of its own.
-
-        One whose next crash could give it up waits, so that it is alone if that comes.
-        """
-        if pending.step.long_running:
-            return False
-        suspected = self._crashes(pending, index)
-        certain = pending.tasks[index].crashes
-        return (
-            len(certain) >= crash.MIN_CRASHES
-            or crash.has_fresh(suspected, self._now_ms, crash.MAX_HOLD_MS)
-            or not self._has_to_run(pending)
-        )
+        candidate.crash_suspects -= bool(self._isolation.crashes(pending, index))
 
     def _shared_worker(
         self,
@@ -890,7 +788,7 @@
         An idle worker remains open to others. Other workers are taken only if no task
         there has just started, so that a crash tells more about its cause.
         """
-        if self._may_wait_for_isolation(pending, index):
+        if self._isolation.may_wait_for_isolation(pending, index):
             return None
         settled = [item for item in candidates if not item.starting_count]
         return self._best_candidate(
@@ -922,9 +820,8 @@
         for registered in self._state.workers.values():
             if registered.worker.service == service:
                 capacity = resources.combined(capacity, registered.worker.capacity)
-                for key in self._state.placements_on(registered.worker.worker_id):
-                    step = self._state.entries[key.workflow_id].workflow.steps[key.step]
-                    used = resources.combined(used, resources.reserved(step))
+                occupied = self._state.occupancy_of(registered.worker.worker_id)
+                used = resources.combined(used, occupied.reserved)
         for placement in self.placements:
             entry = self._state.entries[placement.task.workflow_id]
             if entry.queue.service == service:
@@ -937,107 +834,6 @@
         self._used_shares[service] = len(self.placements), share
         return share
 
-    def _may_wait(self, pending: backlog.PendingStep, index: int) -> bool:
-        """Tell whether a task may wait because of its crashes."""
-        return self._is_undecided(pending, index) or (
-            self._needs_isolation(pending, index)
-            and self._may_wait_for_isolation(pending, index)
-        )
-
-    def _is_undecided(self, pending: backlog.PendingStep, index: int) -> bool:
-        task, step = pending.tasks[index], pending.step
-        return crash.is_undecided(
-            suspicion.recent(task.crashes, step, self._now_ms),
-            task.possible_crashes,
-            self._now_ms,
-            crash.MAX_HOLD_MS,
-        )
-
-    def _isolation_limit(self, service: str, workers_per_isolation: int) -> int:
-        """Return how many workers may be closed to other tasks at a time."""
-        return max(len(self._candidates.get(service, ())) // workers_per_isolation, 1)
-
-    def _can_isolate(
-        self, pending: backlog.PendingStep, candidates: list[resources.Candidate]
-    ) -> bool:
-        """Tell whether tasks could have workers of their own once these are empty.
-
-        The other members of a gang have to fit on the remaining workers.
-        """
-        if not pending.has_suspects:
-            return False
-        alone = sum(
-            self._needs_isolation(pending, index) for index in pending.task_indexes
-        )
-        if not pending.step.gang:
-            alone = 1
-        needs = resources.reserved(pending.step)
-        options = sorted(
-            resources.max_tasks(needs, candidate.worker.capacity)
-            for candidate in candidates
-            if self._is_isolation_option(pending, candidate)
-        )
-        service = pending.entry.queue.service
-        limit = self._isolation_limit(service, crash.WORKERS_PER_ISOLATION)
-        if alone > min(len(options), limit):
-            return False
-        total = sum(
-            resources.max_tasks(needs, candidate.worker.capacity)
-            for candidate in candidates
-        )
-        others = len(pending.task_indexes) - alone if pending.step.gang else 0
-        return others <= total - sum(options[:alone])
-
-    def _is_isolation_option(
-        self, pending: backlog.PendingStep, candidate: resources.Candidate
-    ) -> bool:
-        """Tell whether a worker has the resources for a task, and can become empty."""
-        needs = resources.reserved(pending.step)
-        return needs.fits_within(candidate.worker.capacity) and not any(
-            self._state.step(placement.task).long_running
-            for placement in candidate.running
-        )
-
-    def _spare_worker(
-        self,
-        pending: backlog.PendingStep,
-        index: int,
-        candidates: list[resources.Candidate],
-        workers_per_isolation: int = crash.WORKERS_PER_ISOLATION,
-    ) -> resources.Candidate | None:
-        """Return a worker for a task on its own, and close it to other tasks.
-
-        If it is not empty, the task has to wait for the tasks there. ``None`` if no
-        further worker may be closed now.
-        """
-        service = pending.entry.queue.service
-        closed = sum(item.is_closed for item in self._candidates.get(service, ()))
-        options = [
-            candidate
-            for candidate in candidates
-            if not candidate.is_closed
-            and not candidate.is_silent
-            and self._is_isolation_option(pending, candidate)
-        ]
-        limit = self._isolation_limit(service, workers_per_isolation)
-        if closed >= limit or not options:
-            return None
-        addresses = {item.address for item in self._crashes(pending, index)}
-        rack = pending.step.rack
-        spared = min(
-            options,
-            key=lambda candidate: (
-                candidate.task_count > 0,
-                candidate.worker.address in addresses,
-                bool(rack) and candidate.worker.rack != rack,
-                candidate.is_suspect,
-                candidate.task_count,
-                candidate.worker.worker_id,
-            ),
-        )
-        spared.is_closed = True
-        return spared
-
     def _best_candidate(
         self,
         pending: backlog.PendingStep,
@@ -1065,20 +861,20 @@
         Parameters
         ----------
         candidates : iterable of Candidate
-            Workers from `_with_room`.
+            Workers from `room.with_room`.
         previous : Candidate or None
             Worker of the preceding task of the step.
         opened : bool
             Whether workers that are closed to other tasks may be chosen, too.
         """
         step = pending.step
-        crashes = self._crashes(pending, index)
+        crashes = self._isolation.crashes(pending, index)
         if (
             previous is not None
             and not step.fill
             and not crashes
             and not previous.crash_suspects
-            and _has_room(pending, previous)
+            and room.has_room(pending, previous)
         ):
             return previous  # it has become the fullest by the preceding task
         crash_addresses = {item.address for item in crashes}
@@ -1086,9 +882,9 @@
         best_rank: tuple[bool, bool, int, bool, int, int, int, bool] | None = None
         is_pressing = self._is_pressing(pending)
         is_urgent = pending.entry.queue.priority == 0
-        needs_isolation = self._needs_isolation(pending, index)
+        needs_isolation = self._isolation.needs_isolation(pending, index)
         for candidate in candidates:
-            if not _has_room(pending, candidate, opened=opened):
+            if not room.has_room(pending, candidate, opened=opened):
                 continue
             rack_free_accelerators = (
                 0 if is_urgent else self._rack_free_accelerators[candidate.worker.rack]
@@ -1141,94 +937,6 @@
         )
 
 
-def _size(
-    step: workflow.Step,
-    candidates: Iterable[resources.Candidate],
-    *,
-    is_free: bool = False,
-) -> int:
-    """Return how many tasks of a step some workers would hold if they were empty.
-
-    Parameters
-    ----------
-    is_free : bool
-        Whether to return how many fit into their free resources instead.
-    """
-    needs = resources.reserved(step)
-    sizes = (
-        resources.max_tasks(needs, item.free if is_free else item.worker.capacity)
-        for item in candidates
-    )
-    limit = step.max_per_worker
-    return sum(min(size, limit) if limit else size for size in sizes)
-
-
-def _can_hold(step: workflow.Step, candidates: Sequence[resources.Candidate]) -> bool:
-    """Tell whether some workers could run a step if they were empty."""
-    if not step.gang:
-        return _size(step, candidates) > 0
-    if step.same_rack:
-        return max(_WorkerSet(candidates).rack_sizes(step).values(), default=0) >= (
-            step.count
-        )
-    return _size(step, candidates) >= step.count
-
-
-def _idle(candidates: list[resources.Candidate]) -> list[resources.Candidate]:
-    return [candidate for candidate in candidates if not candidate.task_count]
-
-
-def _has_room(
-    pending: backlog.PendingStep,
-    candidate: resources.Candidate,
-    *,
-    opened: bool = False,
-) -> bool:
-    """Tell whether a worker has room for another task of a step.
-
-    Silent workers have no room for members of gangs.
-
-    Parameters
-    ----------
-    opened : bool
-        Whether a worker that is closed to other tasks has room, too.
-    """
-    step = pending.step
-    if step.gang and candidate.is_silent:
-        return False
-    if candidate.is_closed and not opened:
-        return False
-    return candidate.has_free(resources.reserved(step)) and candidate.has_task_slot(
-        pending.key, step.max_per_worker
-    )
-
-
-def _with_room(
-    pending: backlog.PendingStep, candidates: list[resources.Candidate]
-) -> list[resources.Candidate]:
-    """Return the workers with room for a task of a step.
-
-    A task takes several times as long away from its data, so it waits for free
-    resources there as long as the usable workers of the rack could hold it, or all
-    members of its gang.
-    """
-    step = pending.step
-    if step.rack:
-        near = [item for item in candidates if item.worker.rack == step.rack]
-        if _size(step, near) >= (step.count if step.gang else 1):
-            candidates = near
-    return [candidate for candidate in candidates if _has_room(pending, candidate)]
-
-
-def _without_suspects(
-    scopes: list[list[resources.Candidate]],
-) -> Iterator[list[resources.Candidate]]:
-    """Yield sets of workers without suspect ones, nothing if no worker is suspect."""
-    if any(candidate.is_suspect for scope in scopes for candidate in scope):
-        for scope in scopes:
-            yield [candidate for candidate in scope if not candidate.is_suspect]
-
-
 def _wait_reason(
     pending: backlog.PendingStep, eligible: list[resources.Candidate]
 ) -> WaitReason:
