--- a/review/lab/bed.py
+++ b/review/lab/bed.py
@@ -195,6 +195,7 @@
         self.control_port, self.peer_port, self.front_port = ports[:3]
         self.ready_port, self.runner_port = ports[3:]
         self.fields = fields
+        self.cloud_address = f"{self.subnet}.201:{self.runner_port}"
         self.control = [f"{self.subnet}.{1 + i}:{self.control_port}" for i in range(3)]
         self.controllers = [self.make("controller", i) for i in range(3)]
         self.gateways = [self.make("gateway", i) for i in range(gateways)]
@@ -252,6 +253,7 @@
                 "contracts": ["base", "drain", "config", "recover", "sched", "tenants"],
                 "fault_tolerance": {"machines": 1, "zones": 0, "regions": 0},
                 "bounds": BOUNDS,
+                "cloud_api": {"address": self.cloud_address, "rate_per_s": 60.0},
                 "control_mode": "invocation",
                 **self.fields,
             },
