Review case 14: clients without a key kill the gateways

300 clients send legal jobs of 198 KB whole, with an unknown key. A gateway decodes each before anything is known of its caller and holds more than its memory budget counts, so both pass 300 MB and are killed three times and more.

--- a/review/lab/bed.py
+++ b/review/lab/bed.py
@@ -49,6 +49,8 @@
 }
 DEADLINE_MS = 3000
 START_TIMEOUT_S = 20.0
+RESTART_S = 0.5  # from the end of a process to its start by the platform
+WATCH_S = 0.1
 
 
 def route(name, priority=1, **fields):
@@ -391,6 +393,25 @@
         self.spawn(added.live(self.session))
         return added
 
+    async def limit_memory(self, process, kills):
+        """Kill and restart a process that uses more than its memory, as the platform.
+
+        Each time, the name of its machine is added to `kills`.
+        """
+        name = process.settings["node_name"]
+        limit_mb = process.settings["limits"]["memory_mb"]
+        while True:
+            await asyncio.sleep(WATCH_S)
+            used_mb = process.memory_mb()
+            if used_mb is None or used_mb <= limit_mb:
+                continue
+            kills.append(name)
+            self.record(f"{name} uses {used_mb} MB: killed and restarted")
+            await process.end()
+            await asyncio.sleep(RESTART_S)
+            process.settings["bootstrap"] = False
+            await process.start()
+
     async def leader(self):
         """Return the index of the controller that leads, if one says so."""
         for index, process in enumerate(self.controllers):
