--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -6,4 +6,4 @@
 build=$(python3 -c 'import tomllib; print(tomllib.load(open("deploy/system.toml", "rb"))["build"])')
 sh -c "$build"
 cd review
-PYTHONPATH=../target/deps:. python3 -B -c 'import lab.bed, lab.runner, lab.traffic'
+PYTHONPATH=../target/deps:. python3 -B -c 'import lab.bed, lab.platform, lab.runner, lab.traffic'
