--- a/review/lab/traffic.py
+++ b/review/lab/traffic.py
@@ -78,10 +78,9 @@
         return [path for path, state in self.states.items() if state != "completed"]
 
 
-def main(folder, play):
-    """Run a case, and exit with its result."""
+def main(folder, play, *, is_troubled):
+    """Run a case with or without its disruption, and exit with its result."""
     try:
-        is_troubled = os.environ.get("TROUBLE", "1") != "0"
         path = pathlib.Path(folder) / os.environ.get("RECORD", "record.txt")
         result = asyncio.run(play(bed.Record(path), is_troubled))
     except (RuntimeError, OSError) as error:
