Log how long a released run could have gone on

The log could not tell a run that was released on evidence from one that may still be at work: worker.life_over and task.released name a reason only, and the outcome not_run of a failed call covers more than a refused connection. Both lines have lease_left_s now, and worker.silent and worker.departure_unconfirmed say whether the connection was refused.

--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -141,6 +141,11 @@
         """Return when the worker last replied or sent a heartbeat."""
         return self._last_heard_s
 
+    @property
+    def _lease_left_s(self) -> float:
+        """Return how long runs may still go on if the worker gets no further call."""
+        return round(max(self._lease.expires_s - self._clock.monotonic(), 0.0), 3)
+
     @property
     def is_unresponsive(self) -> bool:
         """Tell whether several calls in a row got no reply."""
@@ -550,6 +555,7 @@
                         "worker.silent",
                         worker=self.worker.worker_id,
                         reason=failure.message,
+                        refused=failure.is_refused,
                         lapses_in_s=self._lease.expires_s - self._clock.monotonic(),
                     )
                 self._record_no_reply()
@@ -958,6 +964,7 @@
                     worker=self.worker.worker_id,
                     attempt=attempt,
                     outcome=failure.outcome.value,
+                    refused=failure.is_refused,
                     reason=failure.message,
                 )
                 if failure.outcome is errors.Outcome.NOT_RUN:
@@ -991,7 +998,9 @@
         placements = self._state.placements_on(self.worker.worker_id)
         ends = fencing.ends_of(placements.values(), successor_ends)
         has_crashed = has_crashed and not self.worker.draining
-        log_incarnation_end(self.worker, reason, has_crashed, len(placements))
+        log_incarnation_end(
+            self.worker, reason, has_crashed, len(placements), self._lease_left_s
+        )
         ended = {(end.task, end.run) for end in ends}
         released = [
             self._get_run(placement)
@@ -1068,6 +1077,7 @@
                 run=run.placement.run,
                 worker=self.worker.worker_id,
                 reason=reason,
+                lease_left_s=self._lease_left_s,
             )
 
     async def _commit(self, proposed: command.AnyCommand) -> bool:
@@ -1097,9 +1107,19 @@
 
 
 def log_incarnation_end(
-    worker: workflow.Worker, reason: str, has_crashed: bool, run_count: int
+    worker: workflow.Worker,
+    reason: str,
+    has_crashed: bool,
+    run_count: int,
+    lease_left_s: float | None = None,
 ) -> None:
-    """Log that an incarnation of a worker has certainly ended."""
+    """Log that an incarnation of a worker has certainly ended.
+
+    Parameters
+    ----------
+    lease_left_s : float or None
+        How long its runs could have gone on otherwise, ``None`` if unknown.
+    """
     log.state_change(
         "worker.life_over",
         worker=worker.worker_id,
@@ -1108,4 +1128,5 @@
         reason=reason,
         crashed=has_crashed,
         runs=run_count,
+        lease_left_s=lease_left_s,
     )
