Show tasks that run twice beside a departing worker (TWICE)

A worker that leaves closes its port before it ends, and is at work until its departure is acknowledged. The stand-in of workers can do that now, and can have no route. Fails on the present code: all 12 cases of a closed port ("already running") and all 3 of a missing route, whose departure is acknowledged at once.

--- a/marjoramusher/executors/departures_test.py
+++ b/marjoramusher/executors/departures_test.py
@@ -7,6 +7,7 @@
 
 from marjoramusher.core import errors
 from marjoramusher.executors import port
+from marjoramusher.queues import call
 from standins import virtual
 from standins.leader import WORKERS, Harness, always, step
 
@@ -184,3 +185,73 @@
             await harness.check_all_end(60)
 
     virtual.run(scenario())
+
+
+async def drain(harness, name):
+    """Let a worker announce that it leaves, and return its process."""
+    life = harness.fleet.processes[name]
+    life.worker = msgspec.structs.replace(life.worker, draining=True)
+    await harness.announce(life.worker, 1000)
+    return life
+
+
+async def deregister(harness, worker):
+    """Send a departure once, and tell whether it was acknowledged."""
+    request = call.pack_call(call.Leave(worker.worker_id, worker.incarnation))
+    try:
+        await harness.service.serve(request)
+    except errors.MarjoramusherError:
+        return False
+    return True
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("deregisters", [False, True])
+@pytest.mark.parametrize("lingers_s", [1.0, 4.0])
+def test_a_departing_worker_that_has_closed_its_port_doubles_nothing(
+    lingers_s, deregisters, seed
+):
+    """Guards against a refused connection that is taken for the end of a worker.
+
+    The worker closes its port first, and goes on until it gets an acknowledgement or
+    gives up. Here the acknowledgement is lost.
+    """
+
+    async def scenario():
+        async with Harness(seed, always(9.0)) as harness:
+            harness.fleet.refuses_connections = True
+            await harness.submit("batch", step(WORKERS * 4, 1))
+            await asyncio.sleep(2.0)
+            life = await drain(harness, "x1")
+            assert life.runs
+            await asyncio.sleep(3.5)
+            harness.fleet.closed_ports.add("x1")
+            if deregisters:
+                assert await deregister(harness, life.worker)
+            await asyncio.sleep(lingers_s)
+            life.has_ended = True
+            await harness.check_all_end(60)
+            assert "x1" not in harness.state.workers
+
+    virtual.run(scenario())
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_failed_connection_to_a_departing_worker_doubles_nothing(seed):
+    """Guards against a missing route that is taken for the end of a worker."""
+
+    async def scenario():
+        async with Harness(seed, always(9.0)) as harness:
+            harness.fleet.has_no_route = True
+            await harness.submit("batch", step(WORKERS * 4, 1))
+            await asyncio.sleep(2.0)
+            life = await drain(harness, "x1")
+            assert life.runs
+            await asyncio.sleep(3.5)
+            harness.fleet.unreachable.add("x1")
+            assert not await deregister(harness, life.worker)
+            await asyncio.sleep(2.0)
+            life.has_ended = True
+            await harness.check_all_end(60)
+
+    virtual.run(scenario())
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -155,6 +155,10 @@
         Ids of workers whose calls all fail.
     refuses_connections : bool
         Whether a worker that has ended refuses connections at once.
+    closed_ports : set of str
+        Ids of workers that refuse connections while they are up.
+    has_no_route : bool
+        Whether connections to an unreachable worker fail at once.
     held_back : set of str
         Ids of workers to which calls are held back until `release_calls`.
     violations : list of str
@@ -211,6 +215,8 @@
         self.processes: dict[str, WorkerProcess] = {}
         self.unreachable: set[str] = set()
         self.refuses_connections = False
+        self.closed_ports: set[str] = set()
+        self.has_no_route = False
         self.held_back: set[str] = set()
         self._held_calls: list[tuple[str, Callable[[WorkerProcess], object]]] = []
         self.violations: list[str] = []
@@ -442,8 +448,13 @@
             await asyncio.sleep(TIMEOUT_S)
             raise _unreachable(worker)
         process = self.processes.get(worker.worker_id)
-        if self.refuses_connections and process is not None and process.has_ended:
+        has_ended = process is not None and process.has_ended
+        if worker.worker_id in self.closed_ports or (
+            self.refuses_connections and has_ended
+        ):
             raise _unreachable(worker, errors.Outcome.NOT_RUN, is_refused=True)
+        if self.has_no_route and worker.worker_id in self.unreachable:
+            raise _unreachable(worker, errors.Outcome.NOT_RUN)
         if worker.worker_id in self.unreachable or process is None or process.has_ended:
             if self.passes_cuts and process is not None and not process.has_ended:
                 self._lose(process, handler, is_order)
