Keep a run with a late start behind a cut without a route

After the lease of a worker has lapsed, a run with a start on its way waits until the worker is heard or the start is too old, unless its address refuses connections. Each connection that could not be made counted as refused, also one without a route, behind which the next incarnation can still carry the start out.

--- a/marjoramusher/executors/driver_test.py
+++ b/marjoramusher/executors/driver_test.py
@@ -915,13 +915,20 @@
     virtual.run(scenario())
 
 
+@pytest.mark.parametrize("has_no_route", [False, True])
 @pytest.mark.parametrize("cut_s", [4.5, 5.5, 6.0, 7.5, 9.5])
 @pytest.mark.parametrize("arrives_s", [0.0, 0.1, 0.3, 0.6, 1.0, 2.0])
-def test_an_earlier_attempt_that_waits_behind_a_cut_doubles_nothing(cut_s, arrives_s):
-    """Guards against a late start after the lease of the former incarnation."""
+def test_an_earlier_attempt_that_waits_behind_a_cut_doubles_nothing(
+    cut_s, arrives_s, has_no_route
+):
+    """Guards against a late start after the lease of the former incarnation.
+
+    Calls behind the cut get no answer, or fail at once since there is no route.
+    """
 
     async def scenario():
         async with Harness(26, always(30.0)) as harness:
+            harness.fleet.has_no_route = has_no_route
             successor = await run_behind_cut(harness, 1, cut_s)
             await asyncio.sleep(arrives_s)
             harness.fleet.release_calls()
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -562,9 +562,7 @@
                 self._refused_polls = (
                     self._refused_polls + 1 if failure.is_refused else 0
                 )
-                await self._release_expired(
-                    is_refused=failure.outcome is errors.Outcome.NOT_RUN
-                )
+                await self._release_expired(is_refused=failure.is_refused)
                 if self._has_left:
                     await self._remove_departed()
                 await asyncio.sleep(RETRY_S)
