Acknowledge a departure though the worker gives no answer

Without an acknowledgement a worker stays up for some seconds, with its port closed, which is the state in which its tasks ran twice; and departures have to be acknowledged within 5 s.

Cause: the acknowledgement stood for the release of the runs. It only has to promise that nothing new starts there, which the committed drain and the raised fencing token do. Now a departure is acknowledged within the second for which the caller waits, by 0.2 s of retries, and the runs are released with the lease; the worker is removed after that. Nothing of a run is decided by the failed call.

--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -346,7 +346,7 @@
         -------
         bool
             Whether it has been removed; otherwise that follows, and its departure can
-            be acknowledged.
+            be acknowledged all the same.
 
         Raises
         ------
@@ -355,7 +355,7 @@
         NoQuorumError
             If a change was not committed in time.
         WorkerUnreachableError
-            If the worker may be at work and did not confirm that it stops.
+            If this leader has not called the worker before, and gets no answer.
         """
         current = self._sessions.get(worker.worker_id)
         if current is not None and current.worker.incarnation == worker.incarnation:
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -21,8 +21,9 @@
 # worker is detected 0.75 s later than with a limit of 1.
 MAX_FAILED_CALLS = 2
 RETRY_S = 0.25  # after a call without a reply; stops have to arrive within seconds
-# Calls to a worker that leaves; its process may have closed the pooled connections.
-DEPARTURE_ATTEMPTS = 3
+# A worker waits 1 s for the answer to its departure, of which a call without a reply
+# takes up to half.
+DEPARTURE_RETRIES_S = 0.2
 DEPARTURE_RETRY_S = 0.05
 # Polls in a row that a departing worker has to refuse before it counts as gone.
 DEPARTED_REFUSALS = 2
@@ -126,6 +127,8 @@
         self._refused_polls = 0  # in a row
         # Until when a start without a reply may be carried out.
         self._late_until_s = float("-inf")
+        # Whether its departure was acknowledged though its runs may go on.
+        self._has_departed = False
         # Whether the worker was heard since the last call, which got no reply.
         self._is_recheck_due = False
         self._end_lock = asyncio.Lock()
@@ -584,11 +587,13 @@
 
     @property
     def _has_left(self) -> bool:
-        """Tell whether the worker leaves and nothing listens at its address any more.
+        """Tell whether the worker has left, or has closed its port in order to leave.
 
-        Its runs may still go on, since it can close its port before it ends.
+        Its runs may still go on.
         """
-        return self.worker.draining and self._refused_polls >= DEPARTED_REFUSALS
+        return self._has_departed or (
+            self.worker.draining and self._refused_polls >= DEPARTED_REFUSALS
+        )
 
     def wake(self) -> None:
         """Poll the worker now if it is idle."""
@@ -920,38 +925,42 @@
                 raise
             return []
 
+    @property
+    def _may_run_tasks(self) -> bool:
+        """Tell whether a run may be in progress there, or be started late."""
+        return self._clock.monotonic() < self._late_until_s or bool(
+            self._state.placements_on(self.worker.worker_id)
+        )
+
     async def _remove_departed(self) -> None:
-        """Remove a worker that has left, once nothing is placed there any more.
+        """Remove a worker that has left, once no run can be there any more.
 
-        As long as a start may be carried out late, it is polled, so that a later
-        incarnation is found before that.
+        Until then it is polled, so that a later incarnation is found before it carries
+        a late start out.
         """
-        is_late_start_possible = self._clock.monotonic() < self._late_until_s
-        if is_late_start_possible or self._state.placements_on(self.worker.worker_id):
+        if self._may_run_tasks:
             return
         async with self._end_lock:
             if not self.has_ended:
-                await self._remove("it has left without a departure", False, [])
+                await self._remove("it has left", False, [])
                 self.has_ended = True
 
     async def end_departing(self) -> bool:
         """End an incarnation that leaves, as soon as it runs nothing any more.
 
-        It is up until its departure is acknowledged, and may have closed its port. Then
-        its runs are released when its lease has lapsed.
+        It is up until its departure is acknowledged, and may have closed its port
+        before. If it does not confirm that it runs nothing, its runs are released when
+        its lease has lapsed. Nothing new starts there, so that it may end at once.
 
         Returns
         -------
         bool
-            Whether it has been removed; otherwise that follows, and its departure can
-            be acknowledged.
+            Whether it has been removed; otherwise that follows.
 
         Raises
         ------
         NoQuorumError
             If a change was not committed in time; it has to be tried again.
-        WorkerUnreachableError
-            If the worker may be at work and did not confirm that it stops.
         """
         async with self._end_lock:
             if self.has_ended:
@@ -963,17 +972,15 @@
             except port.WorkerReplacedError:
                 pass  # two processes can't listen on one address
             except port.WorkerUnreachableError as failure:
-                if not failure.is_refused:
-                    raise
-                if self._state.placements_on(self.worker.worker_id):
-                    await self._record_closed_port()
+                if self._may_run_tasks:
+                    await self._await_departure(failure)
                     return False
             await self._remove("it has left", False, ends)
             self.has_ended = True
             return True
 
-    async def _record_closed_port(self) -> None:
-        """Place nothing on a worker any more whose runs go on behind a closed port."""
+    async def _await_departure(self, failure: port.WorkerUnreachableError) -> None:
+        """Place nothing any more on a worker that leaves, and wait for its lease."""
         registered = self._state.workers.get(self.worker.worker_id)
         if registered is not None and not registered.worker.draining:
             draining = msgspec.structs.replace(registered.worker, draining=True)
@@ -982,19 +989,25 @@
                     clock.unix_ms(self._clock), draining, registered.sequence
                 )
             )
+        self._has_departed = True
         log.state_change(
-            "worker.port_closed",
+            "worker.departure_pending",
             worker=self.worker.worker_id,
             born=self.worker.incarnation,
             runs=len(self._state.placements_on(self.worker.worker_id)),
             lapses_in_s=self._lease_left_s,
+            refused=failure.is_refused,
         )
         self.wake()
 
     async def _stop_departing(self) -> list[workflow.RunEnd]:
-        attempt = 0
+        """Stop all runs on a worker that leaves, and return their ends.
+
+        Its process may have closed the pooled connections, so that the first attempts
+        fail at once.
+        """
+        until_s = self._clock.monotonic() + DEPARTURE_RETRIES_S
         while True:
-            attempt += 1
             try:
                 return await fencing.stop_all(
                     self.worker, self._port, self._token, is_departing=True
@@ -1003,12 +1016,11 @@
                 log.state_change(
                     "worker.departure_unconfirmed",
                     worker=self.worker.worker_id,
-                    attempt=attempt,
                     outcome=failure.outcome.value,
                     refused=failure.is_refused,
                     reason=failure.message,
                 )
-                if failure.is_refused or attempt == DEPARTURE_ATTEMPTS:
+                if failure.is_refused or self._clock.monotonic() >= until_s:
                     raise
                 await asyncio.sleep(DEPARTURE_RETRY_S)
 
