Keep polling a worker whose removal was not committed

Cause: the handlers for calls without a reply ran inside except clauses of the poll loop, whose other clauses do not cover them, so that an error of a commit ended the loop. The handlers are a method now, within the try block of the loop.

Measured: test_a_worker_that_has_left_is_removed_though_a_commit_failed fails before the change.

--- a/marjoramusher/executors/departures_test.py
+++ b/marjoramusher/executors/departures_test.py
@@ -8,6 +8,7 @@
 from marjoramusher.core import errors
 from marjoramusher.executors import port
 from marjoramusher.queues import call
+from marjoramusher.workflows import command
 from standins import virtual
 from standins.leader import WORKERS, Harness, always, step
 
@@ -302,3 +303,31 @@
             assert "x1" not in harness.state.workers
 
     virtual.run(scenario())
+
+
+def test_a_worker_that_has_left_is_removed_though_a_commit_failed():
+    """Guards against a session that ends its polls on a removal that failed once."""
+
+    async def scenario():
+        async with Harness(1, always(9.0)) as harness:
+            harness.fleet.refuses_connections = True
+            await harness.submit("batch", step(WORKERS * 4, 1))
+            await asyncio.sleep(2.0)
+            life = await drain(harness, "x1")
+            await asyncio.sleep(1.0)
+            propose = harness.driver.propose
+            failed = []
+
+            async def fail_once(proposed):
+                if isinstance(proposed, command.RemoveWorker) and not failed:
+                    failed.append(proposed)
+                    raise errors.NoQuorumError("no majority", errors.Outcome.UNKNOWN)
+                return await propose(proposed)
+
+            harness.driver.propose = fail_once
+            life.has_ended = True
+            await harness.check_all_end(60)
+            assert failed
+            assert "x1" not in harness.state.workers
+
+    virtual.run(scenario())
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -548,27 +548,7 @@
                 await self._wake_event.wait()
                 continue
             try:
-                await self._poll()
-            except port.WorkerReplacedError:
-                if not await self._end_replaced():
-                    await asyncio.sleep(RETRY_S)
-            except port.WorkerUnreachableError as failure:
-                if not self._failed_calls:
-                    log.state_change(
-                        "worker.silent",
-                        worker=self.worker.worker_id,
-                        reason=failure.message,
-                        refused=failure.is_refused,
-                        lapses_in_s=self._lease.expires_s - self._clock.monotonic(),
-                    )
-                self._record_no_reply()
-                self._refused_polls = (
-                    self._refused_polls + 1 if failure.is_refused else 0
-                )
-                await self._release_expired(is_refused=failure.is_refused)
-                if self._has_left:
-                    await self._remove_departed()
-                await asyncio.sleep(RETRY_S)
+                await self._poll_or_release()
             except errors.MarjoramusherError as failure:
                 self._log_not_committed(failure)
                 await asyncio.sleep(RETRY_S)
@@ -577,6 +557,29 @@
                 log.unexpected_error("session", failure)
                 await asyncio.sleep(RETRY_S)
 
+    async def _poll_or_release(self) -> None:
+        """Poll the worker; without a reply, release what its lease covers no more."""
+        try:
+            await self._poll()
+        except port.WorkerReplacedError:
+            if not await self._end_replaced():
+                await asyncio.sleep(RETRY_S)
+        except port.WorkerUnreachableError as failure:
+            if not self._failed_calls:
+                log.state_change(
+                    "worker.silent",
+                    worker=self.worker.worker_id,
+                    reason=failure.message,
+                    refused=failure.is_refused,
+                    lapses_in_s=self._lease.expires_s - self._clock.monotonic(),
+                )
+            self._record_no_reply()
+            self._refused_polls = self._refused_polls + 1 if failure.is_refused else 0
+            await self._release_expired(is_refused=failure.is_refused)
+            if self._has_left:
+                await self._remove_departed()
+            await asyncio.sleep(RETRY_S)
+
     def _log_not_committed(self, failure: errors.MarjoramusherError) -> None:
         log.state_change(
             "worker.report_not_committed",
@@ -937,11 +940,14 @@
 
         Until then it is polled, so that a later incarnation is found before it carries
         a late start out.
+
+        Raises
+        ------
+        NoQuorumError
+            If the removal was not committed in time.
         """
-        if self._may_run_tasks:
-            return
         async with self._end_lock:
-            if not self.has_ended:
+            if not (self.has_ended or self._may_run_tasks):
                 await self._remove("it has left", False, [])
                 self.has_ended = True
 
