Open the session of a worker that departs before its first call

Cause: without a session, Driver.end_departing asked the worker what it runs, and then removed it with all its runs. While the answer was on its way the driver opened a session, and runs started. The departure opens the session now, which ends it under its own lock.

--- a/marjoramusher/executors/departures_test.py
+++ b/marjoramusher/executors/departures_test.py
@@ -8,7 +8,7 @@
 from marjoramusher.core import errors
 from marjoramusher.executors import port
 from marjoramusher.queues import call
-from marjoramusher.workflows import command
+from marjoramusher.workflows import command, workflow
 from standins import virtual
 from standins.leader import WORKERS, Harness, always, step
 
@@ -331,3 +331,37 @@
             assert "x1" not in harness.state.workers
 
     virtual.run(scenario())
+
+
+@pytest.mark.parametrize("late_s", [0.05, 0.3, 0.45])
+def test_a_departure_right_after_the_registration_doubles_nothing(late_s):
+    """Guards against a run that starts while the leader asks what a worker runs."""
+
+    async def scenario():
+        async with Harness(2, always(3.0)) as harness:
+            await harness.submit("batch", step(WORKERS * 8 + 8, 1))
+            await asyncio.sleep(1.0)
+            capacity = harness.fleet.processes["x0"].worker.capacity
+            worker = workflow.Worker(
+                "y1", 99, "y1", "s", "fd", "r1", ("a", "r1"), capacity
+            )
+            life = harness.fleet.join(worker)
+            await harness.announce(worker, 1, life.clock_ms(harness.clock.monotonic()))
+            poll = harness.fleet.poll
+            delayed = []
+
+            async def delay_first(polled, *arguments):
+                report = await poll(polled, *arguments)
+                if polled.worker_id == "y1" and not delayed:
+                    delayed.append(report)
+                    await asyncio.sleep(late_s)
+                return report
+
+            harness.fleet.poll = delay_first
+            await deregister(harness, worker)
+            assert delayed
+            await asyncio.sleep(4.0)
+            life.has_ended = True
+            await harness.check_all_end(90)
+
+    virtual.run(scenario())
--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -312,32 +312,22 @@
             ends: list[workflow.RunEnd] = []
             if successor is not None and successor.address == worker.address:
                 ends = await fencing.stop_all(successor, self._port, self.issue_token())
+            placements = self._state.placements_on(worker.worker_id)
             has_crashed = has_crashed and not worker.draining
-            await self._remove_without_session(worker, reason, has_crashed, ends)
-
-    async def _remove_without_session(
-        self,
-        worker: workflow.Worker,
-        reason: str,
-        has_crashed: bool,
-        ends: list[workflow.RunEnd],
-    ) -> None:
-        """Commit the end of an incarnation that this leader has not called yet."""
-        placements = self._state.placements_on(worker.worker_id)
-        session.log_incarnation_end(worker, reason, has_crashed, len(placements))
-        await self.propose(
-            command.RemoveWorker(
-                clock.unix_ms(self._clock),
-                worker.worker_id,
-                worker.incarnation,
-                has_crashed=has_crashed,
-                suspects=tuple(
-                    suspicion.Suspect(placement.task, placement.run)
-                    for placement in placements.values()
-                ),
-                ends=fencing.ends_of(placements.values(), ends),
+            session.log_incarnation_end(worker, reason, has_crashed, len(placements))
+            await self.propose(
+                command.RemoveWorker(
+                    clock.unix_ms(self._clock),
+                    worker.worker_id,
+                    worker.incarnation,
+                    has_crashed=has_crashed,
+                    suspects=tuple(
+                        suspicion.Suspect(placement.task, placement.run)
+                        for placement in placements.values()
+                    ),
+                    ends=fencing.ends_of(placements.values(), ends),
+                )
             )
-        )
 
     async def end_departing(self, worker: workflow.Worker) -> bool:
         """Remove an incarnation of a worker that leaves, once it runs nothing.
@@ -354,17 +344,13 @@
             If this instance does not lead.
         NoQuorumError
             If a change was not committed in time.
-        WorkerUnreachableError
-            If this leader has not called the worker before, and gets no answer.
         """
-        current = self._sessions.get(worker.worker_id)
-        if current is not None and current.worker.incarnation == worker.incarnation:
-            return await current.end_departing()
-        ends = await fencing.stop_all(
-            worker, self._port, self.issue_token(), is_departing=True
-        )
-        await self._remove_without_session(worker, "it has left", False, ends)
-        return True
+        if not self.is_leading:
+            raise errors.NotLeaderError(None)
+        # A worker can leave before the next iteration would open its session. Without
+        # one, a run could start there while it is asked what it runs.
+        self._open_sessions()
+        return await self._sessions[worker.worker_id].end_departing()
 
     async def fence(self, worker: workflow.Worker) -> None:
         """Keep starts for former incarnations away from one that is to be registered.
