Wait for the lease of a departing worker whose address is taken

A reply that names another worker (421), or the announcement of one at that address, released all runs of the former at once.

Change: as long as such a worker drains, has runs and its lease has not lapsed, only the lease ends it. The announcement of the other worker is acknowledged, and it is registered by one that follows. A worker that crashed without draining is replaced at once as before, since nothing makes it close its port and go on.

--- a/marjoramusher/executors/departures_test.py
+++ b/marjoramusher/executors/departures_test.py
@@ -271,6 +271,46 @@
     virtual.run(scenario())
 
 
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("is_announced", [False, True])
+def test_an_address_that_is_taken_from_a_departing_worker_doubles_nothing(
+    is_announced, seed
+):
+    """Guards against another worker at an address that is taken for the end of one.
+
+    A departing worker has closed its port, and goes on until its departure is
+    acknowledged. The other worker is used when the lease has lapsed.
+    """
+
+    async def scenario():
+        async with Harness(seed, always(9.0)) as harness:
+            await harness.submit("batch", step(WORKERS * 4, 1))
+            await asyncio.sleep(2.0)
+            life = await drain(harness, "x1")
+            assert life.runs
+            await asyncio.sleep(3.5)
+            harness.fleet.replaced.add("x1")
+            harness.incarnation += 1
+            successor = msgspec.structs.replace(
+                life.worker,
+                worker_id="y1",
+                incarnation=harness.incarnation,
+                draining=False,
+            )
+            harness.fleet.join(successor)
+            if is_announced:
+                await harness.announce(successor)
+            await asyncio.sleep(1.5)
+            life.has_ended = True
+            await asyncio.sleep(1.5)
+            await harness.announce(successor, 2)
+            assert "y1" in harness.state.workers
+            assert "x1" not in harness.state.workers
+            await harness.check_all_end(60)
+
+    virtual.run(scenario())
+
+
 @pytest.mark.parametrize("seed", range(3))
 @pytest.mark.parametrize("has_no_route", [False, True])
 @pytest.mark.parametrize("is_ack_lost", [False, True])
@@ -365,3 +405,52 @@
             await harness.check_all_end(90)
 
     virtual.run(scenario())
+
+
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("changes_leader", [False, True])
+@pytest.mark.parametrize("after_s", [0.5, 1.6, 2.5])
+def test_a_full_lease_that_was_granted_before_the_notice_counts(
+    after_s, changes_leader, seed
+):
+    """Guards against a short lease that replaces the bound of a longer one."""
+
+    async def scenario():
+        async with Harness(seed, always(12.0)) as harness:
+            harness.replaces_leader = True
+            await harness.submit("batch", step(WORKERS * 4, 1))
+            await asyncio.sleep(2.0 + 0.3 * seed)
+            life = await drain(harness, "x1")
+            assert life.runs
+            await asyncio.sleep(after_s)
+            harness.fleet.closed_ports.add("x1")
+            if changes_leader:
+                harness.lose_leadership()
+                await asyncio.sleep(0.1)
+                harness.take_over()
+            else:
+                await deregister(harness, life.worker)
+            await asyncio.sleep(7.0)
+            life.has_ended = True
+            await harness.check_all_end(60)
+            assert "x1" not in harness.state.workers
+
+    virtual.run(scenario())
+
+
+def test_a_worker_that_departs_unannounced_gets_nothing_more():
+    """Guards against work that is placed behind a closed port."""
+
+    async def scenario():
+        async with Harness(1, always(9.0)) as harness:
+            await harness.submit("batch", step(WORKERS * 4, 1))
+            await asyncio.sleep(2.0)
+            life = harness.fleet.processes["x1"]
+            harness.fleet.closed_ports.add("x1")
+            assert await deregister(harness, life.worker)
+            assert harness.state.workers["x1"].worker.draining
+            await asyncio.sleep(1.0)
+            life.has_ended = True
+            await harness.check_all_end(60)
+
+    virtual.run(scenario())
--- a/marjoramusher/executors/driver.py
+++ b/marjoramusher/executors/driver.py
@@ -329,6 +329,12 @@
                 )
             )
 
+    def awaits_lease(self, worker: workflow.Worker) -> bool:
+        """Tell whether only the lease will show that a departing worker has ended."""
+        self._open_sessions()
+        current = self._sessions.get(worker.worker_id)
+        return current is not None and current.awaits_lease
+
     async def end_departing(self, worker: workflow.Worker) -> bool:
         """Remove an incarnation of a worker that leaves, once it runs nothing.
 
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -976,17 +976,25 @@
             try:
                 ends = await self._stop_departing()
             except port.WorkerReplacedError:
-                pass  # two processes can't listen on one address
+                if self.awaits_lease:
+                    await self._await_departure(is_refused=True)
+                    return False
             except port.WorkerUnreachableError as failure:
                 if self._may_run_tasks:
-                    await self._await_departure(failure)
+                    await self._await_departure(is_refused=failure.is_refused)
                     return False
             await self._remove("it has left", False, ends)
             self.has_ended = True
             return True
 
-    async def _await_departure(self, failure: port.WorkerUnreachableError) -> None:
-        """Place nothing any more on a worker that leaves, and wait for its lease."""
+    async def _await_departure(self, *, is_refused: bool) -> None:
+        """Place nothing any more on a worker that leaves, and wait for its lease.
+
+        Parameters
+        ----------
+        is_refused : bool
+            Whether it does not listen at its address any more.
+        """
         registered = self._state.workers.get(self.worker.worker_id)
         if registered is not None and not registered.worker.draining:
             draining = msgspec.structs.replace(registered.worker, draining=True)
@@ -1002,7 +1010,7 @@
             born=self.worker.incarnation,
             runs=len(self._state.placements_on(self.worker.worker_id)),
             lapses_in_s=self._lease_left_s,
-            refused=failure.is_refused,
+            refused=is_refused,
         )
         self.wake()
 
@@ -1030,6 +1038,18 @@
                     raise
                 await asyncio.sleep(DEPARTURE_RETRY_S)
 
+    @property
+    def awaits_lease(self) -> bool:
+        """Tell whether only the lease will show that a departing worker has ended.
+
+        It closes its port before it ends, and another worker can take its address.
+        """
+        return (
+            self.worker.draining
+            and self._lease_left_s > 0.0
+            and bool(self._state.placements_on(self.worker.worker_id))
+        )
+
     async def _end_replaced(self) -> bool:
         """End an incarnation whose address a worker with another id has taken.
 
@@ -1040,6 +1060,9 @@
         bool
             Whether that was committed; otherwise the next call finds out again.
         """
+        if self.awaits_lease:
+            self._record_no_reply()
+            return False
         try:
             await self.end_incarnation("replaced at its address", has_crashed=True)
         except errors.MarjoramusherError as failure:
--- a/marjoramusher/queues/service.py
+++ b/marjoramusher/queues/service.py
@@ -263,7 +263,14 @@
         if fault:
             self._log_ignored(worker, fault)
             return acknowledgement
-        for former, reason in _replaced_by(worker, self._state):
+        replaced = _replaced_by(worker, self._state)
+        if any(
+            former.worker_id != worker.worker_id and self._driver.awaits_lease(former)
+            for former, _ in replaced
+        ):
+            self._log_ignored(worker, "its address is not free yet")
+            return acknowledgement
+        for former, reason in replaced:
             is_same = former.worker_id == worker.worker_id
             await self._driver.end_incarnation(
                 former,
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -157,6 +157,8 @@
         Whether a worker that has ended refuses connections at once.
     closed_ports : set of str
         Ids of workers that refuse connections while they are up.
+    replaced : set of str
+        Ids of workers whose address another worker has taken.
     has_no_route : bool
         Whether connections to an unreachable worker fail at once.
     held_back : set of str
@@ -216,6 +218,7 @@
         self.unreachable: set[str] = set()
         self.refuses_connections = False
         self.closed_ports: set[str] = set()
+        self.replaced: set[str] = set()
         self.has_no_route = False
         self.held_back: set[str] = set()
         self._held_calls: list[tuple[str, Callable[[WorkerProcess], object]]] = []
@@ -448,6 +451,8 @@
             await asyncio.sleep(TIMEOUT_S)
             raise _unreachable(worker)
         process = self.processes.get(worker.worker_id)
+        if worker.worker_id in self.replaced:
+            raise port.WorkerReplacedError(worker.worker_id)
         has_ended = process is not None and process.has_ended
         if worker.worker_id in self.closed_ports or (
             self.refuses_connections and has_ended
