--- a/marjoramusher/executors/departures_test.py
+++ b/marjoramusher/executors/departures_test.py
@@ -230,6 +230,16 @@
     return life
 
 
+async def run_on_departing_worker(harness, notice_s):
+    """Let a worker with running tasks drain for a time, and return its process."""
+    await harness.submit("batch", step(WORKERS * 4, 1))
+    await asyncio.sleep(2.0)
+    life = await drain(harness, "x1")
+    assert life.runs
+    await asyncio.sleep(notice_s)
+    return life
+
+
 async def deregister(harness, worker):
     """Send a departure once, and tell whether it was acknowledged."""
     request = call.pack_call(call.Leave(worker.worker_id, worker.incarnation))
@@ -255,11 +265,7 @@
     async def scenario():
         async with Harness(seed, always(9.0)) as harness:
             harness.fleet.refuses_connections = True
-            await harness.submit("batch", step(WORKERS * 4, 1))
-            await asyncio.sleep(2.0)
-            life = await drain(harness, "x1")
-            assert life.runs
-            await asyncio.sleep(3.5)
+            life = await run_on_departing_worker(harness, 3.5)
             harness.fleet.closed_ports.add("x1")
             if deregisters:
                 assert await deregister(harness, life.worker)
@@ -284,11 +290,7 @@
 
     async def scenario():
         async with Harness(seed, always(9.0)) as harness:
-            await harness.submit("batch", step(WORKERS * 4, 1))
-            await asyncio.sleep(2.0)
-            life = await drain(harness, "x1")
-            assert life.runs
-            await asyncio.sleep(3.5)
+            life = await run_on_departing_worker(harness, 3.5)
             harness.fleet.replaced.add("x1")
             harness.incarnation += 1
             successor = msgspec.structs.replace(
@@ -325,12 +327,8 @@
     async def scenario():
         async with Harness(seed, always(9.0)) as harness:
             harness.fleet.has_no_route = has_no_route
-            await harness.submit("batch", step(WORKERS * 4, 1))
-            await asyncio.sleep(2.0)
-            life = await drain(harness, "x1")
+            life = await run_on_departing_worker(harness, 3.5)
             run_count = len(life.runs)
-            assert run_count
-            await asyncio.sleep(3.5)
             harness.fleet.unreachable.add("x1")
             sent_s = harness.clock.monotonic()
             assert await deregister(harness, life.worker)
@@ -351,10 +349,7 @@
     async def scenario():
         async with Harness(1, always(9.0)) as harness:
             harness.fleet.refuses_connections = True
-            await harness.submit("batch", step(WORKERS * 4, 1))
-            await asyncio.sleep(2.0)
-            life = await drain(harness, "x1")
-            await asyncio.sleep(1.0)
+            life = await run_on_departing_worker(harness, 1.0)
             propose = harness.driver.propose
             failed = []
 
@@ -418,11 +413,8 @@
     async def scenario():
         async with Harness(seed, always(12.0)) as harness:
             harness.replaces_leader = True
-            await harness.submit("batch", step(WORKERS * 4, 1))
-            await asyncio.sleep(2.0 + 0.3 * seed)
-            life = await drain(harness, "x1")
-            assert life.runs
-            await asyncio.sleep(after_s)
+            await asyncio.sleep(0.3 * seed)
+            life = await run_on_departing_worker(harness, after_s)
             harness.fleet.closed_ports.add("x1")
             if changes_leader:
                 harness.lose_leadership()
