Wait for the lease of a replaced worker that departs unannounced

The departure of a worker that has not announced it was confirmed by a reply of another worker at its address, and its runs were released with the lease running. Both failures of the call are treated alike now: the drain is committed, and the lease decides. The properties of a session stand together before its methods.

--- a/marjoramusher/executors/departures_test.py
+++ b/marjoramusher/executors/departures_test.py
@@ -430,15 +430,17 @@
     virtual.run(scenario())
 
 
-def test_a_worker_that_departs_unannounced_gets_nothing_more():
-    """Guards against work that is placed behind a closed port."""
+@pytest.mark.parametrize("is_replaced", [False, True])
+def test_a_worker_that_departs_unannounced_gets_nothing_more(is_replaced):
+    """Guards against work that is placed behind a closed port, or doubled."""
 
     async def scenario():
         async with Harness(1, always(9.0)) as harness:
             await harness.submit("batch", step(WORKERS * 4, 1))
             await asyncio.sleep(2.0)
             life = harness.fleet.processes["x1"]
-            harness.fleet.closed_ports.add("x1")
+            closed = "replaced" if is_replaced else "closed_ports"
+            getattr(harness.fleet, closed).add("x1")
             assert await deregister(harness, life.worker)
             assert harness.state.workers["x1"].worker.draining
             await asyncio.sleep(1.0)
--- a/marjoramusher/executors/session.py
+++ b/marjoramusher/executors/session.py
@@ -159,6 +159,35 @@
         """Tell whether the last call got no reply."""
         return self._failed_calls > 0
 
+    @property
+    def awaits_lease(self) -> bool:
+        """Tell whether only the lease will show that a departing worker has ended.
+
+        It closes its port before it ends, and another worker can take its address.
+        """
+        return (
+            self.worker.draining
+            and self._lease_left_s > 0.0
+            and bool(self._state.placements_on(self.worker.worker_id))
+        )
+
+    @property
+    def _has_left(self) -> bool:
+        """Tell whether the worker has left, or has closed its port in order to leave.
+
+        Its runs may still go on.
+        """
+        return self._has_departed or (
+            self.worker.draining and self._refused_polls >= DEPARTED_REFUSALS
+        )
+
+    @property
+    def _may_run_tasks(self) -> bool:
+        """Tell whether a run may be in progress there, or be started late."""
+        return self._clock.monotonic() < self._late_until_s or bool(
+            self._state.placements_on(self.worker.worker_id)
+        )
+
     @property
     def stopping(self) -> frozenset[workflow.Placement]:
         """Return the runs that are being stopped."""
@@ -588,16 +617,6 @@
             reason=failure.message,
         )
 
-    @property
-    def _has_left(self) -> bool:
-        """Tell whether the worker has left, or has closed its port in order to leave.
-
-        Its runs may still go on.
-        """
-        return self._has_departed or (
-            self.worker.draining and self._refused_polls >= DEPARTED_REFUSALS
-        )
-
     def wake(self) -> None:
         """Poll the worker now if it is idle."""
         self._wake_event.set()
@@ -928,13 +947,6 @@
                 raise
             return []
 
-    @property
-    def _may_run_tasks(self) -> bool:
-        """Tell whether a run may be in progress there, or be started late."""
-        return self._clock.monotonic() < self._late_until_s or bool(
-            self._state.placements_on(self.worker.worker_id)
-        )
-
     async def _remove_departed(self) -> None:
         """Remove a worker that has left, once no run can be there any more.
 
@@ -975,26 +987,16 @@
             ends: list[workflow.RunEnd] = []
             try:
                 ends = await self._stop_departing()
-            except port.WorkerReplacedError:
-                if self.awaits_lease:
-                    await self._await_departure(is_refused=True)
-                    return False
-            except port.WorkerUnreachableError as failure:
+            except (port.WorkerReplacedError, port.WorkerUnreachableError) as failure:
                 if self._may_run_tasks:
-                    await self._await_departure(is_refused=failure.is_refused)
+                    await self._await_departure(failure.message)
                     return False
             await self._remove("it has left", False, ends)
             self.has_ended = True
             return True
 
-    async def _await_departure(self, *, is_refused: bool) -> None:
-        """Place nothing any more on a worker that leaves, and wait for its lease.
-
-        Parameters
-        ----------
-        is_refused : bool
-            Whether it does not listen at its address any more.
-        """
+    async def _await_departure(self, reason: str) -> None:
+        """Place nothing any more on a worker that leaves, and wait for its lease."""
         registered = self._state.workers.get(self.worker.worker_id)
         if registered is not None and not registered.worker.draining:
             draining = msgspec.structs.replace(registered.worker, draining=True)
@@ -1010,7 +1012,7 @@
             born=self.worker.incarnation,
             runs=len(self._state.placements_on(self.worker.worker_id)),
             lapses_in_s=self._lease_left_s,
-            refused=is_refused,
+            reason=reason,
         )
         self.wake()
 
@@ -1038,18 +1040,6 @@
                     raise
                 await asyncio.sleep(DEPARTURE_RETRY_S)
 
-    @property
-    def awaits_lease(self) -> bool:
-        """Tell whether only the lease will show that a departing worker has ended.
-
-        It closes its port before it ends, and another worker can take its address.
-        """
-        return (
-            self.worker.draining
-            and self._lease_left_s > 0.0
-            and bool(self._state.placements_on(self.worker.worker_id))
-        )
-
     async def _end_replaced(self) -> bool:
         """End an incarnation whose address a worker with another id has taken.
 
